--- /dev/null
+++ b/finchshelf/__init__.py
@@ -0,0 +1,1 @@
+"""finchshelf: an admission gateway for a service sold by plan."""
--- /dev/null
+++ b/finchshelf/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission decisions: `interface` holds the types, `logic` decides."""
