--- a/finchshelf/admission/logic.py
+++ b/finchshelf/admission/logic.py
@@ -23,11 +23,13 @@
 IDLE = 60.0  # s after which a customer's tables are dropped (design page)
 WINDOW_BURSTS = 8.0  # window in burst/rate: fewer edges, at which what others used since the last call is unknown
 NAME_LIFE = 60.0  # s, the longest that a counter keeps a name (the protocol's figure)
-SMOOTH = 0.25  # weight of a new latency: a few answers move the estimate, one does not
+SMOOTH = 0.1  # weight of a new latency: requests differ in work by more than servers differ in speed
+FAIL_SMOOTH = 0.25  # weight of a new outcome in a server's failure estimate: three or four in a row pass it over
 FORGET = 3.0  # s without an answer after which a server's estimate has mostly gone back to the fleet's
 FAILED_OUT = 0.25  # failure estimate beyond which a server is passed over while others are left
 FAIL_FORGET = 4.0  # s in which a failure estimate falls to 1/e: how soon a bad server is tried again
-REFUSE_CHEAP, REFUSE_DEAR = 0.45, 0.8  # expected delay, in shares of the time left, that refuses cheapest/dearest
+REFUSE_CHEAP, REFUSE_DEAR = 0.35, 0.6  # expected delay, in shares of the time left, that refuses cheapest/dearest
+ALWAYS = 1  # requests of ours out at a server below which it is never held to be too slow
 END_BEFORE = 0.98  # an attempt ends at this share of the aim: an answer later than the aim earns nothing
 COLD_SAFETY = 0.5  # share of a cold server's budget that is used: work varies from request to request
 
@@ -230,6 +232,8 @@
         self.settings = settings
         self.table: dict[str, Health] = {}
         self.typical = min((c.aim for c in settings.classes), default=1.0) / 8
+        self.depth = 1.0
+        self.usual, self.usual_at = 0.0, -math.inf
 
     def update(self, event: Members, now: float) -> None:
         if event.kind is ListKind.FAILED:
@@ -265,21 +269,21 @@
         if warmth >= 1.0:
             return True
         s = self.settings
-        warm = [h.rate(now) for h in self.table.values() if self.warmth(h, now) >= 1.0]
-        usual = sum(warm) / len(warm) if warm else 0.0
         span = max(s.fall_span, 0.001)
-        rate = max(COLD_SAFETY * s.fall_multiple * warmth * usual, 1 / (span * max(1, s.limiters)))
+        if now - self.usual_at > span / 4:  # not for each server of each request: fleets may grow large
+            warm = [h.rate(now) for h in self.table.values() if self.warmth(h, now) >= 1.0]
+            self.usual, self.usual_at = sum(warm) / len(warm) if warm else 0.0, now
+        rate = max(COLD_SAFETY * s.fall_multiple * warmth * self.usual, 1 / (span * max(1, s.limiters)))
         health.tokens = min(1.0, health.tokens + rate * (now - health.tokens_at))
         health.tokens_at = now
         return health.tokens >= 1.0
 
     def delay(self, health: Health, now: float) -> float:
-        """Expected delay of one more request."""
+        """Expected delay of one more request: the usual one, in proportion to what is out beyond the usual."""
         trust = math.exp((health.heard - now) / FORGET) if health.latency else 0.0
         latency = self.typical + (health.latency - self.typical) * trust
-        depth = 1 + (health.depth - 1) * trust if health.latency else 1.0
-        # A full queue ahead costs in proportion; an emptier one than usual is not much faster.
-        return latency * max(0.5, (health.out + 1) / max(depth, 1.0)) * (1 + 4 * health.failing(now))
+        depth = self.depth + (health.depth - self.depth) * trust
+        return latency * (health.out + 1) / max(depth, 1.0) * (1 + 4 * health.failing(now))
 
     def choose(self, now: float, tried: list[str], group: Server | None, scope: Scope) -> tuple[Health, float] | None:
         best: tuple[tuple[bool, bool, float], Health] | None = None
@@ -310,13 +314,15 @@
             return
         bad = status is not Status.OK
         failing = health.failing(now)
-        health.failed, health.failed_at = failing + ((1.0 if bad else 0.0) - failing) * SMOOTH, now
+        health.failed, health.failed_at = failing + ((1.0 if bad else 0.0) - failing) * FAIL_SMOOTH, now
         if status in (Status.OK, Status.TIMEOUT):
             weight = SMOOTH if health.latency else 1.0
             health.latency += (took - health.latency) * weight
             health.depth += (depth - health.depth) * weight
             health.heard = now
-            self.typical += (took - self.typical) * SMOOTH / max(1, len(self.table))
+            share = SMOOTH * 2 / max(1, len(self.table))
+            self.typical += (took - self.typical) * share
+            self.depth += (depth - self.depth) * share
 
 
 def in_group(server: Server, group: Server | None, scope: Scope) -> bool:
@@ -411,6 +417,11 @@
         customer = self.customer(request, s.plans[request.plan], now)
         waiting = Pending(request, now, customer)
         self.pending[request.id] = waiting
+        # Danger: a stalled limiter gets requests when their time is all but up. No answer of the counter can come
+        # in time then, nor any server's: refuse at once. It may refuse what a very fast server could still answer.
+        if request.until - now <= s.counter_wait:
+            self.refuse(waiting, s.max_retry_after, now)
+            return
         if s.counter and self.breaker.allows(now):
             if customer.rate is not None:
                 index = customer.rate.turn(now)
@@ -550,7 +561,9 @@
         worth = kind.worth * s.plans[request.plan].price
         spread = math.log(self.dearest / self.cheapest) if self.dearest > self.cheapest > 0 else 0.0
         rank = math.log(worth / self.cheapest) / spread if spread else 1.0
-        if chosen[1] > left * (REFUSE_CHEAP + (REFUSE_DEAR - REFUSE_CHEAP) * rank):
+        # Danger: an estimate made in bad times that nothing corrects, as all is refused. So a server with (nearly)
+        # nothing of ours out always gets a request; on a jammed fleet this costs one request a server.
+        if chosen[0].out >= ALWAYS and chosen[1] > left * (REFUSE_CHEAP + (REFUSE_DEAR - REFUSE_CHEAP) * rank):
             return None
         return chosen[0]
 
