--- a/finchshelf/drill/codec.py
+++ b/finchshelf/drill/codec.py
@@ -142,8 +142,9 @@
                          seconds(f, "valid-until"), integer(f, "quota-units", 1),
                          max(1, integer(f, "entry-points", 1)), flag(f, "resent"))
     if name == "REPLY":
-        return i.Outcome(integer(f, "id"), integer(f, "n"), word(f, "server"), status(f), seconds(f, "took", 0.0),
-                         flag(f, "settled"), integer(f, "seen-use", 0), integer(f, "true-units", 0), load(f))
+        return i.Outcome(integer(f, "id"), integer(f, "n"), word(f, "server"), status(f),
+                         seconds(f, "took", 0.0), flag(f, "settled"), integer(f, "seen-use", 0),
+                         integer(f, "true-units", 0), load(f))
     if name == "TOTAL":
         return i.Counted(integer(f, "cname"), status(f), number(f, "sum", 0.0), seconds(f, "took", 0.0))
     if name == "FIRED":
--- /dev/null
+++ b/tests/test_attempts.py
@@ -0,0 +1,180 @@
+"""Attempts: effect classes, one final answer, drains, cold servers, overload."""
+
+import pytest
+
+from finchshelf.admission import interface as i
+from finchshelf.admission.interface import Status
+from tests.world import Counter, Gateway, attempts, refusals, server, settings
+
+RAN = [Status.ERROR, Status.RESET, Status.TIMEOUT]
+NEVER = [Status.FULL, Status.UNREACHABLE]
+
+
+def final(actions: list[i.Action]) -> list[i.Action]:
+    return [a for a in actions if isinstance(a, i.Refuse | i.Fail)]
+
+
+@pytest.mark.parametrize("status", RAN + NEVER)
+def test_safe_requests_go_to_another_server(status: Status) -> None:
+    gate = Gateway(Counter())
+    (first,) = attempts(gate.ask(1000.0))
+    (second,) = attempts(gate.end(first.id, 1000.05, status, name=first.server))
+    assert second.server != first.server
+
+
+@pytest.mark.parametrize("status", RAN)
+def test_unsafe_requests_that_may_have_run_fail_and_are_not_refused(status: Status) -> None:
+    gate = Gateway(Counter())
+    (first,) = attempts(gate.ask(1000.0, cls=2))
+    assert gate.end(first.id, 1000.05, status, name=first.server) == [i.Fail(first.id)]
+
+
+@pytest.mark.parametrize("status", NEVER)
+def test_unsafe_requests_that_never_ran_are_sent_again(status: Status) -> None:
+    gate = Gateway(Counter())
+    (first,) = attempts(gate.ask(1000.0, cls=2))
+    assert attempts(gate.end(first.id, 1000.05, status, name=first.server))
+
+
+def test_keyed_requests_stay_in_their_group_and_time() -> None:
+    servers = (server("a", cell=1), server("b", cell=1), server("c", cell=2), server("d", cell=2))
+    cell = {s.name: s.cell for s in servers}
+    gate = Gateway(Counter(), servers=servers)
+    (first,) = attempts(gate.ask(1000.0, cls=1))
+    (second,) = attempts(gate.end(first.id, 1000.05, Status.ERROR, name=first.server))
+    assert cell[second.server] == cell[first.server] and second.server != first.server
+    short = i.RequestClass(9.0, 9.0, 1.0, i.Effect.KEYED, i.Scope.CELL, 0.5)
+    late = Gateway(Counter(), settings(classes=(short,)))
+    (first,) = attempts(late.ask(1000.0, until=1009.0))
+    assert late.end(first.id, 1001.0, Status.ERROR, name=first.server, took=1.0) == [i.Fail(first.id)]
+
+
+def test_attempts_are_limited_and_one_at_a_time() -> None:
+    gate = Gateway(Counter())
+    (sent,) = attempts(gate.ask(1000.0))
+    rid, total = sent.id, 1
+    for n in range(10):
+        actions = gate.end(rid, 1000.0 + 0.01 * n, Status.FULL, attempt=n, name=sent.server)
+        assert len(attempts(actions)) + len(final(actions)) == 1
+        if final(actions):
+            break
+        (sent,) = attempts(actions)
+        total += 1
+    assert total == gate.config.max_attempts
+
+
+def test_nothing_after_the_final_answer() -> None:
+    gate = Gateway(Counter())
+    (first,) = attempts(gate.ask(1000.0))
+    gate.end(first.id, 1000.1, name=first.server)
+    assert not gate.end(first.id, 1000.2, Status.ERROR, name=first.server)
+    assert not gate.feed(i.ClientGone(first.id), 1000.3)
+
+
+def test_client_gone_cancels_what_is_out() -> None:
+    gate = Gateway(Counter())
+    (first,) = attempts(gate.ask(1000.0))
+    assert gate.feed(i.ClientGone(first.id), 1000.1) == [i.Cancel(first.id, 0)]
+    assert not gate.limiter.pending
+
+
+def test_attempt_ends_before_its_worth_does() -> None:
+    (sent,) = attempts(Gateway(Counter()).ask(1000.0))
+    assert 0.5 < sent.limit < 1.0
+    (short,) = attempts(Gateway(Counter()).ask(1000.0, until=1000.4))
+    assert short.limit <= 0.4
+
+
+def test_draining_and_gone_servers_get_nothing() -> None:
+    gate = Gateway(Counter())
+    gate.feed(i.Members(i.ListKind.CHANGES, (server("a", i.ServerState.DRAINING),)), 1000.0)
+    gate.feed(i.Members(i.ListKind.CHANGES, (server("b", i.ServerState.GONE),)), 1000.0)
+    used = {a.server for n in range(4) for a in attempts(gate.ask(1000.0 + n * 0.01))}
+    assert used == {"c", "d"}
+    gate.feed(i.Members(i.ListKind.FULL, (server("d"), server("e"))), 1000.5)
+    used = {a.server for n in range(4) for a in attempts(gate.ask(1000.5 + n * 0.01))}
+    assert used <= {"d", "e"} and "e" in used
+
+
+def test_no_server_is_an_early_refusal() -> None:
+    assert refusals(Gateway(Counter(), servers=()).ask(1000.0))
+
+
+@pytest.mark.parametrize("warm", [0, 3])
+def test_cold_server_is_not_pushed_over(warm: int) -> None:
+    """Two limiters at full blast; a cold server stays under its budget in every span."""
+    cold = server("cold", started=1000.0)
+    servers = (cold, *(server(f"w{n}") for n in range(warm)))
+    gates = [Gateway(Counter(), servers=servers, seed=n) for n in (1, 2)]
+    capacity, sends = 20.0, []  # a warm server does 20 a second
+    out: list[tuple[float, Gateway, i.Attempt]] = []
+    for step in range(1000):
+        now = 1000.0 + step * 0.01
+        for _, gate, act in [o for o in out if o[0] <= now]:
+            gate.end(act.id, now, name=act.server, took=0.04 + 0.01 * (act.id % 12))
+        out = [o for o in out if o[0] > now]
+        for gate in gates if step % 4 == 0 else []:  # 50 a second, within what three warm ones do
+            for act in attempts(gate.ask(now, plan=3)):
+                sends += [now] if act.server == "cold" else []
+                out.append((now + 0.1, gate, act))
+        share = 0.2 + 0.8 * max(0.0, now - 1001.0) / 10.0
+        assert sum(t > now - 1.0 for t in sends) <= 2.0 * share * capacity
+    assert sends
+
+
+def test_failing_server_is_passed_over_and_tried_again() -> None:
+    gate = Gateway(Counter())
+    bad = 0
+    for n in range(200):
+        now = 1000.0 + n * 0.02
+        for act in attempts(gate.ask(now, plan=3)):
+            wrong = act.server == "a"
+            bad += wrong
+            gate.end(act.id, now, Status.ERROR if wrong else Status.OK, name=act.server, took=0.01)
+    assert 1 <= bad <= 20
+
+
+def test_jammed_fleet_refuses_but_recovers() -> None:
+    gate = Gateway(Counter())
+    out: list[i.Attempt] = []
+    for n in range(100):
+        out += attempts(gate.ask(1000.0 + n * 0.001, plan=3))
+    assert len(out) < 60
+    for act in out:
+        gate.end(act.id, 1001.0, Status.TIMEOUT, name=act.server, took=0.98)
+    assert attempts(gate.ask(1001.5, plan=3))  # nothing is out: bad estimates must not refuse for ever
+
+
+def test_cheap_requests_are_refused_first() -> None:
+    plans = (i.Plan(0.5), i.Plan(5.0))
+    let_in = []
+    for plan in (0, 1):
+        gate = Gateway(Counter(), settings(plans=plans))
+        let_in.append(sum(len(attempts(gate.ask(1000.0 + n * 0.001, plan=plan))) for n in range(100)))
+    assert let_in[0] < let_in[1]
+
+
+def test_same_events_same_actions() -> None:
+    runs = []
+    for _ in range(2):
+        gate = Gateway(Counter())
+        for n in range(200):
+            gate.serve(1000.0 + n * 0.013, plan=n % 4, cls=n % 3, customer=n % 11)
+        runs.append(gate.log)
+    assert runs[0] == runs[1]
+
+
+def test_discovery_that_must_be_asked() -> None:
+    gate = Gateway(Counter(), settings(ask_discovery=True))
+    assert gate.limiter.start() == [i.Watch()]
+    (timer,) = gate.feed(i.Members(i.ListKind.FAILED), 1000.0)
+    assert isinstance(timer, i.SetTimer)
+    assert gate.feed(i.Timer(timer.tag), 1001.0) == [i.Watch()]
+
+
+def test_stream_that_started_is_left_alone() -> None:
+    stream = i.RequestClass(1.0, 4.0, 1.0, i.Effect.SAFE, stream=True)
+    gate = Gateway(Counter(), settings(classes=(stream,)))
+    (sent,) = attempts(gate.ask(1000.0))
+    gate.feed(i.Opened(sent.id, 0), 1000.1)
+    assert not [a for a in gate.feed(i.ClientGone(sent.id), 1002.0) if isinstance(a, i.Cancel)]
--- /dev/null
+++ b/tests/test_counter_failure.py
@@ -0,0 +1,114 @@
+"""The counter fails: breaker, fallback at the share, ceilings."""
+
+import itertools
+
+import pytest
+
+from finchshelf.admission import interface as i
+from finchshelf.admission.logic import Breaker, Limiter
+from tests.world import BASE, Counter, Gateway, attempts, counts, refusals, server, settings
+
+
+def test_breaker_opens_on_consecutive_failures_and_probes() -> None:
+    breaker = Breaker()
+    for _ in range(4):
+        breaker.failure(10.0)
+    assert breaker.allows(10.0)
+    breaker.failure(10.0)
+    assert not breaker.allows(14.9)
+    assert breaker.allows(15.0)
+    breaker.failure(15.0)  # the probe fails: a fresh quarantine
+    assert not breaker.allows(19.9)
+
+
+@pytest.mark.parametrize("mode", ["refusing", "silent", "lands late"])
+def test_fallback_lets_in_the_share(mode: str) -> None:
+    counter = Counter()
+    gate = Gateway(counter)
+    counter.mode = mode
+    let_in = sum(gate.serve(1000.0 + n * 0.01) for n in range(1000))  # 100 a second for 10 s
+    assert 50 <= let_in <= 60  # 10 a second over 2 gateways, and one second's worth at the start
+    assert counter.calls <= 5 + 2
+
+
+def test_recovery_closes_the_breaker() -> None:
+    counter = Counter()
+    gate = Gateway(counter)
+    counter.mode = "refusing"
+    for n in range(10):
+        gate.serve(1000.0 + n * 0.01)
+    counter.mode = "up"
+    assert not counts(gate.ask(1001.0))
+    assert counts(gate.ask(1006.0)) and counts(gate.ask(1006.1))
+
+
+def test_use_during_a_failure_is_told_afterwards() -> None:
+    counter = Counter()
+    gate = Gateway(counter)
+    counter.mode = "refusing"
+    let_in = sum(gate.serve(1000.0 + n * 0.01) for n in range(20))
+    counter.mode = "up"
+    gate.serve(1006.0)
+    assert sum(counter.numbers.values()) == let_in + 1
+
+
+def test_fallback_serves_requests_larger_than_a_second_of_the_share() -> None:
+    counter = Counter()
+    counter.mode = "refusing"
+    small = i.Plan(1.0, rate=1.0, burst=4.0)
+    gate = Gateway(counter, settings(plans=(small,)))
+    assert gate.serve(1000.0, units=4)
+    assert not gate.serve(1001.0, units=4)
+    assert gate.serve(1010.0, units=4)
+
+
+def test_slow_counter_costs_only_the_budget() -> None:
+    limiter = Limiter(settings(counter_wait=2.0), 1, 1000.0)
+    limiter.handle(i.Members(i.ListKind.CACHED, (server("a"),)), 1000.0)
+    actions = limiter.handle(i.Request(1, 0, 0, 7, 1004.0, 1, 2), 1000.0)
+    (timer,) = [a for a in actions if isinstance(a, i.SetTimer)]
+    assert timer.after <= 0.1
+    assert attempts(limiter.handle(i.Timer(timer.tag), 1000.0 + timer.after))
+    (count,) = counts(actions)
+    late = i.Counted(count.name, i.Status.OK, 1.0, 1.5)
+    assert not limiter.handle(late, 1001.5)  # it decides nothing any more
+
+
+def test_stalled_limiter_answers_a_request_at_its_end_at_once() -> None:
+    actions = Gateway(Counter()).ask(1000.0, until=1000.0)
+    assert refusals(actions) and len(actions) == 1
+
+
+class Ceiling:
+    """The customer's ceiling store, as the rule counts it."""
+
+    def __init__(self, plan: i.Plan, now: float) -> None:
+        self.plan, self.level, self.at, self.lowest = plan, plan.ceiling_burst, now, 0.0
+
+    def take(self, units: float, now: float) -> None:
+        refilled = self.level + self.plan.ceiling_rate * (now - self.at)
+        self.level, self.at = min(self.plan.ceiling_burst, refilled) - units, now
+        self.lowest = min(self.lowest, self.level)
+
+
+@pytest.mark.parametrize("modes", list(itertools.product(["up", "silent", "refusing"], repeat=2)))
+def test_ceiling_holds_whatever_fails(modes: tuple[str, str]) -> None:
+    """Several limiters at full blast, the counter changing and wiped, one limiter restarted."""
+    counter = Counter()
+    plan = BASE.plans[2]
+    store = Ceiling(plan, 1000.0)
+    gates = [Gateway(counter, seed=n) for n in (1, 2)]
+    sent = 0
+    for step in range(3000):
+        now = 1000.0 + step * 0.01
+        if step % 500 == 0:
+            counter.mode = modes[step // 500 % 2]
+            counter.numbers.clear()
+        if step in (900, 1500):
+            gates[0].restart(now)
+        for gate in gates:
+            if gate.serve(now, plan=2, units=1 + step % 4):
+                store.take(1 + step % 4, now)
+                sent += 1
+    assert sent > 50
+    assert store.lowest >= -plan.ceiling_slack
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,18 @@
+"""The module's limits on size, and where decisions may stand."""
+
+from pathlib import Path
+
+LOGIC = Path(__file__).parent.parent / "finchshelf" / "admission" / "logic.py"
+
+
+def test_module_is_short_and_narrow() -> None:
+    lines = LOGIC.read_text().splitlines()
+    assert sum(1 for line in lines if line.strip()) <= 480
+    assert max(len(line) for line in lines) <= 110
+
+
+def test_module_names_its_interface_and_does_no_io() -> None:
+    text = LOGIC.read_text()
+    assert "interface.py" in "".join(text.splitlines(keepends=True)[:5])
+    for word in ("import os", "import time", "import random", "open(", "print(", "global "):
+        assert word not in text
--- /dev/null
+++ b/tests/test_quota.py
@@ -0,0 +1,119 @@
+"""Quotas: the count, the store read from it, caps on what is open, units settled later."""
+
+from finchshelf.admission import interface as i
+from tests.world import BASE, RATE, Counter, Gateway, attempts, counts, refusals, settings
+
+
+def test_each_request_asks_and_the_quota_holds() -> None:
+    counter = Counter()
+    gate = Gateway(counter)
+    let_in = sum(gate.serve(1000.0) for _ in range(60))
+    assert let_in == 20
+    assert counter.calls == 60
+
+
+def test_refused_units_are_taken_back() -> None:
+    counter = Counter()
+    one, two = Gateway(counter, seed=1), Gateway(counter, seed=2)
+    assert two.serve(1000.0)
+    for _ in range(17):
+        assert one.serve(1000.0)
+    assert not two.serve(1000.0, units=4)  # the second gateway learns of the first's use by asking
+    assert two.serve(1000.0, units=2)
+    assert sum(counter.numbers.values()) == 20  # the four went back with the call for the two
+    assert not one.serve(1000.0, units=2)
+
+
+def test_quota_is_shared_over_gateways() -> None:
+    counter = Counter()
+    gates = [Gateway(counter, seed=n) for n in (1, 2)]
+    let_in = sum(gates[n % 2].serve(1000.0 + n * 0.001) for n in range(100))
+    assert 19 <= let_in <= 22
+
+
+def test_refusal_says_when_room_comes_back() -> None:
+    gate = Gateway(Counter())
+    for _ in range(20):
+        gate.serve(1000.0)
+    (no,) = refusals(gate.ask(1000.0, units=1))
+    assert 0.05 < no.retry_after <= 0.15
+    quiet = Gateway(Counter(), settings(retry_after=False))
+    for _ in range(20):
+        quiet.serve(1000.0)
+    assert refusals(quiet.ask(1000.0))[0].retry_after == 0.0
+
+
+def test_window_edge_grants_nothing_by_itself() -> None:
+    gate = Gateway(Counter())
+    window = min(8.0 * RATE.burst / RATE.rate, 30.0)
+    edge = (int(1000.0 // window) + 1) * window
+    before = sum(gate.serve(edge - 0.01) for _ in range(40))
+    after = sum(gate.serve(edge + 0.01) for _ in range(40))
+    assert before == 20
+    assert after <= 1
+
+
+def test_wiped_counter_grants_no_new_window() -> None:
+    counter = Counter()
+    gate = Gateway(counter)
+    assert sum(gate.serve(1000.0) for _ in range(40)) == 20
+    counter.numbers.clear()
+    assert sum(gate.serve(1000.1) for _ in range(40)) <= 2 + BASE.max_units
+
+
+def test_long_run_rate_is_the_quota() -> None:
+    gate = Gateway(Counter())
+    let_in = sum(gate.serve(1000.0 + n * 0.02) for n in range(1000))  # 50 a second for 20 s
+    assert 210 <= let_in <= 225
+
+
+def test_open_cap_holds_over_gateways_and_is_given_back() -> None:
+    counter = Counter()
+    one, two = Gateway(counter, seed=1), Gateway(counter, seed=2)
+    first = attempts(one.ask(1000.0, plan=1))
+    second = attempts(two.ask(1000.0, plan=1))
+    assert first and second
+    assert refusals(one.ask(1000.1, plan=1))
+    assert refusals(two.ask(1000.1, plan=1))
+    one.end(first[0].id, 1000.2, name=first[0].server)
+    assert attempts(two.ask(1000.3, plan=1))
+
+
+def test_open_cap_leak_of_a_dead_gateway_ends() -> None:
+    counter = Counter()
+    dead, alive = Gateway(counter, seed=1), Gateway(counter, seed=2)
+    assert attempts(dead.ask(1000.0, plan=1)) and attempts(dead.ask(1000.0, plan=1))
+    dead.restart(1001.0)
+    assert refusals(alive.ask(1001.0, plan=1))
+    assert attempts(alive.ask(1000.0 + 2 * 4.0, plan=1))  # two longest deadlines later at most
+
+
+def test_true_units_are_settled_on_the_count() -> None:
+    counter = Counter()
+    gate = Gateway(counter, settings(settles_later=True))
+    (sent,) = attempts(gate.ask(1000.0, units=2))
+    gate.end(sent.id, 1000.1, name=sent.server, true_units=6)
+    gate.ask(1000.1, units=1)
+    assert sum(counter.numbers.values()) == 7
+
+
+def test_both_quotas_in_one_plan() -> None:
+    plan = i.Plan(1.0, rate=100.0, burst=100.0, open_cap=1)
+    gate = Gateway(Counter(), settings(plans=(plan,)))
+    actions = gate.ask(1000.0)
+    assert len(counts(actions)) == 2 and attempts(actions)
+    assert refusals(gate.ask(1000.0))
+
+
+def test_plan_without_quota_is_not_counted() -> None:
+    actions = Gateway(Counter()).ask(1000.0, plan=3)
+    assert attempts(actions) and not counts(actions)
+
+
+def test_idle_customers_are_dropped() -> None:
+    gate = Gateway(Counter())
+    for n in range(50):
+        gate.serve(1000.0, customer=n)
+    gate.serve(1100.0, customer=99)
+    assert len(gate.limiter.customers) == 1
+    assert not gate.limiter.pending and not gate.limiter.calls
