Fall back on the share of the store that the last total left

Once a total was heard, the bucket is that store's share; without one it stays the design's second. Guards also against a counter that answers now and then; could hurt when a customer's traffic has moved to one gateway whole.

--- a/finchshelf/admission/logic.py
+++ b/finchshelf/admission/logic.py
@@ -469,6 +469,12 @@
             used = units if placed is not None else 0
             rate.level -= used
             rate.owed += used + sum(c.owed(added) for c, added in waiting.calls if c.check is rate)
+            if not waiting.fell_back:
+                # Exception to the one-second bucket: once a total was heard, the bucket is the share of the
+                # store that it left. Else calm customers lose their burst while the counter fails, and heavy
+                # ones gain a second's worth with each lone time-out.
+                customer.fallback = Bucket(fallback.rate, rate.burst * fallback.rate / rate.rate,
+                                           rate.level * fallback.rate / rate.rate, now)
         if placed is None:
             return self.refuse(waiting, self.settings.max_retry_after if room else after, now)
         if waiting.fell_back:
