Quarantine of 1 s instead of 5 s

Cause: bursts of calls for one busy customer trip the breaker while the counter is well; five seconds on the share then refuse much that has room. A request of a class or plan that the settings lack is now the adapter's plain error.

--- a/finchshelf/admission/logic.py
+++ b/finchshelf/admission/logic.py
@@ -17,7 +17,7 @@
 # ---- tuned values, each with its reason ----
 CALL_BUDGET = 0.05  # share of the tightest aim that a count may take; the counter's own time-out if less
 TRIP_AFTER = 5  # consecutive failures that open the breaker (design page)
-QUARANTINE = 5.0  # s that an open breaker keeps away from the counter (design page's start)
+QUARANTINE = 1.0  # s that an open breaker keeps away: a crowded counter is back sooner than 5 s
 IDLE = 60.0  # s after which a customer's tables are dropped (design page)
 WINDOW_BURSTS = 8.0  # window in burst/rate: fewer edges, at which the others' use since the last call is lost
 NAME_LIFE = 60.0  # s, the longest that a counter keeps a name (the protocol's figure)
@@ -120,10 +120,9 @@
         self.open, self.told, self.others = 0, 0.0, 0.0
 
     def turn(self, now: float) -> int:
-        index = int(now // self.window)
-        if index != self.index:
-            self.index, self.told = index, 0.0
-        return index
+        if int(now // self.window) != self.index:
+            self.index, self.told = int(now // self.window), 0.0
+        return self.index
 
     def step(self, extra: int) -> float:
         step = self.open + extra - self.told
@@ -237,8 +236,7 @@
         warmth = self.warmth(health, now)
         if warmth >= 1.0:
             return True
-        s = self.settings
-        span = max(s.fall_span, 0.001)
+        s, span = self.settings, max(self.settings.fall_span, 0.001)
         if now - self.usual_at > span / 4:  # not for each server of each request: fleets may grow large
             warm = [h.rate(now) for h in self.table.values() if self.warmth(h, now) >= 1.0]
             self.usual, self.usual_at = sum(warm) / len(warm) if warm else 0.0, now
@@ -276,8 +274,7 @@
         health = self.table.get(name)
         if health is None or status is Status.NOT_SENT:
             return
-        depth = health.out
-        health.out = max(0, health.out - 1)
+        depth, health.out = health.out, max(0, health.out - 1)
         if status is Status.CANCELLED:
             return
         failing = health.failing(now)
@@ -289,15 +286,14 @@
             health.depth += (depth - health.depth) * weight
             health.heard = now
             weight = SMOOTH * 2 / max(1, len(self.table))
-            self.typical += (took - self.typical) * weight
-            self.depth += (depth - self.depth) * weight
+            self.typical, self.depth = self.typical + (took - self.typical) * weight, self.depth + (
+                depth - self.depth) * weight
 
 
 def in_group(server: Server, group: Server | None, scope: Scope) -> bool:
     """May a keyed request that may have run at `group` go to `server`?"""
-    if group is None or scope is Scope.ALL:
-        return True
-    return server.cell == group.cell if scope is Scope.CELL else server.zone == group.zone
+    return group is None or scope is Scope.ALL or (
+        server.cell == group.cell if scope is Scope.CELL else server.zone == group.zone)
 
 
 class Limiter:
@@ -335,11 +331,10 @@
             self.servers.update(event, now)
             if event.kind is ListKind.FAILED and self.settings.ask_discovery:
                 self.actions.append(i.SetTimer(1.0, 0))
-        elif isinstance(event, i.Opened | i.ClientGone) and event.id in self.pending:
+        elif isinstance(event, i.Opened) and event.id in self.pending:
+            self.pending[event.id].streaming = True
+        elif isinstance(event, i.ClientGone) and event.id in self.pending:
             waiting = self.pending[event.id]
-            if isinstance(event, i.Opened):
-                waiting.streaming = True
-                return self.actions
             if self.settings.cancel and not waiting.streaming:
                 self.actions += [i.Cancel(event.id, n) for n in sorted(waiting.out)]
             self.finish(waiting, now)
@@ -352,9 +347,6 @@
         if now - self.swept > IDLE / 4:
             self.swept = now
             self.customers = {k: c for k, c in self.customers.items() if now - c.used < IDLE}
-        if not (0 <= request.cls < len(s.classes) and 0 <= request.plan < len(s.plans)):
-            self.actions.append(i.Refuse(request.id))
-            return
         customer = self.customers.get(request.customer)
         if customer is None:
             share = max(1, min(request.entry_points, s.limiters))
--- a/finchshelf/drill/__main__.py
+++ b/finchshelf/drill/__main__.py
@@ -68,6 +68,8 @@
             limiter = self.limiters.get(who)
             if limiter is None:
                 raise codec.WireError(f"expected OPEN_INSTANCE of limiter {who} first")
+            if isinstance(event, i.Request):
+                codec.known_request(event, limiter.settings)
             reply += [codec.action(who, act) for act in limiter.handle(event, now)]
         return None
 
--- a/finchshelf/drill/codec.py
+++ b/finchshelf/drill/codec.py
@@ -158,6 +158,14 @@
     raise WireError(f"unknown message {name[:40]!r}")
 
 
+def known_request(request: i.Request, settings: i.Settings) -> None:
+    """A class or plan that the settings don't have is an error of the sender."""
+    if not 0 <= request.cls < len(settings.classes):
+        raise WireError(f"expected cls below {len(settings.classes)}, got {request.cls}")
+    if not 0 <= request.plan < len(settings.plans):
+        raise WireError(f"expected tier below {len(settings.plans)}, got {request.plan}")
+
+
 class Section:
     """One object of the settings; reads with a type check, skips what it is not asked for."""
 
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -78,6 +78,8 @@
     ("BEGIN_BATCH\n", "sim-time"),
     (START + ORDER.replace("ORDER ", "BESTEL "), "unknown message"),
     (START + ORDER.replace("id=77", "id=x7"), "integer for id"),
+    (START + ORDER.replace("cls=0", "cls=5"), "cls below 1"),
+    (START + ORDER.replace("tier=0", "tier=-1"), "tier below 1"),
     (START + ORDER.replace("id=77 ", ""), "id=INTEGER"),
     (START + ORDER.replace("limiter=3", "limiter=4"), "OPEN_INSTANCE of limiter 4"),
     (START.replace('"aim": 1000.0', '"aim": "fast"'), "number for lanes[0].aim"),
