--- a/finchshelf/admission/logic.py
+++ b/finchshelf/admission/logic.py
@@ -18,6 +18,7 @@
 CALL_BUDGET = 0.05  # share of the tightest aim that a count may take; the counter's own time-out if less
 TRIP_AFTER = 5  # consecutive failures that open the breaker (design page)
 QUARANTINE = 1.0  # s that an open breaker keeps away: a crowded counter is back sooner than 5 s
+CALLS_OUT = 3  # calls out for one count beyond which a request is decided by the store as last told
 IDLE = 60.0  # s after which a customer's tables are dropped (design page)
 WINDOW_BURSTS = 8.0  # window in burst/rate: fewer edges, at which the others' use since the last call is lost
 NAME_LIFE = 60.0  # s, the longest that a counter keeps a name (the protocol's figure)
@@ -74,7 +75,7 @@
     def __init__(self, plan: i.Plan, now: float) -> None:
         self.rate, self.burst, self.level, self.at = plan.rate, plan.burst, plan.burst, now
         self.window = min(WINDOW_BURSTS * plan.burst / plan.rate, NAME_LIFE / 2)
-        self.index, self.seen, self.pace = -1, 0.0, 0.0  # pace: units a second that the others use
+        self.index, self.seen, self.heard, self.pace = -1, 0.0, -math.inf, 0.0  # pace: units a second that the others use
         self.owed = 0.0  # what the count was not told, or told too much; goes along with the next call
         self.unsure = 0.0  # timed-out adds of ours, which may have landed
 
@@ -93,9 +94,12 @@
             self.index, self.seen, self.unsure = index, 0.0, 0.0
         return index
 
-    def step(self, units: int, now: float) -> tuple[float, float]:
+    def now_level(self, now: float) -> float:
+        return min(self.burst, self.level + self.rate * (now - self.at))
+
+    def step(self, units: int, full: bool) -> tuple[float, float]:
         """Add the units unless the store can't hold them: then only read, with nothing to take back."""
-        asked = float(units) if min(self.burst, self.level + self.rate * (now - self.at)) >= units else 0.0
+        asked = 0.0 if full else float(units)
         step, self.owed = self.owed + asked, 0.0
         return step, asked
 
@@ -108,7 +112,7 @@
         span = now - self.at
         if span > 0:
             self.pace += (max(others, 0.0) / max(span, 1.0) - self.pace) * min(1.0, span)
-        self.seen = total
+        self.seen, self.heard = total, now
         self.refill(now, others)
 
 
@@ -172,7 +176,7 @@
 
     def __init__(self, request: Request, customer: Customer, now: float) -> None:
         self.request, self.customer, self.arrived = request, customer, now
-        self.waiting, self.fell_back, self.streaming = 0, False, False
+        self.waiting, self.fell_back, self.streaming, self.promised = 0, False, False, 0.0
         self.calls: list[tuple[Call, bool]] = []
         self.tried: list[str] = []
         self.out: set[int] = set()
@@ -296,6 +300,10 @@
         server.cell == group.cell if scope is Scope.CELL else server.zone == group.zone)
 
 
+def count_name(customer: int, index: int, kind: int) -> int:
+    return (customer << 28 | (index & 0x7FFFFFF) << 1 | kind) & (2**63 - 1)
+
+
 class Limiter:
     """One gateway's decisions: events in, actions out."""
 
@@ -362,7 +370,13 @@
         if s.counter and self.breaker.allows(now):
             if customer.rate is not None:
                 index = customer.rate.turn(now)
-                self.call(waiting, customer.rate, index, *customer.rate.step(request.units, now))
+                queue = self.calls.get(count_name(request.customer, index, 0), ())
+                waiting.promised = sum(c.asked for c in queue)
+                full = customer.rate.now_level(now) - waiting.promised < request.units
+                # Danger: one busy customer's calls jam its part of the counter, time out and open the breaker for
+                # all. With some out, or a total just heard that leaves no room, one more call tells nothing new.
+                if len(queue) < CALLS_OUT and not (full and now - customer.rate.heard < self.budget):
+                    self.call(waiting, customer.rate, index, *customer.rate.step(request.units, full))
             if customer.open is not None:
                 index = customer.open.turn(now)
                 self.call(waiting, customer.open, index, customer.open.step(1))
@@ -374,7 +388,7 @@
     def call(self, waiting: Pending, check: RateCheck | OpenCheck, index: int, step: float,
              asked: float = 0.0) -> None:
         kind = 0 if isinstance(check, RateCheck) else 1
-        name = (waiting.request.customer << 28 | (index & 0x7FFFFFF) << 1 | kind) & (2**63 - 1)
+        name = count_name(waiting.request.customer, index, kind)
         call = Call(name, index, step, waiting.request.id, check, asked)
         self.calls.setdefault(name, deque()).append(call)
         waiting.waiting += 1
@@ -444,7 +458,7 @@
         room, after = True, 0.0
         if rate is not None:
             rate.refill(now, 0.0)
-            store = rate.level
+            store = rate.level - (0.0 if waiting.calls else waiting.promised)
             need = float(units)
             if waiting.fell_back:
                 # A full bucket also passes a request larger than itself, on credit: else a plan whose share
