Take half of the others' use since the last total as used after the refill

Cause: a total does not tell when the others used what it shows; taking it as spread evenly forgave what a store at its top could not have held.

--- a/finchshelf/admission/logic.py
+++ b/finchshelf/admission/logic.py
@@ -75,12 +75,13 @@
     def __init__(self, plan: i.Plan, now: float) -> None:
         self.rate, self.burst, self.level, self.at = plan.rate, plan.burst, plan.burst, now
         self.window = min(WINDOW_BURSTS * plan.burst / plan.rate, NAME_LIFE / 2)
-        self.index, self.seen, self.heard, self.pace = -1, 0.0, -math.inf, 0.0  # pace: units a second that the others use
+        self.index, self.seen, self.pace = -1, 0.0, 0.0  # pace: units a second that the others use
         self.owed = 0.0  # what the count was not told, or told too much; goes along with the next call
         self.unsure = 0.0  # timed-out adds of ours, which may have landed
 
     def refill(self, now: float, spent: float) -> None:
-        self.level = min(self.burst, self.level + self.rate * (now - self.at) - spent)
+        late = max(0.0, min(spent, self.burst)) / 2  # spent after the refill, as far as anyone can tell
+        self.level = min(self.burst, self.level + self.rate * (now - self.at) - spent + late) - late
         self.at = now
 
     def turn(self, now: float) -> int:
@@ -112,7 +113,7 @@
         span = now - self.at
         if span > 0:
             self.pace += (max(others, 0.0) / max(span, 1.0) - self.pace) * min(1.0, span)
-        self.seen, self.heard = total, now
+        self.seen = total
         self.refill(now, others)
 
 
@@ -373,9 +374,9 @@
                 queue = self.calls.get(count_name(request.customer, index, 0), ())
                 waiting.promised = sum(c.asked for c in queue)
                 full = customer.rate.now_level(now) - waiting.promised < request.units
-                # Danger: one busy customer's calls jam its part of the counter, time out and open the breaker for
-                # all. With some out, or a total just heard that leaves no room, one more call tells nothing new.
-                if len(queue) < CALLS_OUT and not (full and now - customer.rate.heard < self.budget):
+                # Danger: one busy customer's calls jam its part of the counter, time out and open the breaker
+                # for all. Beyond a few out, the store as last told decides: it is a call's time old at most.
+                if len(queue) < CALLS_OUT:
                     self.call(waiting, customer.rate, index, *customer.rate.step(request.units, full))
             if customer.open is not None:
                 index = customer.open.turn(now)
