--- a/finchshelf/admission/logic.py
+++ b/finchshelf/admission/logic.py
@@ -28,7 +28,6 @@
 FAILED_OUT = 0.25  # failure estimate beyond which a server is passed over while others are left
 FAIL_FORGET = 4.0  # s in which a failure estimate falls to 1/e: how soon a bad server is tried again
 REFUSE_CHEAP, REFUSE_DEAR = 0.35, 0.6  # expected delay, as a share of the time left, that refuses
-ALWAYS = 1  # requests of ours out at a server below which it is never held to be too slow
 END_BEFORE = 0.98  # an attempt ends at this share of the aim: an answer later than the aim earns nothing
 COLD_SAFETY = 0.5  # share of a cold server's budget that is used: work varies from request to request
 
@@ -53,8 +52,7 @@
     """Consecutive failures open it; after the quarantine each call is a probe."""
 
     def __init__(self) -> None:
-        self.failures = 0
-        self.open_until = -math.inf
+        self.failures, self.open_until = 0, -math.inf
 
     def allows(self, now: float) -> bool:
         return now >= self.open_until
@@ -77,7 +75,7 @@
         self.window = min(WINDOW_BURSTS * plan.burst / plan.rate, NAME_LIFE / 2)
         self.index, self.seen, self.pace = -1, 0.0, 0.0  # pace: units a second that the others use
         self.owed = 0.0  # what the count was not told, or told too much; goes along with the next call
-        self.unsure = 0.0  # timed-out adds of ours, which may have landed
+        self.unsure = 0.0  # reckoned with already, yet to show: adds that timed out, use guessed from the pace
 
     def refill(self, now: float, spent: float) -> None:
         late = max(0.0, min(spent, self.burst)) / 2  # spent after the refill, as far as anyone can tell
@@ -87,12 +85,11 @@
     def turn(self, now: float) -> int:
         """The window's number; at an edge what others used since the last call is guessed from their pace."""
         index = int(now // self.window)
-        if index != self.index:
-            if self.index >= 0:
-                self.level -= self.pace * max(0.0, index * self.window - self.at)
-            else:
-                self.at = min(self.at, index * self.window)
-            self.index, self.seen, self.unsure = index, 0.0, 0.0
+        if self.index < 0:
+            self.index, self.at = index, min(self.at, index * self.window)
+        elif index != self.index:
+            self.level -= self.pace * max(0.0, index * self.window - self.at)
+            self.index, self.seen = index, 0.0
         return index
 
     def now_level(self, now: float) -> float:
@@ -100,9 +97,8 @@
 
     def step(self, units: int, full: bool) -> tuple[float, float]:
         """Add the units unless the store can't hold them: then only read, with nothing to take back."""
-        asked = 0.0 if full else float(units)
-        step, self.owed = self.owed + asked, 0.0
-        return step, asked
+        step, self.owed = self.owed + (0 if full else units), 0.0
+        return step, 0.0 if full else units
 
     def answered(self, step: float, total: float, largest: int, now: float) -> None:
         others = total - self.seen - step
@@ -310,8 +306,7 @@
 
     def __init__(self, settings: i.Settings, seed: int, now: float) -> None:
         self.settings = settings
-        self.breaker = Breaker()
-        self.servers = Servers(settings)
+        self.breaker, self.servers = Breaker(), Servers(settings)
         self.customers: dict[int, Customer] = {}
         self.pending: dict[int, Pending] = {}
         self.calls: dict[int, deque[Call]] = {}
@@ -458,7 +453,10 @@
         units, rate, gauge, fallback = request.units, customer.rate, customer.open, customer.fallback
         room, after = True, 0.0
         if rate is not None:
-            rate.refill(now, 0.0)
+            # Danger: gateways back from a failure each find the store refilled, before they tell what they let in.
+            guess = min(rate.pace, rate.rate) * (now - rate.at) if waiting.fell_back else 0.0
+            rate.refill(now, guess)
+            rate.unsure += guess
             store = rate.level - (0.0 if waiting.calls else waiting.promised)
             need = float(units)
             if waiting.fell_back:
@@ -506,7 +504,7 @@
         # Danger: an estimate made in bad times that nothing corrects, as all is refused. So a server with
         # nothing of ours out always gets a request; on a jammed fleet this costs one request a server.
         limit = left * (REFUSE_CHEAP + (REFUSE_DEAR - REFUSE_CHEAP) * rank)
-        return chosen[0] if chosen[0].out < ALWAYS or chosen[1] <= limit else None
+        return chosen[0] if not chosen[0].out or chosen[1] <= limit else None
 
     def send(self, waiting: Pending, health: Health, now: float) -> None:
         request, kind = waiting.request, self.settings.classes[waiting.request.cls]
