--- a/finchshelf/admission/logic.py
+++ b/finchshelf/admission/logic.py
@@ -75,7 +75,7 @@
         self.window = min(WINDOW_BURSTS * plan.burst / plan.rate, NAME_LIFE / 2)
         self.index, self.seen, self.pace = -1, 0.0, 0.0  # pace: units a second that the others use
         self.owed = 0.0  # what the count was not told, or told too much; goes along with the next call
-        self.unsure = 0.0  # reckoned with already, yet to show: adds that timed out, use guessed from the pace
+        self.unsure = 0.0  # adds of ours that timed out and may have landed
 
     def refill(self, now: float, spent: float) -> None:
         late = max(0.0, min(spent, self.burst)) / 2  # spent after the refill, as far as anyone can tell
@@ -83,7 +83,7 @@
         self.at = now
 
     def turn(self, now: float) -> int:
-        """The window's number; at an edge what others used since the last call is guessed from their pace."""
+        # At an edge what the others used since the last call is not to be had: it is guessed from their pace.
         index = int(now // self.window)
         if self.index < 0:
             self.index, self.at = index, min(self.at, index * self.window)
@@ -168,9 +168,7 @@
             if plan.ceiling_rate > 0 else None
 
 
-class Pending:
-    """A request that has no final answer yet."""
-
+class Pending:  # a request that has no final answer yet
     def __init__(self, request: Request, customer: Customer, now: float) -> None:
         self.request, self.customer, self.arrived = request, customer, now
         self.waiting, self.fell_back, self.streaming, self.promised = 0, False, False, 0.0
@@ -181,9 +179,7 @@
         self.maybe_at = 0.0
 
 
-class Health:
-    """What this limiter knows of one server."""
-
+class Health:  # what this limiter knows of one server
     def __init__(self, server: Server, now: float, out: int) -> None:
         self.server, self.out, self.heard = server, out, -math.inf
         self.latency, self.depth = 0.0, 1.0
@@ -193,8 +189,7 @@
     def failing(self, now: float) -> float:
         return self.failed * math.exp((self.failed_at - now) / FAIL_FORGET)
 
-    def rate(self, now: float) -> float:
-        """Sends a second, smoothed over the forgetting time."""
+    def rate(self, now: float) -> float:  # sends a second
         return self.sends * math.exp((self.sends_at - now) / FORGET) / FORGET
 
 
@@ -369,8 +364,8 @@
                 queue = self.calls.get(count_name(request.customer, index, 0), ())
                 waiting.promised = sum(c.asked for c in queue)
                 full = customer.rate.now_level(now) - waiting.promised < request.units
-                # Danger: one busy customer's calls jam its part of the counter, time out and open the breaker
-                # for all. Beyond a few out, the store as last told decides: it is a call's time old at most.
+                # Danger: one busy customer's calls jam its part of the counter and open the breaker for all.
+                # Beyond a few out, the store as last told decides: it is a call's time old at most.
                 if len(queue) < CALLS_OUT:
                     self.call(waiting, customer.rate, index, *customer.rate.step(request.units, full))
             if customer.open is not None:
@@ -453,10 +448,7 @@
         units, rate, gauge, fallback = request.units, customer.rate, customer.open, customer.fallback
         room, after = True, 0.0
         if rate is not None:
-            # Danger: gateways back from a failure each find the store refilled, before they tell what they let in.
-            guess = min(rate.pace, rate.rate) * (now - rate.at) if waiting.fell_back else 0.0
-            rate.refill(now, guess)
-            rate.unsure += guess
+            rate.refill(now, 0.0)
             store = rate.level - (0.0 if waiting.calls else waiting.promised)
             need = float(units)
             if waiting.fell_back:
