--- a/finchshelf/admission/logic.py
+++ b/finchshelf/admission/logic.py
@@ -18,6 +18,7 @@
 CALL_BUDGET = 0.05  # share of the tightest aim that a count may take; the counter's own time-out if less
 TRIP_AFTER = 5  # consecutive failures that open the breaker (design page)
 QUARANTINE = 1.0  # s that an open breaker keeps away: a crowded counter is back sooner than 5 s
+STRAIN, STRAIN_SMOOTH = 0.05, 0.02  # share of failed calls, of about the last fifty, that spares the counter
 CALLS_OUT = 3  # calls out for one count beyond which a request is decided by the store as last told
 IDLE = 60.0  # s after which a customer's tables are dropped (design page)
 WINDOW_BURSTS = 8.0  # window in burst/rate: fewer edges, at which the others' use since the last call is lost
@@ -49,18 +50,29 @@
 
 
 class Breaker:
-    """Consecutive failures open it; after the quarantine each call is a probe."""
+    """Consecutive failures open it; after the quarantine one call at a time is a probe.
 
-    def __init__(self) -> None:
-        self.failures, self.open_until = 0, -math.inf
+    Danger: many limiters come back at once and jam the counter anew. Hence one probe, and unlike quarantines.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self.failures, self.open_until, self.strain = 0, -math.inf, 0.0
+        self.quarantine = QUARANTINE * (0.75 + seed % 1000 / 2000)
 
     def allows(self, now: float) -> bool:
-        return now >= self.open_until
+        if now < self.open_until:
+            return False
+        self.open_until = now + self.quarantine if self.failures >= TRIP_AFTER else self.open_until
+        return True
+
+    def success(self) -> None:
+        self.failures, self.open_until, self.strain = 0, -math.inf, self.strain * (1 - STRAIN_SMOOTH)
 
     def failure(self, now: float) -> None:
         self.failures += 1
+        self.strain += (1 - self.strain) * STRAIN_SMOOTH
         if self.failures >= TRIP_AFTER:
-            self.open_until = now + QUARANTINE
+            self.open_until = now + self.quarantine
 
 
 class RateCheck:
@@ -200,7 +212,7 @@
         self.settings = settings
         self.table: dict[str, Health] = {}
         self.typical, self.depth = min((c.aim for c in settings.classes), default=1.0) / 8, 1.0
-        self.usual, self.usual_at = 0.0, -math.inf
+        self.usual, self.usual_at, self.out = 0.0, -math.inf, 0
 
     def update(self, event: i.Members, now: float) -> None:
         if event.kind in (ListKind.FULL, ListKind.CACHED):
@@ -262,12 +274,12 @@
         return None if best is None else (best[1], best[0][2])
 
     def sent(self, health: Health, now: float) -> None:
-        health.out += 1
+        health.out, self.out = health.out + 1, self.out + 1
         health.sends, health.sends_at = health.rate(now) * FORGET + 1, now
         health.tokens -= 1.0
 
     def ended(self, name: str, status: Status, took: float, now: float) -> None:
-        health = self.table.get(name)
+        health, self.out = self.table.get(name), self.out - 1
         if health is None or status is Status.NOT_SENT:
             return
         depth, health.out = health.out, max(0, health.out - 1)
@@ -301,7 +313,7 @@
 
     def __init__(self, settings: i.Settings, seed: int, now: float) -> None:
         self.settings = settings
-        self.breaker, self.servers = Breaker(), Servers(settings)
+        self.breaker, self.servers = Breaker(seed), Servers(settings)
         self.customers: dict[int, Customer] = {}
         self.pending: dict[int, Pending] = {}
         self.calls: dict[int, deque[Call]] = {}
@@ -309,8 +321,8 @@
         self.tags, self.swept = 0, now
         self.budget = min([settings.counter_wait] + [CALL_BUDGET * c.aim for c in settings.classes])
         self.epoch = max([c.deadline for c in settings.classes] or [1.0])  # no attempt is out longer
-        worths = [c.worth * p.price for c in settings.classes for p in settings.plans] or [1.0]
-        self.cheapest, self.dearest = min(worths), max(worths)
+        worths = [c.worth * p.price for c in settings.classes for p in settings.plans if c.worth * p.price > 0]
+        self.cheapest, self.dearest = min(worths, default=1.0), max(worths, default=1.0)
         self.actions: list[i.Action] = []
 
     def start(self) -> list[i.Action]:
@@ -364,9 +376,9 @@
                 queue = self.calls.get(count_name(request.customer, index, 0), ())
                 waiting.promised = sum(c.asked for c in queue)
                 full = customer.rate.now_level(now) - waiting.promised < request.units
-                # Danger: one busy customer's calls jam its part of the counter and open the breaker for all.
-                # Beyond a few out, the store as last told decides: it is a call's time old at most.
-                if len(queue) < CALLS_OUT:
+                # Danger: one busy customer's calls jam its part of the counter, many limiters' calls all of it.
+                # Beyond a few out, and under strain where a total left no room, the store as last told decides.
+                if len(queue) < CALLS_OUT and not (full and self.breaker.strain > STRAIN):
                     self.call(waiting, customer.rate, index, *customer.rate.step(request.units, full))
             if customer.open is not None:
                 index = customer.open.turn(now)
@@ -417,8 +429,8 @@
             check.answered(call.step, event.total, self.settings.max_units, now)
         elif lost and call.late:
             check.owed += call.step
-        self.breaker.failures = 0 if event.status is Status.OK else self.breaker.failures
         if event.status is Status.OK and not call.late:
+            self.breaker.success()
             self.answer(call, True, now)
         elif not call.late:
             self.failed_call(call, not lost, now)
@@ -489,24 +501,28 @@
         chosen = self.servers.choose(now, waiting.tried, waiting.maybe_ran, kind.scope)
         if chosen is None:
             return None
-        left = min(waiting.arrived + kind.aim, request.until) - now
-        worth = kind.worth * s.plans[request.plan].price
-        spread = math.log(self.dearest / self.cheapest) if self.dearest > self.cheapest > 0 else 0.0
-        rank = math.log(worth / self.cheapest) / spread if spread else 1.0
-        # Danger: an estimate made in bad times that nothing corrects, as all is refused. So a server with
-        # nothing of ours out always gets a request; on a jammed fleet this costs one request a server.
+        left = self.end(waiting) - now
+        worth = max(kind.worth * s.plans[request.plan].price, self.cheapest)
+        rank = math.log(worth / self.cheapest) / math.log(self.dearest / self.cheapest) \
+            if self.dearest > self.cheapest else 1.0
+        # Danger: an estimate made in bad times that nothing corrects, as all is refused. So over all limiters
+        # a request a server always goes out, unless too little time is left: then it would only use up tries.
+        spare = self.servers.out * s.limiters < len(self.servers.table) and left > self.servers.typical / 2
         limit = left * (REFUSE_CHEAP + (REFUSE_DEAR - REFUSE_CHEAP) * rank)
-        return chosen[0] if not chosen[0].out or chosen[1] <= limit else None
+        return chosen[0] if spare or chosen[1] <= limit else None
 
-    def send(self, waiting: Pending, health: Health, now: float) -> None:
+    def end(self, waiting: Pending) -> float:
+        """When an attempt is given up: just before the aim, as a late answer earns nothing."""
         request, kind = waiting.request, self.settings.classes[waiting.request.cls]
-        end = request.until
-        if not kind.stream and kind.late_share <= 0:
-            end = min(end, waiting.arrived + kind.aim * END_BEFORE)
+        late_earns = kind.stream or kind.late_share > 0
+        return request.until if late_earns else min(request.until, waiting.arrived + kind.aim * END_BEFORE)
+
+    def send(self, waiting: Pending, health: Health, now: float) -> None:
         waiting.out.add(len(waiting.tried))
         waiting.tried.append(health.server.name)
         self.servers.sent(health, now)
-        self.actions.append(i.Attempt(request.id, health.server.name, max(end - now, 0.001)))
+        limit = max(self.end(waiting) - now, 0.001)
+        self.actions.append(i.Attempt(waiting.request.id, health.server.name, limit))
 
     def refuse(self, waiting: Pending, after: float, now: float) -> None:
         kind, s = self.settings.classes[waiting.request.cls], self.settings
@@ -552,8 +568,8 @@
         kind = self.settings.classes[waiting.request.cls]
         may = waiting.maybe_ran is None or kind.effect is Effect.SAFE or (
             kind.effect is Effect.KEYED and now < waiting.maybe_at + kind.key_ttl)
-        may &= not waiting.streaming and len(waiting.tried) < self.settings.max_attempts
-        placed = self.place(waiting, now) if may else None
+        may &= event.status is not Status.NOT_SENT and not waiting.streaming
+        placed = self.place(waiting, now) if may and len(waiting.tried) < self.settings.max_attempts else None
         if placed is None:
             self.refuse(waiting, self.settings.max_retry_after, now)
         else:
