--- a/finchshelf/admission/logic.py
+++ b/finchshelf/admission/logic.py
@@ -82,7 +82,8 @@
     window edge or a counter that came back empty grants nothing by itself.
     """
 
-    def __init__(self, plan: i.Plan, now: float) -> None:
+    def __init__(self, plan: i.Plan, customer: int, now: float) -> None:
+        self.base, self.name = customer << 28, -1
         self.rate, self.burst, self.level, self.at = plan.rate, plan.burst, plan.burst, now
         self.window = min(WINDOW_BURSTS * plan.burst / plan.rate, NAME_LIFE / 2)
         self.index, self.seen, self.pace = -1, 0.0, 0.0  # pace: units a second that the others use
@@ -94,15 +95,15 @@
         self.level = min(self.burst, self.level + self.rate * (now - self.at) - spent + late) - late
         self.at = now
 
-    def turn(self, now: float) -> int:
+    def turn(self, now: float) -> None:
         # At an edge what the others used since the last call is not to be had: it is guessed from their pace.
         index = int(now // self.window)
         if self.index < 0:
-            self.index, self.at = index, min(self.at, index * self.window)
+            self.at = min(self.at, index * self.window)
         elif index != self.index:
             self.level -= self.pace * max(0.0, index * self.window - self.at)
-            self.index, self.seen = index, 0.0
-        return index
+        if index != self.index:
+            self.index, self.seen, self.name = index, 0.0, self.base + (index << 1) % 2**28
 
     def now_level(self, now: float) -> float:
         return min(self.burst, self.level + self.rate * (now - self.at))
@@ -119,8 +120,7 @@
         # A fall is what others took back, or a counter that lost its numbers: worth a request at most.
         others = max(others - landed, -float(largest))
         span = now - self.at
-        if span > 0:
-            self.pace += (max(others, 0.0) / max(span, 1.0) - self.pace) * min(1.0, span)
+        self.pace += (max(others, 0.0) / max(span, 1.0) - self.pace) * min(1.0, span)
         self.seen = total
         self.refill(now, others)
 
@@ -128,14 +128,14 @@
 class OpenCheck:
     """A customer's attempts out at once, as a gauge; a name lives one window, then a leak ends."""
 
-    def __init__(self, cap: int, window: float) -> None:
-        self.cap, self.window, self.index = cap, window, -1
+    def __init__(self, cap: int, window: float, customer: int) -> None:
+        self.cap, self.window, self.base, self.name = cap, window, (customer << 28) + 1, -1
         self.open, self.told, self.others = 0, 0.0, 0.0
 
-    def turn(self, now: float) -> int:
-        if int(now // self.window) != self.index:
-            self.index, self.told = int(now // self.window), 0.0
-        return self.index
+    def turn(self, now: float) -> None:
+        name = self.base + (int(now // self.window) << 1) % 2**28
+        if name != self.name:
+            self.name, self.told = name, 0.0
 
     def step(self, extra: int) -> float:
         step = self.open + extra - self.told
@@ -152,7 +152,6 @@
     """One call to the counter that has not been answered."""
 
     name: int
-    index: int
     step: float
     request: int
     check: RateCheck | OpenCheck
@@ -164,14 +163,12 @@
         return -self.asked if added else self.step - self.asked
 
 
-class Customer:
-    """One customer's checks, fallback and ceiling."""
-
-    def __init__(self, plan: i.Plan, share: int, epoch: float, now: float) -> None:
+class Customer:  # one customer's checks, fallback and ceiling
+    def __init__(self, plan: i.Plan, customer: int, share: int, epoch: float, now: float) -> None:
         fill = plan.rate / share
         self.used, self.fallback = now, Bucket(fill, fill, fill, now)
-        self.rate = RateCheck(plan, now) if plan.rate > 0 else None
-        self.open = OpenCheck(plan.open_cap, epoch) if plan.open_cap > 0 else None
+        self.rate = RateCheck(plan, customer, now) if plan.rate > 0 else None
+        self.open = OpenCheck(plan.open_cap, epoch, customer) if plan.open_cap > 0 else None
         # Bound, kept by each limiter alone: its first attempts within any span t are at most
         # burst/share + rate/share * t, over all limiters burst + rate * t. A restarted limiter does not
         # know what it sent before, so it starts with only half its share of the slack.
@@ -230,9 +227,8 @@
     def warmth(self, health: Health, now: float) -> float:
         """Share of its capacity that a server has at least, on the slowest start that is allowed."""
         age, s = now - health.server.started, self.settings
-        if health.server.started <= 0 or age >= s.warm_up:
-            return 1.0
-        return s.cold_share + (1 - s.cold_share) * max(0.0, age) / s.warm_up
+        share = s.cold_share + (1 - s.cold_share) * max(0.0, age) / s.warm_up if age < s.warm_up else 1.0
+        return share if health.server.started > 0 else 1.0
 
     def cold_ok(self, health: Health, now: float) -> bool:
         """Is there budget for one more at a cold server?
@@ -249,8 +245,7 @@
             warm = [h.rate(now) for h in self.table.values() if self.warmth(h, now) >= 1.0]
             self.usual, self.usual_at = sum(warm) / len(warm) if warm else 0.0, now
         rate = max(COLD_SAFETY * s.fall_multiple * warmth * self.usual, 1 / (span * max(1, s.limiters)))
-        health.tokens = min(1.0, health.tokens + rate * (now - health.tokens_at))
-        health.tokens_at = now
+        health.tokens, health.tokens_at = min(1.0, health.tokens + rate * (now - health.tokens_at)), now
         return health.tokens >= 1.0
 
     def delay(self, health: Health, now: float) -> float:
@@ -260,8 +255,8 @@
         depth = self.depth + (health.depth - self.depth) * trust
         return latency * (health.out + 1) / max(depth, 1.0) * (1 + 4 * health.failing(now))
 
-    def choose(self, now: float, tried: list[str], group: Server | None,
-               scope: Scope) -> tuple[Health, float] | None:
+    def choose(self, now: float, waiting: Pending, scope: Scope) -> tuple[Health, float] | None:
+        tried, group = waiting.tried, waiting.maybe_ran
         best: tuple[tuple[bool, bool, float], Health] | None = None
         for health in self.table.values():
             s = health.server
@@ -285,9 +280,8 @@
         depth, health.out = health.out, max(0, health.out - 1)
         if status is Status.CANCELLED:
             return
-        failing = health.failing(now)
-        health.failed = failing + ((0.0 if status is Status.OK else 1.0) - failing) * FAIL_SMOOTH
-        health.failed_at = now
+        failing, bad = health.failing(now), float(status is not Status.OK)
+        health.failed, health.failed_at = failing + (bad - failing) * FAIL_SMOOTH, now
         if status in (Status.OK, Status.TIMEOUT):
             weight = SMOOTH if health.latency else 1.0
             health.latency += (took - health.latency) * weight
@@ -304,10 +298,6 @@
         server.cell == group.cell if scope is Scope.CELL else server.zone == group.zone)
 
 
-def count_name(customer: int, index: int, kind: int) -> int:
-    return (customer << 28 | (index & 0x7FFFFFF) << 1 | kind) & (2**63 - 1)
-
-
 class Limiter:
     """One gateway's decisions: events in, actions out."""
 
@@ -321,8 +311,7 @@
         self.tags, self.swept = 0, now
         self.budget = min([settings.counter_wait] + [CALL_BUDGET * c.aim for c in settings.classes])
         self.epoch = max([c.deadline for c in settings.classes] or [1.0])  # no attempt is out longer
-        worths = [c.worth * p.price for c in settings.classes for p in settings.plans if c.worth * p.price > 0]
-        self.cheapest, self.dearest = min(worths, default=1.0), max(worths, default=1.0)
+        self.worths = sorted({c.worth * p.price for c in settings.classes for p in settings.plans})
         self.actions: list[i.Action] = []
 
     def start(self) -> list[i.Action]:
@@ -361,7 +350,7 @@
         customer = self.customers.get(request.customer)
         if customer is None:
             share = max(1, min(request.entry_points, s.limiters))
-            customer = Customer(s.plans[request.plan], share, self.epoch, now)
+            customer = Customer(s.plans[request.plan], request.customer, share, self.epoch, now)
             self.customers[request.customer] = customer
         customer.used = now
         waiting = Pending(request, customer, now)
@@ -372,30 +361,27 @@
             return self.refuse(waiting, s.max_retry_after, now)
         if s.counter and self.breaker.allows(now):
             if customer.rate is not None:
-                index = customer.rate.turn(now)
-                queue = self.calls.get(count_name(request.customer, index, 0), ())
+                customer.rate.turn(now)
+                queue = self.calls.get(customer.rate.name, ())
                 waiting.promised = sum(c.asked for c in queue)
                 full = customer.rate.now_level(now) - waiting.promised < request.units
-                # Danger: one busy customer's calls jam its part of the counter, many limiters' calls all of it.
-                # Beyond a few out, and under strain where a total left no room, the store as last told decides.
+                # Danger: one busy customer's calls jam its part of the counter, many limiters' jam all of it.
+                # Beyond a few out, and under strain if a total left no room, the store as last told decides.
                 if len(queue) < CALLS_OUT and not (full and self.breaker.strain > STRAIN):
-                    self.call(waiting, customer.rate, index, *customer.rate.step(request.units, full))
+                    self.call(waiting, customer.rate, *customer.rate.step(request.units, full))
             if customer.open is not None:
-                index = customer.open.turn(now)
-                self.call(waiting, customer.open, index, customer.open.step(1))
+                customer.open.turn(now)
+                self.call(waiting, customer.open, customer.open.step(1))
         elif customer.rate is not None or customer.open is not None:
             waiting.fell_back = True
         if not waiting.waiting:
             self.decide(waiting, now)
 
-    def call(self, waiting: Pending, check: RateCheck | OpenCheck, index: int, step: float,
-             asked: float = 0.0) -> None:
-        kind = 0 if isinstance(check, RateCheck) else 1
-        name = count_name(waiting.request.customer, index, kind)
-        call = Call(name, index, step, waiting.request.id, check, asked)
-        self.calls.setdefault(name, deque()).append(call)
+    def call(self, waiting: Pending, check: RateCheck | OpenCheck, step: float, asked: float = 0.0) -> None:
+        call = Call(check.name, step, waiting.request.id, check, asked)
+        self.calls.setdefault(check.name, deque()).append(call)
         waiting.waiting += 1
-        self.actions.append(i.Count(name, step, min(check.window * 2, NAME_LIFE)))
+        self.actions.append(i.Count(check.name, step, min(check.window * 2, NAME_LIFE)))
         if self.budget < self.settings.counter_wait:
             self.tags += 1
             self.timers[self.tags] = call
@@ -417,7 +403,7 @@
         if not queue:
             del self.calls[event.name]
         check = call.check
-        current = call.index == check.index
+        current = call.name == check.name
         lost = event.status not in (Status.OK, Status.TIMEOUT)
         if isinstance(check, OpenCheck):
             if current and event.status is Status.OK:
@@ -498,13 +484,11 @@
         """A server where the answer should still be in time, or None."""
         s, request = self.settings, waiting.request
         kind = s.classes[request.cls]
-        chosen = self.servers.choose(now, waiting.tried, waiting.maybe_ran, kind.scope)
+        chosen = self.servers.choose(now, waiting, kind.scope)
         if chosen is None:
             return None
         left = self.end(waiting) - now
-        worth = max(kind.worth * s.plans[request.plan].price, self.cheapest)
-        rank = math.log(worth / self.cheapest) / math.log(self.dearest / self.cheapest) \
-            if self.dearest > self.cheapest else 1.0
+        rank = (self.worths.index(kind.worth * s.plans[request.plan].price) + 1) / len(self.worths)
         # Danger: an estimate made in bad times that nothing corrects, as all is refused. So over all limiters
         # a request a server always goes out, unless too little time is left: then it would only use up tries.
         spare = self.servers.out * s.limiters < len(self.servers.table) and left > self.servers.typical / 2
@@ -539,10 +523,10 @@
         gauge = waiting.customer.open
         if gauge is not None:
             gauge.open -= 1 if waiting.tried else 0
-            index = gauge.turn(now)
+            gauge.turn(now)
             # Told at once: with caps of two or three a place that looks taken turns the next request away.
             if gauge.told > gauge.open and self.settings.counter and self.breaker.allows(now):
-                self.call(waiting, gauge, index, gauge.step(0))
+                self.call(waiting, gauge, gauge.step(0))
 
     # ---- what became of it ----
 
@@ -557,8 +541,7 @@
             rate.owed += event.true_units - waiting.request.units
             rate.level -= event.true_units - waiting.request.units
         if event.final:
-            self.finish(waiting, now)
-            return
+            return self.finish(waiting, now)
         if not event.status.never_ran and waiting.maybe_ran is None:
             known = self.servers.table.get(event.server)
             nowhere = Server(event.server, -1, -1, -1, ServerState.GONE, 0.0, 0.0)
@@ -570,7 +553,6 @@
             kind.effect is Effect.KEYED and now < waiting.maybe_at + kind.key_ttl)
         may &= event.status is not Status.NOT_SENT and not waiting.streaming
         placed = self.place(waiting, now) if may and len(waiting.tried) < self.settings.max_attempts else None
-        if placed is None:
-            self.refuse(waiting, self.settings.max_retry_after, now)
-        else:
-            self.send(waiting, placed, now)
+        if placed is not None:
+            return self.send(waiting, placed, now)
+        self.refuse(waiting, self.settings.max_retry_after, now)
