--- a/finchshelf/admission/logic.py
+++ b/finchshelf/admission/logic.py
@@ -22,6 +22,7 @@
 CALLS_OUT = 3  # calls out for one count beyond which a request is decided by the store as last told
 IDLE = 60.0  # s after which a customer's tables are dropped (design page)
 WINDOW_BURSTS = 8.0  # window in burst/rate: fewer edges, at which the others' use since the last call is lost
+DEBT = 0.5  # bursts that a store may be held to lack, after others used what it did not have
 NAME_LIFE = 60.0  # s, the longest that a counter keeps a name (the protocol's figure)
 SMOOTH = 0.1  # weight of a new latency: requests differ in work by more than servers differ in speed
 FAIL_SMOOTH = 0.25  # weight of a new outcome in a server's failure estimate: a few in a row pass it over
@@ -92,8 +93,10 @@
 
     def refill(self, now: float, spent: float) -> None:
         late = max(0.0, min(spent, self.burst)) / 2  # spent after the refill, as far as anyone can tell
-        self.level = min(self.burst, self.level + self.rate * (now - self.at) - spent + late) - late
-        self.at = now
+        level = min(self.burst, self.level + self.rate * (now - self.at) - spent + late) - late
+        # Danger: use told long after (a failure's, all at once) empties a store for seconds. A quota takes
+        # nothing that the store lacks, so only as much is held against it as keeps limiters in step.
+        self.level, self.at = max(level, -DEBT * self.burst), now
 
     def turn(self, now: float) -> None:
         # At an edge what the others used since the last call is not to be had: it is guessed from their pace.
@@ -164,17 +167,16 @@
 
 
 class Customer:  # one customer's checks, fallback and ceiling
-    def __init__(self, plan: i.Plan, customer: int, share: int, epoch: float, now: float) -> None:
+    def __init__(self, plan: i.Plan, request: Request, epoch: float, s: i.Settings, now: float) -> None:
+        share, customer = max(1, min(request.entry_points, s.limiters)), request.customer
         fill = plan.rate / share
         self.used, self.fallback = now, Bucket(fill, fill, fill, now)
         self.rate = RateCheck(plan, customer, now) if plan.rate > 0 else None
         self.open = OpenCheck(plan.open_cap, epoch, customer) if plan.open_cap > 0 else None
-        # Bound, kept by each limiter alone: its first attempts within any span t are at most
-        # burst/share + rate/share * t, over all limiters burst + rate * t. A restarted limiter does not
-        # know what it sent before, so it starts with only half its share of the slack.
-        start = min(plan.ceiling_burst, plan.ceiling_slack / 2) / share
-        self.ceiling = Bucket(plan.ceiling_rate / share, plan.ceiling_burst / share, start, now) \
-            if plan.ceiling_rate > 0 else None
+        # Bound, kept by each limiter alone: its first attempts in any span t are at most burst/share + t *
+        # rate/share. A restarted one does not know what it sent: it starts with half its share of the slack.
+        ceiling = Bucket(plan.ceiling_rate / share, plan.ceiling_burst / share, plan.ceiling_slack / 2 / share, now)
+        self.ceiling = ceiling if plan.ceiling_rate > 0 else None
 
 
 class Pending:  # a request that has no final answer yet
@@ -349,8 +351,7 @@
             self.customers = {k: c for k, c in self.customers.items() if now - c.used < IDLE}
         customer = self.customers.get(request.customer)
         if customer is None:
-            share = max(1, min(request.entry_points, s.limiters))
-            customer = Customer(s.plans[request.plan], request.customer, share, self.epoch, now)
+            customer = Customer(s.plans[request.plan], request, self.epoch, s, now)
             self.customers[request.customer] = customer
         customer.used = now
         waiting = Pending(request, customer, now)
@@ -465,9 +466,8 @@
             rate.level -= used
             rate.owed += used + sum(c.owed(added) for c, added in waiting.calls if c.check is rate)
             if not waiting.fell_back:
-                # Exception to the one-second bucket: once a total was heard, the bucket is the share of the
-                # store that it left. Else calm customers lose their burst while the counter fails, and heavy
-                # ones gain a second's worth with each lone time-out.
+                # Exception to the one-second bucket: once a total was heard, it is the share of the store
+                # that is left. Else calm customers lose their burst and heavy ones gain by lone time-outs.
                 customer.fallback = Bucket(fallback.rate, rate.burst * fallback.rate / rate.rate,
                                            rate.level * fallback.rate / rate.rate, now)
         if placed is None:
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -117,3 +117,14 @@
     gate.serve(1100.0, customer=99)
     assert len(gate.limiter.customers) == 1
     assert not gate.limiter.pending and not gate.limiter.calls
+
+
+def test_use_told_late_does_not_empty_the_store_for_long() -> None:
+    """Another gateway lets in far more than the quota during a failure and tells it all at once."""
+    counter = Counter()
+    gate = Gateway(counter)
+    gate.serve(1000.0)
+    (name,) = counter.numbers
+    counter.numbers[name] += 500
+    assert not gate.serve(1000.1)
+    assert sum(gate.serve(1000.2 + n * 0.1) for n in range(30)) >= 20
