Learn the fleet's time from every answer, servers' speeds relative to it; refuse earlier

Cause: each server's own smoothed latency took tens of seconds to move on a large fleet behind many limiters, so a jam went unseen while attempts ran to their time-out; on small ones its noise crowded some servers.

--- a/finchshelf/admission/logic.py
+++ b/finchshelf/admission/logic.py
@@ -24,12 +24,13 @@
 WINDOW_BURSTS = 8.0  # window in burst/rate: fewer edges, at which the others' use since the last call is lost
 DEBT = 0.5  # bursts that a store may be held to lack, after others used what it did not have
 NAME_LIFE = 60.0  # s, the longest that a counter keeps a name (the protocol's figure)
-SMOOTH = 0.1  # weight of a new latency: requests differ in work by more than servers differ in speed
+SMOOTH = 0.05  # weight of a new answer in a server's speed: requests differ more than servers do
+FLEET_SMOOTH = 0.03  # the same in the fleet's time: a limiter has thirty answers within a second or so
 FAIL_SMOOTH = 0.25  # weight of a new outcome in a server's failure estimate: a few in a row pass it over
 FORGET = 3.0  # s without an answer after which a server's estimate has mostly gone back to the fleet's
 FAILED_OUT = 0.25  # failure estimate beyond which a server is passed over while others are left
 FAIL_FORGET = 4.0  # s in which a failure estimate falls to 1/e: how soon a bad server is tried again
-REFUSE_CHEAP, REFUSE_DEAR = 0.35, 0.6  # expected delay, as a share of the time left, that refuses
+REFUSE_CHEAP, REFUSE_DEAR = 0.2, 0.4  # expected delay, as a share of the time left, that refuses
 END_BEFORE = 0.98  # an attempt ends at this share of the aim: an answer later than the aim earns nothing
 COLD_SAFETY = 0.5  # share of a cold server's budget that is used: work varies from request to request
 
@@ -175,7 +176,8 @@
         self.open = OpenCheck(plan.open_cap, epoch, customer) if plan.open_cap > 0 else None
         # Bound, kept by each limiter alone: its first attempts in any span t are at most burst/share + t *
         # rate/share. A restarted one does not know what it sent: it starts with half its share of the slack.
-        ceiling = Bucket(plan.ceiling_rate / share, plan.ceiling_burst / share, plan.ceiling_slack / 2 / share, now)
+        ceiling = Bucket(plan.ceiling_rate / share, plan.ceiling_burst / share,
+                         plan.ceiling_slack / 2 / share, now)
         self.ceiling = ceiling if plan.ceiling_rate > 0 else None
 
 
@@ -193,7 +195,7 @@
 class Health:  # what this limiter knows of one server
     def __init__(self, server: Server, now: float, out: int) -> None:
         self.server, self.out, self.heard = server, out, -math.inf
-        self.latency, self.depth = 0.0, 1.0
+        self.slow = 1.0  # its time for a request that is out, as a multiple of the fleet's
         self.failed, self.failed_at, self.sends, self.sends_at = 0.0, now, 0.0, now
         self.tokens, self.tokens_at = 0.0, now
 
@@ -251,11 +253,9 @@
         return health.tokens >= 1.0
 
     def delay(self, health: Health, now: float) -> float:
-        """Expected delay of one more request: the usual one, in proportion to what is out by the usual."""
-        trust = math.exp((health.heard - now) / FORGET)
-        latency = self.typical + (health.latency - self.typical) * trust
-        depth = self.depth + (health.depth - self.depth) * trust
-        return latency * (health.out + 1) / max(depth, 1.0) * (1 + 4 * health.failing(now))
+        """Expected delay of one more request: the fleet's time for each that is out, times the server's."""
+        slow = 1 + (health.slow - 1) * math.exp((health.heard - now) / FORGET)
+        return self.typical / self.depth * slow * (health.out + 1) * (1 + 4 * health.failing(now))
 
     def choose(self, now: float, waiting: Pending, scope: Scope) -> tuple[Health, float] | None:
         tried, group = waiting.tried, waiting.maybe_ran
@@ -285,13 +285,10 @@
         failing, bad = health.failing(now), float(status is not Status.OK)
         health.failed, health.failed_at = failing + (bad - failing) * FAIL_SMOOTH, now
         if status in (Status.OK, Status.TIMEOUT):
-            weight = SMOOTH if health.latency else 1.0
-            health.latency += (took - health.latency) * weight
-            health.depth += (depth - health.depth) * weight
+            health.slow += (took / max(1, depth) / self.typical * self.depth - health.slow) * SMOOTH
             health.heard = now
-            weight = SMOOTH * 2 / max(1, len(self.table))
-            self.typical, self.depth = self.typical + (took - self.typical) * weight, self.depth + (
-                depth - self.depth) * weight
+            self.typical += (max(took, 0.001) - self.typical) * FLEET_SMOOTH
+            self.depth += (max(1, depth) - self.depth) * FLEET_SMOOTH
 
 
 def in_group(server: Server, group: Server | None, scope: Scope) -> bool:
