Take no server for much quicker than the fleet

Incident on Tartu, a rolling release: servers driven too hard stay slow for many seconds; one that recovers looked five times as quick as the rest, got half of all requests, held 39 and jammed again. Told from cold starts by the new servers being the quicker ones, from failing ones by the lack of errors. A server's relative time is now taken for 0.6 at least. Kept; may waste a little where machines differ more than that.

--- a/finchshelf/admission/logic.py
+++ b/finchshelf/admission/logic.py
@@ -27,6 +27,7 @@
 SMOOTH = 0.05  # weight of a new answer in a server's speed: requests differ more than servers do
 FLEET_SMOOTH = 0.03  # the same in the fleet's time: a limiter has thirty answers within a second or so
 FAIL_SMOOTH = 0.25  # weight of a new outcome in a server's failure estimate: a few in a row pass it over
+QUICKEST = 0.6  # a server's time relative to the fleet's is not taken for less
 FORGET = 3.0  # s without an answer after which a server's estimate has mostly gone back to the fleet's
 FAILED_OUT = 0.25  # failure estimate beyond which a server is passed over while others are left
 FAIL_FORGET = 4.0  # s in which a failure estimate falls to 1/e: how soon a bad server is tried again
@@ -254,7 +255,8 @@
 
     def delay(self, health: Health, now: float) -> float:
         """Expected delay of one more request: the fleet's time for each that is out, times the server's."""
-        slow = 1 + (health.slow - 1) * math.exp((health.heard - now) / FORGET)
+        # Danger: the one server that is quick in bad times gets all, and jams. So none counts as much quicker.
+        slow = max(QUICKEST, 1 + (health.slow - 1) * math.exp((health.heard - now) / FORGET))
         return self.typical / self.depth * slow * (health.out + 1) * (1 + 4 * health.failing(now))
 
     def choose(self, now: float, waiting: Pending, scope: Scope) -> tuple[Health, float] | None:
