--- a/finchshelf/admission/logic.py
+++ b/finchshelf/admission/logic.py
@@ -27,6 +27,8 @@
 SMOOTH = 0.05  # weight of a new answer in a server's speed: requests differ more than servers do
 FLEET_SMOOTH = 0.03  # the same in the fleet's time: a limiter has thirty answers within a second or so
 FAIL_SMOOTH = 0.25  # weight of a new outcome in a server's failure estimate: a few in a row pass it over
+QUEUE_CHEAP, QUEUE_DEAR = 1.75, 3.0  # the same in times of a fleet that is well: a longer queue serves no more
+BASE_RISE = 1.001  # for each answer, by which the time of a fleet that is well is forgotten
 QUICKEST = 0.6  # a server's time relative to the fleet's is not taken for less
 FORGET = 3.0  # s without an answer after which a server's estimate has mostly gone back to the fleet's
 FAILED_OUT = 0.25  # failure estimate beyond which a server is passed over while others are left
@@ -214,6 +216,7 @@
         self.settings = settings
         self.table: dict[str, Health] = {}
         self.typical, self.depth = min((c.aim for c in settings.classes), default=1.0) / 8, 1.0
+        self.base = self.typical  # the fleet's time when it is well
         self.usual, self.usual_at, self.out = 0.0, -math.inf, 0
 
     def update(self, event: i.Members, now: float) -> None:
@@ -291,6 +294,7 @@
             health.heard = now
             self.typical += (max(took, 0.001) - self.typical) * FLEET_SMOOTH
             self.depth += (max(1, depth) - self.depth) * FLEET_SMOOTH
+            self.base = min(self.typical, self.base * BASE_RISE)
 
 
 def in_group(server: Server, group: Server | None, scope: Scope) -> bool:
@@ -491,7 +495,8 @@
         # Danger: an estimate made in bad times that nothing corrects, as all is refused. So over all limiters
         # a request a server always goes out, unless too little time is left: then it would only use up tries.
         spare = self.servers.out * s.limiters < len(self.servers.table) and left > self.servers.typical / 2
-        limit = left * (REFUSE_CHEAP + (REFUSE_DEAR - REFUSE_CHEAP) * rank)
+        limit = min(left * (REFUSE_CHEAP + (REFUSE_DEAR - REFUSE_CHEAP) * rank),
+                    self.servers.base * (QUEUE_CHEAP + (QUEUE_DEAR - QUEUE_CHEAP) * rank))
         return chosen[0] if spare or chosen[1] <= limit else None
 
     def end(self, waiting: Pending) -> float:
