--- a/finchshelf/admission/logic.py
+++ b/finchshelf/admission/logic.py
@@ -27,8 +27,6 @@
 SMOOTH = 0.05  # weight of a new answer in a server's speed: requests differ more than servers do
 FLEET_SMOOTH = 0.03  # the same in the fleet's time: a limiter has thirty answers within a second or so
 FAIL_SMOOTH = 0.25  # weight of a new outcome in a server's failure estimate: a few in a row pass it over
-QUEUE_CHEAP, QUEUE_DEAR = 1.75, 3.0  # the same in times of a fleet that is well: a longer queue serves no more
-BASE_RISE = 1.001  # for each answer, by which the time of a fleet that is well is forgotten
 QUICKEST = 0.6  # a server's time relative to the fleet's is not taken for less
 FORGET = 3.0  # s without an answer after which a server's estimate has mostly gone back to the fleet's
 FAILED_OUT = 0.25  # failure estimate beyond which a server is passed over while others are left
@@ -216,7 +214,7 @@
         self.settings = settings
         self.table: dict[str, Health] = {}
         self.typical, self.depth = min((c.aim for c in settings.classes), default=1.0) / 8, 1.0
-        self.base = self.typical  # the fleet's time when it is well
+        self.work = [1.0] * len(settings.classes)  # a class's time as a multiple of the first one's
         self.usual, self.usual_at, self.out = 0.0, -math.inf, 0
 
     def update(self, event: i.Members, now: float) -> None:
@@ -256,11 +254,12 @@
         health.tokens, health.tokens_at = min(1.0, health.tokens + rate * (now - health.tokens_at)), now
         return health.tokens >= 1.0
 
-    def delay(self, health: Health, now: float) -> float:
-        """Expected delay of one more request: the fleet's time for each that is out, times the server's."""
+    def delay(self, health: Health, cls: int, now: float) -> float:
+        """Expected delay of one more request: the fleet's time for each that is out, by server and class."""
         # Danger: the one server that is quick in bad times gets all, and jams. So none counts as much quicker.
         slow = max(QUICKEST, 1 + (health.slow - 1) * math.exp((health.heard - now) / FORGET))
-        return self.typical / self.depth * slow * (health.out + 1) * (1 + 4 * health.failing(now))
+        each = self.typical / self.depth * self.work[cls]
+        return each * slow * (health.out + 1) * (1 + 4 * health.failing(now))
 
     def choose(self, now: float, waiting: Pending, scope: Scope) -> tuple[Health, float] | None:
         tried, group = waiting.tried, waiting.maybe_ran
@@ -269,7 +268,7 @@
             s = health.server
             if not (s.state is ServerState.READY and in_group(s, group, scope) and self.cold_ok(health, now)):
                 continue
-            delay = self.delay(health, now) * (1.0 if s.zone == self.settings.zone else 1.1)
+            delay = self.delay(health, waiting.request.cls, now) * (1.0 if s.zone == self.settings.zone else 1.1)
             key = (s.name in tried, health.failing(now) > FAILED_OUT, delay)
             if best is None or key < best[0]:
                 best = key, health
@@ -280,7 +279,7 @@
         health.sends, health.sends_at = health.rate(now) * FORGET + 1, now
         health.tokens -= 1.0
 
-    def ended(self, name: str, status: Status, took: float, now: float) -> None:
+    def ended(self, name: str, cls: int, status: Status, took: float, now: float) -> None:
         health, self.out = self.table.get(name), self.out - 1
         if health is None or status is Status.NOT_SENT:
             return
@@ -290,11 +289,12 @@
         failing, bad = health.failing(now), float(status is not Status.OK)
         health.failed, health.failed_at = failing + (bad - failing) * FAIL_SMOOTH, now
         if status in (Status.OK, Status.TIMEOUT):
+            self.work[cls] += (took / self.typical - self.work[cls]) * SMOOTH if cls else 0.0
+            took = max(took / self.work[cls], 0.001)
             health.slow += (took / max(1, depth) / self.typical * self.depth - health.slow) * SMOOTH
             health.heard = now
-            self.typical += (max(took, 0.001) - self.typical) * FLEET_SMOOTH
+            self.typical += (took - self.typical) * FLEET_SMOOTH
             self.depth += (max(1, depth) - self.depth) * FLEET_SMOOTH
-            self.base = min(self.typical, self.base * BASE_RISE)
 
 
 def in_group(server: Server, group: Server | None, scope: Scope) -> bool:
@@ -495,8 +495,7 @@
         # Danger: an estimate made in bad times that nothing corrects, as all is refused. So over all limiters
         # a request a server always goes out, unless too little time is left: then it would only use up tries.
         spare = self.servers.out * s.limiters < len(self.servers.table) and left > self.servers.typical / 2
-        limit = min(left * (REFUSE_CHEAP + (REFUSE_DEAR - REFUSE_CHEAP) * rank),
-                    self.servers.base * (QUEUE_CHEAP + (QUEUE_DEAR - QUEUE_CHEAP) * rank))
+        limit = left * (REFUSE_CHEAP + (REFUSE_DEAR - REFUSE_CHEAP) * rank)
         return chosen[0] if spare or chosen[1] <= limit else None
 
     def end(self, waiting: Pending) -> float:
@@ -535,8 +534,9 @@
     # ---- what became of it ----
 
     def on_outcome(self, event: i.Outcome, now: float) -> None:
-        self.servers.ended(event.server, event.status, event.took, now)
         waiting = self.pending.get(event.id)
+        status = event.status if waiting is not None else Status.CANCELLED  # else its class is not known any more
+        self.servers.ended(event.server, waiting.request.cls if waiting else 0, status, event.took, now)
         if waiting is None or event.attempt not in waiting.out:
             return
         waiting.out.discard(event.attempt)
