--- a/finchshelf/admission/logic.py
+++ b/finchshelf/admission/logic.py
@@ -214,7 +214,6 @@
         self.settings = settings
         self.table: dict[str, Health] = {}
         self.typical, self.depth = min((c.aim for c in settings.classes), default=1.0) / 8, 1.0
-        self.work = [1.0] * len(settings.classes)  # a class's time as a multiple of the first one's
         self.usual, self.usual_at, self.out = 0.0, -math.inf, 0
 
     def update(self, event: i.Members, now: float) -> None:
@@ -254,12 +253,11 @@
         health.tokens, health.tokens_at = min(1.0, health.tokens + rate * (now - health.tokens_at)), now
         return health.tokens >= 1.0
 
-    def delay(self, health: Health, cls: int, now: float) -> float:
-        """Expected delay of one more request: the fleet's time for each that is out, by server and class."""
+    def delay(self, health: Health, now: float) -> float:
+        """Expected delay of one more request: the fleet's time for each that is out, times the server's."""
         # Danger: the one server that is quick in bad times gets all, and jams. So none counts as much quicker.
         slow = max(QUICKEST, 1 + (health.slow - 1) * math.exp((health.heard - now) / FORGET))
-        each = self.typical / self.depth * self.work[cls]
-        return each * slow * (health.out + 1) * (1 + 4 * health.failing(now))
+        return self.typical / self.depth * slow * (health.out + 1) * (1 + 4 * health.failing(now))
 
     def choose(self, now: float, waiting: Pending, scope: Scope) -> tuple[Health, float] | None:
         tried, group = waiting.tried, waiting.maybe_ran
@@ -268,7 +266,7 @@
             s = health.server
             if not (s.state is ServerState.READY and in_group(s, group, scope) and self.cold_ok(health, now)):
                 continue
-            delay = self.delay(health, waiting.request.cls, now) * (1.0 if s.zone == self.settings.zone else 1.1)
+            delay = self.delay(health, now) * (1.0 if s.zone == self.settings.zone else 1.1)
             key = (s.name in tried, health.failing(now) > FAILED_OUT, delay)
             if best is None or key < best[0]:
                 best = key, health
@@ -279,7 +277,7 @@
         health.sends, health.sends_at = health.rate(now) * FORGET + 1, now
         health.tokens -= 1.0
 
-    def ended(self, name: str, cls: int, status: Status, took: float, now: float) -> None:
+    def ended(self, name: str, status: Status, took: float, now: float) -> None:
         health, self.out = self.table.get(name), self.out - 1
         if health is None or status is Status.NOT_SENT:
             return
@@ -289,11 +287,9 @@
         failing, bad = health.failing(now), float(status is not Status.OK)
         health.failed, health.failed_at = failing + (bad - failing) * FAIL_SMOOTH, now
         if status in (Status.OK, Status.TIMEOUT):
-            self.work[cls] += (took / self.typical - self.work[cls]) * SMOOTH if cls else 0.0
-            took = max(took / self.work[cls], 0.001)
             health.slow += (took / max(1, depth) / self.typical * self.depth - health.slow) * SMOOTH
             health.heard = now
-            self.typical += (took - self.typical) * FLEET_SMOOTH
+            self.typical += (max(took, 0.001) - self.typical) * FLEET_SMOOTH
             self.depth += (max(1, depth) - self.depth) * FLEET_SMOOTH
 
 
@@ -534,9 +530,8 @@
     # ---- what became of it ----
 
     def on_outcome(self, event: i.Outcome, now: float) -> None:
+        self.servers.ended(event.server, event.status, event.took, now)
         waiting = self.pending.get(event.id)
-        status = event.status if waiting is not None else Status.CANCELLED  # else its class is not known any more
-        self.servers.ended(event.server, waiting.request.cls if waiting else 0, status, event.took, now)
         if waiting is None or event.attempt not in waiting.out:
             return
         waiting.out.discard(event.attempt)
