--- a/finchshelf/admission/logic.py
+++ b/finchshelf/admission/logic.py
@@ -255,7 +255,7 @@
 
     def delay(self, health: Health, now: float) -> float:
         """Expected delay of one more request: the fleet's time for each that is out, times the server's."""
-        # Danger: the one server that is quick in bad times gets all, and jams. So none counts as much quicker.
+        # Danger: the one server that is quick in bad times gets all, and jams. None counts as much quicker.
         slow = max(QUICKEST, 1 + (health.slow - 1) * math.exp((health.heard - now) / FORGET))
         return self.typical / self.depth * slow * (health.out + 1) * (1 + 4 * health.failing(now))
 
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -178,3 +178,31 @@
     (sent,) = attempts(gate.ask(1000.0))
     gate.feed(i.Opened(sent.id, 0), 1000.1)
     assert not [a for a in gate.feed(i.ClientGone(sent.id), 1002.0) if isinstance(a, i.Cancel)]
+
+
+def test_no_try_without_time_left() -> None:
+    """A request whose time is all but used gets its answer, not one hopeless try after another."""
+    gate = Gateway(Counter())
+    (first,) = attempts(gate.ask(1000.0))
+    actions = gate.end(first.id, 1000.0 + first.limit, Status.TIMEOUT, name=first.server, took=first.limit)
+    assert not attempts(actions) and len(final(actions)) == 1
+    (second,) = attempts(gate.ask(1002.0))
+    assert len(final(gate.end(second.id, 1002.1, Status.NOT_SENT, name=second.server))) == 1
+
+
+def test_one_quick_server_does_not_get_all() -> None:
+    """In a slow fleet one server answers at once; it still gets no more than about its share doubled."""
+    gate = Gateway(Counter())
+    sent = {name: 0 for name in "abcd"}
+    due: list[tuple[float, i.Attempt, float]] = []
+    for n in range(2000):
+        now = 1000.0 + n * 0.01
+        for _, act, took in [d for d in due if d[0] <= now]:
+            gate.end(act.id, now, name=act.server, took=took)
+        due = [d for d in due if d[0] > now]
+        for act in attempts(gate.ask(now, plan=3)) if n % 3 == 0 else []:
+            took = 0.02 if act.server == "a" else 0.3
+            sent[act.server] += 1
+            due.append((now + took, act, took))
+            assert sum(d[1].server == "a" for d in due) <= 8
+    assert all(sent.values())
--- a/tests/test_counter_failure.py
+++ b/tests/test_counter_failure.py
@@ -116,3 +116,34 @@
                 sent += 1
     assert sent > 50
     assert store.lowest >= -plan.ceiling_slack
+
+
+def test_bursts_of_one_customer_do_not_jam_the_counter() -> None:
+    """Twenty requests of one customer before the counter answers: only a few calls go out."""
+    limiter = Limiter(BASE, 1, 1000.0)
+    limiter.handle(i.Members(i.ListKind.CACHED, (server("a"), server("b"))), 1000.0)
+    asked = [limiter.handle(i.Request(n, 0, 0, 7, 1004.0, 1, 2), 1000.0) for n in range(30)]
+    calls = sum(len(counts(actions)) for actions in asked)
+    assert 1 <= calls <= 5
+    let_in = sum(len(attempts(actions)) for actions in asked)
+    assert calls + let_in <= 20  # what is asked for and not yet answered is held back from the store
+
+
+def test_strained_counter_is_not_read_for_an_empty_store() -> None:
+    counter = Counter()
+    gate = Gateway(counter)
+    for n in range(200):
+        counter.mode = "silent" if n % 4 == 0 else "up"
+        gate.serve(1000.0 + n * 0.005)
+    counter.mode = "up"
+    calls = counter.calls
+    assert refusals(gate.ask(1001.0, units=4))
+    assert counter.calls == calls
+    assert attempts(gate.ask(1003.0, units=1)) and counter.calls == calls + 1
+
+
+def test_restarted_limiter_falls_back_on_one_second_of_its_share() -> None:
+    counter = Counter()
+    counter.mode = "silent"
+    gate = Gateway(counter)
+    assert sum(gate.serve(1000.0) for _ in range(30)) == 5  # 10 a second over 2 gateways
