--- a/finchshelf/admission/logic.py
+++ b/finchshelf/admission/logic.py
@@ -31,7 +31,7 @@
 FORGET = 3.0  # s without an answer after which a server's estimate has mostly gone back to the fleet's
 FAILED_OUT = 0.25  # failure estimate beyond which a server is passed over while others are left
 FAIL_FORGET = 4.0  # s in which a failure estimate falls to 1/e: how soon a bad server is tried again
-REFUSE_CHEAP, REFUSE_DEAR = 0.2, 0.4  # expected delay, as a share of the time left, that refuses
+REFUSE_CHEAP, REFUSE_DEAR = 0.15, 0.35  # expected delay, as a share of the time left, that refuses
 END_BEFORE = 0.98  # an attempt ends at this share of the aim: an answer later than the aim earns nothing
 COLD_SAFETY = 0.5  # share of a cold server's budget that is used: work varies from request to request
 
@@ -257,7 +257,7 @@
         """Expected delay of one more request: the fleet's time for each that is out, times the server's."""
         # Danger: the one server that is quick in bad times gets all, and jams. None counts as much quicker.
         slow = max(QUICKEST, 1 + (health.slow - 1) * math.exp((health.heard - now) / FORGET))
-        return self.typical / self.depth * slow * (health.out + 1) * (1 + 4 * health.failing(now))
+        return self.typical / (self.depth + 1) * slow * (health.out + 1) * (1 + 4 * health.failing(now))
 
     def choose(self, now: float, waiting: Pending, scope: Scope) -> tuple[Health, float] | None:
         tried, group = waiting.tried, waiting.maybe_ran
