--- a/finchshelf/admission/logic.py
+++ b/finchshelf/admission/logic.py
@@ -27,11 +27,14 @@
 SMOOTH = 0.05  # weight of a new answer in a server's speed: requests differ more than servers do
 FLEET_SMOOTH = 0.03  # the same in the fleet's time: a limiter has thirty answers within a second or so
 FAIL_SMOOTH = 0.25  # weight of a new outcome in a server's failure estimate: a few in a row pass it over
+IDLE_SHARE = 0.25  # of that delay, below which servers are idle enough for what a quota does not cover
+QUEUE_CHEAP, QUEUE_DEAR = 2.0, 3.0  # the same in times of a fleet that is well: a longer queue serves no more
+BASE_RISE = 1.001  # for each answer, by which the time of a fleet that is well is forgotten
 QUICKEST = 0.6  # a server's time relative to the fleet's is not taken for less
 FORGET = 3.0  # s without an answer after which a server's estimate has mostly gone back to the fleet's
 FAILED_OUT = 0.25  # failure estimate beyond which a server is passed over while others are left
 FAIL_FORGET = 4.0  # s in which a failure estimate falls to 1/e: how soon a bad server is tried again
-REFUSE_CHEAP, REFUSE_DEAR = 0.15, 0.35  # expected delay, as a share of the time left, that refuses
+REFUSE_CHEAP, REFUSE_DEAR = 0.2, 0.4  # expected delay, as a share of the time left, that refuses
 END_BEFORE = 0.98  # an attempt ends at this share of the aim: an answer later than the aim earns nothing
 COLD_SAFETY = 0.5  # share of a cold server's budget that is used: work varies from request to request
 
@@ -214,6 +217,7 @@
         self.settings = settings
         self.table: dict[str, Health] = {}
         self.typical, self.depth = min((c.aim for c in settings.classes), default=1.0) / 8, 1.0
+        self.base = self.typical  # the fleet's time when it is well
         self.usual, self.usual_at, self.out = 0.0, -math.inf, 0
 
     def update(self, event: i.Members, now: float) -> None:
@@ -257,7 +261,7 @@
         """Expected delay of one more request: the fleet's time for each that is out, times the server's."""
         # Danger: the one server that is quick in bad times gets all, and jams. None counts as much quicker.
         slow = max(QUICKEST, 1 + (health.slow - 1) * math.exp((health.heard - now) / FORGET))
-        return self.typical / (self.depth + 1) * slow * (health.out + 1) * (1 + 4 * health.failing(now))
+        return self.typical / self.depth * slow * (health.out + 1) * (1 + 4 * health.failing(now))
 
     def choose(self, now: float, waiting: Pending, scope: Scope) -> tuple[Health, float] | None:
         tried, group = waiting.tried, waiting.maybe_ran
@@ -291,6 +295,7 @@
             health.heard = now
             self.typical += (max(took, 0.001) - self.typical) * FLEET_SMOOTH
             self.depth += (max(1, depth) - self.depth) * FLEET_SMOOTH
+            self.base = min(self.typical, self.base * BASE_RISE)
 
 
 def in_group(server: Server, group: Server | None, scope: Scope) -> bool:
@@ -444,7 +449,7 @@
     def decide(self, waiting: Pending, now: float) -> None:
         request, customer = waiting.request, waiting.customer
         units, rate, gauge, fallback = request.units, customer.rate, customer.open, customer.fallback
-        room, after = True, 0.0
+        room, others, after = True, True, 0.0
         if rate is not None:
             rate.refill(now, 0.0)
             store = rate.level - (0.0 if waiting.calls else waiting.promised)
@@ -456,12 +461,15 @@
             room, after = store >= need, (need - store) / (fallback.rate if waiting.fell_back else rate.rate)
         if gauge is not None:
             share = math.ceil(gauge.cap / max(1, request.entry_points))
-            room &= gauge.open < share if waiting.fell_back else gauge.others + gauge.open < gauge.cap
+            others = gauge.open < share if waiting.fell_back else gauge.others + gauge.open < gauge.cap
         if customer.ceiling is not None and customer.ceiling.now_level(now) < units:
-            room, after = False, max(after, units / customer.ceiling.rate)
-        placed = self.place(waiting, now) if room else None
+            others, after = False, max(after, units / customer.ceiling.rate)
+        room &= others
+        plan = self.settings.plans[request.plan]
+        extra = not room and others and plan.excess_worth > plan.overrun_cost
+        placed = self.place(waiting, now, IDLE_SHARE if extra else 1.0) if room or extra else None
         if rate is not None:
-            used = units if placed is not None else 0
+            used = units if placed is not None and room else 0  # what goes beyond the quota takes nothing from it
             rate.level -= used
             rate.owed += used + sum(c.owed(added) for c, added in waiting.calls if c.check is rate)
             if not waiting.fell_back:
@@ -471,7 +479,7 @@
                                            rate.level * fallback.rate / rate.rate, now)
         if placed is None:
             return self.refuse(waiting, self.settings.max_retry_after if room else after, now)
-        if waiting.fell_back:
+        if waiting.fell_back and room:
             fallback.take(units, now)
         if customer.ceiling is not None:
             customer.ceiling.take(units, now)
@@ -479,7 +487,7 @@
             gauge.open += 1
         self.send(waiting, placed, now)
 
-    def place(self, waiting: Pending, now: float) -> Health | None:
+    def place(self, waiting: Pending, now: float, share: float = 1.0) -> Health | None:
         """A server where the answer should still be in time, or None."""
         s, request = self.settings, waiting.request
         kind = s.classes[request.cls]
@@ -490,9 +498,11 @@
         rank = (self.worths.index(kind.worth * s.plans[request.plan].price) + 1) / len(self.worths)
         # Danger: an estimate made in bad times that nothing corrects, as all is refused. So over all limiters
         # a request a server always goes out, unless too little time is left: then it would only use up tries.
-        spare = self.servers.out * s.limiters < len(self.servers.table) and left > self.servers.typical / 2
-        limit = left * (REFUSE_CHEAP + (REFUSE_DEAR - REFUSE_CHEAP) * rank)
-        return chosen[0] if spare or chosen[1] <= limit else None
+        spare = share >= 1 and self.servers.out * s.limiters < len(self.servers.table) and left > self.servers.typical / 2
+        limit = share * left * (REFUSE_CHEAP + (REFUSE_DEAR - REFUSE_CHEAP) * rank)
+        queue = chosen[1] * self.servers.depth / (self.servers.depth + 1) / self.servers.base
+        short = queue <= QUEUE_CHEAP + (QUEUE_DEAR - QUEUE_CHEAP) * rank
+        return chosen[0] if spare or (short and chosen[1] <= limit) else None
 
     def end(self, waiting: Pending) -> float:
         """When an attempt is given up: just before the aim, as a late answer earns nothing."""
