--- a/finchshelf/admission/logic.py
+++ b/finchshelf/admission/logic.py
@@ -28,8 +28,6 @@
 FLEET_SMOOTH = 0.03  # the same in the fleet's time: a limiter has thirty answers within a second or so
 FAIL_SMOOTH = 0.25  # weight of a new outcome in a server's failure estimate: a few in a row pass it over
 IDLE_SHARE = 0.25  # of that delay, below which servers are idle enough for what a quota does not cover
-QUEUE_CHEAP, QUEUE_DEAR = 2.0, 3.0  # the same in times of a fleet that is well: a longer queue serves no more
-BASE_RISE = 1.001  # for each answer, by which the time of a fleet that is well is forgotten
 QUICKEST = 0.6  # a server's time relative to the fleet's is not taken for less
 FORGET = 3.0  # s without an answer after which a server's estimate has mostly gone back to the fleet's
 FAILED_OUT = 0.25  # failure estimate beyond which a server is passed over while others are left
@@ -199,6 +197,7 @@
 class Health:  # what this limiter knows of one server
     def __init__(self, server: Server, now: float, out: int) -> None:
         self.server, self.out, self.heard = server, out, -math.inf
+        self.others = 0.0  # what it holds of other limiters' requests, if it reports
         self.slow = 1.0  # its time for a request that is out, as a multiple of the fleet's
         self.failed, self.failed_at, self.sends, self.sends_at = 0.0, now, 0.0, now
         self.tokens, self.tokens_at = 0.0, now
@@ -217,7 +216,6 @@
         self.settings = settings
         self.table: dict[str, Health] = {}
         self.typical, self.depth = min((c.aim for c in settings.classes), default=1.0) / 8, 1.0
-        self.base = self.typical  # the fleet's time when it is well
         self.usual, self.usual_at, self.out = 0.0, -math.inf, 0
 
     def update(self, event: i.Members, now: float) -> None:
@@ -260,8 +258,10 @@
     def delay(self, health: Health, now: float) -> float:
         """Expected delay of one more request: the fleet's time for each that is out, times the server's."""
         # Danger: the one server that is quick in bad times gets all, and jams. None counts as much quicker.
-        slow = max(QUICKEST, 1 + (health.slow - 1) * math.exp((health.heard - now) / FORGET))
-        return self.typical / self.depth * slow * (health.out + 1) * (1 + 4 * health.failing(now))
+        trust = math.exp((health.heard - now) / FORGET)
+        slow = max(QUICKEST, 1 + (health.slow - 1) * trust)
+        held = health.out + health.others * trust
+        return self.typical / self.depth * slow * (held + 1) * (1 + 4 * health.failing(now))
 
     def choose(self, now: float, waiting: Pending, scope: Scope) -> tuple[Health, float] | None:
         tried, group = waiting.tried, waiting.maybe_ran
@@ -281,11 +281,12 @@
         health.sends, health.sends_at = health.rate(now) * FORGET + 1, now
         health.tokens -= 1.0
 
-    def ended(self, name: str, status: Status, took: float, now: float) -> None:
+    def ended(self, name: str, status: Status, took: float, load: dict[str, float], now: float) -> None:
         health, self.out = self.table.get(name), self.out - 1
         if health is None or status is Status.NOT_SENT:
             return
-        depth, health.out = health.out, max(0, health.out - 1)
+        depth, health.out = health.out + health.others, max(0, health.out - 1)
+        health.others = max(0.0, load["held"] - health.out) if "held" in load else health.others
         if status is Status.CANCELLED:
             return
         failing, bad = health.failing(now), float(status is not Status.OK)
@@ -295,7 +296,6 @@
             health.heard = now
             self.typical += (max(took, 0.001) - self.typical) * FLEET_SMOOTH
             self.depth += (max(1, depth) - self.depth) * FLEET_SMOOTH
-            self.base = min(self.typical, self.base * BASE_RISE)
 
 
 def in_group(server: Server, group: Server | None, scope: Scope) -> bool:
@@ -500,9 +500,7 @@
         # a request a server always goes out, unless too little time is left: then it would only use up tries.
         spare = share >= 1 and self.servers.out * s.limiters < len(self.servers.table) and left > self.servers.typical / 2
         limit = share * left * (REFUSE_CHEAP + (REFUSE_DEAR - REFUSE_CHEAP) * rank)
-        queue = chosen[1] * self.servers.depth / (self.servers.depth + 1) / self.servers.base
-        short = queue <= QUEUE_CHEAP + (QUEUE_DEAR - QUEUE_CHEAP) * rank
-        return chosen[0] if spare or (short and chosen[1] <= limit) else None
+        return chosen[0] if spare or chosen[1] <= limit else None
 
     def end(self, waiting: Pending) -> float:
         """When an attempt is given up: just before the aim, as a late answer earns nothing."""
@@ -540,7 +538,7 @@
     # ---- what became of it ----
 
     def on_outcome(self, event: i.Outcome, now: float) -> None:
-        self.servers.ended(event.server, event.status, event.took, now)
+        self.servers.ended(event.server, event.status, event.took, event.load, now)
         waiting = self.pending.get(event.id)
         if waiting is None or event.attempt not in waiting.out:
             return
