--- a/finchshelf/admission/logic.py
+++ b/finchshelf/admission/logic.py
@@ -170,8 +170,10 @@
 
 
 class Customer:  # one customer's checks, fallback and ceiling
-    def __init__(self, plan: i.Plan, request: Request, epoch: float, s: i.Settings, now: float) -> None:
-        share, customer = max(1, min(request.entry_points, s.limiters)), request.customer
+    def __init__(self, request: Request, s: i.Settings, now: float) -> None:
+        plan, customer = s.plans[request.plan], request.customer
+        share = max(1, min(request.entry_points, s.limiters))
+        epoch = max(c.deadline for c in s.classes)  # no attempt is out longer
         fill = plan.rate / share
         self.used, self.fallback = now, Bucket(fill, fill, fill, now)
         self.rate = RateCheck(plan, customer, now) if plan.rate > 0 else None
@@ -184,8 +186,9 @@
 
 
 class Pending:  # a request that has no final answer yet
-    def __init__(self, request: Request, customer: Customer, now: float) -> None:
+    def __init__(self, request: Request, customer: Customer, s: i.Settings, now: float) -> None:
         self.request, self.customer, self.arrived = request, customer, now
+        self.kind, self.plan = s.classes[request.cls], s.plans[request.plan]
         self.waiting, self.fell_back, self.streaming, self.promised = 0, False, False, 0.0
         self.calls: list[tuple[Call, bool]] = []
         self.tried: list[str] = []
@@ -197,7 +200,6 @@
 class Health:  # what this limiter knows of one server
     def __init__(self, server: Server, now: float, out: int) -> None:
         self.server, self.out, self.heard = server, out, -math.inf
-        self.others = 0.0  # what it holds of other limiters' requests, if it reports
         self.slow = 1.0  # its time for a request that is out, as a multiple of the fleet's
         self.failed, self.failed_at, self.sends, self.sends_at = 0.0, now, 0.0, now
         self.tokens, self.tokens_at = 0.0, now
@@ -258,13 +260,11 @@
     def delay(self, health: Health, now: float) -> float:
         """Expected delay of one more request: the fleet's time for each that is out, times the server's."""
         # Danger: the one server that is quick in bad times gets all, and jams. None counts as much quicker.
-        trust = math.exp((health.heard - now) / FORGET)
-        slow = max(QUICKEST, 1 + (health.slow - 1) * trust)
-        held = health.out + health.others * trust
-        return self.typical / self.depth * slow * (held + 1) * (1 + 4 * health.failing(now))
+        slow = max(QUICKEST, 1 + (health.slow - 1) * math.exp((health.heard - now) / FORGET))
+        return self.typical / self.depth * slow * (health.out + 1) * (1 + 4 * health.failing(now))
 
-    def choose(self, now: float, waiting: Pending, scope: Scope) -> tuple[Health, float] | None:
-        tried, group = waiting.tried, waiting.maybe_ran
+    def choose(self, now: float, waiting: Pending) -> tuple[Health, float] | None:
+        tried, group, scope = waiting.tried, waiting.maybe_ran, waiting.kind.scope
         best: tuple[tuple[bool, bool, float], Health] | None = None
         for health in self.table.values():
             s = health.server
@@ -278,15 +278,13 @@
 
     def sent(self, health: Health, now: float) -> None:
         health.out, self.out = health.out + 1, self.out + 1
-        health.sends, health.sends_at = health.rate(now) * FORGET + 1, now
-        health.tokens -= 1.0
+        health.sends, health.sends_at, health.tokens = health.rate(now) * FORGET + 1, now, health.tokens - 1.0
 
-    def ended(self, name: str, status: Status, took: float, load: dict[str, float], now: float) -> None:
+    def ended(self, name: str, status: Status, took: float, now: float) -> None:
         health, self.out = self.table.get(name), self.out - 1
         if health is None or status is Status.NOT_SENT:
             return
-        depth, health.out = health.out + health.others, max(0, health.out - 1)
-        health.others = max(0.0, load["held"] - health.out) if "held" in load else health.others
+        depth, health.out = health.out, max(0, health.out - 1)
         if status is Status.CANCELLED:
             return
         failing, bad = health.failing(now), float(status is not Status.OK)
@@ -316,7 +314,6 @@
         self.timers: dict[int, Call] = {}
         self.tags, self.swept = 0, now
         self.budget = min([settings.counter_wait] + [CALL_BUDGET * c.aim for c in settings.classes])
-        self.epoch = max([c.deadline for c in settings.classes] or [1.0])  # no attempt is out longer
         self.worths = sorted({c.worth * p.price for c in settings.classes for p in settings.plans})
         self.actions: list[i.Action] = []
 
@@ -355,10 +352,9 @@
             self.customers = {k: c for k, c in self.customers.items() if now - c.used < IDLE}
         customer = self.customers.get(request.customer)
         if customer is None:
-            customer = Customer(s.plans[request.plan], request, self.epoch, s, now)
-            self.customers[request.customer] = customer
+            customer = self.customers[request.customer] = Customer(request, s, now)
         customer.used = now
-        waiting = Pending(request, customer, now)
+        waiting = Pending(request, customer, s, now)
         self.pending[request.id] = waiting
         # Danger: a stalled limiter gets requests when their time is all but up. No answer of the counter can
         # come in time then, nor any server's: refuse at once, though a very fast server could still answer.
@@ -447,9 +443,8 @@
     # ---- the decision ----
 
     def decide(self, waiting: Pending, now: float) -> None:
-        request, customer = waiting.request, waiting.customer
+        request, customer, room, others, after = waiting.request, waiting.customer, True, True, 0.0
         units, rate, gauge, fallback = request.units, customer.rate, customer.open, customer.fallback
-        room, others, after = True, True, 0.0
         if rate is not None:
             rate.refill(now, 0.0)
             store = rate.level - (0.0 if waiting.calls else waiting.promised)
@@ -465,11 +460,10 @@
         if customer.ceiling is not None and customer.ceiling.now_level(now) < units:
             others, after = False, max(after, units / customer.ceiling.rate)
         room &= others
-        plan = self.settings.plans[request.plan]
-        extra = not room and others and plan.excess_worth > plan.overrun_cost
+        extra = not room and others and waiting.plan.excess_worth > waiting.plan.overrun_cost
         placed = self.place(waiting, now, IDLE_SHARE if extra else 1.0) if room or extra else None
         if rate is not None:
-            used = units if placed is not None and room else 0  # what goes beyond the quota takes nothing from it
+            used = units if placed is not None and room else 0  # what goes beyond a quota takes nothing off
             rate.level -= used
             rate.owed += used + sum(c.owed(added) for c, added in waiting.calls if c.check is rate)
             if not waiting.fell_back:
@@ -489,24 +483,23 @@
 
     def place(self, waiting: Pending, now: float, share: float = 1.0) -> Health | None:
         """A server where the answer should still be in time, or None."""
-        s, request = self.settings, waiting.request
-        kind = s.classes[request.cls]
-        chosen = self.servers.choose(now, waiting, kind.scope)
+        chosen = self.servers.choose(now, waiting)
         if chosen is None:
             return None
         left = self.end(waiting) - now
-        rank = (self.worths.index(kind.worth * s.plans[request.plan].price) + 1) / len(self.worths)
+        rank = (self.worths.index(waiting.kind.worth * waiting.plan.price) + 1) / len(self.worths)
         # Danger: an estimate made in bad times that nothing corrects, as all is refused. So over all limiters
         # a request a server always goes out, unless too little time is left: then it would only use up tries.
-        spare = share >= 1 and self.servers.out * s.limiters < len(self.servers.table) and left > self.servers.typical / 2
+        few = self.servers.out * self.settings.limiters < len(self.servers.table)
+        spare = share >= 1 and few and left > self.servers.typical / 2
         limit = share * left * (REFUSE_CHEAP + (REFUSE_DEAR - REFUSE_CHEAP) * rank)
         return chosen[0] if spare or chosen[1] <= limit else None
 
     def end(self, waiting: Pending) -> float:
         """When an attempt is given up: just before the aim, as a late answer earns nothing."""
-        request, kind = waiting.request, self.settings.classes[waiting.request.cls]
+        kind, until = waiting.kind, waiting.request.until
         late_earns = kind.stream or kind.late_share > 0
-        return request.until if late_earns else min(request.until, waiting.arrived + kind.aim * END_BEFORE)
+        return until if late_earns else min(until, waiting.arrived + kind.aim * END_BEFORE)
 
     def send(self, waiting: Pending, health: Health, now: float) -> None:
         waiting.out.add(len(waiting.tried))
@@ -516,7 +509,7 @@
         self.actions.append(i.Attempt(waiting.request.id, health.server.name, limit))
 
     def refuse(self, waiting: Pending, after: float, now: float) -> None:
-        kind, s = self.settings.classes[waiting.request.cls], self.settings
+        kind, s = waiting.kind, self.settings
         if waiting.maybe_ran is None or kind.effect is Effect.SAFE or (
                 kind.effect is Effect.KEYED and kind.scope is Scope.ALL):
             advice = min(after, s.max_retry_after) if s.retry_after else 0.0
@@ -538,7 +531,7 @@
     # ---- what became of it ----
 
     def on_outcome(self, event: i.Outcome, now: float) -> None:
-        self.servers.ended(event.server, event.status, event.took, event.load, now)
+        self.servers.ended(event.server, event.status, event.took, now)
         waiting = self.pending.get(event.id)
         if waiting is None or event.attempt not in waiting.out:
             return
@@ -555,11 +548,11 @@
             waiting.maybe_ran, waiting.maybe_at = known.server if known else nowhere, now - event.took
         if waiting.out:
             return
-        kind = self.settings.classes[waiting.request.cls]
-        may = waiting.maybe_ran is None or kind.effect is Effect.SAFE or (
-            kind.effect is Effect.KEYED and now < waiting.maybe_at + kind.key_ttl)
-        may &= event.status is not Status.NOT_SENT and not waiting.streaming
-        placed = self.place(waiting, now) if may and len(waiting.tried) < self.settings.max_attempts else None
-        if placed is not None:
-            return self.send(waiting, placed, now)
-        self.refuse(waiting, self.settings.max_retry_after, now)
+        effect = waiting.kind.effect
+        may = waiting.maybe_ran is None or effect is Effect.SAFE or (
+            effect is Effect.KEYED and now < waiting.maybe_at + waiting.kind.key_ttl)
+        may &= event.status is not Status.NOT_SENT and len(waiting.tried) < self.settings.max_attempts
+        placed = self.place(waiting, now) if may and not waiting.streaming else None
+        if placed is None:
+            return self.refuse(waiting, self.settings.max_retry_after, now)
+        self.send(waiting, placed, now)
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -128,3 +128,21 @@
     counter.numbers[name] += 500
     assert not gate.serve(1000.1)
     assert sum(gate.serve(1000.2 + n * 0.1) for n in range(30)) >= 15
+
+
+def test_beyond_the_quota_only_where_it_earns_and_servers_are_idle() -> None:
+    earns = i.Plan(1.0, rate=1.0, burst=4.0, excess_worth=0.2)
+    costs = i.Plan(1.0, rate=1.0, burst=4.0, excess_worth=0.2, overrun_cost=0.5)
+    for plan, more in ((earns, True), (costs, False)):
+        counter = Counter()
+        gate = Gateway(counter, settings(plans=(plan,)))
+        sent = []
+        for n in range(400):
+            for act in attempts(gate.ask(1000.0 + n * 0.01)):
+                sent.append(act)
+                gate.end(act.id, 1000.0 + n * 0.01, name=act.server, took=0.01)
+        assert (len(sent) > 100) == more
+        gate.ask(1004.0)
+        assert sum(counter.numbers.values()) <= 8 + 1  # what went beyond is not in the count
+        crowd = [a for n in range(200) for a in attempts(gate.ask(1004.1 + n / 1e4))]
+        assert len(crowd) < 100
