--- a/finchshelf/admission/logic.py
+++ b/finchshelf/admission/logic.py
@@ -261,20 +261,21 @@
         """Expected delay of one more request: the fleet's time for each that is out, times the server's."""
         # Danger: the one server that is quick in bad times gets all, and jams. None counts as much quicker.
         slow = max(QUICKEST, 1 + (health.slow - 1) * math.exp((health.heard - now) / FORGET))
-        return self.typical / self.depth * slow * (health.out + 1) * (1 + 4 * health.failing(now))
+        return self.typical / self.depth * slow * (health.out + 1)
 
     def choose(self, now: float, waiting: Pending) -> tuple[Health, float] | None:
         tried, group, scope = waiting.tried, waiting.maybe_ran, waiting.kind.scope
-        best: tuple[tuple[bool, bool, float], Health] | None = None
+        best: tuple[tuple[bool, bool, float], Health, float] | None = None
         for health in self.table.values():
             s = health.server
             if not (s.state is ServerState.READY and in_group(s, group, scope) and self.cold_ok(health, now)):
                 continue
-            delay = self.delay(health, now) * (1.0 if s.zone == self.settings.zone else 1.1)
-            key = (s.name in tried, health.failing(now) > FAILED_OUT, delay)
+            delay, failing = self.delay(health, now), health.failing(now)
+            far = 1.0 if s.zone == self.settings.zone else 1.1
+            key = (s.name in tried, failing > FAILED_OUT, delay * far * (1 + 4 * failing))
             if best is None or key < best[0]:
-                best = key, health
-        return None if best is None else (best[1], best[0][2])
+                best = key, health, delay  # failures decide where to, not whether: a further try may do
+        return None if best is None else best[1:]
 
     def sent(self, health: Health, now: float) -> None:
         health.out, self.out = health.out + 1, self.out + 1
@@ -292,7 +293,8 @@
         if status in (Status.OK, Status.TIMEOUT):
             health.slow += (took / max(1, depth) / self.typical * self.depth - health.slow) * SMOOTH
             health.heard = now
-            self.typical += (max(took, 0.001) - self.typical) * FLEET_SMOOTH
+            # Danger: a few stuck servers' time-outs make the whole fleet look slow. So it is a median.
+            self.typical *= math.exp(math.copysign(FLEET_SMOOTH, took - self.typical))
             self.depth += (max(1, depth) - self.depth) * FLEET_SMOOTH
 
 
