--- a/finchshelf/admission/logic.py
+++ b/finchshelf/admission/logic.py
@@ -293,8 +293,7 @@
         if status in (Status.OK, Status.TIMEOUT):
             health.slow += (took / max(1, depth) / self.typical * self.depth - health.slow) * SMOOTH
             health.heard = now
-            # Danger: a few stuck servers' time-outs make the whole fleet look slow. So it is a median.
-            self.typical *= math.exp(math.copysign(FLEET_SMOOTH, took - self.typical))
+            self.typical += (max(took, 0.001) - self.typical) * FLEET_SMOOTH
             self.depth += (max(1, depth) - self.depth) * FLEET_SMOOTH
 
 
