--- a/finchshelf/admission/logic.py
+++ b/finchshelf/admission/logic.py
@@ -28,6 +28,8 @@
 FLEET_SMOOTH = 0.03  # the same in the fleet's time: a limiter has thirty answers within a second or so
 FAIL_SMOOTH = 0.25  # weight of a new outcome in a server's failure estimate: a few in a row pass it over
 IDLE_SHARE = 0.25  # of that delay, below which servers are idle enough for what a quota does not cover
+SLOWEST = 4.0  # and a single answer's not for more
+HUNG = 5.0  # usual times after which a request that may run again is held to hang
 QUICKEST = 0.6  # a server's time relative to the fleet's is not taken for less
 FORGET = 3.0  # s without an answer after which a server's estimate has mostly gone back to the fleet's
 FAILED_OUT = 0.25  # failure estimate beyond which a server is passed over while others are left
@@ -291,9 +293,11 @@
         failing, bad = health.failing(now), float(status is not Status.OK)
         health.failed, health.failed_at = failing + (bad - failing) * FAIL_SMOOTH, now
         if status in (Status.OK, Status.TIMEOUT):
-            health.slow += (took / max(1, depth) / self.typical * self.depth - health.slow) * SMOOTH
+            seen = min(took / max(1, depth) / self.typical * self.depth, SLOWEST)
+            health.slow += (seen - health.slow) * SMOOTH
             health.heard = now
-            self.typical += (max(took, 0.001) - self.typical) * FLEET_SMOOTH
+            # Danger: a few stuck servers' time-outs make the whole fleet look slow. So it is a median.
+            self.typical *= math.exp(math.copysign(FLEET_SMOOTH, took - self.typical))
             self.depth += (max(1, depth) - self.depth) * FLEET_SMOOTH
 
 
@@ -507,6 +511,9 @@
         waiting.tried.append(health.server.name)
         self.servers.sent(health, now)
         limit = max(self.end(waiting) - now, 0.001)
+        if waiting.kind.effect is Effect.SAFE and len(waiting.tried) < self.settings.max_attempts:
+            # Danger: requests that hang while most are quick. Half of the time is left for another try.
+            limit = min(limit, max(limit / 2, HUNG * self.servers.typical))
         self.actions.append(i.Attempt(waiting.request.id, health.server.name, limit))
 
     def refuse(self, waiting: Pending, after: float, now: float) -> None:
