--- a/finchshelf/admission/logic.py
+++ b/finchshelf/admission/logic.py
@@ -27,14 +27,13 @@
 SMOOTH = 0.05  # weight of a new answer in a server's speed: requests differ more than servers do
 FLEET_SMOOTH = 0.03  # the same in the fleet's time: a limiter has thirty answers within a second or so
 FAIL_SMOOTH = 0.25  # weight of a new outcome in a server's failure estimate: a few in a row pass it over
-IDLE_SHARE = 0.25  # of that delay, below which servers are idle enough for what a quota does not cover
+IDLE_SHARE = 0.4  # of that delay, below which servers are idle enough for what a quota does not cover
 SLOWEST = 4.0  # and a single answer's not for more
-HUNG = 5.0  # usual times after which a request that may run again is held to hang
 QUICKEST = 0.6  # a server's time relative to the fleet's is not taken for less
 FORGET = 3.0  # s without an answer after which a server's estimate has mostly gone back to the fleet's
 FAILED_OUT = 0.25  # failure estimate beyond which a server is passed over while others are left
 FAIL_FORGET = 4.0  # s in which a failure estimate falls to 1/e: how soon a bad server is tried again
-REFUSE_CHEAP, REFUSE_DEAR = 0.2, 0.4  # expected delay, as a share of the time left, that refuses
+REFUSE_CHEAP, REFUSE_DEAR = 0.15, 0.3  # expected delay, as a share of the time left, that refuses
 END_BEFORE = 0.98  # an attempt ends at this share of the aim: an answer later than the aim earns nothing
 COLD_SAFETY = 0.5  # share of a cold server's budget that is used: work varies from request to request
 
@@ -193,7 +192,7 @@
         self.kind, self.plan = s.classes[request.cls], s.plans[request.plan]
         self.waiting, self.fell_back, self.streaming, self.promised = 0, False, False, 0.0
         self.calls: list[tuple[Call, bool]] = []
-        self.tried: list[str] = []
+        self.tried: list[Server] = []
         self.out: set[int] = set()
         self.maybe_ran: Server | None = None
         self.maybe_at = 0.0
@@ -274,7 +273,7 @@
                 continue
             delay, failing = self.delay(health, now), health.failing(now)
             far = 1.0 if s.zone == self.settings.zone else 1.1
-            key = (s.name in tried, failing > FAILED_OUT, delay * far * (1 + 4 * failing))
+            key = (s in tried, failing > FAILED_OUT, delay * far * (1 + 4 * failing))
             if best is None or key < best[0]:
                 best = key, health, delay  # failures decide where to, not whether: a further try may do
         return None if best is None else best[1:]
@@ -294,8 +293,7 @@
         health.failed, health.failed_at = failing + (bad - failing) * FAIL_SMOOTH, now
         if status in (Status.OK, Status.TIMEOUT):
             seen = min(took / max(1, depth) / self.typical * self.depth, SLOWEST)
-            health.slow += (seen - health.slow) * SMOOTH
-            health.heard = now
+            health.slow, health.heard = health.slow + (seen - health.slow) * SMOOTH, now
             # Danger: a few stuck servers' time-outs make the whole fleet look slow. So it is a median.
             self.typical *= math.exp(math.copysign(FLEET_SMOOTH, took - self.typical))
             self.depth += (max(1, depth) - self.depth) * FLEET_SMOOTH
@@ -508,12 +506,9 @@
 
     def send(self, waiting: Pending, health: Health, now: float) -> None:
         waiting.out.add(len(waiting.tried))
-        waiting.tried.append(health.server.name)
+        waiting.tried.append(health.server)
         self.servers.sent(health, now)
         limit = max(self.end(waiting) - now, 0.001)
-        if waiting.kind.effect is Effect.SAFE and len(waiting.tried) < self.settings.max_attempts:
-            # Danger: requests that hang while most are quick. Half of the time is left for another try.
-            limit = min(limit, max(limit / 2, HUNG * self.servers.typical))
         self.actions.append(i.Attempt(waiting.request.id, health.server.name, limit))
 
     def refuse(self, waiting: Pending, after: float, now: float) -> None:
@@ -544,16 +539,13 @@
         if waiting is None or event.attempt not in waiting.out:
             return
         waiting.out.discard(event.attempt)
-        rate = waiting.customer.rate
+        rate, change = waiting.customer.rate, event.true_units - waiting.request.units
         if event.true_units > 0 and self.settings.settles_later and rate is not None:
-            rate.owed += event.true_units - waiting.request.units
-            rate.level -= event.true_units - waiting.request.units
+            rate.owed, rate.level = rate.owed + change, rate.level - change
         if event.final:
             return self.finish(waiting, now)
         if not event.status.never_ran and waiting.maybe_ran is None:
-            known = self.servers.table.get(event.server)
-            nowhere = Server(event.server, -1, -1, -1, ServerState.GONE, 0.0, 0.0)
-            waiting.maybe_ran, waiting.maybe_at = known.server if known else nowhere, now - event.took
+            waiting.maybe_ran, waiting.maybe_at = waiting.tried[event.attempt], now - event.took
         if waiting.out:
             return
         effect = waiting.kind.effect
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -208,3 +208,23 @@
             others += act.server != "a"
     assert others > 100
     assert most <= 8
+
+
+def test_requests_that_hang_do_not_make_the_fleet_look_slow() -> None:
+    """A third of the requests hang until their time-out, whatever the server; the others are quick."""
+    gate = Gateway(Counter())
+    due: list[tuple[float, i.Attempt, bool]] = []
+    asked = sent = 0
+    for n in range(2000):
+        now = 1000.0 + n * 0.01
+        for _, act, hangs in [d for d in due if d[0] <= now]:
+            status = Status.TIMEOUT if hangs else Status.OK
+            gate.end(act.id, now, status, name=act.server, took=act.limit if hangs else 0.05)
+        due = [d for d in due if d[0] > now]
+        if n % 10 == 0:
+            asked += 1
+            for act in attempts(gate.ask(now, plan=3, cls=2)):
+                sent += 1
+                hangs = sent % 3 == 0
+                due.append((now + (act.limit if hangs else 0.05), act, hangs))
+    assert sent > 0.8 * asked
