--- a/finchshelf/admission/logic.py
+++ b/finchshelf/admission/logic.py
@@ -32,6 +32,7 @@
 QUICKEST = 0.6  # a server's time relative to the fleet's is not taken for less
 FORGET = 3.0  # s without an answer after which a server's estimate has mostly gone back to the fleet's
 FAILED_OUT = 0.25  # failure estimate beyond which a server is passed over while others are left
+FULL = 0.3  # of a failure is a request turned away unseen: it costs only a try, unless always
 FAIL_FORGET = 4.0  # s in which a failure estimate falls to 1/e: how soon a bad server is tried again
 REFUSE_CHEAP, REFUSE_DEAR = 0.15, 0.3  # expected delay, as a share of the time left, that refuses
 END_BEFORE = 0.98  # an attempt ends at this share of the aim: an answer later than the aim earns nothing
@@ -174,8 +175,7 @@
     def __init__(self, request: Request, s: i.Settings, now: float) -> None:
         plan, customer = s.plans[request.plan], request.customer
         share = max(1, min(request.entry_points, s.limiters))
-        epoch = max(c.deadline for c in s.classes)  # no attempt is out longer
-        fill = plan.rate / share
+        fill, epoch = plan.rate / share, max(c.deadline for c in s.classes)  # no attempt is out longer
         self.used, self.fallback = now, Bucket(fill, fill, fill, now)
         self.rate = RateCheck(plan, customer, now) if plan.rate > 0 else None
         self.open = OpenCheck(plan.open_cap, epoch, customer) if plan.open_cap > 0 else None
@@ -289,7 +289,7 @@
         depth, health.out = health.out, max(0, health.out - 1)
         if status is Status.CANCELLED:
             return
-        failing, bad = health.failing(now), float(status is not Status.OK)
+        failing, bad = health.failing(now), {Status.OK: 0.0, Status.FULL: FULL}.get(status, 1.0)
         health.failed, health.failed_at = failing + (bad - failing) * FAIL_SMOOTH, now
         if status in (Status.OK, Status.TIMEOUT):
             seen = min(took / max(1, depth) / self.typical * self.depth, SLOWEST)
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -228,3 +228,25 @@
                 hangs = sent % 3 == 0
                 due.append((now + (act.limit if hangs else 0.05), act, hangs))
     assert sent > 0.8 * asked
+
+
+def test_server_that_is_often_full_keeps_its_share_and_one_always_full_does_not() -> None:
+    """Turned away unseen costs only a further try; a server that never takes anything is left alone."""
+    for every, low, high in ((3, 60, 400), (1, 1, 60)):
+        gate = Gateway(Counter())
+        tries = {name: 0 for name in "abcd"}
+        refused = 0
+        for n in range(400):
+            now = 1000.0 + n * 0.05
+            actions = gate.ask(now, plan=3)
+            number = 0
+            while sent := attempts(actions):
+                name = sent[0].server
+                tries[name] += 1
+                full = name == "a" and tries[name] % every == 0
+                status = Status.FULL if full else Status.OK
+                actions = gate.end(sent[0].id, now + 0.04, status, number, name, 0.0 if full else 0.04)
+                number += 1
+            refused += len(refusals(actions))
+        assert low <= tries["a"] <= high
+        assert refused == 0
