No more out at a server than twice the long run

Cause: after a sudden loss of servers, or in a release, the rest were driven to three times what they usually hold and stayed slow, or let requests hang, for half a minute; the expected delay reacts only when answers are late already. It may hurt where traffic moves to one gateway at once; the long run follows in some seconds.

--- a/finchshelf/admission/logic.py
+++ b/finchshelf/admission/logic.py
@@ -28,6 +28,7 @@
 FAIL_SMOOTH = 0.25  # weight of a new outcome in a server's failure estimate: a few in a row pass it over
 IDLE_SHARE = 0.4  # of that delay, below which servers are idle enough for what a quota does not cover
 SLOWEST = 4.0  # and a single answer's not for more
+CROWD, LONG_RUN = 2.0, 0.002  # times the number usually out at a server; weight of an answer in that
 QUICKEST = 0.6  # a server's time relative to the fleet's is not taken for less
 FORGET = 3.0  # s without an answer after which a server's estimate has mostly gone back to the fleet's
 FAILED_OUT = 0.25  # failure estimate beyond which a server is passed over while others are left
@@ -55,10 +56,8 @@
 
 
 class Breaker:
-    """Consecutive failures open it; after the quarantine one call at a time is a probe.
-
-    Danger: many limiters come back at once and jam the counter anew. Hence one probe, and unlike quarantines.
-    """
+    """Consecutive failures open it; after the quarantine one call at a time is a probe."""
+    # Danger: many limiters back at once jam the counter anew. Hence one probe, and quarantines that differ.
 
     def __init__(self, seed: int) -> None:
         self.failures, self.open_until, self.strain = 0, -math.inf, 0.0
@@ -81,11 +80,9 @@
 
 
 class RateCheck:
-    """A customer's quota store, rebuilt from the totals of the window's count.
-
-    Exception to the fixed window: what a total leaves is read as a store that refills at the rate, so a
-    window edge or a counter that came back empty grants nothing by itself.
-    """
+    """A customer's quota store, rebuilt from the totals of the window's count."""
+    # Exception to the fixed window: what a total leaves is read as a store that refills at the rate, so a
+    # window edge or a counter that came back empty grants nothing by itself.
 
     def __init__(self, plan: i.Plan, customer: int, now: float) -> None:
         self.base, self.name = customer << 28, -1
@@ -141,8 +138,7 @@
 
     def turn(self, now: float) -> None:
         name = self.base + (int(now // self.window) << 1) % 2**28
-        if name != self.name:
-            self.name, self.told = name, 0.0
+        self.name, self.told = name, self.told if name == self.name else 0.0
 
     def step(self, extra: int) -> float:
         step = self.open + extra - self.told
@@ -218,7 +214,7 @@
         self.settings = settings
         self.table: dict[str, Health] = {}
         self.typical, self.depth = min((c.aim for c in settings.classes), default=1.0) / 8, 1.0
-        self.usual, self.usual_at, self.out, self.mean = 0.0, -math.inf, 0, 1.0
+        self.usual, self.usual_at, self.out, self.mean, self.norm = 0.0, -math.inf, 0, 1.0, 1.0
 
     def update(self, event: i.Members, now: float) -> None:
         if event.kind in (ListKind.FULL, ListKind.CACHED):
@@ -297,6 +293,7 @@
             # Danger: some requests hang, and the whole fleet looks slow. So it is a median.
             self.typical *= math.exp(math.copysign(FLEET_SMOOTH, took - self.typical))
             self.depth += (max(1, depth) - self.depth) * FLEET_SMOOTH
+            self.norm += (max(1, depth) - self.norm) * LONG_RUN
 
 
 def in_group(server: Server, group: Server | None, scope: Scope) -> bool:
@@ -407,8 +404,7 @@
         if not queue:
             del self.calls[event.name]
         check = call.check
-        current = call.name == check.name
-        lost = event.status not in (Status.OK, Status.TIMEOUT)
+        current, lost = call.name == check.name, event.status not in (Status.OK, Status.TIMEOUT)
         if isinstance(check, OpenCheck):
             if current and event.status is Status.OK:
                 check.answered(event.total)
@@ -496,7 +492,9 @@
         few = self.servers.out * self.settings.limiters < len(self.servers.table)
         spare = share >= 1 and few and left > self.servers.typical / 2
         limit = share * left * (REFUSE_CHEAP + (REFUSE_DEAR - REFUSE_CHEAP) * rank)
-        return chosen[0] if spare or chosen[1] <= limit else None
+        # Danger: a sudden loss of servers or a burst drives the rest so far that they stay slow.
+        usual = chosen[0].out <= CROWD * self.servers.norm
+        return chosen[0] if spare or (usual and chosen[1] <= limit) else None
 
     def end(self, waiting: Pending) -> float:
         """When an attempt is given up: just before the aim, as a late answer earns nothing."""
