--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -151,10 +151,10 @@
     let_in = []
     for plan in (0, 1):
         gate = Gateway(Counter(), settings(plans=plans, classes=patient))
-        for n in range(400):  # the fleet is known to be quick, and to hold several at once
-            batch = [a for _ in range(16) for a in attempts(gate.ask(900 + n * 0.1, plan=plan, until=990))]
-            for act in batch:
-                gate.end(act.id, 900.05 + n * 0.1, name=act.server, took=0.05)
+        for n in range(400):  # the fleet usually holds several requests for a while
+            at = 700 + n * 0.6
+            for act in [a for _ in range(16) for a in attempts(gate.ask(at, plan=plan, until=990))]:
+                gate.end(act.id, at + 0.4, name=act.server, took=0.4)
         asked = [gate.ask(1000.0 + n * 0.001, plan=plan, until=1008.0) for n in range(200)]
         let_in.append(sum(len(attempts(actions)) for actions in asked))
     assert let_in[0] < let_in[1]
