--- a/tests/test_counter_failure.py
+++ b/tests/test_counter_failure.py
@@ -152,3 +152,48 @@
     counter.mode = "silent"
     gate = Gateway(counter)
     assert sum(gate.serve(1000.0) for _ in range(30)) == 5  # 10 a second over 2 gateways
+
+
+def test_counter_that_fails_for_a_part_of_the_names_stays_in_use_for_the_rest() -> None:
+    """One customer in four gets no answers: the others stay counted, it lives on its share."""
+    counter = Counter()
+    gate = Gateway(counter)
+    let_in = {0: 0, 1: 0, 2: 0, 3: 0}
+    for n in range(2000):
+        customer = n % 4
+        counter.mode = "silent" if customer == 0 else "up"
+        let_in[customer] += gate.serve(1000.0 + n * 0.01, customer=customer)
+    assert 90 <= let_in[0] <= 115  # 5 a second for 20 s and its first second
+    for customer in (1, 2, 3):
+        assert 200 <= let_in[customer] <= 225  # 10 a second and the burst
+
+
+def test_counter_that_answers_now_and_then_keeps_near_the_quota() -> None:
+    counter = Counter()
+    gates = [Gateway(counter, seed=n) for n in (1, 2)]
+    let_in = 0
+    for n in range(2000):
+        counter.mode = "up" if n // 7 % 2 else "lands late"
+        let_in += gates[n % 2].serve(1000.0 + n * 0.01)
+    assert 180 <= let_in <= 250  # 20 s at 10 a second, the burst, and what time-outs let through
+
+
+def test_traffic_that_moves_to_another_gateway_finds_the_quota_used() -> None:
+    counter = Counter()
+    one, two = Gateway(counter, seed=1), Gateway(counter, seed=2)
+    two.serve(1000.0)
+    for n in range(500):
+        one.serve(1000.0 + n * 0.01)
+    moved = sum(two.serve(1005.0 + n * 0.01) for n in range(100))
+    assert moved <= 10 + 10 + 2  # a second's refill, and half a burst that may have come back meanwhile
+
+
+def test_name_that_expires_in_mid_use_grants_little() -> None:
+    counter = Counter()
+    gate = Gateway(counter)
+    let_in = 0
+    for n in range(1000):
+        if n % 300 == 299:
+            counter.numbers.clear()
+        let_in += gate.serve(1000.0 + n * 0.01)
+    assert let_in <= 20 + 100 + 3 * BASE.max_units
