--- a/finchshelf/admission/logic.py
+++ b/finchshelf/admission/logic.py
@@ -29,6 +29,7 @@
 IDLE_SHARE = 0.4  # of that delay, below which servers are idle enough for what a quota does not cover
 SLOWEST = 4.0  # and a single answer's not for more
 CROWD, LONG_RUN = 2.0, 0.002  # times the number usually out at a server; weight of an answer in that
+EMPTY = 0.25  # the same where the server has nothing of ours: a class with little time is not refused there
 QUICKEST = 0.6  # a server's time relative to the fleet's is not taken for less
 FORGET = 3.0  # s without an answer after which a server's estimate has mostly gone back to the fleet's
 FAILED_OUT = 0.25  # failure estimate beyond which a server is passed over while others are left
@@ -446,8 +447,7 @@
         units, rate, gauge, fallback = request.units, customer.rate, customer.open, customer.fallback
         if rate is not None:
             rate.refill(now, 0.0)
-            store = rate.level - (0.0 if waiting.calls else waiting.promised)
-            need = float(units)
+            store, need = rate.level - (0.0 if waiting.calls else waiting.promised), float(units)
             if waiting.fell_back:
                 # A full bucket also passes a request larger than itself, on credit: else a plan whose share
                 # of one second is less than a request would be closed while the counter fails.
@@ -491,7 +491,8 @@
         # a request a server always goes out, unless too little time is left: then it would only use up tries.
         few = self.servers.out * self.settings.limiters < len(self.servers.table)
         spare = share >= 1 and few and left > self.servers.typical / 2
-        limit = share * left * (REFUSE_CHEAP + (REFUSE_DEAR - REFUSE_CHEAP) * rank)
+        least = 0.0 if chosen[0].out else EMPTY
+        limit = share * left * max(least, REFUSE_CHEAP + (REFUSE_DEAR - REFUSE_CHEAP) * rank)
         # Danger: a sudden loss of servers or a burst drives the rest so far that they stay slow.
         usual = chosen[0].out <= CROWD * self.servers.norm
         return chosen[0] if spare or (usual and chosen[1] <= limit) else None
@@ -546,9 +547,8 @@
             waiting.maybe_ran, waiting.maybe_at = waiting.tried[event.attempt], now - event.took
         if waiting.out:
             return
-        effect = waiting.kind.effect
-        may = waiting.maybe_ran is None or effect is Effect.SAFE or (
-            effect is Effect.KEYED and now < waiting.maybe_at + waiting.kind.key_ttl)
+        may = waiting.maybe_ran is None or waiting.kind.effect is Effect.SAFE or (
+            waiting.kind.effect is Effect.KEYED and now < waiting.maybe_at + waiting.kind.key_ttl)
         may &= event.status is not Status.NOT_SENT and len(waiting.tried) < self.settings.max_attempts
         placed = self.place(waiting, now) if may and not waiting.streaming else None
         if placed is None:
