--- /dev/null
+++ b/finchshelf/__main__.py
@@ -0,0 +1,98 @@
+"""Starts and ends one node: configuration, parts, signals.
+
+Owns the order of start and of a planned end (SIGTERM). It must never know what a request is: parts talk to
+each other through the core's queue, and this file only puts them together.
+"""
+
+from __future__ import annotations
+
+import gc
+import math
+import signal
+import sys
+
+import trio
+
+from finchshelf.node import net
+from finchshelf.node.clients import Clients
+from finchshelf.node.config import Config, ConfigError, load
+from finchshelf.node.core import Clock, Core
+from finchshelf.node.counter import Counter
+from finchshelf.node.discovery import Discovery
+from finchshelf.node.servers import Servers
+from finchshelf.node.telemetry import Telemetry
+
+LAST_CALLS = 0.5  # s after SIGTERM in which new connections are still taken
+LAST_WORD = 0.3  # s more for the first request on a connection taken late
+LOOK = 0.02  # s between two looks at what is still to be answered
+COLLECT_EVERY = 20_000  # new objects until the collector looks at the young ones: most die by count alone
+
+
+async def serve(config: Config, telemetry: Telemetry) -> None:
+    core = Core(config, Clock(), telemetry)
+    async with trio.open_nursery() as parts:
+        core.servers = servers = Servers(core, config, parts)
+        if config.counter is not None:
+            core.counter = Counter(core, config, config.counter, parts)
+        discovery = Discovery(core, config)
+        clients = Clients(core, config, lambda: core.listed and discovery.asked)
+        listener = await net.listen(config.listen)
+        telemetry.log("start", listen=str(config.listen))
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGUSR1) as signals:
+            discovery.begin()
+            for task in (core.run, servers.sweep, clients.sweep, discovery.run):
+                parts.start_soon(task)
+            accepting = trio.CancelScope()
+            parts.start_soon(accept, clients, listener, parts, accepting)
+            gc.collect()
+            gc.freeze()
+            gc.set_threshold(COLLECT_EVERY, 20, 50)
+            async for number in signals:
+                if number != signal.SIGUSR1:
+                    break
+                telemetry.counters("asked")
+            telemetry.log("ending", unanswered=len(core.live), connections=len(clients.connections))
+            await end(clients, core, listener, accepting)
+        parts.cancel_scope.cancel()
+    telemetry.counters("exit")
+    telemetry.log("exit", unanswered=len(core.live))
+
+
+async def accept(clients: Clients, listener: trio.socket.SocketType, parts: trio.Nursery,
+                 scope: trio.CancelScope) -> None:
+    with scope:
+        await clients.accept(listener, parts)
+
+
+async def end(clients: Clients, core: Core, listener: trio.socket.SocketType,
+              accepting: trio.CancelScope) -> None:
+    """Answer what is here and what still comes, then leave."""
+    clients.draining = True
+    clients.hang_up_idle()
+    await trio.sleep(LAST_CALLS)
+    accepting.cancel()
+    listener.close()
+    closed = core.clock.now()
+    while clients.connections:
+        await trio.sleep(LOOK)
+        now = core.clock.now()
+        clients.hang_up_idle(now - LAST_WORD if now < closed + LAST_WORD else math.inf)
+
+
+def main() -> int:
+    try:
+        config = load()
+    except ConfigError as error:
+        print(f"finchshelf: {error}", file=sys.stderr)
+        return 2
+    status = 0
+    try:
+        trio.run(serve, config, Telemetry(config.name))
+    except* OSError as group:
+        print(f"finchshelf: cannot listen on {config.listen}: {group.exceptions[0]}", file=sys.stderr)
+        status = 1
+    return status
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/finchshelf/drill/codec.py
+++ b/finchshelf/drill/codec.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import json
 import math
 from collections.abc import Mapping
-from typing import Any
 
+from finchshelf import settings as parse
 from finchshelf.admission import interface as i
 
 MS = 1000.0
@@ -23,8 +22,6 @@
 }
 STATE = {0: i.ServerState.READY, 1: i.ServerState.GONE, 2: i.ServerState.DRAINING}
 LIST_KIND = {0: i.ListKind.CHANGES, 1: i.ListKind.FULL, 2: i.ListKind.CACHED, 3: i.ListKind.FAILED}
-EFFECT = {"retryable": i.Effect.SAFE, "dedup": i.Effect.KEYED, "fragile": i.Effect.UNSAFE}
-SCOPE = {"all": i.Scope.ALL, "zone": i.Scope.ZONE, "cell": i.Scope.CELL}
 LOAD = {"busy_reqs": "held", "pending": "queued", "cpu_share": "busy", "svc_ms": "service",
         "served_ps": "served", "failed_ps": "failed"}
 TEXT_FIELDS = ("setup", "msg")
@@ -166,78 +163,11 @@
         raise WireError(f"expected tier below {len(settings.plans)}, got {request.plan}")
 
 
-class Section:
-    """One object of the settings; reads with a type check, skips what it is not asked for."""
-
-    def __init__(self, raw: Any, where: str) -> None:
-        if not isinstance(raw, dict):
-            raise WireError(f"expected an object for {where} in setup")
-        self.raw: dict[str, Any] = raw
-        self.where = where
-
-    def number(self, key: str) -> float:
-        value = self.raw.get(key, 0)
-        if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
-            raise WireError(f"expected a number for {self.where}.{key} in setup")
-        return float(value)
-
-    def seconds(self, key: str) -> float:
-        return self.number(key) / MS
-
-    def flag(self, key: str) -> bool:
-        value = self.raw.get(key, False)
-        if not isinstance(value, bool):
-            raise WireError(f"expected true or false for {self.where}.{key} in setup")
-        return value
-
-    def word(self, key: str, known: Mapping[str, Any], default: str) -> Any:
-        value = self.raw.get(key, default)
-        if value not in known:
-            raise WireError(f"expected one of {', '.join(known)} for {self.where}.{key} in setup")
-        return known[value]
-
-    def part(self, key: str) -> Section:
-        return Section(self.raw.get(key, {}), key)
-
-    def parts(self, key: str) -> list[Section]:
-        value = self.raw.get(key, [])
-        if not isinstance(value, list):
-            raise WireError(f"expected a list for {key} in setup")
-        return [Section(item, f"{key}[{n}]") for n, item in enumerate(value)]
-
-
 def settings(text: str) -> i.Settings:
     try:
-        raw = json.loads(text)
-    except ValueError:
-        raise WireError("expected a JSON object for setup") from None
-    top = Section(raw, "setup")
-    limits, family, rules, prices = (top.part(k) for k in ("ceilings", "family-info", "rules", "prices"))
-    classes = tuple(
-        i.RequestClass(c.seconds("aim"), c.seconds("deadline"), c.number("worth"),
-                       c.word("semantics", EFFECT, "fragile"), c.word("key-scope", SCOPE, "all"),
-                       c.seconds("key-ttl"), c.number("late-share"), c.flag("stream"))
-        for c in top.parts("lanes"))
-    plans = tuple(
-        i.Plan(p.number("price"), p.number("refill"), p.number("most-at-once"), int(p.number("concurrency")),
-               p.number("never-over-rate"), p.number("ceiling-burst"), p.number("hard-slack"),
-               p.number("excess-worth"), p.number("overrun-cost"))
-        for p in top.parts("contracts"))
-    return i.Settings(
-        me=int(top.number("me")), limiters=int(top.number("balancers")), zone=int(top.number("locality")),
-        classes=classes, plans=plans,
-        counter=family.flag("may-count"), counter_wait=family.seconds("count-wait"),
-        max_units=int(family.number("most-units")), settles_later=family.flag("trued-up"),
-        meter_period=family.seconds("use-period"),
-        ask_discovery=top.word("discovery", {"push": False, "ask": True}, "push"),
-        cancel=limits.flag("cancel"), parallel=limits.flag("parallel-tries"), probes=limits.flag("probes"),
-        retry_after=limits.flag("retry-after"), max_retry_after=limits.seconds("max-retry-after"),
-        max_attempts=int(limits.number("try-limit")),
-        answer_slack=rules.seconds("answer-slack"), cold_share=rules.number("cold-from"),
-        warm_up=rules.seconds("warm-up"), fall_multiple=rules.number("fall-multiple"),
-        fall_span=rules.seconds("fall"),
-        price_cross_zone=prices.number("cross-zone"), price_waste=prices.number("waste"),
-        price_late=prices.number("late-fail"))
+        return parse.settings(parse.read_object(text))
+    except parse.SettingsError as error:
+        raise WireError(str(error)) from None
 
 
 def ms(value: float) -> str:
--- /dev/null
+++ b/finchshelf/node/config.py
@@ -0,0 +1,111 @@
+"""The configuration of one node: what `BALANCER_CONFIG` holds, checked once at start.
+
+Owns the form of that file and the addresses in it. It must never decide anything, open a socket, or let a
+value through that it has not checked: the rest of the node trusts what stands here.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+import os
+import socket
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any, NamedTuple
+
+from finchshelf import settings as parse
+from finchshelf.admission import interface as i
+
+DEFAULT_DESCRIPTORS = 1024
+
+
+class ConfigError(ValueError):
+    """A configuration that can't be used; the text is one plain line."""
+
+
+class Address(NamedTuple):
+    """A numeric address: names would need DNS, and DNS a thread."""
+
+    host: str
+    port: int
+
+    @property
+    def family(self) -> socket.AddressFamily:
+        return socket.AF_INET6 if ":" in self.host else socket.AF_INET
+
+    def __str__(self) -> str:
+        return f"[{self.host}]:{self.port}" if ":" in self.host else f"{self.host}:{self.port}"
+
+
+def address(text: object, what: str = "address") -> Address:
+    """HOST:PORT with a numeric host."""
+    if isinstance(text, str):
+        host, _, port = text.rpartition(":")
+        try:
+            plain = str(ipaddress.ip_address(host.strip("[]")))
+            if port.isascii() and port.isdigit() and 0 <= int(port) < 65536:
+                return Address(plain, int(port))
+        except ValueError:
+            pass
+    raise ConfigError(f"expected a numeric HOST:PORT for {what}, got {str(text)[:60]!r}")
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    name: str
+    listen: Address
+    discovery: Address
+    counter: Address | None
+    seed: int
+    settings: i.Settings
+    around: parse.Surroundings
+    known: dict[str, Any]
+    descriptors: int
+
+
+def read(raw: dict[str, Any], environ: Mapping[str, str]) -> Config:
+    """The configuration file's object; the environment's word holds where the file is silent."""
+
+    def text(key: str) -> str:
+        value = raw.get(key, environ.get(f"BALANCER_{key.upper()}"))
+        if not isinstance(value, str) or not value:
+            raise ConfigError(f"expected a text for {key}")
+        return value
+
+    try:
+        seed = int(text("seed"), 16) if "seed" in raw else 0
+    except ValueError:
+        raise ConfigError("expected hex digits for seed") from None
+    limits, known = raw.get("limits", {}), raw.get("known", {})
+    if not all(isinstance(part, dict) for part in (limits, known, raw.get("settings"))):
+        raise ConfigError("expected objects for limits, known and settings")
+    descriptors = limits.get("sockets", DEFAULT_DESCRIPTORS)
+    if not isinstance(descriptors, int) or isinstance(descriptors, bool) or descriptors < 32:
+        raise ConfigError("expected a whole number of 32 or more for limits.sockets")
+    try:
+        settings, around = parse.settings(raw["settings"]), parse.surroundings(raw["settings"])
+    except parse.SettingsError as error:
+        raise ConfigError(str(error)) from None
+    if settings.counter and raw.get("counter") is None:
+        raise ConfigError("expected an address for counter, as the settings allow calls to it")
+    return Config(
+        text("name"), address(text("listen"), "listen"), address(text("discovery"), "discovery"),
+        address(raw["counter"], "counter") if raw.get("counter") is not None else None,
+        seed, settings, around, known, descriptors)
+
+
+def load(environ: Mapping[str, str] | None = None) -> Config:
+    environ = os.environ if environ is None else environ
+    path = environ.get("BALANCER_CONFIG")
+    if not path:
+        raise ConfigError("expected the path of a configuration file in BALANCER_CONFIG")
+    try:
+        with open(path, "rb") as source:
+            content = source.read()
+    except OSError as error:
+        raise ConfigError(f"cannot read {path}: {error.strerror}") from None
+    try:
+        raw = parse.read_object(content)
+    except parse.SettingsError:
+        raise ConfigError(f"expected a JSON object in {path}") from None
+    return read(raw, environ)
--- /dev/null
+++ b/finchshelf/node/core.py
@@ -0,0 +1,305 @@
+"""The one task that owns the module, its clock and its timers.
+
+Owns the `Limiter`, the queue of events, the heap of timers and the table of requests that have no final
+answer yet. Socket tasks put events on the queue; this task stamps them, calls `handle` and carries out the
+actions. It must never wait for a socket, and nothing else may call the module. It decides nothing by itself.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+import time
+import traceback
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Protocol
+
+import trio
+
+from finchshelf.admission import interface as i
+from finchshelf.admission.logic import Limiter
+from finchshelf.node.config import Address, Config
+from finchshelf.node.telemetry import Telemetry
+
+STOOD_STILL = 0.05  # s that an event waited here, after which the sockets are read before it is handled
+OVERDUE = 1.0  # s past a client's time at which a request without an answer is counted as a broken promise
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class Clock:
+    """Unix time at start plus the monotonic time since: never goes back, the same at all limiters."""
+
+    def __init__(self) -> None:
+        self.origin = time.time() - time.monotonic()
+
+    def now(self) -> float:
+        return self.origin + time.monotonic()
+
+
+@dataclass(slots=True)
+class Answer:
+    """A final answer on its way to a client."""
+
+    status: int
+    headers: Headers
+    body: bytes = b""
+
+
+@dataclass(slots=True, eq=False)
+class Exchange:
+    """One request that a client waits for: what was asked, and the answer once there is one."""
+
+    request: i.Request
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    attempts: int = 0
+    answer: Answer | None = None
+    waiting: trio.CancelScope | None = None
+
+    def finish(self, answer: Answer) -> None:
+        self.answer = answer
+        if self.waiting is not None:
+            self.waiting.cancel()
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One attempt out at a server; `servers` runs it and ends it with exactly one `Ended`."""
+
+    exchange: Exchange
+    number: int
+    server: str
+    address: Address
+    limit: float
+    issued: float
+    cancelled: bool = False
+    scope: trio.CancelScope | None = None
+
+    def cancel(self) -> None:
+        self.cancelled = True
+        if self.scope is not None:
+            self.scope.cancel()
+
+
+@dataclass(slots=True)
+class Ended:
+    """How an attempt ended, with the answer where there was a good one."""
+
+    attempt: Attempt
+    status: i.Status
+    answer: Answer | None = None
+    used: int = 0
+    true_units: int = 0
+    load: dict[str, float] | None = None
+
+
+@dataclass(slots=True)
+class Listed:
+    """News from discovery, with the addresses that go with it."""
+
+    members: i.Members
+    addresses: dict[str, Address]
+
+
+Item = Exchange | Ended | Listed | i.ClientGone | i.Counted | i.Probed
+
+
+class ServersPort(Protocol):
+    def start(self, attempt: Attempt) -> None: ...
+    def probe(self, server: str, address: Address) -> None: ...
+    def forget(self, address: Address) -> None: ...
+
+
+class CounterPort(Protocol):
+    def call(self, name: int, amount: float, life: float, now: float) -> None: ...
+    def expire(self, now: float) -> None: ...
+    def next_expiry(self) -> float: ...
+
+
+REFUSED = Answer(429, [(b"Content-Length", b"0")])
+FAILED = Answer(502, [(b"Content-Length", b"0")])
+
+
+class Core:
+    def __init__(self, config: Config, clock: Clock, telemetry: Telemetry) -> None:
+        self.clock, self.telemetry, self.count = clock, telemetry, telemetry.count
+        self.limiter = Limiter(config.settings, config.seed, clock.now())
+        self.servers: ServersPort
+        self.counter: CounterPort | None = None
+        self.queue: deque[Item] = deque()
+        self.put_at = -math.inf
+        self.awake = trio.Event()
+        self.timers: list[tuple[float, int, int]] = []
+        self.live: dict[int, Exchange] = {}
+        self.out: dict[tuple[int, int], Attempt] = {}
+        self.addresses: dict[str, Address] = {}
+        self.last_id = self.timer_id = 0
+        self.listed = False
+        self.tripped = False
+
+    # ---- for the socket tasks: nothing here waits ----
+
+    def next_id(self) -> int:
+        self.last_id += 1
+        return self.last_id
+
+    def put(self, item: Item) -> None:
+        if not self.queue:
+            self.put_at = self.clock.now()
+            self.awake.set()
+        self.queue.append(item)
+
+    # ---- the task itself ----
+
+    async def run(self) -> None:
+        self.act(self.limiter.start(), self.clock.now())
+        while True:
+            if not self.queue:
+                await self.sleep()
+            if self.clock.now() - self.put_at > STOOD_STILL and self.queue:
+                # Danger: after a halt an old event would be decided before news that came meanwhile, and go
+                # to a server that drains. So what the sockets hold is read first.
+                self.count["core.halts"] += 1
+                for _ in range(3):
+                    await trio.lowlevel.checkpoint()
+            batch = list(self.queue)
+            self.queue.clear()
+            self.turn(batch)
+
+    async def sleep(self) -> None:
+        self.awake = trio.Event()
+        due = self.timers[0][0] if self.timers else math.inf
+        if self.counter is not None:
+            due = min(due, self.counter.next_expiry())
+        if due == math.inf:
+            await self.awake.wait()
+            return
+        with trio.move_on_after(max(0.0, due - self.clock.now())):
+            await self.awake.wait()
+
+    def turn(self, batch: list[Item]) -> None:
+        """All that came since the last turn, at one time: drains first, then the rest, then what is due."""
+        now = self.clock.now()
+        if len(batch) > 1:
+            batch.sort(key=lambda item: not isinstance(item, Listed))
+        for item in batch:
+            self.take(item, now)
+        if self.counter is not None:
+            self.counter.expire(now)
+        while self.timers and self.timers[0][0] <= now:
+            self.handle(i.Timer(heapq.heappop(self.timers)[2]), now)
+
+    def take(self, item: Item, now: float) -> None:
+        if isinstance(item, Exchange):
+            self.count["in.requests"] += 1
+            self.live[item.request.id] = item
+            self.handle(item.request, now)
+        elif isinstance(item, Ended):
+            self.ended(item, now)
+        elif isinstance(item, Listed):
+            self.news(item, now)
+        else:
+            if isinstance(item, i.ClientGone):
+                if self.live.pop(item.id, None) is None:
+                    return
+                self.count["in.gone"] += 1
+            self.handle(item, now)
+
+    def ended(self, item: Ended, now: float) -> None:
+        attempt = item.attempt
+        request = attempt.exchange.request.id
+        self.telemetry.holds(self.out.pop((request, attempt.number), None) is not None, "one_outcome")
+        self.count[f"attempts.{item.status.value}"] += 1
+        final = request not in self.live
+        if item.answer is not None and not final:
+            self.answer(request, item.answer, "out.served")
+            final = True
+        took = now - attempt.issued
+        self.handle(i.Outcome(request, attempt.number, attempt.server, item.status, took, final,
+                              item.used, item.true_units, item.load or {}), now)
+
+    def news(self, item: Listed, now: float) -> None:
+        kept = item.members.kind in (i.ListKind.FULL, i.ListKind.CACHED)
+        before = self.addresses
+        self.addresses = dict(item.addresses) if kept else {**before, **item.addresses}
+        for server in item.members.servers:
+            if server.state is not i.ServerState.READY and server.name in self.addresses:
+                self.servers.forget(self.addresses[server.name])
+        for name in before.keys() - self.addresses.keys():
+            self.servers.forget(before[name])
+        self.listed |= bool(self.addresses)
+        self.handle(item.members, now)
+
+    def handle(self, event: i.Event, now: float) -> None:
+        try:
+            actions = self.limiter.handle(event, now)
+        except Exception as error:  # Danger: one event that the module can't take would end every request
+            self.telemetry.rare("module.error", error=repr(error), trace=traceback.format_exc(limit=-4))
+            if __debug__:
+                raise
+            if isinstance(event, i.Request | i.Outcome):
+                self.answer(event.id, FAILED, "out.failed")
+            return
+        self.act(actions, now)
+        tripped = now < self.limiter.breaker.open_until
+        if tripped is not self.tripped:
+            self.tripped = tripped
+            self.telemetry.log("breaker", state="open" if tripped else "closed")
+
+    def act(self, actions: Iterable[i.Action], now: float) -> None:
+        for action in actions:
+            if isinstance(action, i.Attempt):
+                self.send(action, now)
+            elif isinstance(action, i.Count):
+                self.count["counter.calls"] += 1
+                if self.counter is not None:  # the configuration sees to that
+                    self.counter.call(action.name, action.amount, action.ttl, now)
+            elif isinstance(action, i.Refuse):
+                self.answer(action.id, refusal(action.retry_after), "out.refused")
+            elif isinstance(action, i.Fail):
+                self.answer(action.id, FAILED, "out.failed")
+            elif isinstance(action, i.Cancel):
+                attempt = self.out.get((action.id, action.attempt))
+                if attempt is not None:
+                    attempt.cancel()
+            elif isinstance(action, i.SetTimer):
+                self.timer_id += 1
+                heapq.heappush(self.timers, (now + action.after, self.timer_id, action.tag))
+            elif isinstance(action, i.Probe) and action.server in self.addresses:
+                self.count["probes"] += 1
+                self.servers.probe(action.server, self.addresses[action.server])
+            # Watch: discovery watches from the start by itself, so there is nothing to do.
+
+    def send(self, action: i.Attempt, now: float) -> None:
+        exchange = self.live.get(action.id)
+        address = self.addresses.get(action.server)
+        if not self.telemetry.holds(exchange is not None and address is not None, "attempt_known") \
+                or exchange is None or address is None:
+            return
+        left = exchange.request.until - now
+        limit = min(action.limit, left) if action.limit > 0 else left
+        attempt = Attempt(exchange, exchange.attempts, action.server, address, max(limit, 0.001), now)
+        exchange.attempts += 1
+        self.out[action.id, attempt.number] = attempt
+        self.count["attempts.sent"] += 1
+        self.servers.start(attempt)
+
+    def answer(self, request: int, answer: Answer, counted: str) -> None:
+        exchange = self.live.pop(request, None)
+        if exchange is None:
+            return
+        self.count[counted] += 1
+        self.telemetry.holds(exchange.answer is None, "one_answer")
+        self.telemetry.holds(self.clock.now() < exchange.request.until + OVERDUE, "timely_answer")
+        exchange.finish(answer)
+
+
+def refusal(after: float) -> Answer:
+    if after <= 0:
+        return REFUSED
+    return Answer(429, [(b"Retry-After", b"%.3f" % after), (b"Content-Length", b"0")])
--- /dev/null
+++ b/finchshelf/node/discovery.py
@@ -0,0 +1,161 @@
+"""The list of servers, as discovery's agent on this machine tells it.
+
+Owns the one connection to the agent and the version of the list. It must never keep the module from news: a
+whole list or a change goes to the core as it comes, silence and errors are told and tried again. It decides
+nothing about servers.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+import h11
+import orjson
+import trio
+
+from finchshelf.admission import interface as i
+from finchshelf.node import net
+from finchshelf.node.config import Config, ConfigError, address
+from finchshelf.node.core import Core, Listed
+
+WAIT = 5.0  # s that a watch may wait: short, so that an agent gone silent is noticed
+GRACE = 1.5  # s beyond the wait until silence is a failure
+FIRST = 1.0  # s for the whole list at start
+PAUSE = 0.1  # s before the next try after a failure: within the 200 ms in which a watch goes on
+MOST_LIST = 1 << 20
+
+STATE = {"SERVING": i.ServerState.READY, "DRAINING": i.ServerState.DRAINING, "DELETED": i.ServerState.GONE}
+
+
+class BadList(ValueError):
+    """An answer that is no list of servers."""
+
+
+def listed(raw: Any, config: Config, cached: bool = False) -> tuple[int, Listed]:
+    """A list's version and what it says; an entry that can't be read makes the whole answer bad."""
+    try:
+        version, whole = raw["revision"], raw["complete"]
+        if not isinstance(version, int) or not isinstance(whole, bool):
+            raise BadList("revision and complete")
+        servers, addresses = [], {}
+        for entry in raw["members"]:
+            server = member(entry, config)
+            servers.append(server)
+            if server.state is not i.ServerState.GONE:
+                addresses[server.name] = address(entry["host_port"], "host_port")
+    except (KeyError, TypeError, ValueError, ConfigError) as error:
+        raise BadList(f"no list of servers: {error!r}") from None
+    kind = i.ListKind.CACHED if cached else i.ListKind.FULL if whole else i.ListKind.CHANGES
+    return version, Listed(i.Members(kind, tuple(servers)), addresses)
+
+
+def member(entry: Any, config: Config) -> i.Server:
+    around = config.around
+    size, started = float(entry.get("size", 1.0)), float(entry.get("up_since_ms", 0)) / 1000
+    if not isinstance(entry["id"], str) or not math.isfinite(size) or not math.isfinite(started):
+        raise BadList("id, size and up_since_ms")
+    zone, kind = index(around.zones, entry.get("locality")), index(around.kinds, entry.get("flavor"))
+    return i.Server(entry["id"], zone, kind, int(entry.get("cell", 0)), STATE[entry["phase"]], size, started)
+
+
+def index(names: tuple[str, ...], name: object) -> int:
+    """The place of a name in the settings; one that they don't have is like nothing known: -1."""
+    return names.index(name) if isinstance(name, str) and name in names else -1
+
+
+class Discovery:
+    def __init__(self, core: Core, config: Config) -> None:
+        self.core, self.config = core, config
+        self.telemetry, self.count = core.telemetry, core.telemetry.count
+        self.version = -1
+        self.asked = False  # the first call at start has ended, well or not
+        self.well: bool | None = None
+        self.http: h11.Connection | None = None
+        self.sock: trio.socket.SocketType | None = None
+
+    def begin(self) -> None:
+        """What this node last knew, before anything is asked."""
+        if self.config.known:
+            try:
+                self.version, known = listed(self.config.known, self.config, cached=True)
+            except BadList as error:
+                self.telemetry.log("discovery", state="bad known list", error=str(error))
+            else:
+                self.core.put(known)
+
+    async def run(self) -> None:
+        target, limit = "/v1/servers", FIRST
+        while True:
+            try:
+                with trio.fail_after(limit):
+                    raw = await self.get(target)
+                version, news = listed(raw, self.config)
+            except (OSError, h11.ProtocolError, BadList, trio.TooSlowError, orjson.JSONDecodeError) as error:
+                self.hang_up()
+                self.tell(False, repr(error))
+                self.core.put(Listed(i.Members(i.ListKind.FAILED), {}))
+                self.count["discovery.failed"] += 1
+                self.asked = True
+                await trio.sleep(PAUSE)
+            else:
+                self.tell(True)
+                self.asked = True
+                self.count["discovery.answers"] += 1
+                if news.members.servers or news.members.kind is i.ListKind.FULL:
+                    self.changed(news)
+                    self.core.put(news)
+                self.version = version
+            if self.version >= 0:
+                target, limit = f"/v1/servers?after={self.version}&wait_ms={WAIT * 1000:.0f}", WAIT + GRACE
+
+    def tell(self, well: bool, error: str = "") -> None:
+        if well is not self.well:
+            self.well = well
+            self.telemetry.log("discovery", state="up" if well else "lost", error=error)
+
+    def changed(self, news: Listed) -> None:
+        for server in news.members.servers:
+            if news.members.kind is i.ListKind.CHANGES:
+                self.telemetry.log("server", server=server.name, state=server.state.value,
+                                   started=round(server.started, 3))
+        if news.members.kind is i.ListKind.FULL:
+            self.telemetry.log("list", servers=len(news.members.servers))
+
+    async def get(self, target: str) -> Any:
+        if self.sock is None:
+            self.sock = await net.connect(self.config.discovery)
+            self.http = h11.Connection(h11.CLIENT)
+        assert self.http is not None
+        http, sock = self.http, self.sock
+        request = h11.Request(method="GET", target=target, headers=[("Host", str(self.config.discovery))])
+        await net.send_all(sock, (http.send(request) or b"") + (http.send(h11.EndOfMessage()) or b""))
+        body, status = bytearray(), 0
+        while True:
+            event = http.next_event()
+            if event is h11.NEED_DATA:
+                http.receive_data(await sock.recv(net.CHUNK))
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > MOST_LIST:
+                    raise BadList("too large")
+            elif isinstance(event, h11.EndOfMessage):
+                break
+            elif isinstance(event, h11.ConnectionClosed):
+                raise BadList("closed")
+        if http.our_state is h11.DONE and http.their_state is h11.DONE:
+            http.start_next_cycle()
+        else:
+            self.hang_up()
+        if status != 200:
+            raise BadList(f"status {status}")
+        return orjson.loads(bytes(body))
+
+    def hang_up(self) -> None:
+        if self.sock is not None:
+            self.sock.close()
+        self.sock = self.http = None
+
+
--- /dev/null
+++ b/finchshelf/node/servers.py
@@ -0,0 +1,278 @@
+"""Everything between this node and the servers: pools of connections, attempts, probes.
+
+Owns the connections to servers. Each attempt is a task with a cancel scope of its own and ends with exactly
+one `Ended` on the core's queue. It must never choose a server, send anything a second time, or call an end
+"never ran" that may have run: whether the last byte was written decides.
+"""
+
+from __future__ import annotations
+
+import select
+from dataclasses import dataclass
+
+import h11
+import trio
+
+from finchshelf.admission import interface as i
+from finchshelf.node import net
+from finchshelf.node.config import Address, Config
+from finchshelf.node.core import Answer, Attempt, Core, Ended, Headers
+
+IDLE_SHARE = 0.5  # of the server's idle close, after which a connection is not used again
+SWEEP = 1.0  # s between two looks at idle connections
+PROBE_LIMIT = 0.25  # s for a probe, its connection included
+HOP_BY_HOP = frozenset((b"connection", b"keep-alive", b"proxy-authenticate", b"proxy-authorization", b"te",
+                        b"trailer", b"transfer-encoding", b"upgrade", b"content-length"))
+OURS = frozenset((b"x-load-report", b"x-meter", b"x-settled", b"x-rejected"))
+REPORT = {b"inflight": "held", b"queue": "queued", b"util": "busy", b"qps": "served", b"eps": "failed",
+          b"latency_ms": "service", b"busy_reqs": "held", b"pending": "queued", b"cpu_share": "busy",
+          b"svc_ms": "service", b"served_ps": "served", b"failed_ps": "failed"}
+
+
+class Broken(Exception):
+    """The connection broke, ended or spoke no HTTP before the whole answer was there."""
+
+
+@dataclass(slots=True)
+class Reply:
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class Connection:
+    """One connection to a server; h11 holds its one buffer."""
+
+    __slots__ = ("address", "http", "sock", "used")
+
+    def __init__(self, address: Address, sock: trio.socket.SocketType, now: float) -> None:
+        self.address, self.sock, self.used = address, sock, now
+        self.http = h11.Connection(h11.CLIENT)
+
+    def usable(self) -> bool:
+        """Nothing to read on an idle connection: else the server has closed it, or said what nobody asked."""
+        poll = select.poll()
+        poll.register(self.sock.fileno(), select.POLLIN)
+        return not poll.poll(0)
+
+    async def write(self, request: h11.Request, body: bytes) -> None:
+        data = self.http.send(request) or b""
+        if body:
+            data += self.http.send(h11.Data(data=body)) or b""
+        data += self.http.send(h11.EndOfMessage()) or b""
+        await net.send_all(self.sock, data)
+
+    async def read(self) -> Reply:
+        status, headers, parts, size = 0, [], [], 0
+        while True:
+            try:
+                event = self.http.next_event()
+                if event is h11.NEED_DATA:
+                    self.http.receive_data(await self.sock.recv(net.CHUNK))
+                    continue
+            except (h11.RemoteProtocolError, OSError) as error:
+                raise Broken(repr(error)) from None
+            if isinstance(event, h11.Response):
+                status, headers = event.status_code, list(event.headers)
+            elif isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+                size += len(event.data)
+                if size > net.MOST_BODY:
+                    raise Broken("body too large")
+            elif isinstance(event, h11.EndOfMessage):
+                return Reply(status, headers, parts[0] if len(parts) == 1 else b"".join(parts))
+            elif isinstance(event, h11.ConnectionClosed):
+                raise Broken("closed")
+
+    def renew(self) -> bool:
+        """Ready for another request? Not if either side is done, or more came than was asked for."""
+        http = self.http
+        if http.our_state is not h11.DONE or http.their_state is not h11.DONE or http.trailing_data[0]:
+            return False
+        http.start_next_cycle()
+        return True
+
+
+
+class Servers:
+    def __init__(self, core: Core, config: Config, nursery: trio.Nursery) -> None:
+        self.core, self.nursery, self.clock = core, nursery, core.clock
+        self.telemetry, self.count = core.telemetry, core.telemetry.count
+        self.connect_limit = config.around.connect_limit or 1.0
+        idle = config.around.idle_close or 10.0
+        self.most_idle = idle * IDLE_SHARE
+        self.most = max(8, (config.descriptors - 32) // 2)
+        self.idle: dict[Address, list[Connection]] = {}
+        self.open = 0
+
+    # ---- for the core: nothing here waits ----
+
+    def start(self, attempt: Attempt) -> None:
+        self.nursery.start_soon(self.run, attempt)
+
+    def probe(self, server: str, address: Address) -> None:
+        self.nursery.start_soon(self.run_probe, server, address)
+
+    def forget(self, address: Address) -> None:
+        """A server that drains or is gone: its idle connections go at once."""
+        for connection in self.idle.pop(address, ()):
+            self.close(connection)
+
+    # ---- connections ----
+
+    def take(self, address: Address) -> Connection | None:
+        """The idle connection used last: the others get old and go."""
+        stack = self.idle.get(address)
+        now = self.clock.now()
+        while stack:
+            connection = stack.pop()
+            # Danger: what is written to a connection that the server has closed ends as a reset that may
+            # have run. So none is used that is near its time, or that has something to say already.
+            if now - connection.used < self.most_idle and connection.usable():
+                self.count["servers.reused"] += 1
+                return connection
+            self.close(connection)
+        return None
+
+    async def open_one(self, address: Address) -> Connection:
+        if self.open >= self.most:
+            self.close_oldest()
+        self.count["servers.opened"] += 1
+        sock = await net.connect(address)
+        self.open += 1
+        return Connection(address, sock, self.clock.now())
+
+    def close(self, connection: Connection) -> None:
+        self.open -= 1
+        connection.sock.close()
+
+    def keep(self, connection: Connection) -> None:
+        connection.used = self.clock.now()
+        if connection.renew() and self.open <= self.most:
+            self.idle.setdefault(connection.address, []).append(connection)
+        else:
+            self.close(connection)
+
+    def close_oldest(self) -> None:
+        stacks = [stack for stack in self.idle.values() if stack]
+        if stacks:
+            self.close(min(stacks, key=lambda stack: stack[0].used).pop(0))
+
+    async def sweep(self) -> None:
+        while True:
+            await trio.sleep(SWEEP)
+            oldest = self.clock.now() - self.most_idle
+            for address in list(self.idle):
+                stack = self.idle[address]
+                while stack and stack[0].used < oldest:
+                    self.close(stack.pop(0))
+                if not stack:
+                    del self.idle[address]
+
+    # ---- one attempt ----
+
+    async def run(self, attempt: Attempt) -> None:
+        if attempt.cancelled:
+            return self.core.put(Ended(attempt, i.Status.CANCELLED))
+        connection: Connection | None = None
+        written, ended = False, Ended(attempt, i.Status.UNREACHABLE)
+        with trio.CancelScope() as scope:
+            attempt.scope = scope
+            scope.deadline = trio.current_time() + attempt.limit - (self.clock.now() - attempt.issued)
+            try:
+                connection = self.take(attempt.address)
+                if connection is None:
+                    with trio.move_on_after(self.connect_limit):
+                        connection = await self.open_one(attempt.address)
+                # Danger: after a halt a send that was decided long ago would go to a server that drains by
+                # now. What has not begun within the time to connect has not begun at all.
+                if connection is not None and self.clock.now() - attempt.issued <= self.connect_limit:
+                    await connection.write(head(attempt, self.clock.now()), attempt.exchange.body)
+                    written, ended.status = True, i.Status.RESET
+                    read(await connection.read(), ended)
+            except (OSError, Broken, h11.LocalProtocolError):
+                pass  # the status so far says what that means: before the last byte unreachable, then reset
+            except Exception as error:
+                # Danger: what nobody thought of must not end the node; the attempt has an end as any other.
+                self.telemetry.rare("servers.error", error=repr(error), server=attempt.server)
+        if scope.cancelled_caught:
+            if attempt.cancelled:
+                ended.status = i.Status.CANCELLED
+            elif written:
+                ended.status = i.Status.TIMEOUT
+        if connection is not None:
+            if ended.status in (i.Status.OK, i.Status.FULL, i.Status.ERROR) and not scope.cancelled_caught:
+                self.keep(connection)
+            else:
+                self.close(connection)
+        self.core.put(ended)
+
+    async def run_probe(self, server: str, address: Address) -> None:
+        began, probed, connection = self.clock.now(), i.Status.UNREACHABLE, None
+        load: dict[str, float] = {}
+        with trio.move_on_after(PROBE_LIMIT):
+            try:
+                connection = self.take(address) or await self.open_one(address)
+                ask = h11.Request(method="GET", target="/load", headers=[("Host", str(address))])
+                await connection.write(ask, b"")
+                probed = i.Status.TIMEOUT
+                reply = await connection.read()
+                load = report(reply.body)
+                probed = i.Status.OK if reply.status == 200 else i.Status.ERROR
+            except (OSError, Broken, h11.LocalProtocolError):
+                probed = i.Status.RESET if probed is i.Status.TIMEOUT else probed
+        if connection is not None:
+            if probed in (i.Status.OK, i.Status.ERROR):
+                self.keep(connection)
+            else:
+                self.close(connection)
+        self.core.put(i.Probed(server, probed, self.clock.now() - began, load))
+
+
+def head(attempt: Attempt, now: float) -> h11.Request:
+    """The client's request as it goes on: all but the time that is left and the framing passes unchanged."""
+    exchange = attempt.exchange
+    left = max(1, int((attempt.issued + attempt.limit - now) * 1000))
+    headers = [*exchange.headers, (b"X-Budget-Ms", b"%d" % left)]
+    if exchange.body or exchange.method != b"GET":
+        headers.append((b"Content-Length", b"%d" % len(exchange.body)))
+    return h11.Request(method=exchange.method, target=exchange.target, headers=headers)
+
+
+def read(reply: Reply, ended: Ended) -> None:
+    """What a whole answer means, by the protocol's table."""
+    told = dict(reply.headers)
+    ended.used, ended.true_units = whole(told.get(b"x-meter"), 1), whole(told.get(b"x-settled"))
+    if b"x-load-report" in told:
+        ended.load = report(told[b"x-load-report"])
+    if reply.status == 200:
+        ended.status = i.Status.OK
+        headers = [pair for pair in reply.headers if pair[0] not in HOP_BY_HOP and pair[0] not in OURS]
+        headers.append((b"Content-Length", b"%d" % len(reply.body)))
+        ended.answer = Answer(200, headers, reply.body)
+    elif reply.status in (503, 504) and told.get(b"x-rejected") == b"1":
+        ended.status = i.Status.FULL
+    else:
+        ended.status = i.Status.ERROR
+
+
+def whole(text: bytes | None, more: int = 0) -> int:
+    """A header's whole number, 0 where there is none that makes sense."""
+    try:
+        return max(0, int(text) + more) if text is not None else 0
+    except ValueError:
+        return 0
+
+
+def report(text: bytes) -> dict[str, float]:
+    """`TEXT inflight=7, queue=2, util=0.61`; keys that nobody knows are skipped."""
+    load: dict[str, float] = {}
+    for pair in text.removeprefix(b"TEXT").split(b","):
+        key, _, value = pair.strip().partition(b"=")
+        name = REPORT.get(key)
+        if name is not None:
+            try:
+                load[name] = float(value)
+            except ValueError:
+                continue
+    return load
--- /dev/null
+++ b/finchshelf/node/telemetry.py
@@ -0,0 +1,50 @@
+"""What the staff sees of a node: its log, its counters, and what must hold.
+
+Owns the form of log lines (one JSON object an event, state changes only) and all counters. It must never log
+a request by itself (a busy node would log itself to a halt), wait for whoever reads the log, or decide.
+"""
+
+from __future__ import annotations
+
+import os
+import time
+from collections import defaultdict
+from typing import Any
+
+import orjson
+
+LOG_TO = 2
+RARE = 1.0  # s between two lines of the same event where a fault repeats itself
+
+
+class Telemetry:
+    def __init__(self, name: str, sink: int = LOG_TO) -> None:
+        self.name, self.sink = name, sink
+        self.count: defaultdict[str, int] = defaultdict(int)
+        self.last: dict[str, float] = {}
+
+    def log(self, event: str, **fields: Any) -> None:
+        line = orjson.dumps({"at": round(time.time(), 3), "node": self.name, "event": event, **fields},
+                            default=str) + b"\n"
+        try:
+            os.write(self.sink, line)
+        except OSError:  # Danger: a log that nobody takes must not stop the node
+            self.count["log.lost"] += 1
+
+    def rare(self, event: str, **fields: Any) -> None:
+        """Log an event that may come in masses: at most one line a second, all are counted."""
+        self.count[event] += 1
+        now = time.monotonic()
+        if now - self.last.get(event, -RARE) >= RARE:
+            self.last[event] = now
+            self.log(event, so_far=self.count[event], **fields)
+
+    def holds(self, condition: bool, name: str) -> bool:
+        """What must hold: asserted in debug builds, counted and told in release builds (`python -O`)."""
+        if not condition:
+            assert condition, name
+            self.rare(f"broken.{name}")
+        return condition
+
+    def counters(self, why: str) -> None:
+        self.log("counters", why=why, **dict(sorted(self.count.items())))
