--- a/finchshelf/__main__.py
+++ b/finchshelf/__main__.py
@@ -35,7 +35,7 @@
         if config.counter is not None:
             core.counter = Counter(core, config, config.counter, parts)
         discovery = Discovery(core, config)
-        clients = Clients(core, config, lambda: core.listed and discovery.asked)
+        clients = Clients(core, config, parts, lambda: core.listed and discovery.asked)
         listener = await net.listen(config.listen)
         telemetry.log("start", listen=str(config.listen))
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGUSR1) as signals:
@@ -43,7 +43,7 @@
             for task in (core.run, servers.sweep, clients.sweep, discovery.run):
                 parts.start_soon(task)
             accepting = trio.CancelScope()
-            parts.start_soon(accept, clients, listener, parts, accepting)
+            parts.start_soon(accept, clients, listener, accepting)
             gc.collect()
             gc.freeze()
             gc.set_threshold(COLLECT_EVERY, 20, 50)
@@ -58,10 +58,9 @@
     telemetry.log("exit", unanswered=len(core.live))
 
 
-async def accept(clients: Clients, listener: trio.socket.SocketType, parts: trio.Nursery,
-                 scope: trio.CancelScope) -> None:
+async def accept(clients: Clients, listener: trio.socket.SocketType, scope: trio.CancelScope) -> None:
     with scope:
-        await clients.accept(listener, parts)
+        await clients.accept(listener)
 
 
 async def end(clients: Clients, core: Core, listener: trio.socket.SocketType,
--- a/finchshelf/node/clients.py
+++ b/finchshelf/node/clients.py
@@ -25,6 +25,7 @@
 NOT_PASSED = HOP_BY_HOP | {b"x-budget-ms", b"x-metering", b"expect"}
 MOST_BUDGET = 3_600_000
 EMPTY = h11.EndOfMessage()
+CONTINUE = h11.InformationalResponse(status_code=100, headers=[])
 
 
 class BadRequest(Exception):
@@ -50,7 +51,7 @@
         self.classes = {name.encode(): n for n, name in enumerate(config.around.classes)}
         self.plans = {name.encode(): n for n, name in enumerate(config.around.plans)}
 
-    def call(self, event: h11.Request, body: bytes, number: int, now: float) -> Exchange:
+    def call(self, event: h11.Request, body: bytes, core: Core, reply: Callable[[Answer], None]) -> Exchange:
         told = dict(event.headers)
         path = event.target.partition(b"?")[0].split(b"/")
         name = told.get(b"x-call-class", b"")
@@ -75,9 +76,9 @@
                 spread = max(1, whole(value, 1 << 20))
         headers = [(raw, value) for (raw, value), (plain, _)
                    in zip(event.headers.raw_items(), event.headers, strict=True) if plain not in NOT_PASSED]
-        request = i.Request(number, cls, plan, customer, now + budget / 1000, units, spread,
-                            told.get(b"x-again") == b"1")
-        return Exchange(request, event.method, event.target, headers, body)
+        request = i.Request(core.next_id(), cls, plan, customer, core.clock.now() + budget / 1000, units,
+                            spread, told.get(b"x-again") == b"1")
+        return Exchange(request, reply, event.method, event.target, headers, body)
 
 
 def whole(text: bytes | None, most: int) -> int:
@@ -96,128 +97,156 @@
 
 
 class Connection:
-    """One client's connection. `since` is when it last began to read or write, `idle` that nothing is due."""
+    """One client's connection: a task that reads for as long as it lives; the core's turn writes answers.
 
-    __slots__ = ("clients", "http", "idle", "since", "sock")
+    `idle`: no byte of a request has come since the last answer. `since`: when that or the rest last changed.
+    """
 
-    def __init__(self, clients: Clients, sock: trio.socket.SocketType, now: float) -> None:
-        self.clients, self.sock, self.since, self.idle = clients, sock, now, True
-        self.http = h11.Connection(h11.SERVER)
+    __slots__ = ("clients", "closing", "ended", "exchange", "head", "http", "idle", "parts", "since", "size",
+                 "stream", "writing")
 
-    def hang_up(self) -> None:
-        """End the connection from outside: its task finds it at its end."""
-        try:
-            self.sock.shutdown(trio.socket.SHUT_RDWR)
-        except OSError:
-            self.sock.close()
+    def __init__(self, clients: Clients, stream: net.Stream, now: float) -> None:
+        self.clients, self.stream, self.since, self.idle = clients, stream, now, True
+        self.http = h11.Connection(h11.SERVER)
+        self.head: h11.Request | None = None
+        self.parts: list[bytes] = []
+        self.size = 0
+        self.exchange: Exchange | None = None
+        self.closing = self.writing = self.ended = False
 
     async def run(self) -> None:
         clients = self.clients
         try:
-            while await self.serve():
-                pass
-        except (OSError, h11.LocalProtocolError, trio.ClosedResourceError):
+            while not self.ended:
+                data = await self.stream.receive()
+                if self.closing:
+                    if not data:
+                        break
+                elif self.exchange is not None or self.writing:
+                    self.ahead(data)
+                elif not data and self.head is None and not self.http.trailing_data[0]:
+                    break
+                else:
+                    if self.idle:
+                        self.idle, self.since = False, clients.core.clock.now()
+                    self.http.receive_data(data)
+                    self.advance()
+        except (OSError, trio.ClosedResourceError):
             clients.count["clients.broken"] += 1
-        except (BadRequest, h11.RemoteProtocolError) as error:
-            await self.refuse_bad(error)
         except Exception as error:  # Danger: what nobody thought of must not end the node
             clients.telemetry.rare("clients.error", error=repr(error))
         finally:
+            if self.exchange is not None:
+                clients.core.put(i.ClientGone(self.exchange.request.id))
+                self.exchange = None
             clients.connections.discard(self)
-            self.sock.close()
-
-    async def refuse_bad(self, error: BadRequest | h11.RemoteProtocolError) -> None:
-        clients = self.clients
-        clients.count["in.bad"] += 1
-        status = error.status if isinstance(error, BadRequest) else 400
+            self.closing = True
+            self.stream.close()
+
+    def ahead(self, data: bytes) -> None:
+        """While a request waits: an end is the client's going; more is its next request, for h11's buffer."""
+        if not data or len(self.http.trailing_data[0]) + len(data) > 2 * net.MOST_BODY:
+            self.ended = True
+        else:
+            self.http.receive_data(data)
+
+    def advance(self) -> None:
+        """Read as far as what has come goes; a whole request goes to the core."""
         try:
-            with trio.move_on_after(SLOW_READ):
-                await self.write(Answer(status, [(b"Content-Length", b"0")]), True)
-        except (OSError, h11.LocalProtocolError):
-            clients.count["clients.broken"] += 1
+            while self.exchange is None and not self.closing:
+                event = self.http.next_event()
+                if event is h11.NEED_DATA:
+                    if self.http.they_are_waiting_for_100_continue:
+                        self.send(self.http.send(CONTINUE) or b"")
+                    return
+                if isinstance(event, h11.Request):
+                    self.head, self.idle = event, False
+                elif isinstance(event, h11.Data):
+                    self.parts.append(bytes(event.data))
+                    self.size += len(event.data)
+                    if self.size > net.MOST_BODY:
+                        raise BadRequest("body too large", 413)
+                elif isinstance(event, h11.EndOfMessage):
+                    self.whole()
+                else:  # the client has ended, or has said that this request was its last
+                    self.ended = event is not h11.PAUSED
+                    return
+        except (BadRequest, h11.RemoteProtocolError) as error:
+            self.clients.count["in.bad"] += 1
+            status = error.status if isinstance(error, BadRequest) else 400
+            self.reply(Answer(status, [(b"Content-Length", b"0")]), True)
+
+    def whole(self) -> None:
+        head, body, clients = self.head, b"".join(self.parts), self.clients
+        assert head is not None
+        self.head, self.parts, self.size = None, [], 0
+        if head.target == b"/healthz":
+            return self.reply(clients.health())
+        exchange = clients.reader.call(head, body, clients.core, self.reply)
+        self.exchange = exchange
+        clients.core.put(exchange)
+
+    def reply(self, answer: Answer, close: bool = False) -> None:
+        """Write an answer without waiting; then read on, or end."""
+        http, clients = self.http, self.clients
+        self.exchange = None
+        if self.closing:
+            return
+        close = close or clients.draining or http.their_state is not h11.DONE
+        try:
+            data = http.send(response(answer.status, tuple(answer.headers), close)) or b""
+            if answer.body:
+                data += http.send(h11.Data(data=answer.body)) or b""
+            data += http.send(EMPTY) or b""
+        except h11.LocalProtocolError as error:
+            clients.telemetry.rare("clients.error", error=repr(error))
+            return self.stream.hang_up()
+        self.since = clients.core.clock.now()
+        self.closing = close or http.our_state is not h11.DONE
+        if not self.send(data):
+            return
+        self.sent()
 
-    async def serve(self) -> bool:
-        """One request and its answer; False when the connection has come to its end."""
-        clients, clock = self.clients, self.clients.core.clock
-        event, body = await self.read()
-        if event is None:
+    def send(self, data: bytes) -> bool:
+        try:
+            sent = 0 if self.writing else self.stream.send_now(data)
+        except OSError:
+            self.clients.count["clients.broken"] += 1
+            self.stream.hang_up()
             return False
-        if event.target == b"/healthz":
-            return await self.write(clients.health(), False)
-        exchange = clients.reader.call(event, body, clients.core.next_id(), clock.now())
-        if not await self.wait(exchange) or exchange.answer is None:
+        if sent < len(data):
+            self.writing = True
+            self.clients.nursery.start_soon(self.send_rest, data[sent:])
             return False
-        return await self.write(exchange.answer, clients.draining)
-
-    async def read(self) -> tuple[h11.Request | None, bytes]:
-        """The next request, whole; none when the client has ended its connection between two."""
-        http, request, parts, size = self.http, None, [], 0
-        while True:
-            event = http.next_event()
-            if event is h11.NEED_DATA:
-                if http.they_are_waiting_for_100_continue:
-                    await net.send_all(self.sock, http.send(
-                        h11.InformationalResponse(status_code=100, headers=[])) or b"")
-                data = await self.sock.recv(net.CHUNK)
-                if self.idle:
-                    self.idle, self.since = False, self.clients.core.clock.now()
-                if not data and request is None and not http.trailing_data[0]:
-                    return None, b""
-                http.receive_data(data)
-            elif isinstance(event, h11.Request):
-                request = event
-                self.idle = False
-            elif isinstance(event, h11.Data):
-                parts.append(bytes(event.data))
-                size += len(event.data)
-                if size > net.MOST_BODY:
-                    raise BadRequest("body too large", 413)
-            elif isinstance(event, h11.EndOfMessage):
-                return request, parts[0] if len(parts) == 1 else b"".join(parts)
-            else:
-                return None, b""
-
-    async def wait(self, exchange: Exchange) -> bool:
-        """Until the core has an answer; reads on meanwhile. False when the client goes before that."""
-        core = self.clients.core
-        core.put(exchange)
-        with trio.CancelScope() as scope:
-            exchange.waiting = scope
-            while True:
-                try:
-                    data = await self.sock.recv(net.CHUNK)
-                except OSError:
-                    data = b""
-                if not data:
-                    core.put(i.ClientGone(exchange.request.id))
-                    return False
-                # The next request already: kept in the same buffer, which is bounded as any request is.
-                if len(self.http.trailing_data[0]) + len(data) > 2 * net.MOST_BODY:
-                    core.put(i.ClientGone(exchange.request.id))
-                    raise BadRequest("too much ahead", 413)
-                self.http.receive_data(data)
         return True
 
-    async def write(self, answer: Answer, close: bool) -> bool:
-        """An answer, whole; True when the connection can take another request."""
-        http = self.http
-        close = close or http.their_state is not h11.DONE
-        data = http.send(response(answer.status, tuple(answer.headers), close)) or b""
-        if answer.body:
-            data += http.send(h11.Data(data=answer.body)) or b""
-        data += http.send(EMPTY) or b""
-        self.since = self.clients.core.clock.now()
-        with trio.move_on_after(SLOW_READ) as slow:
-            await net.send_all(self.sock, data)
-        if slow.cancelled_caught or http.our_state is not h11.DONE or http.their_state is not h11.DONE:
-            return False
-        http.start_next_cycle()
-        self.idle = True
-        return not (self.clients.draining and not http.trailing_data[0])
+    async def send_rest(self, data: bytes) -> None:
+        """What the kernel did not take at once: a client that reads slowly waits for it here."""
+        try:
+            with trio.move_on_after(SLOW_READ) as slow:
+                await self.stream.send(data)
+            if not slow.cancelled_caught:
+                self.writing = False
+                return self.sent()
+        except (OSError, trio.ClosedResourceError):
+            pass
+        self.clients.count["clients.broken"] += 1
+        self.stream.hang_up()
+
+    def sent(self) -> None:
+        if self.closing:
+            return self.stream.end_sending()
+        if self.http.our_state is not h11.DONE:
+            return  # that was a 100 Continue
+        self.http.start_next_cycle()
+        self.idle = not self.http.trailing_data[0]
+        if not self.idle:
+            self.advance()
 
 
 class Clients:
-    def __init__(self, core: Core, config: Config, ready: Callable[[], bool]) -> None:
+    def __init__(self, core: Core, config: Config, nursery: trio.Nursery, ready: Callable[[], bool]) -> None:
+        self.nursery = nursery
         self.core, self.telemetry, self.count = core, core.telemetry, core.telemetry.count
         self.reader, self.ready = Reader(config), ready
         # Each request may want a socket to a server; some more are for the counter, discovery and the log.
@@ -229,7 +258,7 @@
         length: Headers = [(b"Content-Length", b"0")]
         return Answer(200 if self.ready() and not self.draining else 503, length)
 
-    async def accept(self, listener: trio.socket.SocketType, nursery: trio.Nursery) -> None:
+    async def accept(self, listener: trio.socket.SocketType) -> None:
         while True:
             if len(self.connections) >= self.most and not self.make_room():
                 # Danger: descriptors spent on clients would leave none for servers and the counter.
@@ -237,33 +266,24 @@
                 await trio.sleep(0.02)
                 continue
             try:
-                sock, _ = await listener.accept()
+                stream = await net.accept(listener)
             except OSError as error:
-                if error.errno not in (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS):
-                    continue  # that client has gone again already
-                self.telemetry.rare("clients.no_descriptor")
-                self.make_room()
-                await trio.sleep(0.02)
-                continue
-            self.admit(sock, nursery)
-
-    def admit(self, sock: trio.socket.SocketType, nursery: trio.Nursery) -> None:
-        try:
-            sock.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
-        except OSError:
-            sock.close()
-            return
-        connection = Connection(self, sock, self.core.clock.now())
-        self.connections.add(connection)
-        self.count["clients.accepted"] += 1
-        nursery.start_soon(connection.run)
+                if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS):
+                    self.telemetry.rare("clients.no_descriptor")
+                    self.make_room()
+                    await trio.sleep(0.02)
+                continue  # else that client has gone again already
+            connection = Connection(self, stream, self.core.clock.now())
+            self.connections.add(connection)
+            self.count["clients.accepted"] += 1
+            self.nursery.start_soon(connection.run)
 
     def make_room(self) -> bool:
         """Hang up on the connection that has been idle for longest: its client opens another if it must."""
         idle = min((c for c in self.connections if c.idle), key=lambda c: c.since, default=None)
         if idle is not None:
-            idle.idle, idle.since = False, math.inf
-            idle.hang_up()
+            idle.idle = False
+            idle.stream.hang_up()
             self.count["clients.closed_idle"] += 1
         return idle is not None
 
@@ -271,15 +291,14 @@
         for connection in list(self.connections):
             if connection.idle and connection.since < older_than:
                 connection.idle = False
-                connection.hang_up()
+                connection.stream.hang_up()
 
     async def sweep(self) -> None:
-        """Requests that never become whole must not hold descriptors for ever."""
+        """Requests that never become whole, and clients that never close, must not hold descriptors."""
         while True:
             await trio.sleep(1.0)
             before = self.core.clock.now() - SLOW_READ
             for connection in list(self.connections):
-                if not connection.idle and connection.http.their_state in (h11.IDLE, h11.SEND_BODY) \
-                        and connection.since < before:
+                if not connection.idle and connection.exchange is None and connection.since < before:
                     self.count["clients.slow"] += 1
-                    connection.hang_up()
+                    connection.stream.hang_up()
--- a/finchshelf/node/core.py
+++ b/finchshelf/node/core.py
@@ -12,7 +12,7 @@
 import time
 import traceback
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -50,21 +50,15 @@
 
 @dataclass(slots=True, eq=False)
 class Exchange:
-    """One request that a client waits for: what was asked, and the answer once there is one."""
+    """One request that a client waits for: what was asked, and what takes the answer without waiting."""
 
     request: i.Request
+    reply: Callable[[Answer], None]
     method: bytes
     target: bytes
     headers: Headers
     body: bytes
     attempts: int = 0
-    answer: Answer | None = None
-    waiting: trio.CancelScope | None = None
-
-    def finish(self, answer: Answer) -> None:
-        self.answer = answer
-        if self.waiting is not None:
-            self.waiting.cancel()
 
 
 @dataclass(slots=True, eq=False)
@@ -117,6 +111,7 @@
 
 class CounterPort(Protocol):
     def call(self, name: int, amount: float, life: float, now: float) -> None: ...
+    def flush(self) -> None: ...
     def expire(self, now: float) -> None: ...
     def next_expiry(self) -> float: ...
 
@@ -133,7 +128,7 @@
         self.counter: CounterPort | None = None
         self.queue: deque[Item] = deque()
         self.put_at = -math.inf
-        self.awake = trio.Event()
+        self.sleeper: trio.lowlevel.Task | None = None
         self.timers: list[tuple[float, int, int]] = []
         self.live: dict[int, Exchange] = {}
         self.out: dict[tuple[int, int], Attempt] = {}
@@ -151,7 +146,9 @@
     def put(self, item: Item) -> None:
         if not self.queue:
             self.put_at = self.clock.now()
-            self.awake.set()
+            if self.sleeper is not None:
+                trio.lowlevel.reschedule(self.sleeper)
+                self.sleeper = None
         self.queue.append(item)
 
     # ---- the task itself ----
@@ -172,15 +169,23 @@
             self.turn(batch)
 
     async def sleep(self) -> None:
-        self.awake = trio.Event()
         due = self.timers[0][0] if self.timers else math.inf
         if self.counter is not None:
             due = min(due, self.counter.next_expiry())
         if due == math.inf:
-            await self.awake.wait()
+            await self.parked()
             return
         with trio.move_on_after(max(0.0, due - self.clock.now())):
-            await self.awake.wait()
+            await self.parked()
+
+    async def parked(self) -> None:
+        """Until `put` wakes this task; what an event object would do, without a new one for each turn."""
+        self.sleeper = trio.lowlevel.current_task()
+        await trio.lowlevel.wait_task_rescheduled(self.unpark)
+
+    def unpark(self, _: object) -> trio.lowlevel.Abort:
+        self.sleeper = None
+        return trio.lowlevel.Abort.SUCCEEDED
 
     def turn(self, batch: list[Item]) -> None:
         """All that came since the last turn, at one time: drains first, then the rest, then what is due."""
@@ -193,6 +198,8 @@
             self.counter.expire(now)
         while self.timers and self.timers[0][0] <= now:
             self.handle(i.Timer(heapq.heappop(self.timers)[2]), now)
+        if self.counter is not None:
+            self.counter.flush()
 
     def take(self, item: Item, now: float) -> None:
         if isinstance(item, Exchange):
@@ -294,9 +301,8 @@
         if exchange is None:
             return
         self.count[counted] += 1
-        self.telemetry.holds(exchange.answer is None, "one_answer")
         self.telemetry.holds(self.clock.now() < exchange.request.until + OVERDUE, "timely_answer")
-        exchange.finish(answer)
+        exchange.reply(answer)
 
 
 def refusal(after: float) -> Answer:
--- a/finchshelf/node/counter.py
+++ b/finchshelf/node/counter.py
@@ -9,6 +9,8 @@
 
 import math
 from collections import deque
+from collections.abc import Iterable
+from contextlib import suppress
 from dataclasses import dataclass
 
 import trio
@@ -18,7 +20,9 @@
 from finchshelf.node.config import Address, Config
 from finchshelf.node.core import Core
 
-LINES = 4  # connections; the counter holds 32 of a node
+LINES = 8  # connections; the counter holds 32 of a node. Answers on one come in order: one slow name holds
+# up those behind it, so there are some
+LOOK = 1.0  # s between two looks at silent lines
 PING_AFTER = 3.0  # s without a word after which a line is kept up; the counter closes at 10 s or less
 SILENT = 1.5  # s that an answer is out, nothing else coming, after which a line is taken for dead
 MOST_LINE = 4096  # bytes of an answer; more is no answer
@@ -36,115 +40,113 @@
 class Line:
     """One connection: calls not yet written, and those whose answer has not come, in order."""
 
-    def __init__(self, owner: Counter, number: int) -> None:
-        self.owner, self.number = owner, number
+    def __init__(self, owner: Counter) -> None:
+        self.owner = owner
         self.todo: deque[Call] = deque()
         self.out: deque[Call | None] = deque()  # None: a ping
         self.wanted = trio.Event()
-        self.heard = 0.0  # when something last came, or the line was last empty
-        self.up = False
-
-    def put(self, call: Call) -> None:
-        self.todo.append(call)
-        self.wanted.set()
+        self.wanted.set()  # the first connection is made at start, so that the first call finds it
+        self.heard = 0.0  # when something last came or, where nothing was due, was last asked
+        self.stream: net.Stream | None = None
+        self.backlog = b""
+        self.writable = trio.Event()
 
     async def run(self) -> None:
         """Connect when there is something to say; one connection after another, for ever."""
-        self.wanted.set()  # the first connection is made at start, so that the first call finds it
         while True:
             await self.wanted.wait()
-            sock = None
             with trio.move_on_after(self.owner.connect_limit):
+                with suppress(OSError):
+                    self.stream = await net.connect(self.owner.address)
+            if self.stream is None:
+                self.owner.count["counter.no_connection"] += 1
+            else:
+                self.heard = self.owner.core.clock.now()
+                self.owner.lines_changed()
+                self.flush()
                 try:
-                    sock = await net.connect(self.owner.address)
-                except OSError:
-                    self.owner.count["counter.unreachable"] += 1
-            if sock is None:
-                self.fail(i.Status.UNREACHABLE)
-                self.renew_wish()
-                await trio.lowlevel.checkpoint()
-                continue
-            self.change(True)
-            self.heard = self.owner.core.clock.now()
-            try:
-                async with trio.open_nursery() as nursery:
-                    nursery.start_soon(self.read, sock, nursery.cancel_scope)
-                    await self.write(sock, nursery.cancel_scope)
-            except Exception as error:  # Danger: what nobody thought of must not end the node
-                self.owner.telemetry.rare("counter.error", error=repr(error))
-            finally:
-                sock.close()
-            self.change(False)
-            self.fail(i.Status.UNREACHABLE)
-            self.renew_wish()
-
-    def renew_wish(self) -> None:
-        if not self.todo:
-            self.wanted = trio.Event()
-
-    def change(self, up: bool) -> None:
-        if up is not self.up:
-            self.up = up
-            self.owner.line_changed()
-
-    def fail(self, unwritten: i.Status) -> None:
-        """The connection is gone: what was written may have been added, the rest has not been."""
-        for call in self.out:
+                    async with trio.open_nursery() as nursery:
+                        nursery.start_soon(self.write_backlog)
+                        await self.read(self.stream)
+                        nursery.cancel_scope.cancel()
+                except Exception as error:  # Danger: what nobody thought of must not end the node
+                    self.owner.telemetry.rare("counter.error", error=repr(error))
+                self.stream.close()
+                self.stream = None
+            self.fail()
+            self.owner.lines_changed()
+
+    def fail(self) -> None:
+        """There is no connection: what was written may have been added, the rest has not been."""
+        out, todo = self.out, self.todo
+        self.out, self.todo, self.backlog, self.wanted = deque(), deque(), b"", trio.Event()
+        for call in out:
             if call is not None:
                 self.owner.end(call, i.Status.TIMEOUT)
-        self.out.clear()
-        for call in self.todo:
-            self.owner.end(call, unwritten)
+        for call in todo:
+            self.owner.end(call, i.Status.UNREACHABLE)
+
+    def flush(self) -> None:
+        """Send what is to be sent as far as the kernel takes it; the rest goes when it can."""
+        if self.stream is None:
+            if self.todo:
+                self.wanted.set()
+            return
+        batch = [call for call in self.todo if not call.done]
         self.todo.clear()
+        if not batch:
+            return
+        if not self.say(self.stream, b"".join([call.text for call in batch]), batch):
+            self.todo.extend(batch)  # nothing of it was written: they end with the line
+            return
+        # Danger: a break in the middle of a write leaves open which calls went whole: all may have.
+        for call in batch:
+            call.written = True
+
+    def say(self, stream: net.Stream, text: bytes, calls: Iterable[Call | None]) -> bool:
+        """Write it, or as much as the kernel takes for now; False when the line has broken before."""
+        try:
+            sent = 0 if self.backlog else stream.send_now(text)
+        except OSError:
+            stream.hang_up()
+            return False
+        if not self.out:
+            self.heard = self.owner.core.clock.now()
+        self.out.extend(calls)
+        if sent < len(text):
+            self.backlog += text[sent:]
+            self.writable.set()
+        return True
 
-    async def write(self, sock: trio.socket.SocketType, scope: trio.CancelScope) -> None:
-        clock = self.owner.core.clock
+    async def write_backlog(self) -> None:
         while True:
-            while self.todo and self.todo[0].done:
-                self.todo.popleft()
-            if not self.todo:
-                self.wanted = trio.Event()
-                with trio.move_on_after(PING_AFTER / 2):
-                    await self.wanted.wait()
-            now = clock.now()
-            if not self.out:
-                idle = now - self.heard
-            elif now - self.heard > SILENT:
-                # Danger: a counter's machine that vanishes says nothing; calls would time out for ever.
-                self.owner.count["counter.silent"] += 1
-                scope.cancel()
-                return
-            else:
-                idle = 0.0
-            batch = [call for call in self.todo if not call.done]
-            self.todo.clear()
-            text = b"".join([call.text for call in batch])
-            if not batch:
-                if idle < PING_AFTER:
-                    continue
-                text = b"ping\r\n"
-            if not self.out:
-                self.heard = now
-            # Danger: a break in the middle of a write leaves open which calls went whole: all may have.
-            for call in batch:
-                call.written = True
-            if batch:
-                self.out.extend(batch)
-            else:
-                self.out.append(None)
-            try:
-                await net.send_all(sock, text)
-            except OSError:
-                scope.cancel()
-                return
+            await self.writable.wait()
+            self.writable = trio.Event()
+            while self.backlog and self.stream is not None:
+                await trio.lowlevel.wait_writable(self.stream.sock)
+                try:
+                    self.backlog = self.backlog[self.stream.send_now(self.backlog):]
+                except OSError:
+                    return self.stream.hang_up()
 
-    async def read(self, sock: trio.socket.SocketType, scope: trio.CancelScope) -> None:
+    def keep_up(self, now: float) -> None:
+        """A ping where nothing was said for a while; the end of a line that has long said nothing."""
+        if self.stream is None:
+            return
+        if self.out and now - self.heard > SILENT:
+            # Danger: a counter's machine that vanishes says nothing; calls would time out for ever.
+            self.owner.count["counter.silent"] += 1
+            self.stream.hang_up()
+        elif not self.out and now - self.heard > PING_AFTER:
+            self.say(self.stream, b"ping\r\n", (None,))
+
+    async def read(self, stream: net.Stream) -> None:
         buffer = bytearray()
         while True:
             try:
-                data = await sock.recv(net.CHUNK)
-            except OSError:
-                data = b""
+                data = await stream.receive()
+            except (OSError, trio.ClosedResourceError):
+                return
             buffer += data
             end = buffer.rfind(b"\n")
             if end >= 0:
@@ -152,9 +154,8 @@
                 lines = bytes(buffer[:end]).split(b"\n")
                 del buffer[:end + 1]
                 if not all([self.answered(line.rstrip(b"\r")) for line in lines]):
-                    data = b""
+                    return
             if not data or len(buffer) > MOST_LINE:
-                scope.cancel()
                 return
 
     def answered(self, line: bytes) -> bool:
@@ -191,11 +192,19 @@
         self.telemetry, self.count = core.telemetry, core.telemetry.count
         self.wait = config.settings.counter_wait
         self.connect_limit = config.around.connect_limit or 1.0
-        self.lines = [Line(self, number) for number in range(LINES)]
+        self.lines = [Line(self) for _ in range(LINES)]
+        self.asked: set[Line] = set()
         self.calls: deque[Call] = deque()
         self.up = False
         for line in self.lines:
             nursery.start_soon(line.run)
+        nursery.start_soon(self.keep_up)
+
+    async def keep_up(self) -> None:
+        while True:
+            await trio.sleep(LOOK)
+            for line in self.lines:
+                line.keep_up(self.core.clock.now())
 
     # ---- for the core: nothing here waits ----
 
@@ -203,7 +212,15 @@
         text = b"tally %d %s %d\r\n" % (name, number(amount), max(1, round(life * 1000)))
         call = Call(name, text, now)
         self.calls.append(call)
-        self.lines[name // 2 % 1009 % LINES].put(call)
+        line = self.lines[name // 2 % 1009 % LINES]
+        line.todo.append(call)
+        self.asked.add(line)
+
+    def flush(self) -> None:
+        """Send the calls of one turn of the core together."""
+        for line in self.asked:
+            line.flush()
+        self.asked.clear()
 
     def next_expiry(self) -> float:
         calls = self.calls
@@ -226,8 +243,8 @@
         self.count[f"counter.{status.value}"] += 1
         self.core.put(i.Counted(call.name, status, total, self.core.clock.now() - call.began))
 
-    def line_changed(self) -> None:
-        up = any(line.up for line in self.lines)
+    def lines_changed(self) -> None:
+        up = any(line.stream is not None for line in self.lines)
         if up is not self.up:
             self.up = up
             self.telemetry.log("counter", state="up" if up else "down")
--- a/finchshelf/node/discovery.py
+++ b/finchshelf/node/discovery.py
@@ -72,7 +72,7 @@
         self.asked = False  # the first call at start has ended, well or not
         self.well: bool | None = None
         self.http: h11.Connection | None = None
-        self.sock: trio.socket.SocketType | None = None
+        self.stream: net.Stream | None = None
 
     def begin(self) -> None:
         """What this node last knew, before anything is asked."""
@@ -123,18 +123,18 @@
             self.telemetry.log("list", servers=len(news.members.servers))
 
     async def get(self, target: str) -> Any:
-        if self.sock is None:
-            self.sock = await net.connect(self.config.discovery)
+        if self.stream is None:
+            self.stream = await net.connect(self.config.discovery)
             self.http = h11.Connection(h11.CLIENT)
         assert self.http is not None
-        http, sock = self.http, self.sock
+        http, stream = self.http, self.stream
         request = h11.Request(method="GET", target=target, headers=[("Host", str(self.config.discovery))])
-        await net.send_all(sock, (http.send(request) or b"") + (http.send(h11.EndOfMessage()) or b""))
+        await stream.send((http.send(request) or b"") + (http.send(h11.EndOfMessage()) or b""))
         body, status = bytearray(), 0
         while True:
             event = http.next_event()
             if event is h11.NEED_DATA:
-                http.receive_data(await sock.recv(net.CHUNK))
+                http.receive_data(await stream.receive())
             elif isinstance(event, h11.Response):
                 status = event.status_code
             elif isinstance(event, h11.Data):
@@ -154,8 +154,8 @@
         return orjson.loads(bytes(body))
 
     def hang_up(self) -> None:
-        if self.sock is not None:
-            self.sock.close()
-        self.sock = self.http = None
+        if self.stream is not None:
+            self.stream.close()
+        self.stream = self.http = None
 
 
--- a/finchshelf/node/net.py
+++ b/finchshelf/node/net.py
@@ -1,11 +1,14 @@
-"""Sockets the way this node uses them: numeric addresses, non-blocking, no delay, served by trio.
+"""Streams the way this node uses them: numeric addresses, no delay, served by trio.
 
-Owns only how a socket is opened and written. It must never look up a name, start a thread, or know what the
-bytes mean.
+Owns how a socket is opened, waited for, read and written. It must never look up a name, start a thread,
+block, or know what the bytes mean.
 """
 
 from __future__ import annotations
 
+import socket
+from contextlib import suppress
+
 import trio
 
 from finchshelf.node.config import Address
@@ -14,8 +17,72 @@
 MOST_BODY = 65536
 
 
-async def connect(address: Address) -> trio.socket.SocketType:
-    """A connected socket; closed again if anything, a cancel included, comes in between."""
+class Stream:
+    """A connected socket. It waits before it reads, and sends at once what the kernel takes.
+
+    A read or send of a trio socket yields to the scheduler even when it need not wait, and each yield costs a
+    look at the kernel. Here only waiting yields; whoever reads always waits first, so nobody starves others.
+    """
+
+    __slots__ = ("sock",)
+
+    def __init__(self, sock: trio.socket.SocketType) -> None:
+        family, kind, proto = sock.family, sock.type, sock.proto
+        self.sock = socket.socket(family, kind, proto, fileno=sock.detach())
+        self.sock.setblocking(False)
+
+    async def receive(self) -> bytes:
+        """What has come, at least a byte; nothing at the end."""
+        while True:
+            await trio.lowlevel.wait_readable(self.sock)
+            try:
+                return self.sock.recv(CHUNK)
+            except BlockingIOError:
+                continue
+
+    def send_now(self, data: bytes) -> int:
+        """How much of it the kernel took without waiting."""
+        try:
+            return self.sock.send(data)
+        except BlockingIOError:
+            return 0
+
+    async def send(self, data: bytes) -> None:
+        sent = self.send_now(data)
+        while sent < len(data):
+            await trio.lowlevel.wait_writable(self.sock)
+            sent += self.send_now(data[sent:])
+
+    def silent(self) -> bool:
+        """Nothing to read and no end: what an idle connection should be."""
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            pass
+        return False
+
+    def end_sending(self) -> None:
+        """Tell the other side that no more comes; it still gets all that was sent."""
+        with suppress(OSError):
+            self.sock.shutdown(socket.SHUT_WR)
+
+    def hang_up(self) -> None:
+        """End both ways at once: whoever waits for this stream finds its end."""
+        try:
+            self.sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            self.close()
+
+    def close(self) -> None:
+        if self.sock.fileno() >= 0:
+            trio.lowlevel.notify_closing(self.sock)
+            self.sock.close()
+
+
+async def connect(address: Address) -> Stream:
+    """A connected stream; closed again if anything, a cancel included, comes in between."""
     sock = trio.socket.socket(address.family, trio.socket.SOCK_STREAM)
     try:
         sock.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
@@ -23,7 +90,7 @@
     except BaseException:
         sock.close()
         raise
-    return sock
+    return Stream(sock)
 
 
 async def listen(address: Address, backlog: int = 1024) -> trio.socket.SocketType:
@@ -38,7 +105,11 @@
     return sock
 
 
-async def send_all(sock: trio.socket.SocketType, data: bytes) -> None:
-    sent = await sock.send(data)
-    while sent < len(data):
-        sent += await sock.send(memoryview(data)[sent:])
+async def accept(listener: trio.socket.SocketType) -> Stream:
+    sock, _ = await listener.accept()
+    try:
+        sock.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
+    except OSError:
+        sock.close()
+        raise
+    return Stream(sock)
--- a/finchshelf/node/servers.py
+++ b/finchshelf/node/servers.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import select
 from dataclasses import dataclass
 
 import h11
@@ -43,24 +42,18 @@
 class Connection:
     """One connection to a server; h11 holds its one buffer."""
 
-    __slots__ = ("address", "http", "sock", "used")
+    __slots__ = ("address", "http", "stream", "used")
 
-    def __init__(self, address: Address, sock: trio.socket.SocketType, now: float) -> None:
-        self.address, self.sock, self.used = address, sock, now
+    def __init__(self, address: Address, stream: net.Stream, now: float) -> None:
+        self.address, self.stream, self.used = address, stream, now
         self.http = h11.Connection(h11.CLIENT)
 
-    def usable(self) -> bool:
-        """Nothing to read on an idle connection: else the server has closed it, or said what nobody asked."""
-        poll = select.poll()
-        poll.register(self.sock.fileno(), select.POLLIN)
-        return not poll.poll(0)
-
     async def write(self, request: h11.Request, body: bytes) -> None:
         data = self.http.send(request) or b""
         if body:
             data += self.http.send(h11.Data(data=body)) or b""
         data += self.http.send(h11.EndOfMessage()) or b""
-        await net.send_all(self.sock, data)
+        await self.stream.send(data)
 
     async def read(self) -> Reply:
         status, headers, parts, size = 0, [], [], 0
@@ -68,7 +61,7 @@
             try:
                 event = self.http.next_event()
                 if event is h11.NEED_DATA:
-                    self.http.receive_data(await self.sock.recv(net.CHUNK))
+                    self.http.receive_data(await self.stream.receive())
                     continue
             except (h11.RemoteProtocolError, OSError) as error:
                 raise Broken(repr(error)) from None
@@ -128,7 +121,7 @@
             connection = stack.pop()
             # Danger: what is written to a connection that the server has closed ends as a reset that may
             # have run. So none is used that is near its time, or that has something to say already.
-            if now - connection.used < self.most_idle and connection.usable():
+            if now - connection.used < self.most_idle and connection.stream.silent():
                 self.count["servers.reused"] += 1
                 return connection
             self.close(connection)
@@ -138,13 +131,13 @@
         if self.open >= self.most:
             self.close_oldest()
         self.count["servers.opened"] += 1
-        sock = await net.connect(address)
+        stream = await net.connect(address)
         self.open += 1
-        return Connection(address, sock, self.clock.now())
+        return Connection(address, stream, self.clock.now())
 
     def close(self, connection: Connection) -> None:
         self.open -= 1
-        connection.sock.close()
+        connection.stream.close()
 
     def keep(self, connection: Connection) -> None:
         connection.used = self.clock.now()
