--- a/finchshelf/__main__.py
+++ b/finchshelf/__main__.py
@@ -10,12 +10,13 @@
 import math
 import signal
 import sys
+from dataclasses import dataclass
 
 import trio
 
 from finchshelf.node import net
 from finchshelf.node.clients import Clients
-from finchshelf.node.config import Config, ConfigError, load
+from finchshelf.node.config import Address, Config, ConfigError, load
 from finchshelf.node.core import Clock, Core
 from finchshelf.node.counter import Counter
 from finchshelf.node.discovery import Discovery
@@ -28,22 +29,36 @@
 COLLECT_EVERY = 20_000  # new objects until the collector looks at the young ones: most die by count alone
 
 
-async def serve(config: Config, telemetry: Telemetry) -> None:
+@dataclass(slots=True)
+class Node:
+    """The parts of a running node."""
+
+    core: Core
+    servers: Servers
+    counter: Counter | None
+    discovery: Discovery
+    clients: Clients
+    address: Address
+
+
+async def serve(config: Config, telemetry: Telemetry,
+                task_status: trio.TaskStatus[Node] = trio.TASK_STATUS_IGNORED) -> None:
     core = Core(config, Clock(), telemetry)
     async with trio.open_nursery() as parts:
         core.servers = servers = Servers(core, config, parts)
-        if config.counter is not None:
-            core.counter = Counter(core, config, config.counter, parts)
+        core.counter = counter = Counter(core, config, config.counter, parts) if config.counter else None
         discovery = Discovery(core, config)
         clients = Clients(core, config, parts, lambda: core.listed and discovery.asked)
         listener = await net.listen(config.listen)
-        telemetry.log("start", listen=str(config.listen))
+        address = Address(*listener.getsockname()[:2])
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGUSR1) as signals:
             discovery.begin()
             for task in (core.run, servers.sweep, clients.sweep, discovery.run):
                 parts.start_soon(task)
             accepting = trio.CancelScope()
             parts.start_soon(accept, clients, listener, accepting)
+            telemetry.log("start", listen=str(address))
+            task_status.started(Node(core, servers, counter, discovery, clients, address))
             gc.collect()
             gc.freeze()
             gc.set_threshold(COLLECT_EVERY, 20, 50)
--- /dev/null
+++ b/tests/test_node_clients.py
@@ -0,0 +1,184 @@
+"""Clients' side of a node: what is asked and answered, bad input, going away, many connections."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+
+from finchshelf.admission import interface as i
+from tests.stand_ins import Got, always, call, ok, trio_test, until, world
+from tests.stand_ins import status as answer_of
+
+
+@trio_test
+async def test_request_and_answer_pass_unchanged() -> None:
+    body = bytes(range(256)) * 40
+    async with world(always(ok(body, b"X-Kept: yes", b"X-Settled: 3", b"X-Meter: 40"))) as w:
+        client = await w.client()
+        path = "/post/00000000b4d65521?a=b%20c"
+        reply = await client.ask(call("post", path=path, body=b"12345", budget=3000))
+        assert (reply.status, reply.body) == (200, body)
+        assert reply.headers[b"x-kept"] == b"yes" and b"x-settled" not in reply.headers
+        got = w.servers[0].got[0]
+        assert (got.method, got.target, got.body) == (b"POST", path.encode(), b"12345")
+        assert got.headers[b"x-call-id"] == b"9b1f03aa5c7e2d41"
+        assert got.headers[b"idempotency-key"] == b"5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
+        assert 0 < int(got.headers[b"x-budget-ms"]) <= 3000
+        request = next(e for e in w.events if isinstance(e, i.Request))
+        assert (request.customer, request.units, request.entry_points, request.plan) == (0xB4D65521, 1, 2, 0)
+        outcome = next(e for e in w.events if isinstance(e, i.Outcome))
+        assert (outcome.status, outcome.final, outcome.used, outcome.true_units) == (i.Status.OK, True, 41, 3)
+
+
+@trio_test
+async def test_one_connection_carries_many_requests() -> None:
+    async with world(always(ok(b"a"))) as w:
+        client = await w.client()
+        for _ in range(5):
+            assert (await client.ask(call())).body == b"a"
+        assert w.node.core.telemetry.count["clients.accepted"] == 1
+        assert w.servers[0].connections == 1
+
+
+@trio_test
+async def test_next_request_may_come_early() -> None:
+    async with world(always(ok(b"a"))) as w:
+        client = await w.client()
+        await client.send(call() + call() + call())
+        assert [(await client.receive()).status for _ in range(3)] == [200, 200, 200]
+
+
+@trio_test
+async def test_refusal_carries_a_time_to_come_back() -> None:
+    async with world(always(ok())) as w:
+        client = await w.client()
+        replies = [await client.ask(call(plan="small")) for _ in range(4)]
+        refused = [r for r in replies if r.status == 429]
+        assert refused and all(0 < float(r.headers[b"retry-after"]) <= 0.5 for r in refused)
+        assert len(w.servers[0].got) == len(replies) - len(refused)
+
+
+@trio_test
+async def test_unsafe_request_that_may_have_run_fails() -> None:
+    async with world(always(answer_of(500))) as w:
+        client = await w.client()
+        assert (await client.ask(call("pay", plan="free"))).status == 502
+        assert len(w.servers[0].got) == 1
+
+
+@trio_test
+async def test_client_that_goes_ends_its_attempt() -> None:
+    async def wait_for_the_end(got: Got) -> bytes | None:
+        ends.append(await got.stream.receive_some())
+        return None
+
+    ends: list[bytes] = []
+    async with world(wait_for_the_end) as w:
+        client = await w.client()
+        await client.send(call())
+        await until(lambda: w.servers[0].got)
+        await client.stream.aclose()
+        await until(lambda: any(isinstance(e, i.ClientGone) for e in w.events))
+        await until(lambda: any(isinstance(e, i.Outcome) for e in w.events))
+        outcome = next(e for e in w.events if isinstance(e, i.Outcome))
+        assert (outcome.status, outcome.final) == (i.Status.CANCELLED, True)
+        await until(lambda: ends)
+        assert not w.node.core.live and not w.node.core.out
+
+
+@pytest.mark.parametrize(("text", "code"), [
+    (b"\x00\x01\x02\r\n\r\n", 400),
+    (b"GET / HTTP/1.1\r\nHost: x\r\n\r\n", 400),
+    (call(drop="X-Call-Id"), 400),
+    (call(drop="X-Budget-Ms"), 400),
+    (call(drop="X-Call-Class"), 400),
+    (call(plan="nobody"), 400),
+    (call(path="/post/00000000b4d65521"), 400),
+    (call(path="/look/b4d65521"), 400),
+    (call(path="/look/00000000b4d6552z"), 400),
+    (call(method="POST"), 400),
+    (call("post", drop="Idempotency-Key"), 400),
+    (call(drop="X-Budget-Ms", extra=("X-Budget-Ms: -5",)), 400),
+    (call(drop="X-Metering", extra=("X-Metering: units=many",)), 400),
+    (b"GET /look/x HTTP/1.1\r\nHost: x\r\nX-Long: " + b"x" * 70000, 400),
+    (call("post", body=b"x" * 65537), 413),
+])
+@trio_test
+async def test_bad_input_gets_its_answer_and_harms_nobody_else(text: bytes, code: int) -> None:
+    async with world(always(ok(b"well"))) as w:
+        other = await w.client()
+        bad = await w.client()
+        await bad.send(text)
+        reply = await bad.receive()
+        assert (reply.status, reply.headers[b"connection"]) == (code, b"close")
+        assert await bad.ended()
+        assert (await other.ask(call())).body == b"well"
+        assert w.telemetry.count["in.bad"] == 1 and not w.servers[0].got[1:]
+        assert not [line for line in w.telemetry.lines if "error" in line[0]]
+
+
+@trio_test
+async def test_missing_metering_counts_as_one_unit_over_all_limiters() -> None:
+    async with world(always(ok())) as w:
+        client = await w.client()
+        assert (await client.ask(call(drop="X-Metering"))).status == 200
+        request = next(e for e in w.events if isinstance(e, i.Request))
+        assert (request.units, request.entry_points) == (1, 2)
+
+
+@trio_test
+async def test_body_in_pieces_after_continue() -> None:
+    async with world(always(ok(b"done"))) as w:
+        client = await w.client()
+        text = call("post", body=b"abcdef", extra=("Expect: 100-continue",))
+        await client.send(text[:-6])
+        assert (await client.stream.receive_some()).startswith(b"HTTP/1.1 100")
+        await client.send(text[-6:-3])
+        await trio.sleep(0.01)
+        await client.send(text[-3:])
+        assert (await client.receive()).body == b"done"
+        assert w.servers[0].got[0].body == b"abcdef"
+
+
+@trio_test
+async def test_large_answer_to_a_slow_reader_is_whole() -> None:
+    body = b"z" * 65536
+    async with world(always(ok(body))) as w:
+        client = await w.client()
+        client.stream.socket.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_RCVBUF, 32768)
+        await client.send(call() * 40)
+        await trio.sleep(0.1)
+        for _ in range(40):
+            assert (await client.receive()).body == body
+
+
+@trio_test
+async def test_health_is_bad_until_the_list_is_in() -> None:
+    async with world(always(ok())) as w:
+        client = await w.client()
+        health = b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
+        assert (await client.ask(health)).status == 200
+        w.node.core.listed = False
+        assert (await client.ask(health)).status == 503
+
+
+@trio_test
+async def test_idle_connections_make_room_for_new_ones() -> None:
+    async with world(always(ok()), sockets=64) as w:
+        clients = [await w.client() for _ in range(3 * w.node.clients.most)]
+        assert (await clients[-1].ask(call())).status == 200
+        assert len(w.node.clients.connections) <= w.node.clients.most
+        assert w.telemetry.count["clients.closed_idle"] >= 2 * w.node.clients.most
+        assert await clients[0].ended()
+
+
+@trio_test
+async def test_request_that_never_gets_whole_is_hung_up_on() -> None:
+    async with world(always(ok())) as w:
+        client = await w.client()
+        await client.send(call()[:40])
+        await until(lambda: any(not c.idle for c in w.node.clients.connections))
+        for connection in w.node.clients.connections:
+            connection.since -= 60.0
+        assert await client.ended()
+        assert w.telemetry.count["clients.slow"] == 1
