--- a/finchshelf/node/core.py
+++ b/finchshelf/node/core.py
@@ -241,6 +241,7 @@
         request = attempt.exchange.request.id
         self.telemetry.holds(self.out.pop((request, attempt.number), None) is not None, "one_outcome")
         self.count[f"attempts.{item.status.value}"] += 1
+        self.count["attempts.settled"] += item.true_units > 0
         final = request not in self.live
         if item.answer is not None and not final:
             self.answer(request, item.answer, "out.served")
