A last resort in the core: one answer in time whatever is lost; a fault costs one event only

Danger met: an event that the module or the core can't take, or an outcome that never comes, left its client without an answer (Core.turn, Core.handle). Now the request is answered 502 by its time and the settings' slack, and the module is told that the client has gone. State is bounded: a request's time is at most its class's deadline.

--- a/finchshelf/node/clients.py
+++ b/finchshelf/node/clients.py
@@ -78,7 +78,8 @@
                 spread = max(1, whole(value, 1 << 20))
         headers = [(raw, value) for (raw, value), (plain, _)
                    in zip(event.headers.raw_items(), event.headers, strict=True) if plain not in NOT_PASSED]
-        request = i.Request(number, cls, plan, customer, came + budget / 1000, units, spread,
+        wait = min(budget / 1000, kind.deadline) if kind.deadline > 0 else budget / 1000
+        request = i.Request(number, cls, plan, customer, came + wait, units, spread,
                             told.get(b"x-again") == b"1")
         return Exchange(request, reply, event.method, event.target, headers, body)
 
--- a/finchshelf/node/core.py
+++ b/finchshelf/node/core.py
@@ -134,6 +134,8 @@
         self.sleeper: trio.lowlevel.Task | None = None
         self.timers: list[tuple[float, int, int]] = []
         self.live: dict[int, Exchange] = {}
+        self.ends: list[tuple[float, int]] = []
+        self.slack = config.settings.answer_slack
         self.out: dict[tuple[int, int], Attempt] = {}
         self.addresses: dict[str, Address] = {}
         self.last_id = self.timer_id = 0
@@ -188,7 +190,7 @@
             self.turn(batch)
 
     async def sleep(self) -> None:
-        due = self.timers[0][0] if self.timers else math.inf
+        due = min(self.timers[0][0] if self.timers else math.inf, self.next_end())
         if self.counter is not None:
             due = min(due, self.counter.next_expiry())
         if due == math.inf:
@@ -212,18 +214,49 @@
         if len(batch) > 1:
             batch.sort(key=lambda item: not isinstance(item, Listed))
         for item in batch:
-            self.take(item, now)
+            try:
+                self.take(item, now)
+            except Exception as error:  # Danger: one event that can't be taken would end every request
+                self.fault(item, error)
         if self.counter is not None:
             self.counter.expire(now)
-        while self.timers and self.timers[0][0] <= now:
-            self.handle(i.Timer(heapq.heappop(self.timers)[2]), now)
+        try:
+            while self.timers and self.timers[0][0] <= now:
+                self.handle(i.Timer(heapq.heappop(self.timers)[2]), now)
+            self.end_overdue(now)
+        except Exception as error:
+            self.fault(None, error)
         if self.counter is not None:
             self.counter.flush()
 
+    def next_end(self) -> float:
+        """When the next of the requests without an answer is overdue."""
+        ends = self.ends
+        while ends and ends[0][1] not in self.live:
+            heapq.heappop(ends)
+        return ends[0][0] if ends else math.inf
+
+    def end_overdue(self, now: float) -> None:
+        """The last resort: whatever was lost on the way, a client gets one answer in time."""
+        while self.next_end() <= now:
+            request = heapq.heappop(self.ends)[1]
+            self.telemetry.rare("overdue")
+            self.answer(request, FAILED, "out.failed")
+            self.handle(i.ClientGone(request), now)
+
+    def fault(self, item: Item | None, error: Exception) -> None:
+        self.telemetry.rare("core.error", error=repr(error), trace=traceback.format_exc(limit=-4))
+        if __debug__:
+            raise error
+        exchange = item.attempt.exchange if isinstance(item, Ended) else item
+        if isinstance(exchange, Exchange):
+            self.answer(exchange.request.id, FAILED, "out.failed")
+
     def take(self, item: Item, now: float) -> None:
         if isinstance(item, Exchange):
             self.count["in.requests"] += 1
             self.live[item.request.id] = item
+            heapq.heappush(self.ends, (item.request.until + self.slack, item.request.id))
             self.handle(item.request, now)
         elif isinstance(item, Ended):
             self.ended(item, now)
@@ -263,16 +296,7 @@
         self.handle(item.members, now)
 
     def handle(self, event: i.Event, now: float) -> None:
-        try:
-            actions = self.limiter.handle(event, now)
-        except Exception as error:  # Danger: one event that the module can't take would end every request
-            self.telemetry.rare("module.error", error=repr(error), trace=traceback.format_exc(limit=-4))
-            if __debug__:
-                raise
-            if isinstance(event, i.Request | i.Outcome):
-                self.answer(event.id, FAILED, "out.failed")
-            return
-        self.act(actions, now)
+        self.act(self.limiter.handle(event, now), now)
         tripped = now < self.limiter.breaker.open_until
         if tripped is not self.tripped:
             self.tripped = tripped
