--- a/finchshelf/node/telemetry.py
+++ b/finchshelf/node/telemetry.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import os
+import select
 import time
 from collections import defaultdict
 from typing import Any
@@ -14,6 +15,7 @@
 import orjson
 
 LOG_TO = 2
+LONGEST = 1500  # characters of a text in a line; of a longer one the end is kept
 RARE = 1.0  # s between two lines of the same event where a fault repeats itself
 
 
@@ -24,12 +26,18 @@
         self.last: dict[str, float] = {}
 
     def log(self, event: str, **fields: Any) -> None:
-        line = orjson.dumps({"at": round(time.time(), 3), "node": self.name, "event": event, **fields},
-                            default=str) + b"\n"
+        cut = {key: value[-LONGEST:] if isinstance(value, str) else value for key, value in fields.items()}
+        line = orjson.dumps({"at": round(time.time(), 3), "node": self.name, "event": event, **cut}) + b"\n"
+        # Danger: whoever reads the log stops reading, its pipe fills, and a write stops the whole node. A
+        # pipe that says it can be written takes a line of 4 KiB at once.
         try:
-            os.write(self.sink, line)
-        except OSError:  # Danger: a log that nobody takes must not stop the node
-            self.count["log.lost"] += 1
+            room = select.poll()
+            room.register(self.sink, select.POLLOUT)
+            if room.poll(0) and os.write(self.sink, line) == len(line):
+                return
+        except (OSError, ValueError):
+            pass
+        self.count["log.lost"] += 1
 
     def rare(self, event: str, **fields: Any) -> None:
         """Log an event that may come in masses: at most one line a second, all are counted."""
--- a/tests/test_node_core.py
+++ b/tests/test_node_core.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import subprocess
 import sys
 from collections.abc import Callable
@@ -205,3 +206,15 @@
     lost = Telemetry("n0", sink=-1)
     lost.log("start")
     assert lost.count["log.lost"] == 1
+
+
+def test_log_that_nobody_reads_does_not_stop_the_node() -> None:
+    reader, writer = os.pipe()
+    telemetry = Telemetry("n0", sink=writer)
+    for _ in range(200):
+        telemetry.log("error", trace="x" * 5000)
+    taken = os.read(reader, 1 << 20).splitlines()
+    assert telemetry.count["log.lost"] == 200 - len(taken) > 0
+    assert all(len(line) < 4096 and line.endswith(b"}") for line in taken)
+    os.close(reader)
+    os.close(writer)
