An agent that answers every watch at once is no longer asked without end

Danger found by reading: Discovery.run asked again at once after an answer that brought nothing new. Odd entries make a list bad, not the node.

--- a/finchshelf/node/discovery.py
+++ b/finchshelf/node/discovery.py
@@ -44,7 +44,7 @@
             servers.append(server)
             if server.state is not i.ServerState.GONE:
                 addresses[server.name] = address(entry["host_port"], "host_port")
-    except (KeyError, TypeError, ValueError, ConfigError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError, ArithmeticError, ConfigError) as error:
         raise BadList(f"no list of servers: {error!r}") from None
     kind = i.ListKind.CACHED if cached else i.ListKind.FULL if whole else i.ListKind.CHANGES
     return version, Listed(i.Members(kind, tuple(servers)), addresses)
@@ -87,11 +87,12 @@
     async def run(self) -> None:
         target, limit = "/v1/servers", FIRST
         while True:
+            began = trio.current_time()
             try:
                 with trio.fail_after(limit):
                     raw = await self.get(target)
                 version, news = listed(raw, self.config)
-            except (OSError, h11.ProtocolError, BadList, trio.TooSlowError, orjson.JSONDecodeError) as error:
+            except Exception as error:  # a broken connection, no HTTP, no list, silence: all the same here
                 self.hang_up()
                 self.tell(False, repr(error))
                 self.core.put(Listed(i.Members(i.ListKind.FAILED), {}))
@@ -105,6 +106,9 @@
                 if news.members.servers or news.members.kind is i.ListKind.FULL:
                     self.changed(news)
                     self.core.put(news)
+                if version == self.version:
+                    # Danger: an agent that answers a watch at once, with nothing new, is asked without end.
+                    await trio.sleep_until(began + PAUSE)
                 self.version = version
             if self.version >= 0:
                 target, limit = f"/v1/servers?after={self.version}&wait_ms={WAIT * 1000:.0f}", WAIT + GRACE
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -204,7 +204,7 @@
     def __init__(self, members: list[dict[str, Any]]) -> None:
         super().__init__()
         self.members, self.changes, self.version = members, list[dict[str, Any]](), 1
-        self.mode, self.targets = "well", list[str]()
+        self.mode, self.targets, self.waits = "well", list[str](), True
         self.news = trio.Event()
 
     def change(self, *entries: dict[str, Any]) -> None:
@@ -228,7 +228,7 @@
         whole = "after=" not in target
         if not whole:
             after = int(target.partition("after=")[2].partition("&")[0])
-            if after >= self.version:
+            if after >= self.version and self.waits:
                 with trio.move_on_after(float(target.partition("wait_ms=")[2]) / 1000):
                     await self.news.wait()
                 if self.mode != "well":
--- a/tests/test_node_discovery.py
+++ b/tests/test_node_discovery.py
@@ -74,6 +74,19 @@
         nursery.cancel_scope.cancel()
 
 
+@trio_test
+async def test_agent_that_never_waits_is_not_asked_without_end() -> None:
+    async with trio.open_nursery() as nursery:
+        agent = Agent([NEAR])
+        await agent.start(nursery)
+        agent.waits = False
+        settings = config(agent.address)
+        nursery.start_soon(Discovery(Kept(settings, Clock(), Quiet()), settings).run)
+        await trio.sleep(0.55)
+        assert 2 <= len(agent.targets) <= 8
+        nursery.cancel_scope.cancel()
+
+
 @trio_test
 async def test_no_agent_at_start_leaves_the_known_list() -> None:
     async with trio.open_nursery() as nursery:
@@ -117,6 +130,8 @@
     None, [], {}, {"revision": 1, "complete": True}, {"revision": "1", "complete": True, "members": []},
     {"revision": 1, "complete": 1, "members": []},
     {"revision": 1, "complete": True, "members": [{"id": "a"}]},
+    {"revision": 1, "complete": True, "members": ["a"]},
+    {"revision": 1, "complete": True, "members": [{**NEAR, "cell": float("inf")}]},
     {"revision": 1, "complete": True, "members": [entry("a", config().listen, "ASLEEP")]},
     {"revision": 1, "complete": True, "members": [{**NEAR, "host_port": "some.name:80"}]},
     {"revision": 1, "complete": True, "members": [{**NEAR, "size": "large"}]},
