A client's connection reads on in a loop, not by recursion; its faults do not reach the core

Dangers found by reading: many requests in one write ended in a RecursionError, in the core's turn if one of them waited for an answer (Connection.sent); bytes that came while a 100 Continue was still being written lay unread; connections coming up were not counted as descriptors (Servers.open_one); addresses of servers that are gone were kept. Making room looks at one connection, not all. Each with a test.

--- a/finchshelf/node/clients.py
+++ b/finchshelf/node/clients.py
@@ -9,6 +9,7 @@
 
 import errno
 import math
+from binascii import unhexlify
 from collections.abc import Callable
 from functools import lru_cache
 
@@ -93,7 +94,7 @@
 def hexadecimal(text: bytes) -> int:
     try:
         if len(text) == 16:
-            return int(text, 16)
+            return int.from_bytes(unhexlify(text))
     except ValueError:
         pass
     raise BadRequest("customer")
@@ -156,7 +157,7 @@
     def advance(self) -> None:
         """Read as far as what has come goes; a whole request goes to the core."""
         try:
-            while self.exchange is None and not self.closing:
+            while self.exchange is None and not self.closing and not self.writing:
                 event = self.http.next_event()
                 if event is h11.NEED_DATA:
                     if self.http.they_are_waiting_for_100_continue:
@@ -190,12 +191,25 @@
             # Danger: requests that came while this process stood still look fresh, and are sent on for
             # clients who have given up. The kernel knows when the last byte came.
             now -= self.stream.quiet_for()
-        exchange = clients.reader.call(head, body, clients.core.next_id(), now, self.reply)
+        exchange = clients.reader.call(head, body, clients.core.next_id(), now, self.answered)
         self.exchange = exchange
         clients.core.put(exchange)
 
+    def answered(self, answer: Answer) -> None:
+        """Take the final answer in the core's turn: write it, and read what has come meanwhile."""
+        try:
+            self.reply(answer)
+            self.read_on()
+        except Exception as error:  # Danger: a fault of one connection must not reach the core's turn
+            self.clients.telemetry.rare("clients.error", error=repr(error))
+            self.stream.hang_up()
+
+    def read_on(self) -> None:
+        if not (self.idle or self.closing or self.writing):
+            self.advance()
+
     def reply(self, answer: Answer, close: bool = False) -> None:
-        """Write an answer without waiting; then read on, or end."""
+        """Write an answer without waiting, as far as the kernel takes it."""
         http, clients = self.http, self.clients
         self.exchange = None
         if self.closing:
@@ -211,9 +225,8 @@
             return self.stream.hang_up()
         self.since = clients.core.clock.now()
         self.closing = close or http.our_state is not h11.DONE
-        if not self.send(data):
-            return
-        self.sent()
+        if self.send(data):
+            self.sent()
 
     def send(self, data: bytes) -> bool:
         try:
@@ -235,9 +248,12 @@
                 await self.stream.send(data)
             if not slow.cancelled_caught:
                 self.writing = False
-                return self.sent()
+                self.sent()
+                return self.read_on()
         except (OSError, trio.ClosedResourceError):
             pass
+        except Exception as error:  # Danger: what nobody thought of must not end the node
+            self.clients.telemetry.rare("clients.error", error=repr(error))
         self.clients.count["clients.broken"] += 1
         self.stream.hang_up()
 
@@ -248,8 +264,6 @@
             return  # that was a 100 Continue
         self.http.start_next_cycle()
         self.idle = not self.http.trailing_data[0]
-        if not self.idle:
-            self.advance()
 
 
 class Clients:
@@ -292,13 +306,13 @@
 
     def make_room(self) -> bool:
         """Hang up on the connection that has been idle for longest: its client opens another if it must."""
-        unused = (c for c in self.connections if c.idle and c.stream.silent())
-        idle = min(unused, key=lambda c: c.since, default=None)
-        if idle is not None:
-            idle.idle = False
-            idle.stream.hang_up()
-            self.count["clients.closed_idle"] += 1
-        return idle is not None
+        for connection in sorted((c for c in self.connections if c.idle), key=lambda c: c.since):
+            if connection.stream.silent():
+                connection.idle = False
+                connection.stream.hang_up()
+                self.count["clients.closed_idle"] += 1
+                return True
+        return False
 
     def hang_up_idle(self, older_than: float = math.inf) -> None:
         """The planned end: idle connections go, and so do those whose client does not end its side."""
@@ -318,5 +332,5 @@
             for connection in list(self.connections):
                 limit = LINGER if connection.closing and not connection.writing else SLOW_READ
                 if not connection.idle and connection.exchange is None and connection.since < now - limit:
-                    self.count["clients.slow"] += 1
+                    self.count["clients.slow"] += not connection.closing
                     connection.stream.hang_up()
--- a/finchshelf/node/core.py
+++ b/finchshelf/node/core.py
@@ -290,6 +290,8 @@
         for server in item.members.servers:
             if server.state is not i.ServerState.READY and server.name in self.addresses:
                 self.servers.forget(self.addresses[server.name])
+                if server.state is i.ServerState.GONE:
+                    del self.addresses[server.name]
         for name in before.keys() - self.addresses.keys():
             self.servers.forget(before[name])
         self.listed |= bool(self.addresses)
--- a/finchshelf/node/servers.py
+++ b/finchshelf/node/servers.py
@@ -86,7 +86,6 @@
         return True
 
 
-
 class Servers:
     def __init__(self, core: Core, config: Config, nursery: trio.Nursery) -> None:
         self.core, self.nursery, self.clock = core, nursery, core.clock
@@ -131,9 +130,12 @@
         if self.open >= self.most:
             self.close_oldest()
         self.count["servers.opened"] += 1
-        stream = await net.connect(address)
-        self.open += 1
-        return Connection(address, stream, self.clock.now())
+        self.open += 1  # one that is coming up holds a descriptor too
+        try:
+            return Connection(address, await net.connect(address), self.clock.now())
+        except BaseException:
+            self.open -= 1
+            raise
 
     def close(self, connection: Connection) -> None:
         self.open -= 1
--- a/tests/test_node_clients.py
+++ b/tests/test_node_clients.py
@@ -9,7 +9,9 @@
 
 from finchshelf.admission import interface as i
 from finchshelf.node import net
-from tests.stand_ins import Got, always, call, ok, trio_test, until, world
+from finchshelf.node.clients import Connection
+from finchshelf.node.core import Answer
+from tests.stand_ins import Got, World, always, call, ok, trio_test, until, world
 from tests.stand_ins import status as answer_of
 
 
@@ -218,3 +220,64 @@
         w.node.clients.hang_up_idle()
         assert not w.node.clients.make_room()
         assert (await client.receive()).body == b"here"
+
+
+@trio_test
+async def test_flood_of_requests_in_one_write_harms_nobody() -> None:
+    async with world(always(ok(b"here"))) as w:
+        flood, other = await w.client(), await w.client()
+        health = b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
+        await flood.send(call() + health * 1500)
+        for _ in range(1501):
+            assert (await flood.receive()).status == 200
+        assert (await other.ask(call())).body == b"here"
+        assert not [line for line in w.telemetry.lines if "error" in line[0]]
+
+
+@trio_test
+async def test_fault_in_answering_one_client_does_not_reach_the_core(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def hold_posts(got: Got) -> bytes | None:
+        if got.method == b"POST":
+            await trio.sleep_forever()
+        return ok(b"here")
+
+    async with world(hold_posts, hold_posts) as w:
+        bad, other = await w.client(), await w.client()
+        sound = Connection.reply
+
+        def faulty(self: Connection, answer: Answer, close: bool = False) -> None:
+            if answer.headers and answer.headers[-1][0] == b"X-Odd":
+                raise RuntimeError("odd")
+            sound(self, answer, close)
+
+        monkeypatch.setattr(Connection, "reply", faulty)
+        await bad.send(call("post"))
+        connection = await busy(w)
+        connection.answered(Answer(200, [(b"X-Odd", b"1")]))
+        assert await bad.ended()
+        assert (await other.ask(call())).body == b"here"
+        assert w.telemetry.count["clients.error"] == 1
+
+
+async def busy(w: World) -> Connection:
+    await until(lambda: any(c.exchange for c in w.node.clients.connections))
+    return next(c for c in w.node.clients.connections if c.exchange)
+
+
+@trio_test
+async def test_continue_that_the_kernel_takes_late_keeps_the_body(monkeypatch: pytest.MonkeyPatch) -> None:
+    whole, first = net.Stream.send_now, [True]
+
+    def late(self: net.Stream, data: bytes) -> int:
+        if data.startswith(b"HTTP/1.1 100") and first:
+            first.clear()
+            return 0
+        return whole(self, data)
+
+    monkeypatch.setattr(net.Stream, "send_now", late)
+    async with world(always(ok(b"done"))) as w:
+        client = await w.client()
+        await client.send(call("post", body=b"abcdef", extra=("Expect: 100-continue",))[:-6])
+        assert (await client.stream.receive_some()).startswith(b"HTTP/1.1 100")
+        await client.send(b"abcdef")
+        assert (await client.receive()).body == b"done"
--- a/tests/test_node_core.py
+++ b/tests/test_node_core.py
@@ -122,6 +122,14 @@
     assert servers.forgotten == [ADDRESS] and not core.addresses
 
 
+@pytest.mark.parametrize(("state", "left"), [(i.ServerState.DRAINING, True), (i.ServerState.GONE, False)])
+def test_change_of_one_server_is_kept_apart_from_the_others(state: i.ServerState, left: bool) -> None:
+    core, servers, _ = made(lambda event: [])
+    changed = i.Members(i.ListKind.CHANGES, (i.Server("s0", 0, 0, 0, state, 1.0, 0.0),))
+    core.turn([Listed(changed, {"s0": ADDRESS} if left else {})])
+    assert servers.forgotten == [ADDRESS] and ("s0" in core.addresses) is left
+
+
 def test_refusal_is_429_with_a_time_and_failure_502() -> None:
     answers: list[Answer] = []
     core, _, _ = made(lambda e: [i.Refuse(e.id, 0.25)] if isinstance(e, i.Request) and e.id % 2 else
--- a/tests/test_node_servers.py
+++ b/tests/test_node_servers.py
@@ -154,7 +154,10 @@
     monkeypatch.setattr(net, "connect", hang)
     async with bench(always(ok())) as b:
         began = trio.current_time()
-        assert (await b.run()).status is i.Status.UNREACHABLE
+        b.start()
+        await until(lambda: b.servers.open == 1)  # one that is coming up holds a descriptor too
+        assert (await b.end()).status is i.Status.UNREACHABLE
+        assert b.servers.open == 0
         assert 0.2 < trio.current_time() - began < 2.0
         assert (await b.run(limit=0.05)).status is i.Status.UNREACHABLE
 
