--- a/finchshelf/node/core.py
+++ b/finchshelf/node/core.py
@@ -288,10 +288,10 @@
         before = self.addresses
         self.addresses = dict(item.addresses) if kept else {**before, **item.addresses}
         for server in item.members.servers:
-            if server.state is not i.ServerState.READY and server.name in self.addresses:
+            if server.state is i.ServerState.GONE:
+                self.addresses.pop(server.name, None)
+            elif server.state is i.ServerState.DRAINING:
                 self.servers.forget(self.addresses[server.name])
-                if server.state is i.ServerState.GONE:
-                    del self.addresses[server.name]
         for name in before.keys() - self.addresses.keys():
             self.servers.forget(before[name])
         self.listed |= bool(self.addresses)
