--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -77,6 +77,7 @@
 
     def __init__(self) -> None:
         self.connections = 0
+        self.dead = False
         self.open: list[trio.SocketStream] = []
 
     async def start(self, nursery: trio.Nursery) -> None:
@@ -95,7 +96,8 @@
         number, self.connections = self.connections, self.connections + 1
         self.open.append(stream)
         try:
-            await self.talk(stream, number)
+            if not self.dead:
+                await self.talk(stream, number)
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError, h11.ProtocolError):
             pass
         finally:
@@ -105,6 +107,13 @@
     async def talk(self, stream: trio.SocketStream, number: int) -> None:
         raise NotImplementedError
 
+    async def die(self) -> None:
+        """Refuse new connections and end those there are, also those that are only now being met."""
+        self.dead = True
+        await self.refuse()
+        for stream in list(self.open):
+            await stream.aclose()
+
     async def refuse(self) -> None:
         """Stop listening: what has connected stays."""
         self.listening.cancel()
--- a/tests/test_node_counter.py
+++ b/tests/test_node_counter.py
@@ -86,9 +86,7 @@
 @trio_test
 async def test_refused_connection_has_added_nothing() -> None:
     async with bench() as b:
-        await b.service.refuse()
-        for stream in list(b.service.open):
-            await stream.aclose()
+        await b.service.die()
         await until(lambda: not any(line.stream for line in b.counter.lines))
         b.call(4)
         b.call(4)
--- a/tests/test_node_trouble.py
+++ b/tests/test_node_trouble.py
@@ -73,9 +73,7 @@
 async def test_dead_counter_leaves_customers_their_share() -> None:
     async with world(always(ok(b"served")), always(ok(b"served"))) as w:
         client = await w.client()
-        await w.counter.refuse()
-        for stream in list(w.counter.open):
-            await stream.aclose()
+        await w.counter.die()
         await until(lambda: not w.node.counter or not w.node.counter.up)
         replies = [await client.ask(call()) for _ in range(12)]
         assert all(reply.status == 200 for reply in replies)
