--- a/finchshelf/node/clients.py
+++ b/finchshelf/node/clients.py
@@ -22,11 +22,26 @@
 from finchshelf.node.core import Answer, Core, Exchange, Headers
 from finchshelf.node.servers import HOP_BY_HOP
 
-SLOW_READ = 10.0  # s for the rest of a request whose first byte has come, and for an answer to be taken
+SLOW_READ = 2.0  # s for the rest of a request whose first byte has come
+SILENT = 2.2  # s that a new connection may say nothing: it may not be closed before 2 s, and must be by 3 s
+KEPT = 4.0  # s that a connection is kept after an answer: some clients ask once and stay for good
+SLOW_WRITE = 10.0  # s for an answer to be taken
 LINGER = 0.3  # s that a client has to end its side after the last answer on a connection
+LAST_READ = 1.5  # s that a client which still sends has to read why nothing of that is wanted
+LOOK = 0.25  # s between two looks for connections that are past one of these times
+PACE = 0.005  # s between two reads of what is thrown away
+MOST_AHEAD = 32768  # bytes read of what comes behind a request before that has its answer
+MOST_PARTS = 4096  # chunks of a body: more are sent to keep this node busy
+YOUNG, HALF, IDLE = 0.05, 1.0, 2.0  # s of silence, of half a request, of idling, from which one makes room
 NOT_PASSED = HOP_BY_HOP | {b"x-budget-ms", b"x-metering", b"expect"}
 MOST_BUDGET = 3_600_000
+MOST_CUSTOMER = 1 << 33
+MOST_ID = 64
+# Danger: of two of these one would be read here and the other behind us.
+ONCE = frozenset((b"host", b"content-length", b"transfer-encoding", b"x-call-id", b"x-call-class",
+                  b"x-contract", b"x-budget-ms", b"x-metering", b"x-again", b"idempotency-key"))
 EMPTY = h11.EndOfMessage()
+TOO_SLOW = Answer(408, [(b"Content-Length", b"0")])
 CONTINUE = h11.InformationalResponse(status_code=100, headers=[])
 
 
@@ -53,6 +68,20 @@
         self.classes = {name.encode(): n for n, name in enumerate(config.around.classes)}
         self.plans = {name.encode(): n for n, name in enumerate(config.around.plans)}
 
+    def head(self, event: h11.Request) -> dict[bytes, bytes]:
+        """What any head must keep to, so that its body has one length only and that is not too much."""
+        told = dict(event.headers)
+        if len(told) < len(event.headers):
+            names = [name for name, _ in event.headers if name in ONCE]
+            if len(set(names)) < len(names):
+                raise BadRequest("a header twice")
+        if b"transfer-encoding" in told and (b"content-length" in told or event.http_version < b"1.1"):
+            # Danger: by one of the two lengths the body holds another request; whoever reads it so runs that.
+            raise BadRequest("two lengths")
+        if whole(told.get(b"content-length", b"0"), math.inf, 20) > net.MOST_BODY:
+            raise BadRequest("body too large", 413)
+        return told
+
     def call(self, event: h11.Request, body: bytes, number: int, came: float,
              reply: Callable[[Answer], None]) -> Exchange:
         told = dict(event.headers)
@@ -67,34 +96,47 @@
             raise BadRequest("method")
         if kind.effect is i.Effect.KEYED and not told.get(b"idempotency-key"):
             raise BadRequest("key")
-        if not told.get(b"x-call-id"):
+        if not 0 < len(told.get(b"x-call-id", b"")) <= MOST_ID:
             raise BadRequest("id")
-        budget, customer = whole(told.get(b"x-budget-ms"), MOST_BUDGET), hexadecimal(path[-1])
-        units, spread = 1, self.settings.limiters
-        for pair in told.get(b"x-metering", b"").split(b","):
-            key, _, value = pair.strip().partition(b"=")
-            if key == b"units":
-                units = max(1, whole(value, 1 << 20))
-            elif key == b"spread":
-                spread = max(1, whole(value, 1 << 20))
+        budget, customer = min(whole(told.get(b"x-budget-ms")), MOST_BUDGET), hexadecimal(path[-1])
+        units, spread = self.metering(told.get(b"x-metering", b""))
         headers = [(raw, value) for (raw, value), (plain, _)
                    in zip(event.headers.raw_items(), event.headers, strict=True) if plain not in NOT_PASSED]
         wait = min(budget / 1000, kind.deadline) if kind.deadline > 0 else budget / 1000
         request = i.Request(number, cls, plan, customer, came + wait, units, spread,
                             told.get(b"x-again") == b"1")
-        return Exchange(request, reply, event.method, event.target, headers, body)
+        return Exchange(request, reply, event.method, event.target, headers, body, told[b"x-call-id"])
+
+    def metering(self, text: bytes) -> tuple[int, int]:
+        """Units and the customer's set; one unit of a set of all where nothing is said."""
+        units, spread, limiters = 1, self.settings.limiters, max(1, self.settings.limiters)
+        for pair in text.split(b",") if text else ():
+            key, _, value = pair.strip().partition(b"=")
+            # Danger: a wrong amount in a usual customer's name would be counted against its quota.
+            if key == b"units":
+                units = whole(value, self.settings.max_units or math.inf)
+            elif key == b"spread":
+                spread = whole(value, limiters)
+            elif key == b"first" and whole(value) >= limiters:
+                raise BadRequest("first")
+        if not (units and spread):
+            raise BadRequest("units or spread")
+        return units, spread
 
 
-def whole(text: bytes | None, most: int) -> int:
-    if text is None or not text.isdigit() or len(text) > 12:
+def whole(text: bytes | None, most: float = math.inf, digits: int = 12) -> int:
+    """A whole number of `most` at the most; anything else is no call."""
+    if text is None or not text.isdigit() or len(text) > digits or int(text) > most:
         raise BadRequest("a whole number")
-    return min(int(text), most)
+    return int(text)
 
 
 def hexadecimal(text: bytes) -> int:
     try:
         if len(text) == 16:
-            return int.from_bytes(unhexlify(text))
+            customer = int.from_bytes(unhexlify(text))
+            if customer < MOST_CUSTOMER:
+                return customer
     except ValueError:
         pass
     raise BadRequest("customer")
@@ -104,35 +146,53 @@
     """One client's connection: a task that reads for as long as it lives; the core's turn writes answers.
 
     `idle`: no byte of a request has come since the last answer. `since`: when that or the rest last changed.
+    `fresh`: nothing has been answered on it yet. `ahead`: bytes read behind a request that has no answer.
     """
 
-    __slots__ = ("clients", "closing", "ended", "exchange", "head", "http", "idle", "parts", "since", "size",
-                 "stream", "writing")
+    __slots__ = ("ahead", "clients", "closing", "ended", "exchange", "fresh", "head", "http", "idle", "parts",
+                 "resume", "since", "size", "stream", "writing")
 
     def __init__(self, clients: Clients, stream: net.Stream, now: float) -> None:
         self.clients, self.stream, self.since, self.idle = clients, stream, now, True
         self.http = h11.Connection(h11.SERVER)
         self.head: h11.Request | None = None
         self.parts: list[bytes] = []
-        self.size = 0
+        self.size = self.ahead = 0
         self.exchange: Exchange | None = None
+        self.resume: trio.Event | None = None
+        self.fresh = True
         self.closing = self.writing = self.ended = False
 
     async def run(self) -> None:
         clients = self.clients
         try:
             while not self.ended:
-                data = await self.stream.receive()
                 if self.closing:
-                    if not data:
+                    # Danger: what is not read makes the kernel reset the connection, and a client that still
+                    # sends would not see its answer. Read in gulps, so that nobody keeps this node busy.
+                    if not await self.stream.discard():
                         break
+                    await trio.sleep(PACE)
+                    continue
+                if self.ahead > MOST_AHEAD and (self.exchange is not None or self.writing):
+                    # Danger: requests in masses behind one another would fill memory. The kernel holds them.
+                    self.resume = trio.Event()
+                    await self.resume.wait()
+                    continue
+                data = await self.stream.receive()
+                if self.closing:
+                    self.ended = not data
                 elif self.exchange is not None or self.writing:
-                    self.ahead(data)
+                    self.ended = not data  # the client has gone; more is its next request, for h11's buffer
+                    self.ahead += len(data)
+                    self.http.receive_data(data)
                 elif not data and self.head is None and not self.http.trailing_data[0]:
                     break
                 else:
                     if self.idle:
-                        self.idle, self.since = False, clients.core.clock.now()
+                        self.idle = False
+                        # Danger: by its silence and then half a request a new connection would get two times.
+                        self.since = self.since if self.fresh else clients.core.clock.now()
                     self.http.receive_data(data)
                     self.advance()
         except (OSError, trio.ClosedResourceError):
@@ -142,20 +202,20 @@
         finally:
             if self.exchange is not None:
                 clients.core.put(i.ClientGone(self.exchange.request.id))
-                self.exchange = None
+            self.release()
             clients.connections.discard(self)
             self.closing = True
             self.stream.close()
 
-    def ahead(self, data: bytes) -> None:
-        """While a request waits: an end is the client's going; more is its next request, for h11's buffer."""
-        if not data or len(self.http.trailing_data[0]) + len(data) > 2 * net.MOST_BODY:
-            self.ended = True
-        else:
-            self.http.receive_data(data)
+    def release(self) -> None:
+        """The request on this connection is over: its id may come again."""
+        if self.exchange is not None:
+            self.clients.ids.discard(self.exchange.key)
+            self.exchange = None
 
     def advance(self) -> None:
         """Read as far as what has come goes; a whole request goes to the core."""
+        self.ahead = 0
         try:
             while self.exchange is None and not self.closing and not self.writing:
                 event = self.http.next_event()
@@ -165,10 +225,11 @@
                     return
                 if isinstance(event, h11.Request):
                     self.head, self.idle = event, False
+                    self.clients.reader.head(event)
                 elif isinstance(event, h11.Data):
                     self.parts.append(bytes(event.data))
                     self.size += len(event.data)
-                    if self.size > net.MOST_BODY:
+                    if self.size > net.MOST_BODY or len(self.parts) > MOST_PARTS:
                         raise BadRequest("body too large", 413)
                 elif isinstance(event, h11.EndOfMessage):
                     self.whole()
@@ -184,7 +245,7 @@
         head, body, clients = self.head, b"".join(self.parts), self.clients
         assert head is not None
         self.head, self.parts, self.size = None, [], 0
-        if head.target == b"/healthz":
+        if head.target == b"/healthz" and head.method == b"GET":
             return self.reply(clients.health())
         now = clients.core.clock.now()
         if clients.core.halted(now):
@@ -192,6 +253,10 @@
             # clients who have given up. The kernel knows when the last byte came.
             now -= self.stream.quiet_for()
         exchange = clients.reader.call(head, body, clients.core.next_id(), now, self.answered)
+        if exchange.key in clients.ids:
+            # Danger: a request under the id of another's is a second copy of that to whoever goes by ids.
+            raise BadRequest("id of an open request")
+        clients.ids.add(exchange.key)
         self.exchange = exchange
         clients.core.put(exchange)
 
@@ -200,10 +265,17 @@
         try:
             self.reply(answer)
             self.read_on()
+            self.wake()
         except Exception as error:  # Danger: a fault of one connection must not reach the core's turn
             self.clients.telemetry.rare("clients.error", error=repr(error))
+            self.wake()
             self.stream.hang_up()
 
+    def wake(self) -> None:
+        if self.resume is not None:
+            self.resume.set()
+            self.resume = None
+
     def read_on(self) -> None:
         if not (self.idle or self.closing or self.writing):
             self.advance()
@@ -211,7 +283,7 @@
     def reply(self, answer: Answer, close: bool = False) -> None:
         """Write an answer without waiting, as far as the kernel takes it."""
         http, clients = self.http, self.clients
-        self.exchange = None
+        self.release()
         if self.closing:
             return
         close = close or clients.draining or http.their_state is not h11.DONE
@@ -244,17 +316,19 @@
     async def send_rest(self, data: bytes) -> None:
         """What the kernel did not take at once: a client that reads slowly waits for it here."""
         try:
-            with trio.move_on_after(SLOW_READ) as slow:
+            with trio.move_on_after(SLOW_WRITE) as slow:
                 await self.stream.send(data)
             if not slow.cancelled_caught:
                 self.writing = False
                 self.sent()
-                return self.read_on()
+                self.read_on()
+                return self.wake()
         except (OSError, trio.ClosedResourceError):
             pass
         except Exception as error:  # Danger: what nobody thought of must not end the node
             self.clients.telemetry.rare("clients.error", error=repr(error))
         self.clients.count["clients.broken"] += 1
+        self.wake()
         self.stream.hang_up()
 
     def sent(self) -> None:
@@ -263,8 +337,32 @@
         if self.http.our_state is not h11.DONE:
             return  # that was a 100 Continue
         self.http.start_next_cycle()
+        self.fresh = False
         self.idle = not self.http.trailing_data[0]
 
+    def quiet(self, now: float) -> float:
+        """For how long nothing has been going on here; below 0 while a request waits or an answer is sent."""
+        return -1.0 if self.exchange is not None or self.writing else now - self.since
+
+    def spent(self, quiet: float) -> bool:
+        """Past its time, or of no further use."""
+        if self.closing:
+            return quiet > LAST_READ
+        return quiet > (SILENT if self.fresh else KEPT if self.idle else SLOW_READ)
+
+    def give_up(self) -> bool:
+        """End a connection on which no request waits, unless one has come and is not yet read."""
+        if self.idle:
+            # Danger: a request that has come but is not yet read would be lost with its connection.
+            if not self.stream.silent():
+                return False
+            self.idle = False
+        elif not self.closing:  # half a request: its client may still read why that was not enough
+            self.clients.count["clients.slow"] += 1
+            self.reply(TOO_SLOW, True)
+        self.stream.hang_up()
+        return True
+
 
 class Clients:
     def __init__(self, core: Core, config: Config, nursery: trio.Nursery, ready: Callable[[], bool]) -> None:
@@ -274,6 +372,7 @@
         # Each request may want a socket to a server; some more are for the counter, discovery and the log.
         self.most = max(8, (config.descriptors - 32) // 2)
         self.connections: set[Connection] = set()
+        self.ids: set[bytes] = set()  # of the requests that wait for an answer
         self.draining = self.told_ready = False
 
     def health(self) -> Answer:
@@ -305,12 +404,23 @@
             self.nursery.start_soon(connection.run)
 
     def make_room(self) -> bool:
-        """Hang up on the connection that has been idle for longest: its client opens another if it must."""
-        for connection in sorted((c for c in self.connections if c.idle), key=lambda c: c.since):
-            if connection.stream.silent():
-                connection.idle = False
-                connection.stream.hang_up()
-                self.count["clients.closed_idle"] += 1
+        """Hang up on what is likeliest to be of no use; its client opens another connection if it must."""
+        now, found = self.core.clock.now(), list[tuple[int, float, Connection]]()
+        for connection in self.connections:
+            quiet, kind = connection.quiet(now), 3
+            if connection.closing:
+                kind, least = 0, LINGER
+            elif connection.fresh and connection.idle:
+                kind, least = 1, YOUNG
+            elif connection.idle:
+                least = IDLE
+            else:
+                kind, least = 2, HALF
+            if quiet > least:
+                found.append((kind, -quiet, connection))
+        for kind, _, connection in sorted(found, key=lambda one: one[:2]):
+            if connection.give_up():
+                self.count["clients.closed_idle" if kind == 3 else "clients.closed_silent"] += kind > 0
                 return True
         return False
 
@@ -319,18 +429,14 @@
         lingering = self.core.clock.now() - LINGER
         for connection in list(self.connections):
             ending = connection.closing and not connection.writing and connection.since < lingering
-            # Danger: a request that has come but is not yet read would be lost with its connection.
-            if ending or (connection.idle and connection.since < older_than and connection.stream.silent()):
-                connection.idle = False
-                connection.stream.hang_up()
+            if ending or (connection.idle and connection.since < older_than):
+                connection.give_up()
 
     async def sweep(self) -> None:
-        """Requests that never become whole, and clients that never close, must not hold descriptors."""
+        """Silence, requests that never get whole, clients that never close: none may hold descriptors."""
         while True:
-            await trio.sleep(1.0)
+            await trio.sleep(LOOK)
             now = self.core.clock.now()
             for connection in list(self.connections):
-                limit = LINGER if connection.closing and not connection.writing else SLOW_READ
-                if not connection.idle and connection.exchange is None and connection.since < now - limit:
-                    self.count["clients.slow"] += not connection.closing
-                    connection.stream.hang_up()
+                if connection.spent(connection.quiet(now)):
+                    connection.give_up()
--- a/finchshelf/node/core.py
+++ b/finchshelf/node/core.py
@@ -61,6 +61,7 @@
     target: bytes
     headers: Headers
     body: bytes
+    key: bytes = b""
     attempts: int = 0
 
 
--- a/finchshelf/node/net.py
+++ b/finchshelf/node/net.py
@@ -16,6 +16,7 @@
 
 CHUNK = 65536
 MOST_BODY = 65536
+NOWHERE = bytearray(1 << 20)  # Linux writes nothing to it: MSG_TRUNC says how much was thrown away
 LAST_RECEIVED = 52  # where Linux's tcp_info has the milliseconds since data last came
 
 
@@ -42,6 +43,15 @@
             except BlockingIOError:
                 continue
 
+    async def discard(self) -> int:
+        """Throw away what has come, without a look at it; 0 at the end."""
+        while True:
+            await trio.lowlevel.wait_readable(self.sock)
+            try:
+                return self.sock.recv_into(NOWHERE, 0, socket.MSG_TRUNC)
+            except BlockingIOError:
+                continue
+
     def send_now(self, data: bytes) -> int:
         """How much of it the kernel took without waiting."""
         try:
