--- a/finchshelf/__main__.py
+++ b/finchshelf/__main__.py
@@ -1,7 +1,7 @@
 """Starts and ends one node: configuration, parts, signals.
 
-Owns the order of start and of a planned end (SIGTERM). It must never know what a request is: parts talk to
-each other through the core's queue, and this file only puts them together.
+Owns the order of start, of a new configuration (SIGHUP) and of a planned end (SIGTERM). It must never know
+what a request is: parts talk to each other through the core's queue, and this file only puts them together.
 """
 
 from __future__ import annotations
@@ -23,6 +23,7 @@
 from finchshelf.node.servers import Servers
 from finchshelf.node.telemetry import Telemetry
 
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP)
 LAST_CALLS = 0.5  # s after SIGTERM in which new connections are still taken
 LAST_WORD = 0.3  # s more for the first request on a connection taken late
 LOOK = 0.02  # s between two looks at what is still to be answered
@@ -56,7 +57,7 @@
         clients = Clients(core, config, parts, lambda: core.listed and discovery.asked)
         listener = await net.listen(config.listen)
         address = Address(*listener.getsockname()[:2])
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGUSR1) as signals:
+        with trio.open_signal_receiver(*SIGNALS) as signals:
             discovery.begin()
             for task in (core.run, core.beat, servers.sweep, clients.sweep, discovery.run):
                 parts.start_soon(task)
@@ -69,12 +70,15 @@
             gc.freeze()
             gc.set_threshold(COLLECT_EVERY, 20, 50)
             async for number in signals:
-                if number != signal.SIGUSR1:
-                    break
-                telemetry.counters("asked", **node.now())
-            telemetry.log("ending", unanswered=len(core.live), connections=len(clients.connections))
-            await end(clients, core, listener, accepting)
-        parts.cancel_scope.cancel()
+                if number == signal.SIGUSR1:
+                    telemetry.counters("asked", **node.now())
+                elif number == signal.SIGHUP:
+                    reload(node, telemetry)
+                elif not clients.draining:
+                    clients.draining = True
+                    telemetry.log("ending", unanswered=len(core.live), connections=len(clients.connections))
+                    # Signals are still listened to: what is unanswered needs the counter where it is by now.
+                    parts.start_soon(finish, node, listener, accepting, parts.cancel_scope)
     telemetry.counters("exit", **node.now())
     telemetry.log("exit", unanswered=len(core.live))
 
@@ -84,10 +88,29 @@
         await clients.accept(listener)
 
 
+def reload(node: Node, telemetry: Telemetry) -> None:
+    """Take discovery's and the counter's address from the file as it is now; all else lives on."""
+    try:
+        config = load()
+    except ConfigError as error:
+        telemetry.log("reload", state="kept the old", error=str(error))
+        return
+    telemetry.count["reloads"] += 1
+    telemetry.log("reload", state="taken", discovery=str(config.discovery), counter=str(config.counter or ""))
+    node.discovery.move(config.discovery)
+    if node.counter is not None and config.counter is not None:
+        node.counter.move(config.counter)
+
+
+async def finish(node: Node, listener: trio.socket.SocketType, accepting: trio.CancelScope,
+                 parts: trio.CancelScope) -> None:
+    await end(node.clients, node.core, listener, accepting)
+    parts.cancel()
+
+
 async def end(clients: Clients, core: Core, listener: trio.socket.SocketType,
               accepting: trio.CancelScope) -> None:
     """Answer what is here and what still comes, then leave."""
-    clients.draining = True
     clients.hang_up_idle()
     await trio.sleep(LAST_CALLS)
     accepting.cancel()
@@ -100,6 +123,8 @@
 
 
 def main() -> int:
+    # Danger: SIGHUP kills whoever does not listen yet, or no longer does while the interpreter ends.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         config = load()
     except ConfigError as error:
--- a/finchshelf/node/counter.py
+++ b/finchshelf/node/counter.py
@@ -40,8 +40,10 @@
 class Line:
     """One connection: calls not yet written, and those whose answer has not come, in order."""
 
-    def __init__(self, owner: Counter) -> None:
-        self.owner = owner
+    def __init__(self, owner: Counter, address: Address) -> None:
+        self.owner, self.address = owner, address
+        self.retired = False  # the counter has moved: this line takes no new calls
+        self.before: list[Line] = []  # lines to a former address that still have calls of the same names out
         self.todo: deque[Call] = deque()
         self.out: deque[Call | None] = deque()  # None: a ping
         self.wanted = trio.Event()
@@ -52,14 +54,19 @@
         self.writable = trio.Event()
 
     async def run(self) -> None:
-        """Connect when there is something to say; one connection after another, for ever."""
+        """Connect when there is something to say; one connection after another, until the counter moves."""
         while True:
             await self.wanted.wait()
+            if self.retired:
+                return
             with trio.move_on_after(self.owner.connect_limit):
                 with suppress(OSError):
-                    self.stream = await net.connect(self.owner.address)
+                    self.stream = await net.connect(self.address)
             if self.stream is None:
                 self.owner.count["counter.no_connection"] += 1
+            elif self.retired:
+                self.stream.close()
+                self.stream = None
             else:
                 self.heard = self.owner.core.clock.now()
                 self.owner.lines_changed()
@@ -75,6 +82,20 @@
                 self.stream = None
             self.fail()
             self.owner.lines_changed()
+            if self.retired:
+                return
+
+    def busy(self) -> bool:
+        return any(call is not None and not call.done for call in self.out)
+
+    def retire(self, heir: Line) -> None:
+        """The counter has moved: calls that are out end here, what was not written goes by the heir."""
+        self.retired = True
+        heir.todo.extend(self.todo)
+        self.todo.clear()
+        # Danger: a total from the new address would be read as that of an older call for the same name.
+        heir.before = [line for line in (*self.before, self) if line.busy()]
+        self.wanted.set()
 
     def fail(self) -> None:
         """There is no connection: what was written may have been added, the rest has not been."""
@@ -92,6 +113,9 @@
             if self.todo:
                 self.wanted.set()
             return
+        self.before = [line for line in self.before if line.busy()]
+        if self.before:
+            return
         batch = [call for call in self.todo if not call.done]
         self.todo.clear()
         if not batch:
@@ -188,11 +212,12 @@
 
 class Counter:
     def __init__(self, core: Core, config: Config, address: Address, nursery: trio.Nursery) -> None:
-        self.core, self.address = core, address
+        self.core, self.address, self.nursery = core, address, nursery
         self.telemetry, self.count = core.telemetry, core.telemetry.count
         self.wait = config.settings.counter_wait
         self.connect_limit = config.around.connect_limit or 1.0
-        self.lines = [Line(self) for _ in range(LINES)]
+        self.lines = [Line(self, address) for _ in range(LINES)]
+        self.retiring: list[Line] = []
         self.asked: set[Line] = set()
         self.calls: deque[Call] = deque()
         self.up = False
@@ -200,6 +225,29 @@
             nursery.start_soon(line.run)
         nursery.start_soon(self.keep_up)
 
+    def move(self, address: Address) -> None:
+        """Call another address from now on."""
+        if address == self.address:
+            return
+        self.address, former = address, self.lines
+        self.lines = [Line(self, address) for _ in former]
+        self.asked.clear()
+        for line, heir in zip(former, self.lines, strict=True):
+            line.retire(heir)
+            self.retiring.append(line)
+            self.nursery.start_soon(heir.run)
+        self.end_retired()
+
+    def end_retired(self) -> None:
+        """Lines to a former address end with their last call; what waited for that goes out."""
+        for line in [line for line in self.retiring if not line.busy()]:
+            self.retiring.remove(line)
+            if line.stream is not None:
+                line.stream.hang_up()
+        for line in self.lines:
+            if line.before:
+                line.flush()
+
     async def keep_up(self) -> None:
         while True:
             await trio.sleep(LOOK)
@@ -242,6 +290,8 @@
         call.done = True
         self.count[f"counter.{status.value}"] += 1
         self.core.put(i.Counted(call.name, status, total, self.core.clock.now() - call.began))
+        if self.retiring:
+            self.end_retired()
 
     def lines_changed(self) -> None:
         up = any(line.stream is not None for line in self.lines)
--- a/finchshelf/node/discovery.py
+++ b/finchshelf/node/discovery.py
@@ -16,7 +16,7 @@
 
 from finchshelf.admission import interface as i
 from finchshelf.node import net
-from finchshelf.node.config import Config, ConfigError, address
+from finchshelf.node.config import Address, Config, ConfigError, address
 from finchshelf.node.core import Core, Listed
 
 WAIT = 5.0  # s that a watch may wait: short, so that an agent gone silent is noticed
@@ -68,6 +68,7 @@
     def __init__(self, core: Core, config: Config) -> None:
         self.core, self.config = core, config
         self.telemetry, self.count = core.telemetry, core.telemetry.count
+        self.address, self.asking = config.discovery, trio.CancelScope()
         self.version = -1
         self.asked = False  # the first call at start has ended, well or not
         self.well: bool | None = None
@@ -84,35 +85,49 @@
             else:
                 self.core.put(known)
 
+    def move(self, address: Address) -> None:
+        """Ask another agent from now on, for the whole list first: its versions may be others."""
+        self.address = address
+        self.asking.cancel()
+
     async def run(self) -> None:
         target, limit = "/v1/servers", FIRST
         while True:
-            began = trio.current_time()
-            try:
-                with trio.fail_after(limit):
-                    raw = await self.get(target)
-                version, news = listed(raw, self.config)
-            except Exception as error:  # a broken connection, no HTTP, no list, silence: all the same here
+            with trio.CancelScope() as self.asking:
+                await self.ask(target, limit)
+            if self.asking.cancel_called:
                 self.hang_up()
-                self.tell(False, repr(error))
-                self.core.put(Listed(i.Members(i.ListKind.FAILED), {}))
-                self.count["discovery.failed"] += 1
-                self.asked = True
-                await trio.sleep(PAUSE)
-            else:
-                self.tell(True)
-                self.asked = True
-                self.count["discovery.answers"] += 1
-                if news.members.servers or news.members.kind is i.ListKind.FULL:
-                    self.changed(news)
-                    self.core.put(news)
-                if version == self.version:
-                    # Danger: an agent that answers a watch at once, with nothing new, is asked without end.
-                    await trio.sleep_until(began + PAUSE)
-                self.version = version
+                self.version = -1
+                target, limit = "/v1/servers", FIRST
             if self.version >= 0:
                 target, limit = f"/v1/servers?after={self.version}&wait_ms={WAIT * 1000:.0f}", WAIT + GRACE
 
+    async def ask(self, target: str, limit: float) -> None:
+        """One call, and the pause that is due after it."""
+        began = trio.current_time()
+        try:
+            with trio.fail_after(limit):
+                raw = await self.get(target)
+            version, news = listed(raw, self.config)
+        except Exception as error:  # a broken connection, no HTTP, no list, silence: all the same here
+            self.hang_up()
+            self.tell(False, repr(error))
+            self.core.put(Listed(i.Members(i.ListKind.FAILED), {}))
+            self.count["discovery.failed"] += 1
+            self.asked = True
+            await trio.sleep(PAUSE)
+        else:
+            self.tell(True)
+            self.asked = True
+            self.count["discovery.answers"] += 1
+            if news.members.servers or news.members.kind is i.ListKind.FULL:
+                self.changed(news)
+                self.core.put(news)
+            if version == self.version:
+                # Danger: an agent that answers a watch at once, with nothing new, is asked without end.
+                await trio.sleep_until(began + PAUSE)
+            self.version = version
+
     def tell(self, well: bool, error: str = "") -> None:
         if well is not self.well:
             self.well = well
@@ -128,11 +143,11 @@
 
     async def get(self, target: str) -> Any:
         if self.stream is None:
-            self.stream = await net.connect(self.config.discovery)
+            self.stream = await net.connect(self.address)
             self.http = h11.Connection(h11.CLIENT)
         assert self.http is not None
         http, stream = self.http, self.stream
-        request = h11.Request(method="GET", target=target, headers=[("Host", str(self.config.discovery))])
+        request = h11.Request(method="GET", target=target, headers=[("Host", str(self.address))])
         await stream.send((http.send(request) or b"") + (http.send(h11.EndOfMessage()) or b""))
         body, status = bytearray(), 0
         while True:
--- a/tests/test_node_counter.py
+++ b/tests/test_node_counter.py
@@ -176,3 +176,55 @@
             b.call(4)
         got = await b.counted(20)
         assert [total for _, _, total in got] == [float(n) for n in range(1, 21)]
+
+
+@trio_test
+async def test_calls_of_a_name_end_in_order_when_the_counter_moves() -> None:
+    gate = trio.Event()
+
+    async def slow(_: str) -> bytes | None:
+        await gate.wait()
+        return b"ok 7\r\n"
+
+    async with bench(slow) as b, trio.open_nursery() as nursery:
+        moved, third = stand_ins.Counter(), stand_ins.Counter()
+        await moved.start(nursery)
+        await third.start(nursery)
+        b.call(2)
+        b.call(4)
+        await until(lambda: len(b.service.calls) == 2)
+        b.counter.move(moved.address)
+        await until(lambda: moved.connections == module.LINES)
+        b.call(2)
+        b.call(6)  # nothing older is out on that line
+        assert await b.counted() == [(6, i.Status.OK, 1.0)]
+        assert len(moved.calls) == 1
+        b.counter.move(third.address)  # and again, before the first call has its answer
+        await until(lambda: third.connections == module.LINES and not moved.open)
+        gate.set()
+        got = await b.counted(3)
+        assert [one for one in got if one[0] == 2] == [(2, i.Status.OK, 7.0), (2, i.Status.OK, 1.0)]
+        await until(lambda: not b.service.open)
+        assert not b.counter.retiring and third.calls == ["tally 2 1 4000"]
+        nursery.cancel_scope.cancel()
+
+
+@trio_test
+async def test_calls_to_a_former_address_that_says_nothing_end_by_their_time() -> None:
+    async def never(_: str) -> bytes | None:
+        await trio.sleep_forever()
+        return None
+
+    async with bench(never) as b, trio.open_nursery() as nursery:
+        moved = stand_ins.Counter()
+        await moved.start(nursery)
+        b.call(2)
+        await until(lambda: b.service.calls)
+        b.counter.move(moved.address)
+        await until(lambda: moved.connections == module.LINES)
+        await trio.sleep(0.1)
+        b.call(2)
+        await until(lambda: len(b.core.queue) or b.counter.next_expiry() <= b.core.clock.now())
+        b.counter.expire(b.core.clock.now())
+        assert (await b.counted(2)) == [(2, i.Status.TIMEOUT, 0.0), (2, i.Status.OK, 1.0)]
+        nursery.cancel_scope.cancel()
--- a/tests/test_node_life.py
+++ b/tests/test_node_life.py
@@ -39,6 +39,9 @@
 
     process: trio.Process
     servers: list[Server]
+    path: Path
+    discovery: Discovery
+    counter: Counter
     lines: list[dict[str, Any]] = field(default_factory=list)
 
     async def read_log(self) -> None:
@@ -76,7 +79,7 @@
         process = await trio.lowlevel.open_process(
             ["/bin/sh", "-c", f"{command}exec {sys.executable} -m finchshelf"],
             stderr=subprocess.PIPE, env={**os.environ, "BALANCER_CONFIG": str(path)})
-        run = Run(process, servers)
+        run = Run(process, servers, path, discovery, counter)
         nursery.start_soon(run.read_log)
         try:
             await until(lambda: run.said("list"))
@@ -113,6 +116,44 @@
         assert not [name for name in counters if name.startswith("broken.")]
 
 
+@trio_test
+async def test_new_configuration_moves_discovery_and_counter_and_nothing_else(tmp_path: Path) -> None:
+    gate = trio.Event()
+    async with running(tmp_path, gate) as run, trio.open_nursery() as nursery:
+        held, usual = await run.client(), await run.client()
+        assert (await usual.ask(call())).status == 200
+        await held.send(call("post"))
+        await until(lambda: any(g.target.startswith(b"/post") for s in run.servers for g in s.got))
+        kept = run.path.read_text()
+        run.path.write_text(kept[:-9])  # a file that can't be read changes nothing
+        run.process.send_signal(signal.SIGHUP)
+        await until(lambda: run.said("reload"))
+        assert run.said("reload")[0]["state"] == "kept the old"
+        for turn in range(2):
+            counter = Counter()
+            discovery = Discovery([entry(f"s{n}", server.address) for n, server in enumerate(run.servers)])
+            discovery.version = 1 + turn
+            await counter.start(nursery)
+            await discovery.start(nursery)
+            run.path.write_text(json.dumps(config_object(discovery.address, counter.address)))
+            run.process.send_signal(signal.SIGHUP)
+            await until(lambda: len(discovery.targets) > 1)  # noqa: B023
+            assert discovery.targets[:2] == ["/v1/servers", f"/v1/servers?after={1 + turn}&wait_ms=5000"]
+            await run.counter.refuse()
+            assert (await usual.ask(call())).status == 200
+            await until(lambda: counter.calls and not run.counter.open)  # noqa: B023
+            run.counter, run.discovery = counter, discovery
+        gate.set()
+        assert (await held.receive()).body == b"here"
+        run.process.send_signal(signal.SIGHUP)
+        run.process.send_signal(signal.SIGTERM)
+        run.process.send_signal(signal.SIGHUP)
+        assert await run.process.wait() == 0
+        counters = run.said("counters")[0]
+        assert (counters["in.requests"], counters["out.served"], counters["clients.accepted"]) == (4, 4, 2)
+        nursery.cancel_scope.cancel()
+
+
 def accepts(run: Run) -> bool:
     host, _, port = run.said("start")[0]["listen"].rpartition(":")
     with socket.socket() as probe:
