Attempts that hang leave time for another try; a silent counter line is replaced sooner

Counted by a probe that is not kept: every keyed request whose attempt timed out failed (33 of 33 and 43 of 43 at two limiters), with 0.001 s of its aim left and 1.8 s of the client's time; 70 to 97 calls a limiter came late behind silent lines, which were kept for 1.5 s. Lines at fault: Limiter.send, where the first attempt gets all the time there is; counter.SILENT. Now, while one attempt in fifty or more gets no answer, a first attempt that may be repeated ends after ten usual times, past half of its time; a line is replaced after five waits of a call. A stream that was hung up on ends a later wait cleanly (one ValueError had been logged as counter.error).

--- a/finchshelf/admission/logic.py
+++ b/finchshelf/admission/logic.py
@@ -1,7 +1,6 @@
 """All admission decisions of one limiter. Types, events and actions: `interface.py`, beside this file.
 
-Requests ask their customer's count (`RateCheck`, `OpenCheck`); `Breaker` diverts to a `Bucket` if that fails.
-"""
+Requests ask their customer's count (`RateCheck`, `OpenCheck`); `Breaker` diverts to a `Bucket` if not."""
 
 from __future__ import annotations
 
@@ -33,7 +32,8 @@
 FORGET = 3.0  # s without an answer after which a server's estimate has mostly gone back to the fleet's
 FAILED_OUT, TROUBLE, FULL = 0.25, 4.0, 0.3  # failures that pass over, plus times the fleet's; one unseen
 REFUSE_CHEAP, REFUSE_DEAR = 0.11, 0.2  # expected delay, as a share of the aim, that refuses
-END_BEFORE, CHOICES = 0.98, 16  # share of the aim at which an attempt ends; servers weighed: more cost time
+END_BEFORE, HANG, CHOICES = 0.98, 10.0, 16  # share of the aim, usual times that end a try; servers weighed
+HUNG, HUNG_SMOOTH = 0.02, 0.01  # share of attempts without an answer from which those times count; its weight
 PATIENCE_SMOOTH, STOOD_STILL = 0.02, 0.1  # step of the time clients usually leave; s late that tell of a halt
 IDLE_SHARE, COLD_SAFETY = 0.4, 0.5  # of the delay that refuses, for what is beyond quotas; of cold budgets
 
@@ -53,8 +53,7 @@
 
 
 class Breaker:
-    """Consecutive failures open it; after the quarantine one call at a time is a probe."""
-    # Danger: many limiters back at once jam the counter anew. Hence one probe, and quarantines that differ.
+    """Consecutive failures open it; after a quarantine unlike the others' one call at a time is a probe."""
 
     def __init__(self, seed: int) -> None:
         self.failures, self.open_until, self.strain, self.made, self.made_at = 0, -math.inf, 0.0, 0.0, 0.0
@@ -132,8 +131,7 @@
 
 
 class OpenCheck:
-    """A customer's attempts out at once, as a gauge; a name lives one window, then a leak ends."""
-    # Danger: what has ended stands in the count until our next call. So windows are short, places given back.
+    """Attempts out at once, as a gauge whose names live a short window, as what has ended stands in it."""
 
     def __init__(self, cap: int, window: float, customer: int) -> None:
         self.cap, self.window, self.base, self.name = cap, window, (customer << 28) + 1, -1
@@ -207,7 +205,7 @@
         self.ring = self.cold = list[Health]()
         self.typical, self.depth = min((c.aim for c in settings.classes), default=1.0) / 8, 1.0
         self.low, self.low_at, self.mean, self.norm = self.typical, 0.0, 1.0, 1.0  # low: quickest time lately
-        self.sends, self.sends_at, self.out, self.trouble = 0.0, 0.0, 0, 0.0  # trouble: share of failures
+        self.sends, self.sends_at, self.out, self.trouble, self.hung = 0.0, 0.0, 0, 0.0, 0.0  # shares
 
     def update(self, event: i.Members, now: float) -> None:
         if event.kind in (ListKind.FULL, ListKind.CACHED):
@@ -287,6 +285,7 @@
         failing, bad = health.failing(now), {Status.OK: 0.0, Status.FULL: FULL}.get(status, 1.0)
         health.failed, health.failed_at = failing + (bad - failing) * FAIL_SMOOTH, now
         self.trouble += (bad - self.trouble) * FLEET_SMOOTH
+        self.hung += ((status is Status.TIMEOUT) - self.hung) * HUNG_SMOOTH
         if prompt and status in (Status.OK, Status.TIMEOUT):  # else our own halt is in the time it took
             seen = min(took / max(1, depth) / self.typical * self.depth, SLOWEST)
             self.mean += (seen - self.mean) * FLEET_SMOOTH
@@ -318,8 +317,7 @@
         return [i.Watch()] if self.settings.ask_discovery else []
 
     def handle(self, event: i.Event, now: float) -> list[i.Action]:
-        self.actions = []
-        self.now, self.before = now, self.now if now > self.now else self.before
+        self.actions, self.now, self.before = [], now, self.now if now > self.now else self.before
         if isinstance(event, Request):
             self.on_request(event, now)
         elif isinstance(event, i.Outcome):
@@ -344,8 +342,7 @@
     def on_request(self, request: Request, now: float) -> None:
         s = self.settings
         if now - self.swept > IDLE / 4:
-            self.swept = now
-            self.customers = {k: c for k, c in self.customers.items() if now - c.used < IDLE}
+            self.swept, self.customers = now, {k: c for k, c in self.customers.items() if now - c.used < IDLE}
         customer = self.customers.get(request.customer)
         new = customer is None
         if customer is None:
@@ -504,6 +501,9 @@
         waiting.tried.append(health.server)
         self.servers.sent(health, now)
         limit = max(self.end(waiting) - now, 0.001)
+        hung = self.servers.hung > HUNG  # Danger: some never answer, and no time is left for another try
+        if hung and len(waiting.tried) == 1 and waiting.kind.effect is not Effect.UNSAFE:
+            limit = min(limit, max(HANG * self.servers.typical, limit / 2))
         self.actions.append(i.Attempt(waiting.request.id, health.server.name, limit))
 
     def refuse(self, waiting: Pending, after: float, now: float) -> None:
--- a/finchshelf/node/counter.py
+++ b/finchshelf/node/counter.py
@@ -22,9 +22,10 @@
 
 LINES = 8  # connections; the counter holds 32 of a node. Answers on one come in order: one slow name holds
 # up those behind it, so there are some
-LOOK = 1.0  # s between two looks at silent lines
+LOOK = 0.1  # s between two looks at silent lines
 PING_AFTER = 3.0  # s without a word after which a line is kept up; the counter closes at 10 s or less
-SILENT = 1.5  # s that an answer is out, nothing else coming, after which a line is taken for dead
+SILENT = 5.0  # times the wait for an answer that one is out, nothing else coming, until a line is taken for
+# dead: all calls behind it fail
 MOST_LINE = 4096  # bytes of an answer; more is no answer
 
 
@@ -157,7 +158,7 @@
         """A ping where nothing was said for a while; the end of a line that has long said nothing."""
         if self.stream is None:
             return
-        if self.out and now - self.heard > SILENT:
+        if self.out and now - self.heard > SILENT * self.owner.wait:
             # Danger: a counter's machine that vanishes says nothing; calls would time out for ever.
             self.owner.count["counter.silent"] += 1
             self.stream.hang_up()
--- a/finchshelf/node/net.py
+++ b/finchshelf/node/net.py
@@ -37,16 +37,21 @@
     async def receive(self) -> bytes:
         """What has come, at least a byte; nothing at the end."""
         while True:
-            await trio.lowlevel.wait_readable(self.sock)
+            await self.readable()
             try:
                 return self.sock.recv(CHUNK)
             except BlockingIOError:
                 continue
 
+    async def readable(self) -> None:
+        if self.sock.fileno() < 0:  # Danger: hung up on before this wait began, it would wait on no socket
+            raise trio.ClosedResourceError
+        await trio.lowlevel.wait_readable(self.sock)
+
     async def discard(self) -> int:
         """Throw away what has come, without a look at it; 0 at the end."""
         while True:
-            await trio.lowlevel.wait_readable(self.sock)
+            await self.readable()
             try:
                 return self.sock.recv_into(NOWHERE, 0, socket.MSG_TRUNC)
             except BlockingIOError:
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -416,3 +416,23 @@
             status = Status.ERROR if act.server == "s0" else Status.OK
             gate.end(act.id, now + 0.015, status, name=act.server, took=0.015)
     assert bad < 30
+
+
+@pytest.mark.parametrize(("every", "ends"), [(20, True), (0, False)])
+def test_attempts_that_never_answer_leave_time_for_another(every: int, ends: bool) -> None:
+    """One in twenty hangs at servers that are quick: a first attempt ends halfway, if that happens at all."""
+    gate = Gateway(Counter())
+    for n in range(400):
+        now = 1000.0 + n * 0.05
+        for act in attempts(gate.ask(now, plan=3, cls=2)):
+            hangs = every and n % every == 0
+            status, took = (Status.TIMEOUT, act.limit) if hangs else (Status.OK, 0.02)
+            gate.end(act.id, now + min(took, 0.04), status, name=act.server, took=took)
+    now = 1021.0
+    for cls in (0, 1):  # aims of 1 s
+        (first,) = attempts(gate.ask(now, plan=3, cls=cls))
+        assert (first.limit < 0.6) is ends
+        (second,) = attempts(gate.end(first.id, now + 0.5, Status.TIMEOUT, name=first.server, took=0.5))
+        assert second.server != first.server and 0.4 < second.limit < 0.5
+    (unsafe,) = attempts(gate.ask(now, plan=3, cls=2))
+    assert unsafe.limit > 0.9
--- a/tests/test_node_counter.py
+++ b/tests/test_node_counter.py
@@ -228,3 +228,28 @@
         b.counter.expire(b.core.clock.now())
         assert (await b.counted(2)) == [(2, i.Status.TIMEOUT, 0.0), (2, i.Status.OK, 1.0)]
         nursery.cancel_scope.cancel()
+
+
+@trio_test
+async def test_line_that_hangs_is_replaced_after_a_few_waits_of_a_call() -> None:
+    async def hang(text: str) -> bytes | None:
+        if text.startswith("tally 2 "):
+            await trio.sleep_forever()
+        return b"ok 1\r\n"
+
+    async with bench(hang) as b:
+        b.counter.wait = 0.05
+        b.call(2)
+        began = trio.current_time()
+        await until(lambda: b.service.connections == module.LINES + 1 or b.counter.count["counter.silent"])
+        assert 0.2 < trio.current_time() - began < 0.8
+
+
+@trio_test
+async def test_stream_that_was_hung_up_on_ends_a_wait_that_begins_after_it() -> None:
+    async with bench() as b:
+        stream = b.counter.lines[0].stream
+        assert stream is not None
+        stream.close()
+        with pytest.raises(trio.ClosedResourceError):
+            await stream.receive()
