Upgrades: the clients' listener is shared by SO_REUSEPORT, its queue taken before it closes

Status 1 is the program's for an address that can't be listened on (__main__.main); a configuration error would be 2. net.listen set SO_REUSEADDR only, so a second run on the same clients' address failed to bind. Checked on loopback: without SO_REUSEPORT the second process ends with 1; with it both listen, and 60 requests across the first one's SIGTERM are all answered 200.

At SIGTERM the listener was closed with what the kernel still queued, which resets those connections unheard; net.queued now takes them first.

--- a/finchshelf/__main__.py
+++ b/finchshelf/__main__.py
@@ -56,7 +56,7 @@
         core.counter = counter = Counter(core, config, config.counter, parts) if config.counter else None
         discovery = Discovery(core, config)
         clients = Clients(core, config, parts, lambda: core.listed and discovery.asked)
-        listener = await net.listen(config.listen)
+        listener = await net.listen(config.listen, shared=True)
         address = Address(*listener.getsockname()[:2])
         with trio.open_signal_receiver(*SIGNALS) as signals:
             discovery.begin()
@@ -129,6 +129,8 @@
     clients.hang_up_idle()
     await trio.sleep(LAST_CALLS)
     accepting.cancel()
+    for stream in net.queued(listener):
+        clients.take(stream)
     listener.close()
     closed = core.clock.now()
     while clients.connections:
--- a/finchshelf/node/clients.py
+++ b/finchshelf/node/clients.py
@@ -402,10 +402,13 @@
                     self.make_room()
                     await trio.sleep(0.02)
                 continue  # else that client has gone again already
-            connection = Connection(self, stream, self.core.clock.now())
-            self.connections.add(connection)
-            self.count["clients.accepted"] += 1
-            self.nursery.start_soon(connection.run)
+            self.take(stream)
+
+    def take(self, stream: net.Stream) -> None:
+        connection = Connection(self, stream, self.core.clock.now())
+        self.connections.add(connection)
+        self.count["clients.accepted"] += 1
+        self.nursery.start_soon(connection.run)
 
     def make_room(self) -> bool:
         """Hang up on what is likeliest to be of no use; its client opens another connection if it must."""
--- a/finchshelf/node/net.py
+++ b/finchshelf/node/net.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import os
 import socket
 import struct
 from contextlib import suppress
@@ -29,7 +30,7 @@
 
     __slots__ = ("sock",)
 
-    def __init__(self, sock: trio.socket.SocketType) -> None:
+    def __init__(self, sock: trio.socket.SocketType | socket.socket) -> None:
         family, kind, proto = sock.family, sock.type, sock.proto
         self.sock = socket.socket(family, kind, proto, fileno=sock.detach())
         self.sock.setblocking(False)
@@ -117,10 +118,13 @@
     return Stream(sock)
 
 
-async def listen(address: Address, backlog: int = 1024) -> trio.socket.SocketType:
+async def listen(address: Address, backlog: int = 1024, shared: bool = False) -> trio.socket.SocketType:
+    """A listening socket; `shared`: another process may listen at the same address, as in an upgrade."""
     sock = trio.socket.socket(address.family, trio.socket.SOCK_STREAM)
     try:
         sock.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_REUSEADDR, 1)
+        if shared:
+            sock.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_REUSEPORT, 1)
         await sock.bind((address.host, address.port))
         sock.listen(backlog)
     except BaseException:
@@ -129,6 +133,31 @@
     return sock
 
 
+def queued(listener: trio.socket.SocketType) -> list[Stream]:
+    """What the kernel holds in the listener's queue, taken without waiting; nothing stays in it.
+
+    Danger: whatever is still queued when the listener closes is reset, a request turned back unheard.
+    """
+    taken: list[Stream] = []
+    try:
+        sock = socket.socket(listener.family, listener.type, fileno=os.dup(listener.fileno()))
+    except OSError:  # no descriptor left for the copy: nor would there be one for what is queued
+        return taken
+    with sock:
+        sock.setblocking(False)
+        while True:
+            try:
+                one, _ = sock.accept()
+            except ConnectionAbortedError:
+                continue  # that client has gone again already
+            except OSError:  # the queue is empty, or no descriptor is left
+                break
+            with suppress(OSError):
+                one.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            taken.append(Stream(one))
+    return taken
+
+
 async def accept(listener: trio.socket.SocketType) -> Stream:
     sock, _ = await listener.accept()
     try:
--- a/tests/test_node_life.py
+++ b/tests/test_node_life.py
@@ -49,7 +49,8 @@
         assert self.process.stderr is not None
         while data := await self.process.stderr.receive_some():
             *whole, rest = (rest + data).split(b"\n")
-            self.lines += [json.loads(line) for line in whole]
+            self.lines += [json.loads(line) if line.startswith(b"{") else {"event": "plain", "text": line}
+                           for line in whole]
 
     def said(self, event: str) -> list[dict[str, Any]]:
         return [line for line in self.lines if line["event"] == event]
@@ -59,8 +60,17 @@
         return Client(await trio.open_tcp_stream(host, int(port)))
 
 
+async def spawn(path: Path, descriptors: int = 0) -> trio.Process:
+    """A node's process, as `run` starts it, reading the configuration at `path`."""
+    command = f"ulimit -n {descriptors}; " if descriptors else ""
+    return await trio.lowlevel.open_process(
+        ["/bin/sh", "-c", f"{command}exec {sys.executable} -m finchshelf"],
+        stderr=subprocess.PIPE, env={**os.environ, "BALANCER_CONFIG": str(path), "TMPDIR": str(path.parent)})
+
+
 @asynccontextmanager
-async def running(tmp_path: Path, gate: trio.Event, descriptors: int = 0) -> AsyncIterator[Run]:
+async def running(tmp_path: Path, gate: trio.Event, descriptors: int = 0,
+                  **extra: Any) -> AsyncIterator[Run]:
     async def plan(got: Got) -> bytes | None:
         if got.target.startswith(b"/post"):
             await gate.wait()
@@ -73,19 +83,15 @@
         discovery = Discovery([entry(f"s{n}", server.address) for n, server in enumerate(servers)])
         await discovery.start(nursery)
         path = tmp_path / "config.json"
-        path.write_text(json.dumps(config_object(discovery.address, counter.address,
-                                                 sockets=descriptors or 256)))
-        command = f"ulimit -n {descriptors}; " if descriptors else ""
-        process = await trio.lowlevel.open_process(
-            ["/bin/sh", "-c", f"{command}exec {sys.executable} -m finchshelf"],
-            stderr=subprocess.PIPE, env={**os.environ, "BALANCER_CONFIG": str(path)})
-        run = Run(process, servers, path, discovery, counter)
+        path.write_text(json.dumps({**config_object(discovery.address, counter.address,
+                                                    sockets=descriptors or 256), **extra}))
+        run = Run(await spawn(path, descriptors), servers, path, discovery, counter)
         nursery.start_soon(run.read_log)
         try:
             await until(lambda: run.said("list"))
             yield run
         finally:
-            process.kill()
+            run.process.kill()
         nursery.cancel_scope.cancel()
 
 
--- /dev/null
+++ b/tests/test_node_upgrade.py
@@ -0,0 +1,71 @@
+"""Upgrades: a second process beside the first on the same clients' address; real processes on loopback."""
+
+from __future__ import annotations
+
+import signal
+import socket
+from pathlib import Path
+
+import trio
+
+from finchshelf.node import net
+from finchshelf.node.config import Address
+from tests.stand_ins import Client, call, trio_test, until
+from tests.test_node_life import Run, running, spawn
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+@trio_test
+async def test_a_second_process_listens_beside_the_first_and_nothing_is_turned_back(tmp_path: Path) -> None:
+    port = free_port()
+    gate = trio.Event()
+    async with running(tmp_path, gate, listen=f"127.0.0.1:{port}") as old, trio.open_nursery() as nursery:
+        new = Run(await spawn(old.path), old.servers, old.path, old.discovery, old.counter)
+        nursery.start_soon(new.read_log)
+        try:
+            # Danger: without a shared port the second process can't listen and ends with status 1.
+            await until(lambda: new.said("list") or new.process.returncode is not None)
+            assert new.process.returncode is None and new.said("start")[0]["listen"] == f"127.0.0.1:{port}"
+            answers: list[int] = []
+
+            async def one() -> None:
+                client = Client(await trio.open_tcp_stream("127.0.0.1", port))
+                answers.append((await client.ask(call())).status)
+                await client.stream.aclose()
+
+            for _ in range(20):
+                await one()
+            old.process.send_signal(signal.SIGTERM)
+            for _ in range(40):  # across the old process's end: every connection is heard by one of the two
+                await one()
+                await trio.sleep(0.02)
+            assert answers == [200] * 60
+            assert await old.process.wait() == 0
+            assert new.process.returncode is None
+        finally:
+            new.process.kill()
+        nursery.cancel_scope.cancel()
+
+
+@trio_test
+async def test_what_the_kernel_queued_is_taken_before_the_listener_closes() -> None:
+    listener = await net.listen(Address("127.0.0.1", 0), shared=True)
+    port = listener.getsockname()[1]
+    waiting = [socket.create_connection(("127.0.0.1", port)) for _ in range(3)]
+    await trio.sleep(0.05)
+    taken = net.queued(listener)
+    listener.close()
+    assert len(taken) == 3
+    for client, stream in zip(waiting, taken, strict=True):
+        client.sendall(b"x")
+        assert await stream.receive() == b"x"
+        stream.close()
+        client.close()
+    empty = await net.listen(Address("127.0.0.1", 0))
+    assert net.queued(empty) == []
+    empty.close()
