The second address: HEALTH, OFFLINE, ONLINE; servers taken out drain, come back cold

node/operator.py listens at operator (or BALANCER_OPERATOR), one line in and one line out a connection; HEALTH from whether the process takes clients, OFFLINE and ONLINE through the core's queue to the module, answered once every module has them. The module holds servers taken out as draining over lists; one put back starts anew, so it is cold.

In the module: the draining holds over a full list, the return is cold.

--- a/finchshelf/__main__.py
+++ b/finchshelf/__main__.py
@@ -20,6 +20,7 @@
 from finchshelf.node.core import Clock, Core, Renewal
 from finchshelf.node.counter import Counter
 from finchshelf.node.discovery import Discovery
+from finchshelf.node.operator import Operator
 from finchshelf.node.servers import Servers
 from finchshelf.node.telemetry import Telemetry
 
@@ -40,6 +41,7 @@
     discovery: Discovery
     clients: Clients
     address: Address
+    operator: Address | None = None
 
     def now(self) -> dict[str, int]:
         """What is held at this moment, to stand beside the counters."""
@@ -56,8 +58,18 @@
         core.counter = counter = Counter(core, config, config.counter, parts) if config.counter else None
         discovery = Discovery(core, config)
         clients = Clients(core, config, parts, lambda: core.listed and discovery.asked)
+        operator = Operator(core, config, clients.takes)
+        operator.restore()
+        # Danger: in an upgrade a second process of this limiter listens beside this one on the same address.
         listener = await net.listen(config.listen, shared=True)
         address = Address(*listener.getsockname()[:2])
+        second_address = None
+        if config.operator is not None:
+            second = await net.listen(config.operator, backlog=64)
+            second_address = Address(*second.getsockname()[:2])
+            parts.start_soon(operator.serve, second, parts)
+            telemetry.log("operator", listen=str(second_address))
+        parts.start_soon(operator.follow)
         with trio.open_signal_receiver(*SIGNALS) as signals:
             discovery.begin()
             for task in (core.run, core.beat, servers.sweep, clients.sweep, discovery.run):
@@ -67,7 +79,7 @@
             telemetry.log("start", listen=str(address))
             if config.messages:
                 telemetry.log("messages", state="not carried")
-            node = Node(core, servers, counter, discovery, clients, address)
+            node = Node(core, servers, counter, discovery, clients, address, second_address)
             task_status.started(node)
             gc.collect()
             gc.freeze()
--- a/finchshelf/admission/interface.py
+++ b/finchshelf/admission/interface.py
@@ -226,7 +226,15 @@
     uses: tuple[Use, ...]
 
 
-Event = Heard | Members | Request | Outcome | Opened | ClientGone | Counted | Probed | Timer
+@dataclass(frozen=True, slots=True)
+class Maintenance:
+    """An operator takes a server out (`offline`) or puts it back; it holds over lists until told again."""
+
+    server: str
+    offline: bool
+
+
+Event = Heard | Members | Request | Outcome | Opened | ClientGone | Counted | Probed | Timer | Maintenance
 
 
 # ---- actions --------------------------------------------------------------------------------
--- a/finchshelf/admission/logic.py
+++ b/finchshelf/admission/logic.py
@@ -6,7 +6,7 @@
 
 import math
 from collections import deque
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 from zlib import crc32
 
@@ -251,6 +251,7 @@
         self.sends, self.sends_at, self.out, self.trouble, self.hung = 0.0, 0.0, 0, 0.0, 0.0  # shares
         self.young = dict[tuple[int, int], float]()  # attempts out for less than the usual time, by when sent
         self.answer_at, self.ratio = -math.inf, [1.0] * len(settings.classes)  # a class's time to the usual
+        self.away = set[str]()  # taken out by operators: draining, whatever the list says, until put back
 
     def update(self, event: i.Members, now: float) -> None:
         if event.kind in (ListKind.FULL, ListKind.CACHED):
@@ -262,11 +263,17 @@
             elif known is None or server.started > known.server.started:
                 place = known.place if known else self.random.random()
                 self.table[server.name] = Health(server, now, known.out if known else 0, place)
-            else:
-                known.server = server
+            else:  # Danger: a list that tells an older start would make one put back by operators warm
+                known.server = replace(server, started=known.server.started)
         # Danger: limiters that know little all take the first of the list. Each goes round in its own order.
         self.ring = self.cold = sorted(self.table.values(), key=lambda h: h.place)
 
+    def maintain(self, event: i.Maintenance, now: float) -> None:  # an operator's call
+        health, back = self.table.get(event.server), event.server in self.away and not event.offline
+        (self.away.add if event.offline else self.away.discard)(event.server)
+        if health is not None and back:  # Danger: it was restarted meanwhile; from its return it is cold
+            health.server = replace(health.server, started=now)
+
     def inherit(self, former: Servers) -> None:  # what still means the same under new settings
         for name, old in former.table.items():
             new = self.table.get(name)
@@ -307,7 +314,7 @@
         self.cold, weighed = [h for h in self.cold if self.warmth(h, now) < 1.0], 0
         for health in self.cold + self.ring[self.next:] + self.ring[:self.next]:
             s, cold = health.server, self.warmth(health, now) < 1.0
-            closed = s.state is not ServerState.READY or not in_group(s, group, scope)
+            closed = s.state is not ServerState.READY or s.name in self.away or not in_group(s, group, scope)
             if closed or (cold and not self.cold_turn(health, left, now)):
                 continue
             delay, failing = self.delay(health, now), health.failing(now)
@@ -413,6 +420,8 @@
             self.on_counted(event, now)
         elif isinstance(event, i.Timer) and self.settings.ask_discovery:
             self.actions.append(i.Watch())
+        elif isinstance(event, i.Maintenance):
+            self.servers.maintain(event, now)
         elif isinstance(event, i.Members):
             self.servers.update(event, now)
             if event.kind is ListKind.FAILED and self.settings.ask_discovery:
--- a/finchshelf/node/clients.py
+++ b/finchshelf/node/clients.py
@@ -379,13 +379,20 @@
         """Read what comes from now on by other settings."""
         self.config, self.reader = config, Reader(config)
 
-    def health(self) -> Answer:
-        length: Headers = [(b"Content-Length", b"0")]
-        well = self.ready() and not self.draining
-        if well and not self.told_ready:
+    def takes(self) -> str:
+        """Does this process take clients: ready, starting or ending."""
+        if self.draining:
+            return "ending"
+        if not self.ready():
+            return "starting"
+        if not self.told_ready:
             self.told_ready = True
             self.telemetry.log("ready")
-        return Answer(200 if well else 503, length)
+        return "ready"
+
+    def health(self) -> Answer:
+        length: Headers = [(b"Content-Length", b"0")]
+        return Answer(200 if self.takes() == "ready" else 503, length)
 
     async def accept(self, listener: trio.socket.SocketType) -> None:
         while True:
--- a/finchshelf/node/config.py
+++ b/finchshelf/node/config.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import ipaddress
 import os
 import socket
@@ -63,6 +64,10 @@
     descriptors: int
     messages: bool
     """The settings allow messages between limiters, for which these sockets have no protocol."""
+    operator: Address | None = None
+    """The second address, for operators alone."""
+    state: str = ""
+    """Where what operators said is kept for a process that follows this one: a file in `$TMPDIR`."""
 
 
 def read(raw: dict[str, Any], environ: Mapping[str, str]) -> Config:
@@ -93,10 +98,16 @@
     messages = settings.peers
     # Danger: the module would wait for what it is never told, and let in what it may not.
     settings = replace(settings, peers=False)
+    operator = raw.get("operator", environ.get("BALANCER_OPERATOR"))
+    name = text("name")
+    # A name may hold whatever; the file's name holds a digest of it.
+    state = os.path.join(environ.get("TMPDIR") or "/tmp",
+                         f"finchshelf-{hashlib.sha256(name.encode()).hexdigest()[:16]}.offline")
     return Config(
-        text("name"), address(text("listen"), "listen"), address(text("discovery"), "discovery"),
+        name, address(text("listen"), "listen"), address(text("discovery"), "discovery"),
         address(raw["counter"], "counter") if raw.get("counter") is not None else None,
-        seed, settings, around, known, descriptors, messages)
+        seed, settings, around, known, descriptors, messages,
+        address(operator, "operator") if operator else None, state)
 
 
 def load(environ: Mapping[str, str] | None = None) -> Config:
--- a/finchshelf/node/core.py
+++ b/finchshelf/node/core.py
@@ -105,6 +105,17 @@
     addresses: dict[str, Address]
 
 
+@dataclass(slots=True)
+class Maintenance:
+    """An operator's OFFLINE or ONLINE; `reply` takes the one line of answer. What was kept from a former
+    process is not `checked`: its ids were known when they were called, and no list may be in yet."""
+
+    server: str
+    offline: bool
+    reply: Callable[[str], None]
+    checked: bool = True
+
+
 @dataclass(slots=True)
 class Renewal:
     """New settings: what comes after this is decided by a module that has them."""
@@ -112,7 +123,7 @@
     config: Config
 
 
-Item = Exchange | Ended | Listed | Renewal | i.ClientGone | i.Counted | i.Probed
+Item = Exchange | Ended | Listed | Maintenance | Renewal | i.ClientGone | i.Counted | i.Probed
 
 
 class ServersPort(Protocol):
@@ -142,6 +153,7 @@
         self.former: list[Limiter] = []
         self.callers: dict[int, deque[Limiter]] = {}
         self.members: dict[str, i.Server] = {}
+        self.offline: set[str] = set()  # servers that operators took out, whatever the list says
         self.queue: deque[Item] = deque()
         self.put_at = -math.inf
         self.sleeper: trio.lowlevel.Task | None = None
@@ -222,10 +234,10 @@
         return trio.lowlevel.Abort.SUCCEEDED
 
     def turn(self, batch: list[Item]) -> None:
-        """All that came since the last turn, at one time: drains first, then the rest, then what is due."""
+        """All that came since the last turn, at one time: drains and operators first, then the rest."""
         now = self.clock.now()
         if len(batch) > 1:
-            batch.sort(key=lambda item: not isinstance(item, Listed))
+            batch.sort(key=lambda item: not isinstance(item, Listed | Maintenance))
         for item in batch:
             try:
                 self.take(item, now)
@@ -279,6 +291,8 @@
             self.ended(item, now)
         elif isinstance(item, Listed):
             self.news(item, now)
+        elif isinstance(item, Maintenance):
+            self.maintain(item, now)
         elif isinstance(item, Renewal):
             self.renew(item.config, now)
         elif isinstance(item, i.ClientGone):
@@ -295,12 +309,27 @@
         else:
             self.handle(item, now)
 
+    def maintain(self, item: Maintenance, now: float) -> None:
+        """Tell every module of an operator's call; answered once they all have it."""
+        if item.checked and item.server not in self.members and item.server not in self.offline:
+            return item.reply(f"-ERR no server {item.server} is known here")
+        (self.offline.add if item.offline else self.offline.discard)(item.server)
+        # Danger: the server restarts meanwhile; a kept connection would reset an attempt that may have run.
+        self.servers.forget(item.server)
+        for limiter in (*self.former, self.limiter):
+            self.handle(i.Maintenance(item.server, item.offline), now, limiter)
+        self.telemetry.log("maintenance", server=item.server, state="offline" if item.offline else "online",
+                           offline=len(self.offline))
+        item.reply(f"+OK {item.server} {'offline' if item.offline else 'online'}")
+
     def renew(self, config: Config, now: float) -> None:
         """A module with new settings takes all that comes from now on; the former one ends what it has."""
         former, self.limiter = self.limiter, Limiter(config.settings, config.seed, now)
         self.former.append(former)
         self.slack = config.settings.answer_slack
         self.handle(i.Members(i.ListKind.CACHED, tuple(self.members.values())), now)
+        for server in sorted(self.offline):
+            self.handle(i.Maintenance(server, True), now)
         self.limiter.servers.inherit(former.servers)
         self.telemetry.log("settings", state="taken", servers=len(self.members), still_open=len(self.live))
         self.act(self.limiter.start(), now, self.limiter)
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -311,7 +311,8 @@
 
 
 @asynccontextmanager
-async def world(*plans: Plan, say: Say | None = None, **limits: Any) -> AsyncIterator[World]:
+async def world(*plans: Plan, say: Say | None = None, keep: str = "", **limits: Any) -> AsyncIterator[World]:
+    """`keep`: a folder for what operators said; with it the node has its second address."""
     async with trio.open_nursery() as nursery:
         servers = [Server(plan) for plan in plans]
         counter, telemetry = Counter(say), Quiet()
@@ -320,6 +321,9 @@
         discovery = Discovery([entry(f"s{n}", server.address) for n, server in enumerate(servers)])
         await discovery.start(nursery)
         settings = config(discovery.address, counter.address, **limits)
+        if keep:
+            raw = {**config_object(discovery.address, counter.address, **limits), "operator": "127.0.0.1:0"}
+            settings = configuration.read(raw, {"TMPDIR": keep})
         node: Node = await nursery.start(serve, settings, telemetry)
         made = World(node, servers, counter, discovery, telemetry, nursery)
         handle = node.core.limiter.handle
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -472,3 +472,29 @@
         for act in attempts(gate.ask(now, plan=3)):
             gate.end(act.id, now + 0.2, name=act.server, took=0.2)
     assert attempts(gate.ask(1050.0, plan=3, until=1050.9)) and gate.limiter.halt < 0
+
+
+def test_servers_taken_out_by_operators_drain_over_lists_and_come_back_cold() -> None:
+    gate = Gateway(Counter())
+    for _ in range(2):  # two calls out need one call back
+        gate.feed(i.Maintenance("a", offline=True), 1000.0)
+    gate.feed(i.Members(i.ListKind.FULL, gate.servers), 1000.1)  # the list still says it serves
+    used = {a.server for n in range(8) for a in attempts(gate.ask(1000.2 + n * 0.01))}
+    assert "a" not in used and used
+    gate.feed(i.Maintenance("a", offline=False), 1001.0)
+    gate.feed(i.Members(i.ListKind.FULL, gate.servers), 1001.1)  # with its old start: it is cold all the same
+    health = gate.limiter.servers.table["a"]
+    assert gate.limiter.servers.warmth(health, 1001.1) < 0.3
+    sent = []
+    for n in range(300):
+        for act in attempts(gate.ask(1001.2 + n * 0.01, plan=3)):
+            sent.append(act.server)
+            gate.end(act.id, 1001.2 + n * 0.01 + 0.005, name=act.server, took=0.005)
+    assert 0 < sent.count("a") < sent.count("b") / 2
+
+
+def test_an_operators_call_for_a_server_never_listed_changes_nothing_else() -> None:
+    gate = Gateway(Counter())
+    gate.feed(i.Maintenance("z", offline=True), 1000.0)
+    gate.feed(i.Maintenance("z", offline=False), 1000.0)
+    assert {a.server for n in range(8) for a in attempts(gate.ask(1000.1 + n * 0.01))} <= {"a", "b", "c", "d"}
