New settings at SIGHUP: a file checked against the one in use; dropped classes read 1.2 s

settings.same_form: every key the settings in use have must be in the new file, and in lanes and contracts every key all entries have; usable: a deadline, aim and try-limit that are positive. A file that fails is logged as kept the old and counted as reloads.refused. Before, a key left out was read as 0: a lane without deadline was taken. For 1.2 s after the switch a request naming a class or plan only the former settings know is read and decided by those; the former module stays that long.

Tried on loopback first: all requests to the former module for 1.2 s. The former, having heard nothing for a while, took the gap for a halt and refused (test_what_drains... got 429); so only what the new settings can't read goes there. Tests: five broken files, a dropped class.

--- a/finchshelf/__main__.py
+++ b/finchshelf/__main__.py
@@ -106,8 +106,9 @@
 def reload(node: Node, telemetry: Telemetry) -> None:
     """Take discovery's and the counter's address and the settings from the file as it is now."""
     try:
-        config = load()
+        config = load(former=node.clients.config)
     except ConfigError as error:
+        telemetry.count["reloads.refused"] += 1
         telemetry.log("reload", state="kept the old", error=str(error))
         return
     if config.settings.counter and node.counter is None:
--- a/finchshelf/node/clients.py
+++ b/finchshelf/node/clients.py
@@ -19,7 +19,7 @@
 from finchshelf.admission import interface as i
 from finchshelf.node import net
 from finchshelf.node.config import Config
-from finchshelf.node.core import Answer, Core, Exchange, Headers
+from finchshelf.node.core import FOLLOW, Answer, Core, Exchange, Headers
 from finchshelf.node.servers import HOP_BY_HOP
 
 SLOW_READ = 2.0  # s for the rest of a request whose first byte has come
@@ -105,7 +105,8 @@
         wait = min(budget / 1000, kind.deadline) if kind.deadline > 0 else budget / 1000
         request = i.Request(number, cls, plan, customer, came + wait, units, spread,
                             told.get(b"x-again") == b"1")
-        return Exchange(request, reply, event.method, event.target, headers, body, told[b"x-call-id"])
+        return Exchange(request, reply, event.method, event.target, headers, body, told[b"x-call-id"],
+                        settings=self.settings)
 
     def metering(self, text: bytes) -> tuple[int, int]:
         """Units and the customer's set; one unit of a set of all where nothing is said."""
@@ -252,7 +253,7 @@
             # Danger: requests that came while this process stood still look fresh, and are sent on for
             # clients who have given up. The kernel knows when the last byte came.
             now -= self.stream.quiet_for()
-        exchange = clients.reader.call(head, body, clients.core.next_id(), now, self.answered)
+        exchange = clients.read(head, body, now, self.answered)
         if exchange.key in clients.ids:
             # Danger: a request under the id of another's is a second copy of that to whoever goes by ids.
             raise BadRequest("id of an open request")
@@ -369,6 +370,8 @@
         self.nursery = nursery
         self.core, self.telemetry, self.count = core, core.telemetry, core.telemetry.count
         self.config, self.reader, self.ready = config, Reader(config), ready
+        self.former: Reader | None = None
+        self.follow_until = -math.inf
         # Each request may want a socket to a server; some more are for the counter, discovery and the log.
         self.most = max(8, (config.descriptors - 32) // 2)
         self.connections: set[Connection] = set()
@@ -377,7 +380,18 @@
 
     def renew(self, config: Config) -> None:
         """Read what comes from now on by other settings."""
-        self.config, self.reader = config, Reader(config)
+        self.config, self.former, self.reader = config, self.reader, Reader(config)
+        self.follow_until = self.core.clock.now() + FOLLOW
+
+    def read(self, head: h11.Request, body: bytes, came: float, reply: Callable[[Answer], None]) -> Exchange:
+        """A call by the settings in use; for a while after new ones, one that names what only the former
+        settings know is read and decided by those."""
+        try:
+            return self.reader.call(head, body, self.core.next_id(), came, reply)
+        except BadRequest:
+            if self.former is None or self.core.clock.now() >= self.follow_until:
+                raise
+        return self.former.call(head, body, self.core.next_id(), came, reply)
 
     def takes(self) -> str:
         """Does this process take clients: ready, starting or ending."""
--- a/finchshelf/node/config.py
+++ b/finchshelf/node/config.py
@@ -11,7 +11,7 @@
 import os
 import socket
 from collections.abc import Mapping
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from typing import Any, NamedTuple
 
 from finchshelf import settings as parse
@@ -68,6 +68,8 @@
     """The second address, for operators alone."""
     state: str = ""
     """Where what operators said is kept for a process that follows this one: a file in `$TMPDIR`."""
+    form: dict[str, Any] = field(default_factory=dict, compare=False)
+    """The settings' object as the file has it, to check a new file against."""
 
 
 def read(raw: dict[str, Any], environ: Mapping[str, str]) -> Config:
@@ -107,10 +109,11 @@
         name, address(text("listen"), "listen"), address(text("discovery"), "discovery"),
         address(raw["counter"], "counter") if raw.get("counter") is not None else None,
         seed, settings, around, known, descriptors, messages,
-        address(operator, "operator") if operator else None, state)
+        address(operator, "operator") if operator else None, state, raw["settings"])
 
 
-def load(environ: Mapping[str, str] | None = None) -> Config:
+def load(environ: Mapping[str, str] | None = None, former: Config | None = None) -> Config:
+    """The configuration as the file has it now; beside `former`, the one in use, it is checked further."""
     environ = os.environ if environ is None else environ
     path = environ.get("BALANCER_CONFIG")
     if not path:
@@ -124,4 +127,11 @@
         raw = parse.read_object(content)
     except parse.SettingsError:
         raise ConfigError(f"expected a JSON object in {path}") from None
-    return read(raw, environ)
+    config = read(raw, environ)
+    if former is not None:
+        try:
+            parse.same_form(former.form, config.form)
+            parse.usable(config.settings)
+        except parse.SettingsError as error:
+            raise ConfigError(str(error)) from None
+    return config
--- a/finchshelf/node/core.py
+++ b/finchshelf/node/core.py
@@ -28,6 +28,7 @@
 HALT = 0.25  # s late that such a look tells of a halt; for FOUND s after it what is read may be old
 FOUND = 0.1
 OVERDUE = 0.05  # s past a client's time at which an answer counts as late
+FOLLOW = 1.2  # s after new settings in which clients still name classes by the former ones (protocol)
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -64,6 +65,7 @@
     key: bytes = b""
     attempts: int = 0
     owner: Limiter | None = None
+    settings: i.Settings | None = None  # by which it was read: a class is a number in those
 
 
 @dataclass(slots=True, eq=False)
@@ -167,6 +169,7 @@
         self.listed = False
         self.tripped = False
         self.seen, self.resumed = clock.now(), -math.inf
+        self.follow_until = -math.inf  # until then a former module may still get requests
 
     # ---- for the socket tasks: nothing here waits ----
 
@@ -218,6 +221,8 @@
         due = min(self.timers[0][0] if self.timers else math.inf, self.next_end())
         if self.counter is not None:
             due = min(due, self.counter.next_expiry())
+        if self.former and self.follow_until > self.clock.now():
+            due = min(due, self.follow_until)  # a former module may go then
         if due == math.inf:
             await self.parked()
             return
@@ -284,7 +289,15 @@
     def take(self, item: Item, now: float) -> None:
         if isinstance(item, Exchange):
             self.count["in.requests"] += 1
-            self.live[item.request.id], item.owner = item, self.limiter
+            # Danger: a class is a number in the settings by which the request was read; another module's
+            # number for it may name a class of another effect.
+            owner: Limiter | None = self.limiter
+            if item.settings is not None and item.settings is not self.limiter.settings:
+                owner = next((one for one in self.former if one.settings is item.settings), None)
+            if owner is None:  # read by settings whose module has gone: nothing can decide it here
+                self.count["core.unowned"] += 1
+                return item.reply(REFUSED)
+            self.live[item.request.id], item.owner = item, owner
             heapq.heappush(self.ends, (item.request.until + self.slack, item.request.id))
             self.handle(item.request, now)
         elif isinstance(item, Ended):
@@ -326,6 +339,7 @@
         """A module with new settings takes all that comes from now on; the former one ends what it has."""
         former, self.limiter = self.limiter, Limiter(config.settings, config.seed, now)
         self.former.append(former)
+        self.follow_until = now + FOLLOW
         self.slack = config.settings.answer_slack
         self.handle(i.Members(i.ListKind.CACHED, tuple(self.members.values())), now)
         for server in sorted(self.offline):
@@ -335,7 +349,9 @@
         self.act(self.limiter.start(), now, self.limiter)
 
     def retire(self) -> None:
-        """Let go of former modules that have nothing left to end."""
+        """Let go of former modules that have nothing left to end, once clients name classes by the new."""
+        if self.clock.now() < self.follow_until:
+            return
         busy = {id(exchange.owner) for exchange in self.live.values()}
         busy |= {id(attempt.exchange.owner) for attempt in self.out.values()}
         busy |= {id(owner) for owners in self.callers.values() for owner in owners}
--- a/finchshelf/settings.py
+++ b/finchshelf/settings.py
@@ -82,6 +82,35 @@
         return [Section(item, f"{key}[{n}]") for n, item in enumerate(value)]
 
 
+def same_form(former: dict[str, Any], new: dict[str, Any], where: str = "setup") -> None:
+    """A new object has every key that the one in use has; of a list of objects, every key that all entries
+    in use have is in each new one. Danger: a key left out is read as 0, and a deadline of 0 refuses all."""
+    for key, was in former.items():
+        if key not in new:
+            raise SettingsError(f"expected {where}.{key}, as the settings in use have it")
+        now = new[key]
+        if isinstance(was, dict) and isinstance(now, dict):
+            same_form(was, now, f"{where}.{key}")
+        elif isinstance(was, list) and was and all(isinstance(one, dict) for one in was):
+            common = set.intersection(*(set(one) for one in was))
+            if not isinstance(now, list) or not all(isinstance(one, dict) for one in now):
+                raise SettingsError(f"expected a list of objects for {where}.{key}")
+            for n, one in enumerate(now):
+                if common - set(one):
+                    raise SettingsError(f"expected {where}.{key}[{n}].{min(common - set(one))}")
+
+
+def usable(settings: i.Settings) -> None:
+    """What a new file must hold beyond its form: a deadline and attempts that are positive numbers."""
+    if settings.max_attempts < 1:
+        raise SettingsError("expected a positive number for ceilings.try-limit in setup")
+    for n, cls in enumerate(settings.classes):
+        if not (cls.deadline > 0 and cls.aim > 0):
+            raise SettingsError(f"expected positive numbers for lanes[{n}].deadline and aim in setup")
+    if not settings.classes or not settings.plans:
+        raise SettingsError("expected lanes and contracts in setup")
+
+
 def read_object(text: str | bytes) -> dict[str, Any]:
     try:
         raw = json.loads(text)
--- a/tests/test_node_move.py
+++ b/tests/test_node_move.py
@@ -127,3 +127,37 @@
         assert [(h.slow, h.failed, h.tokens) for h in map(servers.table.__getitem__, "abd")] == [
             (1.0, 0.0, 0), (3.0, 0.5, -1), (1.0, 0.0, 0)]  # a has started anew, d is another
     assert new.typical == 0.4 != other.typical  # other classes, other times
+
+
+@pytest.mark.parametrize(("change", "said"), [
+    ({"lanes": [{k: v for k, v in SETTINGS["lanes"][0].items() if k != "deadline"}]}, "lanes[0].deadline"),
+    ({"lanes": [{**SETTINGS["lanes"][0], "deadline": 0.0}]}, "positive"),
+    ({"ceilings": {**SETTINGS["ceilings"], "try-limit": 0}}, "try-limit"),
+    ({"ceilings": {k: v for k, v in SETTINGS["ceilings"].items() if k != "cancel"}}, "ceilings.cancel"),
+    ({"rules": None}, "rules"),
+])
+@trio_test
+async def test_a_broken_file_changes_nothing_and_is_counted(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, change: dict[str, Any], said: str) -> None:
+    async with world(good) as made:
+        before = made.node.core.limiter
+        switch(made, tmp_path, monkeypatch, **change)
+        event, fields = made.telemetry.lines[-1]
+        assert (event, fields["state"]) == ("reload", "kept the old") and said in fields["error"]
+        assert made.telemetry.count["reloads.refused"] == 1
+        assert (await (await made.client()).ask(call())).status == 200
+        assert made.node.core.limiter is before
+
+
+@trio_test
+async def test_a_dropped_class_is_still_read_for_a_moment(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async with world(good) as made:
+        client, core = await made.client(), made.node.core
+        lanes = [{**SETTINGS["lanes"][0], "name": "new"}, *SETTINGS["lanes"][1:]]  # look is dropped
+        switch(made, tmp_path, monkeypatch, lanes=lanes)
+        assert (await client.ask(call("look"))).status == 200  # by the former settings, for 1.2 s
+        assert (await client.ask(call("new", method="GET"))).status == 200
+        await trio.sleep(1.3)
+        assert (await client.ask(call("look"))).status == 400
+        assert (core.count["out.served"], core.count["in.bad"]) == (2, 1)
