Less room: answers over 64 KiB streamed in every framing; a request's time by its size

Lines at fault: clients.SLOW_READ, a fixed 2 s for the rest of any request, and servers.Connection.read and fits, which refused large or close-ended answers.

Now a head has 2.5 s and a body 32 kB a second beyond that; an answer over 64 KiB goes to the client from its first part, the rest through a channel of one piece, so the server is read only as fast as the client takes it; a cut one hangs up the client's connection. Answers that end with their connection are taken. Bodies of requests over 64 KiB are still refused (413): open.

--- a/finchshelf/node/clients.py
+++ b/finchshelf/node/clients.py
@@ -22,7 +22,8 @@
 from finchshelf.node.core import FOLLOW, Answer, Core, Exchange, Headers
 from finchshelf.node.servers import HOP_BY_HOP
 
-SLOW_READ = 2.0  # s for the rest of a request whose first byte has come
+SLOW_READ = 2.5  # s for the head of a request whose first byte has come: clients may take 2 s
+LEAST_RATE = 32768.0  # bytes a second that a body comes at, beyond that: clients send 64 kB a second
 SILENT = 2.2  # s that a new connection may say nothing: it may not be closed before 2 s, and must be by 3 s
 KEPT = 4.0  # s that a connection is kept after an answer: some clients ask once and stay for good
 SLOW_WRITE = 10.0  # s for an answer to be taken
@@ -150,15 +151,15 @@
     `fresh`: nothing has been answered on it yet. `ahead`: bytes read behind a request that has no answer.
     """
 
-    __slots__ = ("ahead", "clients", "closing", "ended", "exchange", "fresh", "head", "http", "idle", "parts",
-                 "resume", "since", "size", "stream", "writing")
+    __slots__ = ("ahead", "clients", "closing", "ended", "exchange", "expect", "fresh", "head", "http",
+                 "idle", "parts", "resume", "since", "size", "stream", "writing")
 
     def __init__(self, clients: Clients, stream: net.Stream, now: float) -> None:
         self.clients, self.stream, self.since, self.idle = clients, stream, now, True
         self.http = h11.Connection(h11.SERVER)
         self.head: h11.Request | None = None
         self.parts: list[bytes] = []
-        self.size = self.ahead = 0
+        self.size = self.ahead = self.expect = 0
         self.exchange: Exchange | None = None
         self.resume: trio.Event | None = None
         self.fresh = True
@@ -226,7 +227,9 @@
                     return
                 if isinstance(event, h11.Request):
                     self.head, self.idle = event, False
-                    self.clients.reader.head(event)
+                    told = self.clients.reader.head(event)
+                    chunked = b"transfer-encoding" in told
+                    self.expect = net.MOST_BODY if chunked else int(told.get(b"content-length", b"0"))
                 elif isinstance(event, h11.Data):
                     self.parts.append(bytes(event.data))
                     self.size += len(event.data)
@@ -245,7 +248,7 @@
     def whole(self) -> None:
         head, body, clients = self.head, b"".join(self.parts), self.clients
         assert head is not None
-        self.head, self.parts, self.size = None, [], 0
+        self.head, self.parts, self.size, self.expect = None, [], 0, 0
         if head.target == b"/healthz" and head.method == b"GET":
             return self.reply(clients.health())
         now = clients.core.clock.now()
@@ -292,6 +295,9 @@
             data = http.send(response(answer.status, tuple(answer.headers), close)) or b""
             if answer.body:
                 data += http.send(h11.Data(data=answer.body)) or b""
+            if answer.more is not None:
+                self.since, self.writing, self.closing = clients.core.clock.now(), True, close
+                return clients.nursery.start_soon(self.pour, data, answer.more)
             data += http.send(EMPTY) or b""
         except h11.LocalProtocolError as error:
             clients.telemetry.rare("clients.error", error=repr(error))
@@ -332,6 +338,35 @@
         self.wake()
         self.stream.hang_up()
 
+    async def pour(self, data: bytes, more: trio.MemoryReceiveChannel[bytes]) -> None:
+        """A large answer: its head and first part, then the rest as the server gives and the client takes it.
+
+        Danger: one that is cut can't be ended as whole; its connection is hung up: the client sees it cut."""
+        try:
+            with more:
+                whole = False
+                while True:
+                    with trio.fail_after(SLOW_WRITE):
+                        await self.stream.send(data)
+                    if whole:
+                        break
+                    piece = await more.receive()
+                    whole = not piece
+                    data = (self.http.send(h11.Data(data=piece)) if piece else self.http.send(EMPTY)) or b""
+            self.since, self.writing = self.clients.core.clock.now(), False
+            self.closing = self.closing or self.http.our_state is not h11.DONE
+            self.sent()
+            self.read_on()
+            return self.wake()
+        except (OSError, trio.ClosedResourceError, trio.EndOfChannel, trio.TooSlowError,
+                h11.LocalProtocolError):
+            pass
+        except Exception as error:  # Danger: what nobody thought of must not end the node
+            self.clients.telemetry.rare("clients.error", error=repr(error))
+        self.clients.count["clients.cut"] += 1
+        self.wake()
+        self.stream.hang_up()
+
     def sent(self) -> None:
         if self.closing:
             return self.stream.end_sending()
@@ -349,7 +384,10 @@
         """Past its time, or of no further use."""
         if self.closing:
             return quiet > LAST_READ
-        return quiet > (SILENT if self.fresh else KEPT if self.idle else SLOW_READ)
+        if self.idle:
+            return quiet > (SILENT if self.fresh else KEPT)
+        # Danger: a fixed time for all cuts off bodies that come at the rate the protocol allows.
+        return quiet > SLOW_READ + (self.expect / LEAST_RATE if self.head is not None else 0.0)
 
     def give_up(self) -> bool:
         """End a connection on which no request waits, unless one has come and is not yet read."""
--- a/finchshelf/node/core.py
+++ b/finchshelf/node/core.py
@@ -45,11 +45,12 @@
 
 @dataclass(slots=True)
 class Answer:
-    """A final answer on its way to a client."""
+    """A final answer on its way to a client; `more`, of a large one: the rest of its body as it comes."""
 
     status: int
     headers: Headers
     body: bytes = b""
+    more: trio.MemoryReceiveChannel[bytes] | None = None
 
 
 @dataclass(slots=True, eq=False)
@@ -367,6 +368,8 @@
         if item.answer is not None and not final:
             self.answer(request, item.answer, "out.served")
             final = True
+        elif item.answer is not None and item.answer.more is not None:
+            item.answer.more.close()  # Danger: nobody takes the rest, and its server would wait for good
         took = now - attempt.issued
         self.handle(i.Outcome(request, attempt.number, attempt.server, item.status, took, final,
                               item.used, item.true_units, item.load or {}), now, attempt.exchange.owner)
--- a/finchshelf/node/servers.py
+++ b/finchshelf/node/servers.py
@@ -24,6 +24,7 @@
 MOST_TOLD = 1e9  # no figure that a server tells is larger
 TRUE_UNITS = 16  # times the most units of a request that its true ones may be
 SWEEP = 1.0  # s between two looks at idle connections
+PIECE = 10.0  # s for the next piece of a large answer, from its server or to its client
 PROBE_LIMIT = 0.25  # s for a probe, its connection included
 HOP_BY_HOP = frozenset((b"connection", b"keep-alive", b"proxy-authenticate", b"proxy-authorization", b"te",
                         b"trailer", b"transfer-encoding", b"upgrade", b"content-length"))
@@ -42,9 +43,12 @@
 
 @dataclass(slots=True)
 class Reply:
+    """An answer; `large`: only its first part is in `body`, the rest is still to be read."""
+
     status: int
     headers: Headers
     body: bytes
+    large: bool = False
 
 
 class Connection:
@@ -75,7 +79,8 @@
                 raise Broken(repr(error)) from None
             if isinstance(event, h11.Response):
                 status, headers = event.status_code, list(event.headers)
-                fits(status, headers)
+                if fits(status, headers):
+                    return Reply(status, headers, b"", True)
             elif isinstance(event, h11.InformationalResponse):
                 interim += 1
                 if interim > MOST_INTERIM:
@@ -83,13 +88,35 @@
             elif isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
                 size += len(event.data)
-                if size > net.MOST_BODY:
-                    raise Broken("body too large")
+                if size > net.MOST_BODY:  # of no length said: it goes on as it comes
+                    return Reply(status, headers, b"".join(parts), True)
             elif isinstance(event, h11.EndOfMessage):
                 return Reply(status, headers, parts[0] if len(parts) == 1 else b"".join(parts))
             elif isinstance(event, h11.ConnectionClosed):
                 raise Broken("closed")
 
+    async def rest(self, sink: trio.MemorySendChannel[bytes]) -> None:
+        """The rest of a large answer, piece by piece, as fast as it is taken; Broken if it is not whole."""
+        async with sink:
+            while True:
+                try:
+                    event = self.http.next_event()
+                    if event is h11.NEED_DATA:
+                        with trio.fail_after(PIECE):
+                            self.http.receive_data(await self.stream.receive())
+                        continue
+                except (h11.RemoteProtocolError, OSError, trio.TooSlowError) as error:
+                    raise Broken(repr(error)) from None
+                if isinstance(event, h11.Data):
+                    with trio.fail_after(PIECE):
+                        await sink.send(bytes(event.data))
+                elif isinstance(event, h11.EndOfMessage):
+                    with trio.fail_after(PIECE):
+                        await sink.send(b"")  # whole: a channel that ends without this was cut
+                    return
+                else:
+                    raise Broken("closed")
+
     def renew(self) -> bool:
         """Ready for another request? Not if either side is done, or more came than was asked for."""
         http = self.http
@@ -193,7 +220,7 @@
         if attempt.cancelled:
             return self.core.put(Ended(attempt, i.Status.CANCELLED))
         connection: Connection | None = None
-        written, ended = False, Ended(attempt, i.Status.UNREACHABLE)
+        written, ended, reply = False, Ended(attempt, i.Status.UNREACHABLE), None
         with trio.CancelScope() as scope:
             attempt.scope = scope
             scope.deadline = trio.current_time() + attempt.limit - (self.clock.now() - attempt.issued)
@@ -207,7 +234,8 @@
                 if connection is not None and self.clock.now() - attempt.issued <= self.connect_limit:
                     await connection.write(head(attempt, self.clock.now()), attempt.exchange.body)
                     written, ended.status = True, i.Status.RESET
-                    read(await connection.read(), ended, self.most_units)
+                    reply = await connection.read()
+                    read(reply, ended, self.most_units)
             except (OSError, Broken, h11.LocalProtocolError):
                 pass  # the status so far says what that means: before the last byte unreachable, then reset
             except Exception as error:
@@ -218,6 +246,8 @@
                 ended.status = i.Status.CANCELLED
             elif written:
                 ended.status = i.Status.TIMEOUT
+        if connection is not None and reply is not None and reply.large and not scope.cancelled_caught:
+            return await self.pour(connection, ended)
         if connection is not None:
             if ended.status in (i.Status.OK, i.Status.FULL, i.Status.ERROR) and not scope.cancelled_caught:
                 self.keep(connection)
@@ -225,6 +255,21 @@
                 self.close(connection)
         self.core.put(ended)
 
+    async def pour(self, connection: Connection, ended: Ended) -> None:
+        """A large answer: final from its first part, the rest goes on to the client as it takes it."""
+        if ended.answer is None:  # not one to pass on: its rest is not read
+            self.close(connection)
+            return self.core.put(ended)
+        sink, ended.answer.more = trio.open_memory_channel[bytes](1)
+        self.core.put(ended)
+        self.count["servers.large"] += 1
+        try:
+            await connection.rest(sink)
+        except (Broken, trio.BrokenResourceError, trio.TooSlowError):
+            self.count["servers.large_cut"] += 1
+            return self.close(connection)
+        self.keep(connection)
+
     async def run_probe(self, server: str, address: Address) -> None:
         began, probed, connection = self.clock.now(), i.Status.UNREACHABLE, None
         load: dict[str, float] = {}
@@ -257,14 +302,17 @@
     return h11.Request(method=exchange.method, target=exchange.target, headers=headers)
 
 
-def fits(status: int, headers: Headers) -> None:
-    """An answer has one length, said in its head, and that is not too much; any other is spoilt."""
+def fits(status: int, headers: Headers) -> bool:
+    """An answer has one length at most (none: it ends with its connection); True where it is said to be
+    larger than is kept whole."""
     lengths = [value for name, value in headers if name in (b"content-length", b"transfer-encoding")]
-    # Danger: what ends only with its connection may have been cut anywhere, and would be served as whole.
-    if len(lengths) != 1 and status not in (204, 304):
-        raise Broken("no length, or more than one")
-    if lengths and lengths[0].isdigit() and (len(lengths[0]) > 9 or int(lengths[0]) > net.MOST_BODY):
-        raise Broken("body too large")
+    if len(lengths) > 1:  # Danger: by one of them the rest is another answer, served to another request
+        raise Broken("more than one length")
+    if lengths and lengths[0].isdigit():
+        if len(lengths[0]) > 9:
+            raise Broken("body too large")
+        return int(lengths[0]) > net.MOST_BODY
+    return False
 
 
 def read(reply: Reply, ended: Ended, most_units: float) -> None:
@@ -277,7 +325,9 @@
     if reply.status == 200:
         ended.status = i.Status.OK
         headers = [pair for pair in reply.headers if pair[0] not in HOP_BY_HOP and pair[0] not in OURS]
-        headers.append((b"Content-Length", b"%d" % len(reply.body)))
+        length = told.get(b"content-length") if reply.large else b"%d" % len(reply.body)
+        if length is not None:  # else it goes on in chunks
+            headers.append((b"Content-Length", length))
         ended.answer = Answer(200, headers, reply.body)
     elif reply.status in (503, 504) and told.get(b"x-rejected") == b"1":
         ended.status = i.Status.FULL
