--- a/finchshelf/admission/logic.py
+++ b/finchshelf/admission/logic.py
@@ -1,7 +1,5 @@
 """All admission decisions of one limiter. Types, events and actions: `interface.py`, beside this file.
-
 Requests ask their customer's count (`RateCheck`, `OpenCheck`); `Breaker` diverts to a `Bucket` if not."""
-
 from __future__ import annotations
 
 import math
@@ -42,25 +40,18 @@
 PATIENCE_SMOOTH, GAP_SMOOTH = 0.02, 0.02  # step of the time clients usually leave; weight of a gap
 STOOD_STILL, GAPS, GAPS_MOST = 0.1, 10.0, 4.0  # s that tell of a halt, if so many usual gaps; one counts as
 IDLE_SHARE, COLD_SAFETY = 0.4, 0.5  # of the delay that refuses, for what is beyond quotas; of cold budgets
-
-
 @dataclass(slots=True)
 class Bucket:  # a store of units; written only when a request is let in
     rate: float
     size: float
     level: float
     at: float
-
     def now_level(self, now: float) -> float:
         return min(self.size, self.level + self.rate * (now - self.at))
-
     def take(self, units: float, now: float) -> None:
         self.level, self.at = self.now_level(now) - units, now
-
-
 class Breaker:
     """Consecutive failures open it; after a quarantine unlike the others' one call at a time is a probe."""
-
     def __init__(self, seed: int, now: float, limiters: int = 1) -> None:
         self.least = CALLS_LEAST / max(1, limiters)
         self.failures, self.open_until, self.strain, self.made, self.made_at = 0, -math.inf, 0.0, 0.0, 0.0
@@ -68,13 +59,11 @@
         self.calls, self.cut_at = Bucket(CALLS_MOST, CALLS_MOST * CALLS_AHEAD, 0.0, -math.inf), -math.inf
         self.began = self.grown_at = now
         self.quarantine = QUARANTINE * (0.75 + seed % 1000 / 2000)
-
     def allows(self, now: float) -> bool:
         if now < self.open_until:
             return False
         self.open_until = now + self.quarantine if self.failures >= TRIP_AFTER else self.open_until
         return True
-
     def spend(self, now: float) -> bool:  # is there a call left at the rate that the counter bears?
         if self.calls.now_level(now) < 1:
             return False
@@ -82,7 +71,6 @@
         self.made, self.made_at = self.made * math.exp((self.made_at - now) / MADE) + 1 / MADE, now
         self.calls.size = max(CALLS_BURST, self.calls.rate * CALLS_AHEAD)
         return True
-
     def success(self, share: float, now: float) -> None:
         if share > CALL_LATE:
             self.slow_down(now)
@@ -91,24 +79,19 @@
             self.calls.rate = min(CALLS_MOST, self.calls.rate * grown)
         self.grown_at = now
         self.failures, self.open_until, self.strain = 0, -math.inf, self.strain * (1 - STRAIN_SMOOTH)
-
     def failure(self, now: float) -> None:
         self.failures, self.strain = self.failures + 1, self.strain + (1 - self.strain) * STRAIN_SMOOTH
         if self.failures >= TRIP_AFTER:
             self.open_until = now + self.quarantine
         else:
             self.slow_down(now)
-
     def slow_down(self, now: float) -> None:
         if now - self.cut_at > CUT_EVERY:
             made = self.made / (1 - math.exp((self.began - now - 0.1) / MADE))
             rate = min(self.calls.rate, made) * CALLS_CUT
             self.calls.rate, self.cut_at = max(self.least, rate), now
-
-
 class RateCheck:  # a customer's quota store, rebuilt from the totals of the window's count
     # Exception to the fixed window: a total is read as a refilling store: an edge or a wipe grants nothing.
-
     def __init__(self, plan: i.Plan, customer: int, now: float) -> None:
         self.base, self.name = customer << 28, -1
         self.rate, self.burst, self.level, self.at = plan.rate, plan.burst, plan.burst, now
@@ -117,13 +100,11 @@
         self.usual, self.told, self.heard = 0.0, now - NAME_LIFE, 0.0  # heard: by peers since then
         self.owed = 0.0  # what the count was not told, or told too much; goes along with the next call
         self.unsure, self.empty_until = 0.0, -math.inf  # adds of ours that timed out and may have landed
-
     def refill(self, now: float, spent: float) -> None:
         late = max(0.0, min(spent, self.burst)) / 2  # spent after the refill, as far as anyone can tell
         level = min(self.burst, self.level + self.rate * (now - self.at) - spent + late) - late
         # Danger: use told late (a failure's) empties a store for seconds; a quota takes nothing it lacks.
         self.level, self.at = max(level, -DEBT * self.burst), now
-
     def turn(self, now: float) -> None:
         index = int(now // self.window)
         if self.index < 0:
@@ -133,19 +114,15 @@
         if index != self.index:
             self.index, self.seen, self.name = index, 0.0, self.base + (index << 1) % 2**28
             self.heard = 0.0
-
     def now_level(self, now: float) -> float:
         return min(self.burst, self.level + self.rate * (now - self.at))
-
     def listen(self, use: i.Use, now: float) -> None:  # a total may have had it before, or will have it
         self.turn(now)
         known = min(use.units, max(0.0, -self.heard)) if use.counted else 0.0
         self.heard += use.units if use.counted else 0.0
         self.refill(now, use.units - known)
-
     def untold(self, now: float, peers: bool) -> float:  # the others' use since the last total
         return 0.0 if peers else self.usual * (now - self.told)
-
     def answered(self, step: float, total: float, largest: int, now: float) -> None:
         others = total - self.seen - step
         landed = min(self.unsure, max(0.0, others))
@@ -157,35 +134,25 @@
         self.seen, known = total, min(max(0.0, self.heard), max(0.0, others))
         self.heard = max(self.heard - max(0.0, others), -self.burst)
         self.refill(now, others - known)
-
-
 class OpenCheck:
     """Attempts out at once, as a gauge whose names live a short window, as what has ended stands in it."""
-
     def __init__(self, cap: int, window: float, customer: int) -> None:
         self.cap, self.window, self.base, self.name = cap, window, (customer << 28) + 1, -1
         self.open, self.told, self.others, self.full = 0, 0.0, 0.0, False
         self.starts = deque[float](maxlen=cap)  # when other limiters told of an attempt
-
     def heard(self, now: float, span: float) -> int:  # how many of those are still out
         while self.starts and self.starts[0] < now - span:
             self.starts.popleft()
         return len(self.starts)
-
     def turn(self, now: float) -> None:
         name = self.base + (int(now // self.window) << 1) % 2**28
         self.name, self.told = name, self.told if name == self.name else 0.0
-
     def step(self, extra: int) -> float:
-        step = self.open + extra - self.told
-        self.told += step
+        step, self.told = self.open + extra - self.told, self.open + extra
         return step
-
     def answered(self, total: float) -> None:
         self.others, self.full = max(0.0, total - self.told), total >= self.cap
         self.told = min(self.told, total)  # less than we told: the counter lost its numbers
-
-
 @dataclass(slots=True)
 class Call:  # one call to the counter that has not been answered
     name: int
@@ -193,11 +160,8 @@
     request: int
     check: RateCheck | OpenCheck
     asked: float = 0.0  # the part of the step that is the request's own
-
     def owed(self, added: bool) -> float:  # what the count still has to hear if the request uses nothing
         return -self.asked if added else self.step - self.asked
-
-
 class Customer:  # one customer's checks, fallback and ceiling
     def __init__(self, customer: int, number: int, s: i.Settings, now: float) -> None:
         self.plan, self.used, self.points = s.plans[number], now, 0
@@ -205,7 +169,6 @@
         self.rate = RateCheck(plan, customer, now) if plan.rate > 0 else None
         self.open = OpenCheck(plan.open_cap, epoch, customer) if plan.open_cap > 0 else None
         self.fallback, self.ceiling = Bucket(0.0, 0.0, 0.0, now), Bucket(0.0, 0.0, 0.0, now)
-
     def enter(self, points: int, now: float) -> None:  # its first request here says through how many it comes
         plan, self.points = self.plan, points
         fill = plan.rate / points
@@ -213,34 +176,24 @@
         # Bound of each limiter, in any span t: burst/share + t * rate/share; after a restart half the slack.
         rate, size, slack = (x / points for x in (plan.ceiling_rate, plan.ceiling_burst, plan.ceiling_slack))
         self.ceiling = Bucket(rate, size, slack / 2, now)
-
-
 class Pending:  # a request that has no final answer yet
     def __init__(self, request: Request, customer: Customer, s: i.Settings, now: float) -> None:
         self.request, self.customer, self.arrived = request, customer, now
         self.kind, self.plan = s.classes[request.cls], s.plans[request.plan]
         self.waiting, self.fell_back, self.known, self.streaming, self.promised = 0, False, False, False, 0.0
-        self.calls: list[tuple[Call, bool]] = []
-        self.tried: list[Server] = []
-        self.out: set[int] = set()
-        self.maybe_ran: Server | None = None
+        self.calls, self.tried, self.out = list[tuple[Call, bool]](), list[Server](), set[int]()
+        self.maybe_ran: Server | None = None  # the first that may have run it, and when
         self.maybe_at = 0.0
-
-
 class Health:  # what this limiter knows of one server
     def __init__(self, server: Server, now: float, out: int, place: float) -> None:
         self.server, self.out, self.place, self.heard = server, out, place, -math.inf
         self.slow = 1.0  # its time for a request that is out, as a multiple of the fleet's
         self.failed, self.failed_at, self.turn, self.tokens = 0.0, now, -1, 0
-
     def failing(self, now: float) -> float:
         return self.failed * math.exp((self.failed_at - now) / FAIL_FORGET)
-
     def tried(self, bad: float, now: float) -> None:  # an attempt ended well or badly
         failing = self.failing(now)
         self.failed, self.failed_at = failing + (bad - failing) * FAIL_SMOOTH, now
-
-
 class Servers:  # the table of servers: which to send to, and the expected delay there
     def __init__(self, settings: i.Settings, seed: int) -> None:
         self.settings, self.random, self.next = settings, Random(seed), 0
@@ -252,7 +205,6 @@
         self.young = dict[tuple[int, int], float]()  # attempts out for less than the usual time, by when sent
         self.answer_at, self.ratio = -math.inf, [1.0] * len(settings.classes)  # a class's time to the usual
         self.away = set[str]()  # taken out by operators: draining, whatever the list says, until put back
-
     def update(self, event: i.Members, now: float) -> None:
         if event.kind in (ListKind.FULL, ListKind.CACHED):
             self.table = {s.name: self.table[s.name] for s in event.servers if s.name in self.table}
@@ -267,13 +219,11 @@
                 known.server = replace(server, started=known.server.started)
         # Danger: limiters that know little all take the first of the list. Each goes round in its own order.
         self.ring = self.cold = sorted(self.table.values(), key=lambda h: h.place)
-
     def maintain(self, event: i.Maintenance, now: float) -> None:  # an operator's call
         health, back = self.table.get(event.server), event.server in self.away and not event.offline
         (self.away.add if event.offline else self.away.discard)(event.server)
         if health is not None and back:  # Danger: it was restarted meanwhile; from its return it is cold
             health.server = replace(health.server, started=now)
-
     def inherit(self, former: Servers) -> None:  # what still means the same under new settings
         for name, old in former.table.items():
             new = self.table.get(name)
@@ -285,12 +235,10 @@
             self.typical, self.depth = former.typical, former.depth
             self.low, self.low_at, self.ratio = former.low, former.low_at, former.ratio[:]
             self.mean, self.norm = former.mean, former.norm
-
     def warmth(self, health: Health, now: float) -> float:  # share of its capacity that it has at least
         age, s = now - health.server.started, self.settings
         share = s.cold_share + (1 - s.cold_share) * max(0.0, age) / s.warm_up if age < s.warm_up else 1.0
         return share if health.server.started > 0 else 1.0
-
     def cold_turn(self, health: Health, left: float, now: float) -> bool:  # ours, and can it be in time?
         # Danger: all together push it over. In a span as many have a turn as it bears, by clock and hash.
         warmth = self.warmth(health, now)
@@ -302,12 +250,10 @@
             place = (crc32(f"{health.server.name} {turn}".encode()) + s.me) % count
             health.turn, health.tokens = turn, (turns - place + count - 1) // count
         return health.tokens >= 1 and self.delay(health, now) / warmth < left
-
     def delay(self, health: Health, now: float) -> float:  # expected, of one more: the fleet's times its own
         # Danger: the one server that is quick in bad times gets all, and jams. None counts as much quicker.
         slow = max(QUICKEST, 1 + (health.slow - 1) * math.exp((health.heard - now) / FORGET))
         return self.typical / self.depth * slow * (health.out + 1)
-
     def choose(self, now: float, left: float, waiting: Pending) -> tuple[Health, float] | None:
         tried, group, scope = waiting.tried, waiting.maybe_ran, waiting.kind.scope
         best: tuple[tuple[bool, bool, bool, float], Health, float] | None = None
@@ -330,13 +276,11 @@
             return None
         self.next = self.ring.index(best[1]) + 1
         return best[1:]
-
     def learn(self, longer: bool, now: float) -> None:  # an attempt took longer than usual, or not
         # A limiter that hears little weighs an answer more: what a fleet does lately is not minutes old.
         step = min(MOST_STEP, max(FLEET_SMOOTH, (now - self.answer_at) / FLEET_LAG))
         # Danger: some requests hang, and the whole fleet looks slow. So it is a median.
         self.typical, self.answer_at = self.typical * math.exp(step if longer else -step), now
-
     def look(self, now: float, prompt: bool) -> None:
         # Danger: a fleet that slows down is filled for as long as its answers take. An attempt tells that it
         # takes long as soon as it has been out for the usual time.
@@ -347,12 +291,10 @@
             del self.young[key]
             if prompt:
                 self.learn(True, now)
-
     def sent(self, health: Health, key: tuple[int, int], now: float) -> None:
         self.young[key] = now
         health.out, self.out, health.tokens = health.out + 1, self.out + 1, health.tokens - 1
         self.sends, self.sends_at = self.sends * math.exp((self.sends_at - now) / FORGET) + 1, now
-
     def ended(self, event: i.Outcome, cls: int | None, now: float, prompt: bool) -> None:
         name, status, took = event.server, event.status, event.took
         health, self.out = self.table.get(name), self.out - 1
@@ -381,13 +323,9 @@
             self.low, self.low_at = min(low, self.typical / self.depth), now
             self.depth += (max(1, depth) - self.depth) * FLEET_SMOOTH
             self.norm += (max(1, depth) - self.norm) * LONG_RUN
-
-
 def in_group(server: Server, group: Server | None, scope: Scope) -> bool:  # are repeats of `group` dropped?
     return group is None or scope is Scope.ALL or (
         server.cell == group.cell if scope is Scope.CELL else server.zone == group.zone)
-
-
 class Limiter:  # one gateway's decisions: events in, actions out
     def __init__(self, settings: i.Settings, seed: int, now: float) -> None:
         self.settings = settings
@@ -399,10 +337,8 @@
         self.posts = Bucket(PEER_SHARE * settings.inbox, POSTS_AHEAD, POSTS_AHEAD, now)
         self.worths = sorted({c.worth * p.price for c in settings.classes for p in settings.plans})
         self.actions: list[i.Action] = []
-
     def start(self) -> list[i.Action]:
         return [i.Watch()] if self.settings.ask_discovery else []
-
     def handle(self, event: i.Event, now: float) -> list[i.Action]:
         if now > self.now:
             # Danger: where few requests come, gaps are usual, and would look like halts. So they are learnt.
@@ -435,7 +371,6 @@
             self.finish(waiting, now)
         self.post(now)
         return self.actions
-
     def on_request(self, request: Request, now: float) -> None:
         s = self.settings
         if now - self.swept > IDLE / 4:
@@ -480,7 +415,6 @@
             waiting.fell_back = True
         if not waiting.waiting:
             self.decide(waiting, now)
-
     def tell(self, request: Request, counted: bool) -> None:  # to those that the customer comes through
         if request.entry_points <= 1 or not self.settings.peers:
             return
@@ -489,14 +423,12 @@
             to = (request.first + n) % self.settings.limiters
             if to != self.settings.me:
                 self.outbox.setdefault(to, []).append(use)
-
     def post(self, now: float) -> None:
         # Danger: who is told more than it takes in loses messages. All of us may fill part of that.
         while self.outbox and self.posts.now_level(now) >= 1:
             to = next(iter(self.outbox))
             self.posts.take(1, now)
             self.actions.append(i.Tell(to, tuple(self.outbox.pop(to)[-USES_MOST:])))
-
     def on_heard(self, uses: tuple[i.Use, ...], now: float) -> None:
         for use in uses:
             customer = self.customers.get(use.customer)
@@ -507,7 +439,6 @@
                 customer.open.starts.append(now)
             if customer.rate is not None:
                 customer.rate.listen(use, now)
-
     def age(self, request: Request, now: float) -> float:  # since it came: less time left than usual
         left = request.until - now
         usual = self.patience.setdefault(request.cls, left)
@@ -516,16 +447,13 @@
         halted = age > STOOD_STILL and self.stood_still()
         self.halt = now if halted else self.halt
         return age if halted else 0.0
-
     def stood_still(self) -> bool:
         return self.now - self.before > max(STOOD_STILL, GAPS * self.gap)
-
     def call(self, waiting: Pending, check: RateCheck | OpenCheck, step: float, asked: float = 0.0) -> None:
         call = Call(check.name, step, waiting.request.id, check, asked)
         self.calls.setdefault(check.name, deque()).append(call)
         waiting.waiting += 1
         self.actions.append(i.Count(check.name, step, min(check.window * 2, NAME_LIFE)))
-
     def on_counted(self, event: i.Counted, now: float) -> None:
         queue = self.calls.get(event.name)
         if not queue:
@@ -552,7 +480,6 @@
                 opened = self.breaker.failures >= TRIP_AFTER
                 self.pending[call.request].fell_back |= opened or not self.settings.peers
         self.answer(call, ok, not lost, now)
-
     def answer(self, call: Call, ok: bool, added: bool, now: float) -> None:
         waiting = self.pending.get(call.request)
         if waiting is not None:
@@ -563,7 +490,6 @@
                 self.decide(waiting, now)
         elif isinstance(call.check, RateCheck):
             call.check.owed += call.owed(added)
-
     def decide(self, waiting: Pending, now: float) -> None:
         request, customer, room, others, after = waiting.request, waiting.customer, True, True, 0.0
         units, rate, gauge, fallback = request.units, customer.rate, customer.open, customer.fallback
@@ -611,7 +537,6 @@
         if gauge is not None:
             gauge.open += 1
         self.send(waiting, placed, now)
-
     def place(self, waiting: Pending, now: float, share: float = 1.0) -> Health | None:  # where it is in time
         left = self.end(waiting) - now
         chosen = self.servers.choose(now, left, waiting)
@@ -631,12 +556,10 @@
         # Danger: a sudden loss of servers or a burst drives the rest so far that they stay slow.
         usual = chosen[0].out <= CROWD * self.servers.norm
         return chosen[0] if spare or (usual and chosen[1] <= limit) else None
-
     def end(self, waiting: Pending) -> float:  # of an attempt: just before the aim, later earns nothing
         kind, until = waiting.kind, waiting.request.until
         late_earns = kind.stream or kind.late_share > 0
         return until if late_earns else min(until, waiting.arrived + kind.aim * END_BEFORE)
-
     def send(self, waiting: Pending, health: Health, now: float) -> None:
         waiting.out.add(len(waiting.tried))
         waiting.tried.append(health.server)
@@ -646,7 +569,6 @@
         if hung and len(waiting.tried) == 1 and waiting.kind.effect is not Effect.UNSAFE:
             limit = min(limit, max(HANG * self.servers.typical, limit / 2))
         self.actions.append(i.Attempt(waiting.request.id, health.server.name, limit))
-
     def refuse(self, waiting: Pending, after: float, now: float) -> None:
         kind, s, name = waiting.kind, self.settings, waiting.request.id
         dropped = kind.effect is Effect.KEYED and kind.scope is Scope.ALL  # a repeat is, by any server
@@ -654,7 +576,6 @@
         advice = min(after, s.max_retry_after) if s.retry_after else 0.0
         self.actions.append(i.Refuse(name, advice) if harmless else i.Fail(name))
         self.finish(waiting, now)
-
     def finish(self, waiting: Pending, now: float) -> None:
         self.pending.pop(waiting.request.id, None)
         gauge = waiting.customer.open
@@ -664,7 +585,6 @@
             ask = gauge.full and gauge.told > gauge.open
             if ask and self.breaker.allows(now) and self.breaker.spend(now):
                 self.call(waiting, gauge, gauge.step(0))
-
     def on_outcome(self, event: i.Outcome, now: float) -> None:
         waiting = self.pending.get(event.id)
         cls = waiting.request.cls if waiting is not None else None
