--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -10,6 +10,7 @@
 import json
 import socket
 import struct
+import tempfile
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -320,10 +321,12 @@
             await part.start(nursery)
         discovery = Discovery([entry(f"s{n}", server.address) for n, server in enumerate(servers)])
         await discovery.start(nursery)
-        settings = config(discovery.address, counter.address, **limits)
+        raw = config_object(discovery.address, counter.address, **limits)
         if keep:
-            raw = {**config_object(discovery.address, counter.address, **limits), "operator": "127.0.0.1:0"}
-            settings = configuration.read(raw, {"TMPDIR": keep})
+            raw["operator"] = "127.0.0.1:0"
+        # Danger: a file of what operators said, left in a shared folder, would take servers out of any test.
+        with tempfile.TemporaryDirectory() as fresh:
+            settings = configuration.read(raw, {"TMPDIR": keep or fresh})
         node: Node = await nursery.start(serve, settings, telemetry)
         made = World(node, servers, counter, discovery, telemetry, nursery)
         handle = node.core.limiter.handle
