Bodies to 32 MB streamed to one attempt with a replay window; four parts ablated

Change: node/bodies.py between client and attempt, at most a window of 64 KiB and a piece of 16 KiB a request; Request.coming, Outcome.again and .streamed tell the module what it needs; it repeats only what is at hand. Uploads neither teach a server's speed nor count as a crowd there: seen with 64 uploads to one server, of which 61 were refused. Out of the module: a request's age after a halt (the node tells it), sparing a strained counter by customer and by cap. Measured: 32 MiB in both framings unchanged; 64 bodies of 8 MiB at once within 24 MB of more memory (test).

--- a/finchshelf/admission/interface.py
+++ b/finchshelf/admission/interface.py
@@ -167,6 +167,8 @@
     repeat: bool = False
     first: int = 0
     """The first of the limiters that the customer comes through; the others follow it, counted round."""
+    coming: float = 0.0
+    """Seconds that the rest of its body may still take to come; `until` counts from then."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -180,6 +182,10 @@
     used: int = 0
     true_units: int = 0
     load: dict[str, float] = field(default_factory=dict)
+    again: bool = True
+    """Are all bytes of the request at hand, so that it can be sent once more?"""
+    streamed: bool = False
+    """It carried a body as that came (`Request.coming`): the time it took was its client's."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/finchshelf/admission/logic.py
+++ b/finchshelf/admission/logic.py
@@ -13,7 +13,6 @@
 
 # ---- tuned values, each with its reason ----
 TRIP_AFTER, QUARANTINE = 5, 1.0  # consecutive failures that open the breaker (design page); s that it is
-STRAIN, STRAIN_SMOOTH = 0.05, 0.02  # share of failed calls, of about the last fifty, that spares the counter
 CALLS_MOST, CALLS_LEAST, CALLS_AHEAD = 1000.0, 60.0, 0.25  # calls a second of one at most, of all at least
 CALLS_BURST, CALL_QUICK, CALL_LATE = 2.0, 0.4, 0.8  # at once at least; shares of its wait: lets it grow, cuts
 CALLS_GROW, CALLS_CUT, CUT_EVERY = 0.2, 0.85, 0.5  # their growth a second, step at a failure; s between cuts
@@ -37,8 +36,8 @@
 CLASS_SMOOTH = 0.03  # step of a class's time relative to the fleet's
 END_BEFORE, HANG, CHOICES = 0.98, 10.0, 16  # share of the aim, usual times that end a try; servers weighed
 HUNG, HUNG_SMOOTH = 0.02, 0.01  # share of attempts without an answer from which those times count; its weight
-PATIENCE_SMOOTH, GAP_SMOOTH = 0.02, 0.02  # step of the time clients usually leave; weight of a gap
-STOOD_STILL, GAPS, GAPS_MOST = 0.1, 10.0, 4.0  # s that tell of a halt, if so many usual gaps; one counts as
+STOOD_STILL, GAPS = 0.1, 10.0  # s between events that tell of our own halt, if so many usual gaps
+GAPS_MOST, GAP_SMOOTH = 4.0, 0.02  # usual gaps that one counts as at most; weight of one
 IDLE_SHARE, COLD_SAFETY = 0.4, 0.5  # of the delay that refuses, for what is beyond quotas; of cold budgets
 @dataclass(slots=True)
 class Bucket:  # a store of units; written only when a request is let in
@@ -54,7 +53,7 @@
     """Consecutive failures open it; after a quarantine unlike the others' one call at a time is a probe."""
     def __init__(self, seed: int, now: float, limiters: int = 1) -> None:
         self.least = CALLS_LEAST / max(1, limiters)
-        self.failures, self.open_until, self.strain, self.made, self.made_at = 0, -math.inf, 0.0, 0.0, 0.0
+        self.failures, self.open_until, self.made, self.made_at = 0, -math.inf, 0.0, 0.0
         # Danger: a crowded counter opens all breakers and is crowded anew as they close. Calls have a rate.
         self.calls, self.cut_at = Bucket(CALLS_MOST, CALLS_MOST * CALLS_AHEAD, 0.0, -math.inf), -math.inf
         self.began = self.grown_at = now
@@ -78,9 +77,9 @@
             grown = 1 + CALLS_GROW * min(1.0, now - self.grown_at)
             self.calls.rate = min(CALLS_MOST, self.calls.rate * grown)
         self.grown_at = now
-        self.failures, self.open_until, self.strain = 0, -math.inf, self.strain * (1 - STRAIN_SMOOTH)
+        self.failures, self.open_until = 0, -math.inf
     def failure(self, now: float) -> None:
-        self.failures, self.strain = self.failures + 1, self.strain + (1 - self.strain) * STRAIN_SMOOTH
+        self.failures += 1
         if self.failures >= TRIP_AFTER:
             self.open_until = now + self.quarantine
         else:
@@ -99,7 +98,7 @@
         self.index, self.seen, self.pace = -1, 0.0, 0.0  # pace: units a second that the others use
         self.usual, self.told, self.heard = 0.0, now - NAME_LIFE, 0.0  # heard: by peers since then
         self.owed = 0.0  # what the count was not told, or told too much; goes along with the next call
-        self.unsure, self.empty_until = 0.0, -math.inf  # adds of ours that timed out and may have landed
+        self.unsure = 0.0  # adds of ours that timed out and may have landed
     def refill(self, now: float, spent: float) -> None:
         late = max(0.0, min(spent, self.burst)) / 2  # spent after the refill, as far as anyone can tell
         level = min(self.burst, self.level + self.rate * (now - self.at) - spent + late) - late
@@ -291,17 +290,19 @@
             del self.young[key]
             if prompt:
                 self.learn(True, now)
-    def sent(self, health: Health, key: tuple[int, int], now: float) -> None:
-        self.young[key] = now
-        health.out, self.out, health.tokens = health.out + 1, self.out + 1, health.tokens - 1
+    def sent(self, health: Health, key: tuple[int, int] | None, now: float) -> None:
+        if key is not None:  # Danger: uploads, slow as their clients, would make a server look crowded
+            self.young[key], health.out, self.out = now, health.out + 1, self.out + 1
+        health.tokens -= 1
         self.sends, self.sends_at = self.sends * math.exp((self.sends_at - now) / FORGET) + 1, now
     def ended(self, event: i.Outcome, cls: int | None, now: float, prompt: bool) -> None:
         name, status, took = event.server, event.status, event.took
-        health, self.out = self.table.get(name), self.out - 1
+        health, one = self.table.get(name), not event.streamed
+        self.out -= one
         young = self.young.pop((event.id, event.attempt), None) is not None
         if health is None or status is Status.NOT_SENT:
             return
-        depth, health.out = health.out, max(0, health.out - 1)
+        depth, health.out = health.out, max(0, health.out - one)
         if status is Status.CANCELLED:
             return
         bad = {Status.OK: 0.0, Status.FULL: FULL}.get(status, 1.0)
@@ -310,7 +311,7 @@
             self.trouble += (bad - self.trouble) * FLEET_SMOOTH
         health.tried(bad, now)
         self.hung += ((status is Status.TIMEOUT) - self.hung) * HUNG_SMOOTH
-        if prompt and status in (Status.OK, Status.TIMEOUT):  # else our own halt is in the time it took
+        if prompt and one and status in (Status.OK, Status.TIMEOUT):  # else our own halt is in its time
             part = self.ratio[cls] if cls is not None else 1.0
             seen = min(took / max(1, depth) / self.typical / part * self.depth, SLOWEST)
             self.mean += (seen - self.mean) * FLEET_SMOOTH
@@ -331,8 +332,8 @@
         self.settings = settings
         self.breaker, self.servers = Breaker(seed, now, settings.limiters), Servers(settings, seed)
         self.customers, self.pending = dict[int, Customer](), dict[int, Pending]()
-        self.calls, self.patience = dict[int, deque[Call]](), dict[int, float]()
-        self.swept, self.now, self.before, self.halt, self.gap = now, now, now, -math.inf, STOOD_STILL / 2
+        self.calls = dict[int, deque[Call]]()
+        self.swept, self.now, self.halt, self.gap = now, now, -math.inf, STOOD_STILL / 2
         self.outbox = dict[int, list[i.Use]]()  # what others are still to be told, who waits longest first
         self.posts = Bucket(PEER_SHARE * settings.inbox, POSTS_AHEAD, POSTS_AHEAD, now)
         self.worths = sorted({c.worth * p.price for c in settings.classes for p in settings.plans})
@@ -342,9 +343,10 @@
     def handle(self, event: i.Event, now: float) -> list[i.Action]:
         if now > self.now:
             # Danger: where few requests come, gaps are usual, and would look like halts. So they are learnt.
-            self.gap += (min(self.now - self.before, GAPS_MOST * self.gap) - self.gap) * GAP_SMOOTH
-            self.before, self.now = self.now, now
-            self.servers.look(now, now > self.halt and not self.stood_still())
+            gap, self.now = now - self.now, now
+            self.halt = now if gap > max(STOOD_STILL, GAPS * self.gap) else self.halt
+            self.gap += (min(gap, GAPS_MOST * self.gap) - self.gap) * GAP_SMOOTH
+            self.servers.look(now, now > self.halt)
         self.actions = []
         if isinstance(event, Request):
             self.on_request(event, now)
@@ -378,14 +380,13 @@
         customer = self.customers.get(request.customer)
         if customer is None:
             customer = self.customers[request.customer] = Customer(request.customer, request.plan, s, now)
-        new, customer.used = not customer.points, now
-        if new:
+        customer.used = now
+        if not customer.points:
             customer.enter(max(1, min(request.entry_points, s.limiters)), now)
-        waiting = self.pending[request.id] = Pending(request, customer, s, now - self.age(request, now))
+        waiting = self.pending[request.id] = Pending(request, customer, s, now + request.coming)
         if min(request.until, self.end(waiting)) - now <= max(s.counter_wait, self.servers.typical / 2):
             return self.refuse(waiting, s.max_retry_after, now)  # Danger: after a halt they crowd servers
         if s.counter and self.breaker.allows(now):
-            strained = self.breaker.strain > STRAIN
             if customer.rate is not None:
                 customer.rate.turn(now)
                 queue = self.calls.get(customer.rate.name, ())
@@ -393,23 +394,18 @@
                 # Add the units unless the store can't hold them: then only read, with nothing to take back.
                 level, owed = customer.rate.now_level(now) - waiting.promised, customer.rate.owed
                 asked = float(request.units) if level >= request.units else 0.0
-                guess = level - customer.rate.untold(now, s.peers)
-                plenty = owed < request.units and guess >= (owed + request.units) * request.entry_points
                 # Danger: one busy customer's calls jam the counter, or many limiters'. Beyond a few out, or
-                # what it bears, the store as last told decides. Under strain one at its quota lives on its
-                # share a while, one with room though each limiter holds as much untold goes unasked.
-                empty = strained and now < customer.rate.empty_until
-                spared = empty or len(queue) >= CALLS_OUT or (strained and plenty and customer.rate.seen > 0)
+                # what it bears, the store as last told decides.
+                spared = len(queue) >= CALLS_OUT
                 if not spared and self.breaker.spend(now):
                     self.call(waiting, customer.rate, owed + asked, asked)
                     customer.rate.owed = 0.0
                 else:
                     unknown = not spared and now - customer.rate.told > TOLD
-                    waiting.fell_back = not s.peers and (empty or unknown)
+                    waiting.fell_back = not s.peers and unknown
             if customer.open is not None:
                 customer.open.turn(now)
-                # Who asks so seldom is hardly at a cap.
-                if not (strained and new) and self.breaker.spend(now):
+                if self.breaker.spend(now):
                     self.call(waiting, customer.open, customer.open.step(1))
         elif customer.rate is not None or customer.open is not None:
             waiting.fell_back = True
@@ -439,16 +435,6 @@
                 customer.open.starts.append(now)
             if customer.rate is not None:
                 customer.rate.listen(use, now)
-    def age(self, request: Request, now: float) -> float:  # since it came: less time left than usual
-        left = request.until - now
-        usual = self.patience.setdefault(request.cls, left)
-        self.patience[request.cls] *= 1 + PATIENCE_SMOOTH * (0.75 if left > usual else -0.25)
-        age = min(max(0.0, usual - left), now - self.before)
-        halted = age > STOOD_STILL and self.stood_still()
-        self.halt = now if halted else self.halt
-        return age if halted else 0.0
-    def stood_still(self) -> bool:
-        return self.now - self.before > max(STOOD_STILL, GAPS * self.gap)
     def call(self, waiting: Pending, check: RateCheck | OpenCheck, step: float, asked: float = 0.0) -> None:
         call = Call(check.name, step, waiting.request.id, check, asked)
         self.calls.setdefault(check.name, deque()).append(call)
@@ -501,8 +487,6 @@
                 # A full bucket also passes a larger request, on credit: else small shares would pass nothing.
                 store, need = fallback.now_level(now), min(need, fallback.size)
             room, after = store >= need, (need - store) / (fallback.rate if waiting.fell_back else rate.rate)
-            if not (room or waiting.fell_back) and rate.pace > rate.rate / 2:  # the others use it up
-                rate.empty_until = now + units / fallback.rate
         if gauge is not None:
             share = math.ceil(gauge.cap / max(1, request.entry_points))
             busy = max(gauge.others if waiting.known or not self.settings.peers else 0.0,
@@ -519,7 +503,7 @@
             rate.level -= used
             rate.owed += sum(c.owed(added) for c, added in waiting.calls if c.check is rate)
             rate.owed += used if told else 0
-            if placed is None and rate.owed < 0 and not waiting.fell_back and self.breaker.strain < STRAIN:
+            if placed is None and rate.owed < 0 and not waiting.fell_back:
                 self.call(waiting, rate, rate.owed)  # at once: our next call for it may be long in coming
                 rate.owed = 0.0
             if not waiting.fell_back:
@@ -563,9 +547,11 @@
     def send(self, waiting: Pending, health: Health, now: float) -> None:
         waiting.out.add(len(waiting.tried))
         waiting.tried.append(health.server)
-        self.servers.sent(health, (waiting.request.id, len(waiting.tried) - 1), now)
+        key = None if waiting.request.coming else (waiting.request.id, len(waiting.tried) - 1)
+        self.servers.sent(health, key, now)
         limit = max(self.end(waiting) - now, 0.001)
-        hung = self.servers.hung > HUNG  # Danger: some never answer, and no time is left for another try
+        hung = self.servers.hung > HUNG and key is not None
+        # Danger: some never answer, and no time is left for another try.
         if hung and len(waiting.tried) == 1 and waiting.kind.effect is not Effect.UNSAFE:
             limit = min(limit, max(HANG * self.servers.typical, limit / 2))
         self.actions.append(i.Attempt(waiting.request.id, health.server.name, limit))
@@ -604,6 +590,7 @@
         may = waiting.maybe_ran is None or waiting.kind.effect is Effect.SAFE or (
             waiting.kind.effect is Effect.KEYED and now < waiting.maybe_at + waiting.kind.key_ttl)
         may &= event.status is not Status.NOT_SENT and len(waiting.tried) < self.settings.max_attempts
+        may &= event.again
         placed = self.place(waiting, now) if may and not waiting.streaming else None
         if placed is None:
             return self.refuse(waiting, self.settings.max_retry_after, now)
--- a/finchshelf/node/bodies.py
+++ b/finchshelf/node/bodies.py
@@ -1,9 +1,9 @@
 """Request bodies that are too large to keep: a replay window of the first bytes, then one piece at a time.
 
-Owns what is held of such a body between its client's connection, which puts, and the attempt that it goes to, which
-takes; and how much all windows may hold together. It must never hold more of a body than its window and what one
-read brought, give a byte behind the window twice, touch a socket, or decide whether a request is sent again: it
-only tells whether its bytes are still at hand (`Body.again`). Design: `docs/uploads.md`.
+Owns what is held of such a body between its client's connection, which puts, and the attempt that it goes to,
+which takes; and how much all windows may hold together. It must never hold more of a body than its window and
+what one read brought, give a byte behind the window twice, touch a socket, or decide whether a request is
+sent again: it only tells whether its bytes are still at hand (`Body.again`). Design: `docs/uploads.md`.
 """
 
 from __future__ import annotations
@@ -97,7 +97,7 @@
     async def take(self, reader: object, at: int) -> bytes:
         """The bytes from `at` on, `PIECE` at most of the window; none at the end. Raises Cut."""
         while True:
-            # Danger: an attempt that has ended takes a piece before its task hears of that. The next one lacks it.
+            # Danger: an attempt that has ended takes a piece before its task hears of that; another lacks it.
             if self.broken or self.reader is not reader:
                 raise Cut
             if self.window is not None and at < len(self.window):
--- a/finchshelf/node/clients.py
+++ b/finchshelf/node/clients.py
@@ -11,6 +11,7 @@
 import math
 from binascii import unhexlify
 from collections.abc import Callable
+from contextlib import suppress
 from functools import lru_cache
 
 import h11
@@ -18,21 +19,23 @@
 
 from finchshelf.admission import interface as i
 from finchshelf.node import net
+from finchshelf.node.bodies import MOST_REQUEST, PIECE, WINDOW, Body, Room
 from finchshelf.node.config import Config
-from finchshelf.node.core import FOLLOW, Answer, Core, Exchange, Headers
+from finchshelf.node.core import FOLLOW, Answer, Arrived, Core, Exchange, Headers
 from finchshelf.node.servers import HOP_BY_HOP
 
 SLOW_READ = 2.5  # s for the head of a request whose first byte has come: clients may take 2 s
 LEAST_RATE = 32768.0  # bytes a second that a body comes at, beyond that: clients send 64 kB a second
 SILENT = 2.2  # s that a new connection may say nothing: it may not be closed before 2 s, and must be by 3 s
 KEPT = 4.0  # s that a connection is kept after an answer: some clients ask once and stay for good
+MUTE = 10.0  # s that the client of a streamed body may send nothing, however far ahead it is
 SLOW_WRITE = 10.0  # s for an answer to be taken
 LINGER = 0.3  # s that a client has to end its side after the last answer on a connection
 LAST_READ = 1.5  # s that a client which still sends has to read why nothing of that is wanted
 LOOK = 0.25  # s between two looks for connections that are past one of these times
 PACE = 0.005  # s between two reads of what is thrown away
 MOST_AHEAD = 32768  # bytes read of what comes behind a request before that has its answer
-MOST_PARTS = 4096  # chunks of a body: more are sent to keep this node busy
+MOST_PARTS, LEAST_PART = 4096, 16  # chunks of a body, more of so many bytes on average: else to keep us busy
 YOUNG, HALF, IDLE = 0.05, 1.0, 2.0  # s of silence, of half a request, of idling, from which one makes room
 NOT_PASSED = HOP_BY_HOP | {b"x-budget-ms", b"x-metering", b"expect"}
 MOST_BUDGET = 3_600_000
@@ -42,7 +45,8 @@
 ONCE = frozenset((b"host", b"content-length", b"transfer-encoding", b"x-call-id", b"x-call-class",
                   b"x-contract", b"x-budget-ms", b"x-metering", b"x-again", b"idempotency-key"))
 EMPTY = h11.EndOfMessage()
-TOO_SLOW = Answer(408, [(b"Content-Length", b"0")])
+NOTHING: Headers = [(b"Content-Length", b"0")]
+TOO_SLOW = Answer(408, NOTHING)
 CONTINUE = h11.InformationalResponse(status_code=100, headers=[])
 
 
@@ -79,12 +83,13 @@
         if b"transfer-encoding" in told and (b"content-length" in told or event.http_version < b"1.1"):
             # Danger: by one of the two lengths the body holds another request; whoever reads it so runs that.
             raise BadRequest("two lengths")
-        if whole(told.get(b"content-length", b"0"), math.inf, 20) > net.MOST_BODY:
+        if whole(told.get(b"content-length", b"0"), math.inf, 20) > MOST_REQUEST:
             raise BadRequest("body too large", 413)
         return told
 
     def call(self, event: h11.Request, body: bytes, number: int, came: float,
-             reply: Callable[[Answer], None]) -> Exchange:
+             reply: Callable[[Answer], None], stream: Body | None = None, coming: float = 0.0) -> Exchange:
+        """A call that has come whole, or but for `coming` seconds of its body."""
         told = dict(event.headers)
         path = event.target.partition(b"?")[0].split(b"/")
         name = told.get(b"x-call-class", b"")
@@ -93,7 +98,7 @@
             raise BadRequest("class or contract")
         kind = self.settings.classes[cls]
         safe = kind.effect is i.Effect.SAFE
-        if event.method != (b"GET" if safe else b"POST") or (safe and body):
+        if event.method != (b"GET" if safe else b"POST") or (safe and (body or stream)):
             raise BadRequest("method")
         if kind.effect is i.Effect.KEYED and not told.get(b"idempotency-key"):
             raise BadRequest("key")
@@ -104,10 +109,10 @@
         headers = [(raw, value) for (raw, value), (plain, _)
                    in zip(event.headers.raw_items(), event.headers, strict=True) if plain not in NOT_PASSED]
         wait = min(budget / 1000, kind.deadline) if kind.deadline > 0 else budget / 1000
-        request = i.Request(number, cls, plan, customer, came + wait, units, spread,
-                            told.get(b"x-again") == b"1")
+        request = i.Request(number, cls, plan, customer, came + coming + wait, units, spread,
+                            told.get(b"x-again") == b"1", coming=coming)
         return Exchange(request, reply, event.method, event.target, headers, body, told[b"x-call-id"],
-                        settings=self.settings)
+                        settings=self.settings, stream=stream, wait=wait)
 
     def metering(self, text: bytes) -> tuple[int, int]:
         """Units and the customer's set; one unit of a set of all where nothing is said."""
@@ -149,18 +154,22 @@
 
     `idle`: no byte of a request has come since the last answer. `since`: when that or the rest last changed.
     `fresh`: nothing has been answered on it yet. `ahead`: bytes read behind a request that has no answer.
+    `body`: of the request that waits, if streamed; until `due` more of it has to come (`inf`: not asked for).
     """
 
-    __slots__ = ("ahead", "clients", "closing", "ended", "exchange", "expect", "fresh", "head", "http",
-                 "idle", "parts", "resume", "since", "size", "stream", "writing")
+    __slots__ = ("ahead", "body", "chunks", "clients", "closing", "due", "ended", "exchange", "expect",
+                 "fresh", "head", "http", "idle", "mute", "parts", "resume", "since", "size", "stream",
+                 "writing")
 
     def __init__(self, clients: Clients, stream: net.Stream, now: float) -> None:
         self.clients, self.stream, self.since, self.idle = clients, stream, now, True
         self.http = h11.Connection(h11.SERVER)
         self.head: h11.Request | None = None
         self.parts: list[bytes] = []
-        self.size = self.ahead = self.expect = 0
+        self.size = self.chunks = self.ahead = self.expect = 0
         self.exchange: Exchange | None = None
+        self.body: Body | None = None
+        self.due = self.mute = math.inf
         self.resume: trio.Event | None = None
         self.fresh = True
         self.closing = self.writing = self.ended = False
@@ -176,6 +185,9 @@
                         break
                     await trio.sleep(PACE)
                     continue
+                if self.body is not None and not self.body.whole:
+                    await self.read_body(self.body)
+                    continue
                 if self.ahead > MOST_AHEAD and (self.exchange is not None or self.writing):
                     # Danger: requests in masses behind one another would fill memory. The kernel holds them.
                     self.resume = trio.Event()
@@ -205,6 +217,7 @@
             if self.exchange is not None:
                 clients.core.put(i.ClientGone(self.exchange.request.id))
             self.release()
+            self.drop_body()
             clients.connections.discard(self)
             self.closing = True
             self.stream.close()
@@ -222,19 +235,21 @@
             while self.exchange is None and not self.closing and not self.writing:
                 event = self.http.next_event()
                 if event is h11.NEED_DATA:
-                    if self.http.they_are_waiting_for_100_continue:
-                        self.send(self.http.send(CONTINUE) or b"")
+                    self.go_on()
                     return
                 if isinstance(event, h11.Request):
                     self.head, self.idle = event, False
                     told = self.clients.reader.head(event)
                     chunked = b"transfer-encoding" in told
-                    self.expect = net.MOST_BODY if chunked else int(told.get(b"content-length", b"0"))
+                    self.expect = MOST_REQUEST if chunked else int(told.get(b"content-length", b"0"))
+                    if self.expect > net.MOST_BODY and self.http.they_are_waiting_for_100_continue:
+                        return self.streamed(None if chunked else self.expect)
                 elif isinstance(event, h11.Data):
                     self.parts.append(bytes(event.data))
-                    self.size += len(event.data)
-                    if self.size > net.MOST_BODY or len(self.parts) > MOST_PARTS:
-                        raise BadRequest("body too large", 413)
+                    self.bounded(event)
+                    if self.size > self.clients.room.window():
+                        told = dict(self.head.headers) if self.head is not None else {}
+                        return self.streamed(None if b"transfer-encoding" in told else self.expect)
                 elif isinstance(event, h11.EndOfMessage):
                     self.whole()
                 else:  # the client has ended, or has said that this request was its last
@@ -243,12 +258,27 @@
         except (BadRequest, h11.RemoteProtocolError) as error:
             self.clients.count["in.bad"] += 1
             status = error.status if isinstance(error, BadRequest) else 400
-            self.reply(Answer(status, [(b"Content-Length", b"0")]), True)
+            self.reply(Answer(status, NOTHING), True)
+
+    def bounded(self, event: h11.Data) -> None:
+        self.size, self.chunks = self.size + len(event.data), self.chunks + 1
+        if self.size > MOST_REQUEST or self.chunks > MOST_PARTS + self.size // LEAST_PART:
+            raise BadRequest("body too large", 413)
 
-    def whole(self) -> None:
-        head, body, clients = self.head, b"".join(self.parts), self.clients
+    def go_on(self) -> None:
+        """Say 100 Continue, where the client waits for that."""
+        if self.http.they_are_waiting_for_100_continue and not self.closing:
+            self.send(self.http.send(CONTINUE) or b"")
+
+    def whole(self, stream: Body | None = None) -> None:
+        """A request that has come whole, or as far as its body is now streamed, goes to the core."""
+        head, clients = self.head, self.clients
+        body = b"" if stream is not None else b"".join(self.parts)
         assert head is not None
-        self.head, self.parts, self.size, self.expect = None, [], 0, 0
+        coming = SLOW_READ + (self.expect - self.size) / LEAST_RATE if stream is not None else 0.0
+        self.head, self.parts, self.expect = None, [], 0
+        if stream is None:
+            self.size = self.chunks = 0
         if head.target == b"/healthz" and head.method == b"GET":
             return self.reply(clients.health())
         now = clients.core.clock.now()
@@ -256,7 +286,7 @@
             # Danger: requests that came while this process stood still look fresh, and are sent on for
             # clients who have given up. The kernel knows when the last byte came.
             now -= self.stream.quiet_for()
-        exchange = clients.read(head, body, now, self.answered)
+        exchange = clients.read(head, body, now, self.answered, stream, coming)
         if exchange.key in clients.ids:
             # Danger: a request under the id of another's is a second copy of that to whoever goes by ids.
             raise BadRequest("id of an open request")
@@ -264,6 +294,91 @@
         self.exchange = exchange
         clients.core.put(exchange)
 
+    def streamed(self, length: int | None) -> None:
+        """A body too large to keep: the request is decided now, and the rest goes on as it comes."""
+        waiting, now = self.http.they_are_waiting_for_100_continue, self.clients.core.clock.now()
+        stream = Body(self.clients.room, b"".join(self.parts), length, self.wanted if waiting else None)
+        try:
+            self.whole(stream)
+        finally:
+            if self.exchange is None:
+                stream.cut()
+        if self.exchange is None:  # not a call: it has its answer
+            return
+        self.body = stream
+        # Danger: one time for all cuts off who sends at the rate allowed; without, the silent hold servers.
+        self.due = math.inf if waiting else self.since + SLOW_READ + self.size / LEAST_RATE
+        self.mute = math.inf if waiting else now + MUTE
+        self.clients.count["in.streamed"] += 1
+        self.feed(b"")
+
+    def wanted(self) -> None:
+        """An attempt waits for the first byte of a body whose client waits for a word: 100 Continue."""
+        now = self.clients.core.clock.now()
+        self.due, self.mute = now + SLOW_READ, now + MUTE
+        with suppress(h11.LocalProtocolError):  # it has its answer already
+            self.go_on()
+
+    async def read_body(self, body: Body) -> None:
+        """The next piece of a streamed body, once the attempt has taken the last."""
+        clock = self.clients.core.clock
+        if body.piece:
+            began, due, self.due, self.mute = clock.now(), self.due, math.inf, math.inf
+            await body.taken()
+            if self.closing or body.broken:
+                return
+            # Danger: a server that is slow to take would have its client cut off.
+            self.due, self.mute = due + clock.now() - began, clock.now() + MUTE
+        data = await self.stream.receive(PIECE)
+        if self.closing:
+            self.ended = not data
+        elif not body.broken:
+            self.mute = clock.now() + MUTE
+            self.feed(data, not data)
+
+    def feed(self, data: bytes, ended: bool = False) -> None:
+        """Put what came of a streamed body; at its end the core hears when that was."""
+        body, clients = self.body, self.clients
+        assert body is not None
+        try:
+            if data or ended:
+                self.http.receive_data(data)
+            while (event := self.http.next_event()) is not h11.NEED_DATA:
+                if isinstance(event, h11.Data):
+                    self.bounded(event)
+                    self.due += len(event.data) / LEAST_RATE
+                    body.put(event.data)
+                else:
+                    if self.exchange is not None:
+                        self.exchange.arrived(clients.core.clock.now())
+                        clients.core.put(Arrived(self.exchange))
+                    self.forget_size()
+                    return body.end()
+        except (BadRequest, h11.RemoteProtocolError) as error:
+            if ended:
+                self.ended = True
+            else:
+                clients.count["in.bad"] += 1
+                self.cut_off(Answer(error.status if isinstance(error, BadRequest) else 400, NOTHING))
+
+    def cut_off(self, answer: Answer) -> None:
+        """A streamed request whose body will not come whole: its attempt ends, its client may read why."""
+        self.drop_body()
+        if self.exchange is not None:
+            self.clients.core.put(i.ClientGone(self.exchange.request.id))
+            return self.reply(answer, True)
+        self.stream.hang_up()  # its answer has begun already
+
+    def drop_body(self) -> None:
+        """No attempt gets more of the body."""
+        if self.body is not None:
+            self.body.cut()
+            self.body = None
+            self.forget_size()
+
+    def forget_size(self) -> None:
+        self.size, self.chunks, self.due, self.mute = 0, 0, math.inf, math.inf
+
     def answered(self, answer: Answer) -> None:
         """Take the final answer in the core's turn: write it, and read what has come meanwhile."""
         try:
@@ -296,9 +411,13 @@
             if answer.body:
                 data += http.send(h11.Data(data=answer.body)) or b""
             if answer.more is not None:
-                self.since, self.writing, self.closing = clients.core.clock.now(), True, close
+                # Danger: a server that answers while it still reads would never end; the body goes on.
+                both = self.body is not None and not self.body.whole
+                self.since, self.writing = clients.core.clock.now(), True
+                self.closing = close and not both
                 return clients.nursery.start_soon(self.pour, data, answer.more)
             data += http.send(EMPTY) or b""
+            self.drop_body()
         except h11.LocalProtocolError as error:
             clients.telemetry.rare("clients.error", error=repr(error))
             return self.stream.hang_up()
@@ -355,6 +474,7 @@
                     data = (self.http.send(h11.Data(data=piece)) if piece else self.http.send(EMPTY)) or b""
             self.since, self.writing = self.clients.core.clock.now(), False
             self.closing = self.closing or self.http.our_state is not h11.DONE
+            self.drop_body()
             self.sent()
             self.read_on()
             return self.wake()
@@ -380,6 +500,10 @@
         """For how long nothing has been going on here; below 0 while a request waits or an answer is sent."""
         return -1.0 if self.exchange is not None or self.writing else now - self.since
 
+    def stalled(self, now: float) -> bool:
+        """Does a streamed body come slower than it must?"""
+        return now > self.due or now > self.mute
+
     def spent(self, quiet: float) -> bool:
         """Past its time, or of no further use."""
         if self.closing:
@@ -387,7 +511,7 @@
         if self.idle:
             return quiet > (SILENT if self.fresh else KEPT)
         # Danger: a fixed time for all cuts off bodies that come at the rate the protocol allows.
-        return quiet > SLOW_READ + (self.expect / LEAST_RATE if self.head is not None else 0.0)
+        return quiet > SLOW_READ + (min(self.expect, WINDOW) / LEAST_RATE if self.head is not None else 0.0)
 
     def give_up(self) -> bool:
         """End a connection on which no request waits, unless one has come and is not yet read."""
@@ -414,6 +538,7 @@
         self.most = max(8, (config.descriptors - 32) // 2)
         self.connections: set[Connection] = set()
         self.ids: set[bytes] = set()  # of the requests that wait for an answer
+        self.room = Room(config.memory)
         self.draining = self.told_ready = False
 
     def renew(self, config: Config) -> None:
@@ -421,15 +546,16 @@
         self.config, self.former, self.reader = config, self.reader, Reader(config)
         self.follow_until = self.core.clock.now() + FOLLOW
 
-    def read(self, head: h11.Request, body: bytes, came: float, reply: Callable[[Answer], None]) -> Exchange:
+    def read(self, head: h11.Request, body: bytes, came: float, reply: Callable[[Answer], None],
+             stream: Body | None = None, coming: float = 0.0) -> Exchange:
         """A call by the settings in use; for a while after new ones, one that names what only the former
         settings know is read and decided by those."""
         try:
-            return self.reader.call(head, body, self.core.next_id(), came, reply)
+            return self.reader.call(head, body, self.core.next_id(), came, reply, stream, coming)
         except BadRequest:
             if self.former is None or self.core.clock.now() >= self.follow_until:
                 raise
-        return self.former.call(head, body, self.core.next_id(), came, reply)
+        return self.former.call(head, body, self.core.next_id(), came, reply, stream, coming)
 
     def takes(self) -> str:
         """Does this process take clients: ready, starting or ending."""
@@ -504,5 +630,8 @@
             await trio.sleep(LOOK)
             now = self.core.clock.now()
             for connection in list(self.connections):
-                if connection.spent(connection.quiet(now)):
+                if connection.stalled(now):
+                    self.count["clients.slow"] += 1
+                    connection.cut_off(TOO_SLOW)
+                elif connection.spent(connection.quiet(now)):
                     connection.give_up()
--- a/finchshelf/node/config.py
+++ b/finchshelf/node/config.py
@@ -18,6 +18,7 @@
 from finchshelf.admission import interface as i
 
 DEFAULT_DESCRIPTORS = 1024
+DEFAULT_MEMORY = 192  # MB
 
 
 class ConfigError(ValueError):
@@ -70,6 +71,8 @@
     """Where what operators said is kept for a process that follows this one: a file in `$TMPDIR`."""
     form: dict[str, Any] = field(default_factory=dict, compare=False)
     """The settings' object as the file has it, to check a new file against."""
+    memory: int = DEFAULT_MEMORY << 20
+    """The limit on this process's memory, in bytes."""
 
 
 def read(raw: dict[str, Any], environ: Mapping[str, str]) -> Config:
@@ -91,6 +94,9 @@
     descriptors = limits.get("sockets", DEFAULT_DESCRIPTORS)
     if not isinstance(descriptors, int) or isinstance(descriptors, bool) or descriptors < 32:
         raise ConfigError("expected a whole number of 32 or more for limits.sockets")
+    memory = limits.get("memory_mb", DEFAULT_MEMORY)
+    if not isinstance(memory, int | float) or isinstance(memory, bool) or not 1 <= memory < 1e9:
+        raise ConfigError("expected a number of 1 or more for limits.memory_mb")
     try:
         settings, around = parse.settings(raw["settings"]), parse.surroundings(raw["settings"])
     except parse.SettingsError as error:
@@ -109,7 +115,8 @@
         name, address(text("listen"), "listen"), address(text("discovery"), "discovery"),
         address(raw["counter"], "counter") if raw.get("counter") is not None else None,
         seed, settings, around, known, descriptors, messages,
-        address(operator, "operator") if operator else None, state, raw["settings"])
+        address(operator, "operator") if operator else None, state, raw["settings"],
+        int(memory * (1 << 20)))
 
 
 def load(environ: Mapping[str, str] | None = None, former: Config | None = None) -> Config:
--- a/finchshelf/node/core.py
+++ b/finchshelf/node/core.py
@@ -13,13 +13,14 @@
 import traceback
 from collections import deque
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 import trio
 
 from finchshelf.admission import interface as i
 from finchshelf.admission.logic import Limiter
+from finchshelf.node.bodies import Body
 from finchshelf.node.config import Address, Config
 from finchshelf.node.telemetry import Telemetry
 
@@ -67,6 +68,21 @@
     attempts: int = 0
     owner: Limiter | None = None
     settings: i.Settings | None = None  # by which it was read: a class is a number in those
+    stream: Body | None = None  # in place of `body`: one that is too large to keep, as it comes
+    wait: float = 0.0  # s that its client waits from its last byte on
+    until: float = field(init=False)  # when that is up; of one that still comes the latest that it may be
+
+    def __post_init__(self) -> None:
+        self.until = self.request.until
+
+    def arrived(self, now: float) -> None:
+        """Its last byte is here."""
+        self.until = min(self.request.until, now + self.wait)
+
+    @property
+    def again(self) -> bool:
+        """Can it be sent once more?"""
+        return self.stream is None or self.stream.again
 
 
 @dataclass(slots=True, eq=False)
@@ -100,6 +116,13 @@
     load: dict[str, float] | None = None
 
 
+@dataclass(slots=True)
+class Arrived:
+    """The last byte of a streamed request is here: its client's time counts from then (`Exchange.until`)."""
+
+    exchange: Exchange
+
+
 @dataclass(slots=True)
 class Listed:
     """News from discovery, with the addresses that go with it."""
@@ -126,7 +149,7 @@
     config: Config
 
 
-Item = Exchange | Ended | Listed | Maintenance | Renewal | i.ClientGone | i.Counted | i.Probed
+Item = Exchange | Arrived | Ended | Listed | Maintenance | Renewal | i.ClientGone | i.Counted | i.Probed
 
 
 class ServersPort(Protocol):
@@ -299,8 +322,10 @@
                 self.count["core.unowned"] += 1
                 return item.reply(REFUSED)
             self.live[item.request.id], item.owner = item, owner
-            heapq.heappush(self.ends, (item.request.until + self.slack, item.request.id))
+            heapq.heappush(self.ends, (item.until + self.slack, item.request.id))
             self.handle(item.request, now)
+        elif isinstance(item, Arrived):
+            heapq.heappush(self.ends, (item.exchange.until + self.slack, item.exchange.request.id))
         elif isinstance(item, Ended):
             self.ended(item, now)
         elif isinstance(item, Listed):
@@ -371,8 +396,10 @@
         elif item.answer is not None and item.answer.more is not None:
             item.answer.more.close()  # Danger: nobody takes the rest, and its server would wait for good
         took = now - attempt.issued
-        self.handle(i.Outcome(request, attempt.number, attempt.server, item.status, took, final,
-                              item.used, item.true_units, item.load or {}), now, attempt.exchange.owner)
+        exchange = attempt.exchange
+        self.handle(i.Outcome(request, attempt.number, attempt.server, item.status, took, final, item.used,
+                              item.true_units, item.load or {}, exchange.again, exchange.stream is not None),
+                    now, exchange.owner)
 
     def news(self, item: Listed, now: float) -> None:
         kept = item.members.kind in (i.ListKind.FULL, i.ListKind.CACHED)
@@ -434,7 +461,8 @@
         if not self.telemetry.holds(exchange is not None and address is not None, "attempt_known") \
                 or exchange is None or address is None:
             return
-        left = exchange.request.until - now
+        self.telemetry.holds(exchange.again, "bytes_at_hand")
+        left = exchange.until - now
         limit = min(action.limit, left) if action.limit > 0 else left
         attempt = Attempt(exchange, exchange.attempts, action.server, address, max(limit, 0.001), now)
         exchange.attempts += 1
@@ -447,7 +475,7 @@
         if exchange is None:
             return
         self.count[counted] += 1
-        if self.clock.now() > exchange.request.until + OVERDUE:
+        if self.clock.now() > exchange.until + OVERDUE:
             self.count["out.late"] += 1
         exchange.reply(answer)
 
--- a/finchshelf/node/net.py
+++ b/finchshelf/node/net.py
@@ -35,12 +35,12 @@
         self.sock = socket.socket(family, kind, proto, fileno=sock.detach())
         self.sock.setblocking(False)
 
-    async def receive(self) -> bytes:
-        """What has come, at least a byte; nothing at the end."""
+    async def receive(self, most: int = CHUNK) -> bytes:
+        """What has come, at least a byte and `most` at the most; nothing at the end."""
         while True:
             await self.readable()
             try:
-                return self.sock.recv(CHUNK)
+                return self.sock.recv(most)
             except BlockingIOError:
                 continue
 
--- a/finchshelf/node/servers.py
+++ b/finchshelf/node/servers.py
@@ -15,6 +15,7 @@
 
 from finchshelf.admission import interface as i
 from finchshelf.node import net
+from finchshelf.node.bodies import Cut
 from finchshelf.node.config import Address, Config
 from finchshelf.node.core import Answer, Attempt, Core, Ended, Headers
 
@@ -24,7 +25,7 @@
 MOST_TOLD = 1e9  # no figure that a server tells is larger
 TRUE_UNITS = 16  # times the most units of a request that its true ones may be
 SWEEP = 1.0  # s between two looks at idle connections
-PIECE = 10.0  # s for the next piece of a large answer, from its server or to its client
+PIECE = 10.0  # s for the next piece of a large answer or body, from or to a server, or to a client
 PROBE_LIMIT = 0.25  # s for a probe, its connection included
 HOP_BY_HOP = frozenset((b"connection", b"keep-alive", b"proxy-authenticate", b"proxy-authorization", b"te",
                         b"trailer", b"transfer-encoding", b"upgrade", b"content-length"))
@@ -67,6 +68,11 @@
         data += self.http.send(h11.EndOfMessage()) or b""
         await self.stream.send(data)
 
+    async def part(self, event: h11.Request | h11.Data | h11.EndOfMessage) -> None:
+        """One part of a request that goes out as it comes."""
+        with trio.fail_after(PIECE):
+            await self.stream.send(self.http.send(event) or b"")
+
     async def read(self) -> Reply:
         status, headers, parts, size, interim = 0, [], [], 0, 0
         while True:
@@ -126,6 +132,15 @@
         return True
 
 
+class Upload:
+    """A body on its way to one attempt. `written`: its last byte has gone, so that the request may run."""
+
+    __slots__ = ("scope", "written")
+
+    def __init__(self) -> None:
+        self.scope, self.written = trio.CancelScope(), False
+
+
 class Servers:
     def __init__(self, core: Core, config: Config, nursery: trio.Nursery) -> None:
         self.core, self.nursery, self.clock = core, nursery, core.clock
@@ -221,6 +236,7 @@
             return self.core.put(Ended(attempt, i.Status.CANCELLED))
         connection: Connection | None = None
         written, ended, reply = False, Ended(attempt, i.Status.UNREACHABLE), None
+        upload, stream = Upload(), attempt.exchange.stream
         with trio.CancelScope() as scope:
             attempt.scope = scope
             scope.deadline = trio.current_time() + attempt.limit - (self.clock.now() - attempt.issued)
@@ -232,22 +248,32 @@
                 # Danger: after a halt a send that was decided long ago would go to a server that drains by
                 # now. What has not begun within the time to connect has not begun at all.
                 if connection is not None and self.clock.now() - attempt.issued <= self.connect_limit:
-                    await connection.write(head(attempt, self.clock.now()), attempt.exchange.body)
-                    written, ended.status = True, i.Status.RESET
+                    if stream is None:
+                        await connection.write(head(attempt, self.clock.now()), attempt.exchange.body)
+                        written, ended.status = True, i.Status.RESET
+                    else:
+                        await connection.part(head(attempt, self.clock.now()))
+                        stream.reader = upload
+                        self.nursery.start_soon(self.upload, connection, attempt, upload)
                     reply = await connection.read()
                     read(reply, ended, self.most_units)
-            except (OSError, Broken, h11.LocalProtocolError):
-                pass  # the status so far says what that means: before the last byte unreachable, then reset
+            except (OSError, Broken, h11.LocalProtocolError, trio.TooSlowError):
+                # The status so far says what that means: before the last byte unreachable, then reset.
+                ended.status = i.Status.RESET if upload.written else ended.status
             except Exception as error:
                 # Danger: what nobody thought of must not end the node; the attempt has an end as any other.
                 self.telemetry.rare("servers.error", error=repr(error), server=attempt.server)
         if scope.cancelled_caught:
             if attempt.cancelled:
                 ended.status = i.Status.CANCELLED
-            elif written:
+            elif written or upload.written:
                 ended.status = i.Status.TIMEOUT
         if connection is not None and reply is not None and reply.large and not scope.cancelled_caught:
-            return await self.pour(connection, ended)
+            await self.pour(connection, ended)
+            return upload.scope.cancel()
+        if stream is not None and stream.reader is upload:
+            stream.reader = None
+        upload.scope.cancel()
         if connection is not None:
             if ended.status in (i.Status.OK, i.Status.FULL, i.Status.ERROR) and not scope.cancelled_caught:
                 self.keep(connection)
@@ -255,6 +281,31 @@
                 self.close(connection)
         self.core.put(ended)
 
+    async def upload(self, connection: Connection, attempt: Attempt, upload: Upload) -> None:
+        """A body, as it comes from its client and as fast as the server takes it."""
+        stream, at = attempt.exchange.stream, 0
+        assert stream is not None
+        with upload.scope:
+            try:
+                while piece := await stream.take(upload, at):
+                    at += len(piece)
+                    await connection.part(h11.Data(data=piece))
+                await connection.part(h11.EndOfMessage())
+                upload.written = True
+                self.count["servers.uploads"] += 1
+                if attempt.scope is not None:  # it came sooner than it might: all its times end sooner
+                    attempt.scope.deadline -= attempt.exchange.request.until - attempt.exchange.until
+            except Cut:
+                if stream.broken:
+                    attempt.cancel()
+            except trio.TooSlowError:  # Danger: a server that reads nothing would hold its client for good
+                connection.stream.hang_up()
+            except (OSError, trio.ClosedResourceError, h11.LocalProtocolError):
+                pass  # whoever reads the answer finds it, or the end
+            except Exception as error:
+                self.telemetry.rare("servers.error", error=repr(error), server=attempt.server)
+                connection.stream.hang_up()
+
     async def pour(self, connection: Connection, ended: Ended) -> None:
         """A large answer: final from its first part, the rest goes on to the client as it takes it."""
         if ended.answer is None:  # not one to pass on: its rest is not read
@@ -297,7 +348,11 @@
     exchange = attempt.exchange
     left = max(1, int((attempt.issued + attempt.limit - now) * 1000))
     headers = [*exchange.headers, (b"X-Budget-Ms", b"%d" % left)]
-    if exchange.body or exchange.method != b"GET":
+    if exchange.stream is not None:
+        length = exchange.stream.length
+        headers.append((b"Transfer-Encoding", b"chunked") if length is None
+                       else (b"Content-Length", b"%d" % length))
+    elif exchange.body or exchange.method != b"GET":
         headers.append((b"Content-Length", b"%d" % len(exchange.body)))
     return h11.Request(method=exchange.method, target=exchange.target, headers=headers)
 
