--- a/finchshelf/admission/logic.py
+++ b/finchshelf/admission/logic.py
@@ -25,7 +25,6 @@
 DEBT, GAUGE_AIMS = 0.5, 0.5  # bursts that a store may lack after others; life of a gauge in tightest aims
 SMOOTH, FLEET_SMOOTH = 0.05, 0.03  # weight of an answer in a server's time, in the fleet's: requests differ
 FAIL_SMOOTH, FAIL_FORGET = 0.25, 4.0  # weight of an outcome in a server's failures; s until 1/e is left
-CROWD, LONG_RUN = 2.0, 0.002  # times the number usually out at a server; weight of an answer in that
 LOW_CREEP = 0.01  # rise a second of the quickest usual time
 QUICKEST, SLOWEST = 0.6, 4.0  # bounds of a server's and of one answer's time, relative to the fleet's
 FORGET = 3.0  # s without an answer after which a server's estimate has mostly gone back to the fleet's
@@ -33,9 +32,7 @@
 REFUSE_CHEAP, REFUSE_DEAR = 0.11, 0.2  # expected delay, as a share of the aim, that refuses
 STRETCH = 3.0  # but not below so many times the quickest usual time lately
 FLEET_LAG, MOST_STEP = 1.0, 0.2  # s over which the fleet's time is learnt at most; an answer's weight
-CLASS_SMOOTH = 0.03  # step of a class's time relative to the fleet's
-END_BEFORE, HANG, CHOICES = 0.98, 10.0, 16  # share of the aim, usual times that end a try; servers weighed
-HUNG, HUNG_SMOOTH = 0.02, 0.01  # share of attempts without an answer from which those times count; its weight
+END_BEFORE, CHOICES = 0.98, 16  # share of the aim that ends a try; servers weighed
 STOOD_STILL, GAPS = 0.1, 10.0  # s between events that tell of our own halt, if so many usual gaps
 GAPS_MOST, GAP_SMOOTH = 4.0, 0.02  # usual gaps that one counts as at most; weight of one
 IDLE_SHARE, COLD_SAFETY = 0.4, 0.5  # of the delay that refuses, for what is beyond quotas; of cold budgets
@@ -199,10 +196,10 @@
         self.table: dict[str, Health] = {}
         self.ring = self.cold = list[Health]()
         self.typical, self.depth = min((c.aim for c in settings.classes), default=1.0) / 8, 1.0
-        self.low, self.low_at, self.mean, self.norm = self.typical, 0.0, 1.0, 1.0  # low: quickest time lately
-        self.sends, self.sends_at, self.out, self.trouble, self.hung = 0.0, 0.0, 0, 0.0, 0.0  # shares
+        self.low, self.low_at, self.mean = self.typical, 0.0, 1.0  # low: quickest time lately
+        self.sends, self.sends_at, self.out, self.trouble = 0.0, 0.0, 0, 0.0
         self.young = dict[tuple[int, int], float]()  # attempts out for less than the usual time, by when sent
-        self.answer_at, self.ratio = -math.inf, [1.0] * len(settings.classes)  # a class's time to the usual
+        self.answer_at = -math.inf
         self.away = set[str]()  # taken out by operators: draining, whatever the list says, until put back
     def update(self, event: i.Members, now: float) -> None:
         if event.kind in (ListKind.FULL, ListKind.CACHED):
@@ -232,8 +229,7 @@
                 new.turn, new.tokens = old.turn, old.tokens  # Danger: a cold one's turn, taken twice
         if self.settings.classes == former.settings.classes:  # else a usual time is another
             self.typical, self.depth = former.typical, former.depth
-            self.low, self.low_at, self.ratio = former.low, former.low_at, former.ratio[:]
-            self.mean, self.norm = former.mean, former.norm
+            self.low, self.low_at, self.mean = former.low, former.low_at, former.mean
     def warmth(self, health: Health, now: float) -> float:  # share of its capacity that it has at least
         age, s = now - health.server.started, self.settings
         share = s.cold_share + (1 - s.cold_share) * max(0.0, age) / s.warm_up if age < s.warm_up else 1.0
@@ -295,7 +291,7 @@
             self.young[key], health.out, self.out = now, health.out + 1, self.out + 1
         health.tokens -= 1
         self.sends, self.sends_at = self.sends * math.exp((self.sends_at - now) / FORGET) + 1, now
-    def ended(self, event: i.Outcome, cls: int | None, now: float, prompt: bool) -> None:
+    def ended(self, event: i.Outcome, now: float, prompt: bool) -> None:
         name, status, took = event.server, event.status, event.took
         health, one = self.table.get(name), not event.streamed
         self.out -= one
@@ -310,20 +306,15 @@
         if health.failing(now) <= FAILED_OUT:
             self.trouble += (bad - self.trouble) * FLEET_SMOOTH
         health.tried(bad, now)
-        self.hung += ((status is Status.TIMEOUT) - self.hung) * HUNG_SMOOTH
         if prompt and one and status in (Status.OK, Status.TIMEOUT):  # else our own halt is in its time
-            part = self.ratio[cls] if cls is not None else 1.0
-            seen = min(took / max(1, depth) / self.typical / part * self.depth, SLOWEST)
+            seen = min(took / max(1, depth) / self.typical * self.depth, SLOWEST)
             self.mean += (seen - self.mean) * FLEET_SMOOTH
             health.slow, health.heard = health.slow + (seen / self.mean - health.slow) * SMOOTH, now
             if young:
                 self.learn(False, now)
-            if cls is not None:
-                self.ratio[cls] *= math.exp(math.copysign(CLASS_SMOOTH, took - self.typical * part))
             low = self.low * (1 + LOW_CREEP * (now - self.low_at))
             self.low, self.low_at = min(low, self.typical / self.depth), now
             self.depth += (max(1, depth) - self.depth) * FLEET_SMOOTH
-            self.norm += (max(1, depth) - self.norm) * LONG_RUN
 def in_group(server: Server, group: Server | None, scope: Scope) -> bool:  # are repeats of `group` dropped?
     return group is None or scope is Scope.ALL or (
         server.cell == group.cell if scope is Scope.CELL else server.zone == group.zone)
@@ -535,11 +526,8 @@
         part = REFUSE_CHEAP + (REFUSE_DEAR - REFUSE_CHEAP) * rank
         # Danger: where work is a good part of the aim, a share of the aim refuses on an idle fleet.
         stretch = self.servers.low * STRETCH
-        half = left / 2 / self.servers.ratio[waiting.request.cls]
-        limit = share * min(half, max(waiting.kind.aim * part, stretch))
-        # Danger: a sudden loss of servers or a burst drives the rest so far that they stay slow.
-        usual = chosen[0].out <= CROWD * self.servers.norm
-        return chosen[0] if spare or (usual and chosen[1] <= limit) else None
+        limit = share * min(left / 2, max(waiting.kind.aim * part, stretch))
+        return chosen[0] if spare or chosen[1] <= limit else None
     def end(self, waiting: Pending) -> float:  # of an attempt: just before the aim, later earns nothing
         kind, until = waiting.kind, waiting.request.until
         late_earns = kind.stream or kind.late_share > 0
@@ -550,10 +538,6 @@
         key = None if waiting.request.coming else (waiting.request.id, len(waiting.tried) - 1)
         self.servers.sent(health, key, now)
         limit = max(self.end(waiting) - now, 0.001)
-        hung = self.servers.hung > HUNG and key is not None
-        # Danger: some never answer, and no time is left for another try.
-        if hung and len(waiting.tried) == 1 and waiting.kind.effect is not Effect.UNSAFE:
-            limit = min(limit, max(HANG * self.servers.typical, limit / 2))
         self.actions.append(i.Attempt(waiting.request.id, health.server.name, limit))
     def refuse(self, waiting: Pending, after: float, now: float) -> None:
         kind, s, name = waiting.kind, self.settings, waiting.request.id
@@ -573,8 +557,7 @@
                 self.call(waiting, gauge, gauge.step(0))
     def on_outcome(self, event: i.Outcome, now: float) -> None:
         waiting = self.pending.get(event.id)
-        cls = waiting.request.cls if waiting is not None else None
-        self.servers.ended(event, cls, now, now > self.halt)
+        self.servers.ended(event, now, now > self.halt)
         if waiting is None or event.attempt not in waiting.out:
             return
         waiting.out.discard(event.attempt)
--- a/tests/test_node_life.py
+++ b/tests/test_node_life.py
@@ -160,6 +160,7 @@
         run.process.send_signal(signal.SIGTERM)
         run.process.send_signal(signal.SIGHUP)
         assert await run.process.wait() == 0
+        await until(lambda: run.said("exit"))
         counters = run.said("counters")[0]
         assert (counters["in.requests"], counters["out.served"], counters["clients.accepted"]) == (4, 4, 2)
         nursery.cancel_scope.cancel()
