--- a/benchmarks/uploads.py
+++ b/benchmarks/uploads.py
@@ -1,7 +1,7 @@
 """What uploads cost a node: megabytes a second, its CPU and memory, and what requests beside them wait.
 
 Starts a node (`python -m finchshelf`) and stand-ins on loopback, for each number of uploads at once. Owns
-nothing of the product. Run from the repository: `python -m benchmarks.uploads [--size MIB] [--at-once 0 1 8]`.
+nothing of the product. Run it: `python -m benchmarks.uploads [--size MIB] [--at-once 0 1 8]`.
 A row: uploads at once, those served, MB/s in all, CPU seconds of the node a GB, peak memory over what it had
 before (MB), and the median and 99th percentile of small requests that came 50 a second meanwhile (ms). The
 client and the server share one process, which bounds the megabytes a second: it is no figure of the node's.
