Times of answered uploads do not pile up; an upload without its bytes ends at once

Need: an upload of no said length has its latest time a quarter of an hour off, and that stayed in the core's heap after its answer; an attempt sent again without its bytes would have held its server to its limit. Change: the heap is swept when it holds far more than waits; such an attempt's connection is ended.

--- a/finchshelf/node/core.py
+++ b/finchshelf/node/core.py
@@ -29,6 +29,7 @@
 HALT = 0.25  # s late that such a look tells of a halt; for FOUND s after it what is read may be old
 FOUND = 0.1
 OVERDUE = 0.05  # s past a client's time at which an answer counts as late
+LEAST_ENDS = 1024  # times of requests that are kept though they have their answer, beside those that wait
 FOLLOW = 1.2  # s after new settings in which clients still name classes by the former ones (protocol)
 
 Headers = list[tuple[bytes, bytes]]
@@ -293,6 +294,14 @@
             heapq.heappop(ends)
         return ends[0][0] if ends else math.inf
 
+    def watch_end(self, exchange: Exchange) -> None:
+        """Note when a request is overdue."""
+        if len(self.ends) > LEAST_ENDS + 4 * len(self.live):
+            # Danger: uploads that are answered soon leave their latest times, a quarter of an hour off, here.
+            self.ends = [end for end in self.ends if end[1] in self.live]
+            heapq.heapify(self.ends)
+        heapq.heappush(self.ends, (exchange.until + self.slack, exchange.request.id))
+
     def end_overdue(self, now: float) -> None:
         """The last resort: whatever was lost on the way, a client gets one answer in time."""
         while self.next_end() <= now:
@@ -322,10 +331,10 @@
                 self.count["core.unowned"] += 1
                 return item.reply(REFUSED)
             self.live[item.request.id], item.owner = item, owner
-            heapq.heappush(self.ends, (item.until + self.slack, item.request.id))
+            self.watch_end(item)
             self.handle(item.request, now)
         elif isinstance(item, Arrived):
-            heapq.heappush(self.ends, (item.exchange.until + self.slack, item.exchange.request.id))
+            self.watch_end(item.exchange)
         elif isinstance(item, Ended):
             self.ended(item, now)
         elif isinstance(item, Listed):
--- a/finchshelf/node/servers.py
+++ b/finchshelf/node/servers.py
@@ -298,6 +298,8 @@
             except Cut:
                 if stream.broken:
                     attempt.cancel()
+                elif stream.reader is upload:  # its bytes are gone: the server would wait for them for good
+                    connection.stream.hang_up()
             except trio.TooSlowError:  # Danger: a server that reads nothing would hold its client for good
                 connection.stream.hang_up()
             except (OSError, trio.ClosedResourceError, h11.LocalProtocolError):
--- a/tests/test_node_uploads.py
+++ b/tests/test_node_uploads.py
@@ -5,6 +5,7 @@
 import hashlib
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
+from dataclasses import replace
 from pathlib import Path
 
 import h11
@@ -12,7 +13,7 @@
 import trio
 
 from finchshelf.admission import interface as i
-from finchshelf.node import bodies, clients, servers
+from finchshelf.node import bodies, clients, core, servers
 from finchshelf.node.bodies import MOST_REQUEST, PIECE, WINDOW, Body, Cut, Room
 from tests.stand_ins import Client, Listening, World, call, ok, status, trio_test, until, world
 from tests.test_node_life import running
@@ -373,3 +374,36 @@
     g.feed(i.Outcome(1, 0, act.server, i.Status.OK, 20.0, True, again=False, streamed=True), 1020.0)
     assert health.out == g.limiter.servers.out == 0
     assert g.limiter.servers.typical == usual and not g.limiter.servers.young
+
+
+@trio_test
+async def test_times_of_answered_uploads_do_not_pile_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(core, "LEAST_ENDS", 8)
+    async with place(after(0, ok(b"early"))) as w:
+        for _ in range(30):  # of no length known: up to 1,024 s may pass until the last byte
+            client = await w.client()
+            await client.send(post(-1, plan="free") + b"%x\r\n" % 100_000 + BIG[:WINDOW + 1])
+            assert (await client.receive()).status == 200
+            await client.stream.aclose()
+        assert len(w.node.core.ends) <= 8 + 4 + 1
+
+
+@trio_test
+async def test_an_attempt_whose_bytes_are_gone_ends_at_once() -> None:
+    """Should the module send an upload again without its bytes, that server does not wait for them."""
+    async with place(after(200_000, b""), takes_all) as w:
+        handle = w.node.core.limiter.handle
+        told = list[int]()
+
+        def lies(event: i.Event, now: float) -> list[i.Action]:
+            if isinstance(event, i.Outcome) and not told:
+                told.append(1)
+                event = replace(event, again=True)
+            return handle(event, now)
+
+        w.node.core.limiter.handle = lies  # type: ignore[method-assign]
+        w.node.core.telemetry.holds = lambda condition, name: condition  # type: ignore[method-assign]
+        client = await w.client()
+        await client.send(post(300_000) + BIG[:250_000])
+        assert (await client.receive()).status == 429
+        assert [status for status, _ in outcomes(w)] == [i.Status.UNREACHABLE] * 2
