--- a/finchshelf/admission/logic.py
+++ b/finchshelf/admission/logic.py
@@ -13,6 +13,7 @@
 
 # ---- tuned values, each with its reason ----
 TRIP_AFTER, QUARANTINE = 5, 1.0  # consecutive failures that open the breaker (design page); s that it is
+STRAIN, STRAIN_SMOOTH = 0.05, 0.02  # share of failed calls, of about the last fifty, that spares the counter
 CALLS_MOST, CALLS_LEAST, CALLS_AHEAD = 1000.0, 60.0, 0.25  # calls a second of one at most, of all at least
 CALLS_BURST, CALL_QUICK, CALL_LATE = 2.0, 0.4, 0.8  # at once at least; shares of its wait: lets it grow, cuts
 CALLS_GROW, CALLS_CUT, CUT_EVERY = 0.2, 0.85, 0.5  # their growth a second, step at a failure; s between cuts
@@ -50,7 +51,7 @@
     """Consecutive failures open it; after a quarantine unlike the others' one call at a time is a probe."""
     def __init__(self, seed: int, now: float, limiters: int = 1) -> None:
         self.least = CALLS_LEAST / max(1, limiters)
-        self.failures, self.open_until, self.made, self.made_at = 0, -math.inf, 0.0, 0.0
+        self.failures, self.open_until, self.strain, self.made, self.made_at = 0, -math.inf, 0.0, 0.0, 0.0
         # Danger: a crowded counter opens all breakers and is crowded anew as they close. Calls have a rate.
         self.calls, self.cut_at = Bucket(CALLS_MOST, CALLS_MOST * CALLS_AHEAD, 0.0, -math.inf), -math.inf
         self.began = self.grown_at = now
@@ -74,9 +75,9 @@
             grown = 1 + CALLS_GROW * min(1.0, now - self.grown_at)
             self.calls.rate = min(CALLS_MOST, self.calls.rate * grown)
         self.grown_at = now
-        self.failures, self.open_until = 0, -math.inf
+        self.failures, self.open_until, self.strain = 0, -math.inf, self.strain * (1 - STRAIN_SMOOTH)
     def failure(self, now: float) -> None:
-        self.failures += 1
+        self.failures, self.strain = self.failures + 1, self.strain + (1 - self.strain) * STRAIN_SMOOTH
         if self.failures >= TRIP_AFTER:
             self.open_until = now + self.quarantine
         else:
@@ -134,7 +135,7 @@
     """Attempts out at once, as a gauge whose names live a short window, as what has ended stands in it."""
     def __init__(self, cap: int, window: float, customer: int) -> None:
         self.cap, self.window, self.base, self.name = cap, window, (customer << 28) + 1, -1
-        self.open, self.told, self.others, self.full = 0, 0.0, 0.0, False
+        self.open, self.told, self.others = 0, 0.0, 0.0
         self.starts = deque[float](maxlen=cap)  # when other limiters told of an attempt
     def heard(self, now: float, span: float) -> int:  # how many of those are still out
         while self.starts and self.starts[0] < now - span:
@@ -147,7 +148,7 @@
         step, self.told = self.open + extra - self.told, self.open + extra
         return step
     def answered(self, total: float) -> None:
-        self.others, self.full = max(0.0, total - self.told), total >= self.cap
+        self.others = max(0.0, total - self.told)
         self.told = min(self.told, total)  # less than we told: the counter lost its numbers
 @dataclass(slots=True)
 class Call:  # one call to the counter that has not been answered
@@ -378,6 +379,7 @@
         if min(request.until, self.end(waiting)) - now <= max(s.counter_wait, self.servers.typical / 2):
             return self.refuse(waiting, s.max_retry_after, now)  # Danger: after a halt they crowd servers
         if s.counter and self.breaker.allows(now):
+            strained = self.breaker.strain > STRAIN
             if customer.rate is not None:
                 customer.rate.turn(now)
                 queue = self.calls.get(customer.rate.name, ())
@@ -385,9 +387,12 @@
                 # Add the units unless the store can't hold them: then only read, with nothing to take back.
                 level, owed = customer.rate.now_level(now) - waiting.promised, customer.rate.owed
                 asked = float(request.units) if level >= request.units else 0.0
+                guess = level - customer.rate.untold(now, s.peers)
+                plenty = owed < request.units and guess >= (owed + request.units) * request.entry_points
                 # Danger: one busy customer's calls jam the counter, or many limiters'. Beyond a few out, or
-                # what it bears, the store as last told decides.
-                spared = len(queue) >= CALLS_OUT
+                # what it bears, the store as last told decides. Under strain one with room though each
+                # limiter holds as much untold goes unasked.
+                spared = len(queue) >= CALLS_OUT or (strained and plenty and customer.rate.seen > 0)
                 if not spared and self.breaker.spend(now):
                     self.call(waiting, customer.rate, owed + asked, asked)
                     customer.rate.owed = 0.0
@@ -494,9 +499,6 @@
             rate.level -= used
             rate.owed += sum(c.owed(added) for c, added in waiting.calls if c.check is rate)
             rate.owed += used if told else 0
-            if placed is None and rate.owed < 0 and not waiting.fell_back:
-                self.call(waiting, rate, rate.owed)  # at once: our next call for it may be long in coming
-                rate.owed = 0.0
             if not waiting.fell_back:
                 # Exception to the one-second bucket: after a total, the share of what it left of the burst.
                 customer.fallback = Bucket(fallback.rate, rate.burst * fallback.rate / rate.rate,
@@ -551,10 +553,6 @@
         gauge = waiting.customer.open
         if gauge is not None:
             gauge.open -= 1 if waiting.tried else 0
-            gauge.turn(now)
-            ask = gauge.full and gauge.told > gauge.open
-            if ask and self.breaker.allows(now) and self.breaker.spend(now):
-                self.call(waiting, gauge, gauge.step(0))
     def on_outcome(self, event: i.Outcome, now: float) -> None:
         waiting = self.pending.get(event.id)
         self.servers.ended(event, now, now > self.halt)
