An upload that is here before its attempt begins keeps all its time

Cause: the attempt's limit was already cut to the client's time when the last byte had come, and cut by the same again when it was written (servers.py, upload): a body of 65 to 80 KB could time out at once. Change: an attempt remembers by which time its limit was made; only what came sooner since is taken off. Measured: 70 KB with 400 ms to live and a server that thinks for 100 ms: failed before, 200 now (test).

--- a/finchshelf/node/core.py
+++ b/finchshelf/node/core.py
@@ -96,6 +96,7 @@
     address: Address
     limit: float
     issued: float
+    until: float = 0.0  # its exchange's, as `limit` knows it
     cancelled: bool = False
     scope: trio.CancelScope | None = None
 
@@ -472,8 +473,10 @@
             return
         self.telemetry.holds(exchange.again, "bytes_at_hand")
         left = exchange.until - now
-        limit = min(action.limit, left) if action.limit > 0 else left
-        attempt = Attempt(exchange, exchange.attempts, action.server, address, max(limit, 0.001), now)
+        sooner = exchange.request.until - exchange.until  # the module reckons with the latest last byte
+        limit = min(action.limit - sooner, left) if action.limit > 0 else left
+        attempt = Attempt(exchange, exchange.attempts, action.server, address, max(limit, 0.001), now,
+                          exchange.until)
         exchange.attempts += 1
         self.out[action.id, attempt.number] = attempt
         self.count["attempts.sent"] += 1
--- a/finchshelf/node/servers.py
+++ b/finchshelf/node/servers.py
@@ -294,7 +294,7 @@
                 upload.written = True
                 self.count["servers.uploads"] += 1
                 if attempt.scope is not None:  # it came sooner than it might: all its times end sooner
-                    attempt.scope.deadline -= attempt.exchange.request.until - attempt.exchange.until
+                    attempt.scope.deadline -= attempt.until - attempt.exchange.until
             except Cut:
                 if stream.broken:
                     attempt.cancel()
--- a/tests/test_node_uploads.py
+++ b/tests/test_node_uploads.py
@@ -275,6 +275,19 @@
         assert outcomes(w) == [(i.Status.TIMEOUT, False)] and not w.telemetry.count["overdue"]
 
 
+@trio_test
+async def test_an_upload_that_is_here_before_its_attempt_has_all_its_time() -> None:
+    async def thinks(upload: Upload) -> bytes:
+        await upload.read()
+        await trio.sleep(0.1)
+        return ok(b"done")
+
+    async with world(Taker(thinks)) as w:
+        client = await w.client()
+        await client.send(post(70_000, plan="free", budget=400) + BIG[:70_000])
+        assert (await client.receive()).status == 200
+
+
 @trio_test
 async def test_what_waits_for_100_continue_is_refused_without_its_body() -> None:
     async with world(Taker(takes_all)) as w:
