A customer's part of the ceiling fills from the limiter's start, not from when it is met

Ruled out: the true ceiling (quota bursts lie under it) and uneven use (few such refusals later). Lines at fault: Customer.enter, which started the part at one unit when the customer was first met; forty limiters meet their customers one by one. Now it fills from the limiter's start, which is when it last can have let anything in; after a restart half the slack as before. Tests: fails without it; forty limiters, seven in ten restarted twice, ceilings held at 3 and 40 limiters a customer.

--- a/finchshelf/admission/logic.py
+++ b/finchshelf/admission/logic.py
@@ -166,13 +166,13 @@
         self.rate = RateCheck(plan, customer, now) if plan.rate > 0 else None
         self.open = OpenCheck(plan.open_cap, epoch, customer) if plan.open_cap > 0 else None
         self.fallback, self.ceiling = Bucket(0.0, 0.0, 0.0, now), Bucket(0.0, 0.0, 0.0, now)
-    def enter(self, points: int, now: float) -> None:  # its first request here says through how many it comes
+    def enter(self, points: int, since: float) -> None:  # unused here since then; its first request tells
         plan, self.points = self.plan, points
         fill = plan.rate / points
-        self.fallback = Bucket(fill, fill, fill, now)
+        self.fallback = Bucket(fill, fill, fill, since)
         # Bound of each limiter, in any span t: burst/share + t * rate/share; after a restart half the slack.
         rate, size, slack = (x / points for x in (plan.ceiling_rate, plan.ceiling_burst, plan.ceiling_slack))
-        self.ceiling = Bucket(rate, size, slack / 2, now)
+        self.ceiling = Bucket(rate, size, slack / 2, since)
 class Pending:  # a request that has no final answer yet
     def __init__(self, request: Request, customer: Customer, s: i.Settings, now: float) -> None:
         self.request, self.customer, self.arrived = request, customer, now
@@ -374,7 +374,7 @@
             customer = self.customers[request.customer] = Customer(request.customer, request.plan, s, now)
         customer.used = now
         if not customer.points:
-            customer.enter(max(1, min(request.entry_points, s.limiters)), now)
+            customer.enter(max(1, min(request.entry_points, s.limiters)), max(self.breaker.began, now - IDLE))
         waiting = self.pending[request.id] = Pending(request, customer, s, now + request.coming)
         if min(request.until, self.end(waiting)) - now <= max(s.counter_wait, self.servers.typical / 2):
             return self.refuse(waiting, s.max_retry_after, now)  # Danger: after a halt they crowd servers
--- a/tests/test_counter_failure.py
+++ b/tests/test_counter_failure.py
@@ -7,7 +7,7 @@
 
 from finchshelf.admission import interface as i
 from finchshelf.admission.logic import QUARANTINE, TRIP_AFTER, Breaker, Limiter
-from tests.world import BASE, Counter, Gateway, attempts, counts, refusals, server, settings
+from tests.world import BASE, Ceiling, Counter, Gateway, attempts, counts, refusals, server, settings
 
 
 def test_breaker_opens_on_consecutive_failures_and_probes() -> None:
@@ -73,18 +73,6 @@
     assert refusals(actions) and len(actions) == 1
 
 
-class Ceiling:
-    """The customer's ceiling store, as the rule counts it."""
-
-    def __init__(self, plan: i.Plan, now: float) -> None:
-        self.plan, self.level, self.at, self.lowest = plan, plan.ceiling_burst, now, 0.0
-
-    def take(self, units: float, now: float) -> None:
-        refilled = self.level + self.plan.ceiling_rate * (now - self.at)
-        self.level, self.at = min(self.plan.ceiling_burst, refilled) - units, now
-        self.lowest = min(self.lowest, self.level)
-
-
 @pytest.mark.parametrize("quota", [1.0, 10.0])  # with the larger one only the ceiling holds anything back
 @pytest.mark.parametrize("modes", list(itertools.product(["up", "silent", "refusing"], repeat=2)))
 def test_ceiling_holds_whatever_fails(modes: tuple[str, str], quota: float) -> None:
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,50 @@
+"""Forty limiters on one clock: what each does that is harmless alone, and the rules that bind their sum."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from random import Random
+
+import pytest
+
+from finchshelf.admission import interface as i
+from tests.world import BASE, Ceiling, Counter, Gateway
+
+FLEET = 40
+PLAN = i.Plan(1.0, rate=10.0, burst=60.0, ceiling_rate=20.0, ceiling_burst=120.0, ceiling_slack=12.0)
+CONFIG = replace(BASE, limiters=FLEET, plans=(PLAN,))
+
+
+def fleet(seed: int, counter: Counter | None = None, config: i.Settings = CONFIG) -> list[Gateway]:
+    counter = counter or Counter()
+    return [Gateway(counter, replace(config, me=n), seed=seed * FLEET + n) for n in range(FLEET)]
+
+
+def test_customer_that_comes_later_finds_its_part_of_the_ceiling() -> None:
+    """Danger: each limiter meets a customer late and counts from then: forty refuse what none has used."""
+    gate = Gateway(Counter(), CONFIG)
+    part = PLAN.ceiling_burst / 4 + PLAN.ceiling_rate / 4 * 0.5
+    let_in = sum(gate.serve(1020.0 + n * 0.05, units=3, points=4) for n in range(10))
+    assert let_in == part // 3
+    fresh = Gateway(Counter(), CONFIG)  # just started: what it let in before is forgotten
+    assert sum(fresh.serve(1000.0 + n * 0.001, units=1, points=4) for n in range(10)) <= PLAN.ceiling_slack / 4
+
+
+@pytest.mark.parametrize("points", [3, 40])
+@pytest.mark.parametrize("seed", [1, 2])
+def test_ceilings_bear_the_sum_of_all_limiters_after_a_mass_restart(seed: int, points: int) -> None:
+    random, gates = Random(seed), fleet(seed)
+    store, sent = Ceiling(PLAN, 1000.0), 0
+    for step in range(4000):
+        now = 1000.0 + step * 0.01
+        if step in (1500, 2700):  # seven in ten at once, and again
+            for gate in random.sample(gates, FLEET * 7 // 10):
+                gate.restart(now)
+        if step % 1200 < 300 or 1500 <= step % 2700 < 1650:
+            continue  # quiet: the store fills, so that a restart after a burst can show
+        units = random.randint(1, 4)
+        if random.choice(gates[:points]).serve(now, units=units, points=points):
+            store.take(units, now)
+            sent += 1
+    assert sent > 100
+    assert store.lowest >= -PLAN.ceiling_slack
--- a/tests/world.py
+++ b/tests/world.py
@@ -102,6 +102,18 @@
         return bool(sent)
 
 
+class Ceiling:
+    """The customer's ceiling store, as the rule counts it."""
+
+    def __init__(self, plan: i.Plan, now: float) -> None:
+        self.plan, self.level, self.at, self.lowest = plan, plan.ceiling_burst, now, 0.0
+
+    def take(self, units: float, now: float) -> None:
+        refilled = self.level + self.plan.ceiling_rate * (now - self.at)
+        self.level, self.at = min(self.plan.ceiling_burst, refilled) - units, now
+        self.lowest = min(self.lowest, self.level)
+
+
 def attempts(actions: list[i.Action]) -> list[i.Attempt]:
     return [a for a in actions if isinstance(a, i.Attempt)]
 
