Discovery is first asked by the watch itself; turned away, all limiters keep to one rate

A probe that logged each call: discovery takes 0.15 to 0.4 s a call in turn, works also on calls that nobody waits for, and turns away what is 2 s in line; with three limiters watching and the rest asking seldom, watches are answered and go on for nothing. So it is the fleet's own calls: Discovery.ask tried again after a fixed 0.1 s, and Discovery.run asked for a whole list first and for a watch after it.

--- a/finchshelf/node/discovery.py
+++ b/finchshelf/node/discovery.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import math
+from random import Random
 from typing import Any
 
 import h11
@@ -21,8 +22,13 @@
 
 WAIT = 5.0  # s that a watch may wait: short, so that an agent gone silent is noticed
 GRACE = 1.5  # s beyond the wait until silence is a failure
-FIRST = 1.0  # s for the whole list at start
+WHOLE = 3.0  # s for a whole list, which may wait for its turn
+FIRST, FRESH = 1.0, 0.1  # s until clients are taken before the first answer: with no list known; with one, as
+# what is newer than that comes at once
 PAUSE = 0.1  # s before the next try after a failure: within the 200 ms in which a watch goes on
+GROWTH = 2.0  # times the pause before, after one failure more
+MOST_PAUSE = 3.0  # s: half of the 6 s after which news counts as told (protocol), so that one falls into them
+RETRIES = 4.0  # calls a second of all limiters together while discovery turns them away
 MOST_LIST = 1 << 20
 
 STATE = {"SERVING": i.ServerState.READY, "DRAINING": i.ServerState.DRAINING, "DELETED": i.ServerState.GONE}
@@ -32,6 +38,10 @@
     """An answer that is no list of servers."""
 
 
+class TurnedAway(BadList):
+    """Discovery has more callers than it bears."""
+
+
 def listed(raw: Any, config: Config, cached: bool = False) -> tuple[int, Listed]:
     """A list's version and what it says; an entry that can't be read makes the whole answer bad."""
     try:
@@ -70,13 +80,22 @@
         self.telemetry, self.count = core.telemetry, core.telemetry.count
         self.address, self.asking = config.discovery, trio.CancelScope()
         self.version = -1
-        self.asked = False  # the first call at start has ended, well or not
+        self.random, self.pause = Random(config.seed), PAUSE
+        self.first_ended = False  # the first call at start, well or not
+        self.began = math.inf
         self.well: bool | None = None
         self.http: h11.Connection | None = None
         self.stream: net.Stream | None = None
 
+    @property
+    def asked(self) -> bool:
+        """May clients be taken? Once the first call has ended, or has taken too long."""
+        known = self.config.known and self.version >= 0
+        return self.first_ended or trio.current_time() > self.began + (FRESH if known else FIRST)
+
     def begin(self) -> None:
         """What this node last knew, before anything is asked."""
+        self.began = trio.current_time()
         if self.config.known:
             try:
                 self.version, known = listed(self.config.known, self.config, cached=True)
@@ -84,6 +103,7 @@
                 self.telemetry.log("discovery", state="bad known list", error=str(error))
             else:
                 self.core.put(known)
+                self.version = self.version if known.members.servers else -1  # of nothing the whole is asked
 
     def renew(self, config: Config) -> None:
         """Read the list by other names of zones and kinds; it is asked for as a whole."""
@@ -91,20 +111,21 @@
 
     def move(self, address: Address) -> None:
         """Ask another agent from now on, for the whole list first: its versions may be others."""
-        self.address = address
+        self.address, self.pause = address, PAUSE
         self.asking.cancel()
 
     async def run(self) -> None:
-        target, limit = "/v1/servers", FIRST
+        # Danger: whole lists for a whole fleet at once are more than discovery gives in seconds, and a watch
+        # is to follow each. So the first call is that watch already, for what came after the known list.
         while True:
+            target, limit = "/v1/servers", WHOLE
+            if self.version >= 0:
+                target, limit = f"{target}?after={self.version}&wait_ms={WAIT * 1000:.0f}", WAIT + GRACE
             with trio.CancelScope() as self.asking:
                 await self.ask(target, limit)
             if self.asking.cancel_called:
                 self.hang_up()
                 self.version = -1
-                target, limit = "/v1/servers", FIRST
-            if self.version >= 0:
-                target, limit = f"/v1/servers?after={self.version}&wait_ms={WAIT * 1000:.0f}", WAIT + GRACE
 
     async def ask(self, target: str, limit: float) -> None:
         """One call, and the pause that is due after it."""
@@ -118,11 +139,18 @@
             self.tell(False, repr(error))
             self.core.put(Listed(i.Members(i.ListKind.FAILED), {}))
             self.count["discovery.failed"] += 1
-            self.asked = True
-            await trio.sleep(PAUSE)
+            self.first_ended = True
+            # Danger: a whole fleet that asks again in step, ten times a second each, keeps discovery so busy
+            # that it turns all of them away for good. So all together keep to a rate, each at its own time.
+            if isinstance(error, TurnedAway):
+                await trio.sleep(PAUSE + self.random.random() * self.config.settings.limiters / RETRIES)
+            else:
+                await trio.sleep(self.pause * self.random.uniform(0.5, 1.0))
+                self.pause = min(MOST_PAUSE, self.pause * GROWTH)
         else:
+            self.pause = PAUSE
             self.tell(True)
-            self.asked = True
+            self.first_ended = True
             self.count["discovery.answers"] += 1
             if news.members.servers or news.members.kind is i.ListKind.FULL:
                 self.changed(news)
@@ -130,7 +158,8 @@
             if version == self.version:
                 # Danger: an agent that answers a watch at once, with nothing new, is asked without end.
                 await trio.sleep_until(began + PAUSE)
-            self.version = version
+            # Danger: one that counts anew, behind what this node knows, would have nothing newer for long.
+            self.version = version if version >= self.version or news.members.kind is i.ListKind.FULL else -1
 
     def tell(self, well: bool, error: str = "") -> None:
         if well is not self.well:
@@ -172,6 +201,8 @@
             http.start_next_cycle()
         else:
             self.hang_up()
+        if status in (429, 503):
+            raise TurnedAway(f"status {status}")
         if status != 200:
             raise BadList(f"status {status}")
         return orjson.loads(bytes(body))
