--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -54,8 +54,8 @@
 
 @pytest.mark.parametrize("seed", [1, 2])
 def test_cold_servers_carry_their_part_and_bear_the_sum_of_all_limiters(seed: int) -> None:
-    """Danger: in a release many that drain or are cold stand on the list; counted as whole, they make the part
-    of a cold one small, and the few warm ones get all. The other way round, all limiters push one over."""
+    """Danger: in a release many that drain or are cold stand on the list; counted as whole, they make the
+    part of a cold one small, and the few warm ones get all. Or all limiters together push one over."""
     free = replace(BASE, limiters=FLEET, plans=(i.Plan(1.0),), cold_share=0.3, warm_up=1000.0, fall_span=1.5)
     now = 1000.0
     names = [f"w{n}" for n in range(10)] + [f"c{n}" for n in range(30)]
