One view over the logs of a fleet; counters told each second, refusals by their cause

Now a tally line each second says what each counter gained (nothing where none did; one addition more a refusal), refusals carry their cause, and python -m benchmarks.fleet_log LOGS adds a folder of logs up by second and by node; lines cut off or no JSON are counted.

--- a/finchshelf/__main__.py
+++ b/finchshelf/__main__.py
@@ -8,8 +8,10 @@
 
 import gc
 import math
+import os
 import signal
 import sys
+from contextlib import suppress
 from dataclasses import dataclass
 
 import trio
@@ -28,6 +30,7 @@
 LAST_CALLS = 0.5  # s after SIGTERM in which new connections are still taken
 LAST_WORD = 0.3  # s more for the first request on a connection taken late
 LOOK = 0.02  # s between two looks at what is still to be answered
+TALLY_EVERY = 1.0  # s between two lines of what the counters gained
 COLLECT_EVERY = 20_000  # new objects until the collector looks at the young ones: most die by count alone
 
 
@@ -52,7 +55,7 @@
 
 async def serve(config: Config, telemetry: Telemetry,
                 task_status: trio.TaskStatus[Node] = trio.TASK_STATUS_IGNORED) -> None:
-    core = Core(config, Clock(), telemetry)
+    core = Core(config, Clock(), telemetry, beside=another(config.state))
     async with trio.open_nursery() as parts:
         core.servers = servers = Servers(core, config, parts)
         core.counter = counter = Counter(core, config, config.counter, parts) if config.counter else None
@@ -74,6 +77,7 @@
             discovery.begin()
             for task in (core.run, core.beat, servers.sweep, clients.sweep, discovery.run):
                 parts.start_soon(task)
+            parts.start_soon(tally, telemetry)
             accepting = trio.CancelScope()
             parts.start_soon(accept, clients, listener, accepting)
             telemetry.log("start", listen=str(address))
@@ -98,6 +102,26 @@
     telemetry.log("exit", unanswered=len(core.live))
 
 
+def another(state: str) -> bool:
+    """Does a former process of this limiter still run, as in an upgrade? Leaves word for the next one.
+
+    The word is a file in `$TMPDIR`, which both processes of an upgrade share and a new machine has empty."""
+    path, running = f"{state}.running", False
+    with suppress(OSError, ValueError):
+        with open(path, encoding="ascii") as source:
+            number = int(source.read(20))
+        running = number != os.getpid() and os.path.exists(f"/proc/{number}")
+    with suppress(OSError), open(path, "w", encoding="ascii") as sink:
+        sink.write(f"{os.getpid()}")
+    return running
+
+
+async def tally(telemetry: Telemetry) -> None:
+    while True:
+        await trio.sleep(TALLY_EVERY)
+        telemetry.tally()
+
+
 async def accept(clients: Clients, listener: trio.socket.SocketType, scope: trio.CancelScope) -> None:
     with scope:
         await clients.accept(listener)
--- a/finchshelf/admission/interface.py
+++ b/finchshelf/admission/interface.py
@@ -257,10 +257,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Refuse:
-    """Final answer: not now, trying again is harmless."""
+    """Final answer: not now, trying again is harmless; `cause` is for the staff's counters."""
 
     id: int
     retry_after: float = 0.0
+    cause: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/finchshelf/admission/logic.py
+++ b/finchshelf/admission/logic.py
@@ -321,8 +321,8 @@
     return group is None or scope is Scope.ALL or (
         server.cell == group.cell if scope is Scope.CELL else server.zone == group.zone)
 class Limiter:  # one gateway's decisions: events in, actions out
-    def __init__(self, settings: i.Settings, seed: int, now: float) -> None:
-        self.settings = settings
+    def __init__(self, settings: i.Settings, seed: int, now: float, alone_from: float = 0.0) -> None:
+        self.settings, self.alone_from = settings, max(now, alone_from)  # before that another may send
         self.breaker, self.servers = Breaker(seed, now, settings.limiters), Servers(settings, seed)
         self.customers, self.pending = dict[int, Customer](), dict[int, Pending]()
         self.calls = dict[int, deque[Call]]()
@@ -375,10 +375,11 @@
             customer = self.customers[request.customer] = Customer(request.customer, request.plan, s, now)
         customer.used = now
         if not customer.points:
-            customer.enter(max(1, min(request.entry_points, s.limiters)), max(self.breaker.began, now - IDLE))
+            quiet = min(now, max(self.alone_from, now - IDLE))  # since when nothing was let in for it here
+            customer.enter(max(1, min(request.entry_points, s.limiters)), quiet)
         waiting = self.pending[request.id] = Pending(request, customer, s, now + request.coming)
         if min(request.until, self.end(waiting)) - now <= max(s.counter_wait, self.servers.typical / 2):
-            return self.refuse(waiting, s.max_retry_after, now)  # Danger: after a halt they crowd servers
+            return self.refuse(waiting, s.max_retry_after, now, "late")  # Danger: after a halt they crowd all
         if s.counter and self.breaker.allows(now):
             strained = self.breaker.strain > STRAIN
             if customer.rate is not None:
@@ -505,13 +506,13 @@
                 customer.fallback = Bucket(fallback.rate, rate.burst * fallback.rate / rate.rate,
                                            rate.level * fallback.rate / rate.rate, now)
         if placed is None:
-            return self.refuse(waiting, self.settings.max_retry_after if room else after, now)
+            why = "delay" if room or extra else "cap" if not others else ("store", "share")[waiting.fell_back]
+            return self.refuse(waiting, self.settings.max_retry_after if room else after, now, why)
         if room:
             self.tell(request, told)
         if waiting.fell_back and room:
             fallback.take(units, now)
-        if customer.ceiling.rate > 0:
-            customer.ceiling.take(units, now)
+        customer.ceiling.take(units, now)
         if gauge is not None:
             gauge.open += 1
         self.send(waiting, placed, now)
@@ -542,12 +543,12 @@
         self.servers.sent(health, key, now)
         limit = max(self.end(waiting) - now, 0.001)
         self.actions.append(i.Attempt(waiting.request.id, health.server.name, limit))
-    def refuse(self, waiting: Pending, after: float, now: float) -> None:
+    def refuse(self, waiting: Pending, after: float, now: float, cause: str) -> None:
         kind, s, name = waiting.kind, self.settings, waiting.request.id
         dropped = kind.effect is Effect.KEYED and kind.scope is Scope.ALL  # a repeat is, by any server
         harmless = waiting.maybe_ran is None or kind.effect is Effect.SAFE or dropped
         advice = min(after, s.max_retry_after) if s.retry_after else 0.0
-        self.actions.append(i.Refuse(name, advice) if harmless else i.Fail(name))
+        self.actions.append(i.Refuse(name, advice, cause) if harmless else i.Fail(name))
         self.finish(waiting, now)
     def finish(self, waiting: Pending, now: float) -> None:
         self.pending.pop(waiting.request.id, None)
@@ -575,5 +576,5 @@
         may &= event.again
         placed = self.place(waiting, now) if may and not waiting.streaming else None
         if placed is None:
-            return self.refuse(waiting, self.settings.max_retry_after, now)
+            return self.refuse(waiting, self.settings.max_retry_after, now, "attempts")
         self.send(waiting, placed, now)
--- a/finchshelf/node/core.py
+++ b/finchshelf/node/core.py
@@ -30,6 +30,7 @@
 FOUND = 0.1
 OVERDUE = 0.05  # s past a client's time at which an answer counts as late
 LEAST_ENDS = 1024  # times of requests that are kept though they have their answer, beside those that wait
+OVERLAP = 7.0  # s after the start of a second process until the first has ended (6 s, and its last)
 FOLLOW = 1.2  # s after new settings in which clients still name classes by the former ones (protocol)
 
 Headers = list[tuple[bytes, bytes]]
@@ -172,9 +173,10 @@
 
 
 class Core:
-    def __init__(self, config: Config, clock: Clock, telemetry: Telemetry) -> None:
+    def __init__(self, config: Config, clock: Clock, telemetry: Telemetry, beside: bool = False) -> None:
         self.clock, self.telemetry, self.count = clock, telemetry, telemetry.count
-        self.limiter = Limiter(config.settings, config.seed, clock.now())
+        # Danger: in an upgrade the former process still sends: what this one let in is not all that was.
+        self.limiter = Limiter(config.settings, config.seed, clock.now(), clock.now() + OVERLAP * beside)
         self.servers: ServersPort
         self.counter: CounterPort | None = None
         # Modules of former settings that still have requests, attempts or calls out; who made which call.
@@ -450,6 +452,7 @@
                     self.callers.setdefault(action.name, deque()).append(limiter)
                     self.counter.call(action.name, action.amount, action.ttl, now)
             elif isinstance(action, i.Refuse):
+                self.count[f"refused.{action.cause}"] += 1
                 self.answer(action.id, refusal(action.retry_after), "out.refused")
             elif isinstance(action, i.Fail):
                 self.answer(action.id, FAILED, "out.failed")
--- a/finchshelf/node/telemetry.py
+++ b/finchshelf/node/telemetry.py
@@ -24,6 +24,7 @@
         self.name, self.sink = name, sink
         self.count: defaultdict[str, int] = defaultdict(int)
         self.last: dict[str, float] = {}
+        self.told: dict[str, int] = {}  # the counters as the last `tally` line left them
 
     def log(self, event: str, **fields: Any) -> None:
         cut = {key: value[-LONGEST:] if isinstance(value, str) else value for key, value in fields.items()}
@@ -54,5 +55,12 @@
             self.rare(f"broken.{name}")
         return condition
 
+    def tally(self) -> None:
+        """Log what each counter gained since the last such line; nothing where none did."""
+        gained = {key: n - self.told.get(key, 0) for key, n in self.count.items()}
+        self.told = dict(self.count)
+        if any(gained.values()):
+            self.log("tally", **{key: n for key, n in sorted(gained.items()) if n})
+
     def counters(self, why: str, **now: int) -> None:
         self.log("counters", why=why, **now, **dict(sorted(self.count.items())))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from pathlib import Path
 from random import Random
 
 import pytest
 
+from benchmarks import fleet_log
 from finchshelf.admission import interface as i
 from tests.world import BASE, Ceiling, Counter, Gateway, attempts, server
 
@@ -26,6 +28,9 @@
     part = PLAN.ceiling_burst / 4 + PLAN.ceiling_rate / 4 * 0.5
     let_in = sum(gate.serve(1020.0 + n * 0.05, units=3, points=4) for n in range(10))
     assert let_in == part // 3
+    upgraded = Gateway(Counter(), CONFIG)
+    upgraded.limiter.alone_from = 1020.0  # the former process sent until then: no credit for that time
+    assert sum(upgraded.serve(1020.0 + n * 0.001, points=4) for n in range(10)) <= PLAN.ceiling_slack / 4
     fresh = Gateway(Counter(), CONFIG)  # just started: what it let in before is forgotten
     let_in = sum(fresh.serve(1000.0 + n * 0.001, units=1, points=4) for n in range(10))
     assert let_in <= PLAN.ceiling_slack / 4
@@ -83,3 +88,24 @@
     most = free.fall_multiple * free.cold_share * usual * free.fall_span
     for times in (late[f"c{n}"] for n in range(30)):
         assert all(later - at > free.fall_span for at, later in zip(times, times[int(most):], strict=False))
+
+
+def test_logs_of_a_fleet_are_put_together_whatever_is_in_them(
+        tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    (tmp_path / "n0.log").write_bytes(
+        b'0.1 {"at":10.0,"node":"n0","event":"start"}\n'
+        b'1.1 {"at":11.0,"node":"n0","event":"tally","in.requests":5,"out.served":3,"refused.delay":2,'
+        b'"servers.opened":1,"servers.reused":2,"counter.ok":4}\n'
+        b'{"at":11.2,"node":"n0","event":"breaker","state":"open"}\n{"at":12.0,"node":"n0","ev')
+    other = b'{"at":11.5,"node":"n1","event":"tally","in.requests":1}\nno log\n[1]\n'
+    (tmp_path / "n1.log").write_bytes(other)
+    (tmp_path / "n2.log").write_bytes(b"")
+    assert fleet_log.main([str(tmp_path)]) == 0
+    lines = capsys.readouterr().out.splitlines()
+    assert lines[0].startswith("   0 s  tries 0") and "starts 1" in lines[0]
+    assert lines[1].startswith("   1 s  tries 6, served 3") and "(reused 67%)" in lines[1]
+    assert "breakers open 1" in lines[1] and "refused: delay 2; attempts: -; counter: ok 4" in lines[1]
+    assert lines[2] == "2 nodes, each: median, most, all" and any(line.split() == [
+        "in.requests", "3", "5", "6"] for line in lines)
+    assert [line.split(":")[0] for line in lines[-3:]] == ["n0.log", "n1.log", "n2.log"]
+    assert fleet_log.main([str(tmp_path / "none")]) == 2
