--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -109,3 +109,80 @@
         "in.requests", "3", "5", "6"] for line in lines)
     assert [line.split(":")[0] for line in lines[-3:]] == ["n0.log", "n1.log", "n2.log"]
     assert fleet_log.main([str(tmp_path / "none")]) == 2
+
+
+class Op:
+    """What a client wants once, through however many requests: what of it may have run, and where."""
+
+    def __init__(self, cls: int) -> None:
+        self.cls, self.ran = cls, list[int]()  # the cells of attempts that may have run
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_one_answer_no_effect_twice_and_no_send_to_what_drains_with_kills_all_over(seed: int) -> None:
+    """Seven in ten limiters die at once, twice; their clients, and those refused, come again elsewhere."""
+    random, config = Random(seed), replace(BASE, limiters=FLEET, plans=(i.Plan(1.0),))
+    cells = {f"s{n}": n % 4 for n in range(24)}
+    gates = fleet(seed, config=config)
+    told: dict[int, set[str]] = {n: set() for n in range(FLEET)}  # draining, as each limiter knows it
+    ops, answers = dict[int, Op](), dict[int, int]()
+    due: list[tuple[float, int, int, i.Attempt, i.Status]] = []  # when, limiter, its life, attempt, outcome
+    again: list[tuple[float, Op]] = []
+    lives, now = [0] * FLEET, 1000.0
+    bad = [i.Status.ERROR, i.Status.FULL, i.Status.TIMEOUT, i.Status.UNREACHABLE, i.Status.RESET]
+
+    def carry_out(n: int, actions: list[i.Action]) -> None:
+        for act in actions:
+            if isinstance(act, i.Attempt):
+                assert act.server not in told[n]
+                status = random.choice(bad) if random.random() < 0.4 else i.Status.OK
+                if not status.never_ran:
+                    ops[act.id].ran.append(cells[act.server])
+                due.append((now + random.uniform(0.01, 0.3), n, lives[n], act, status))
+            elif isinstance(act, i.Refuse | i.Fail):
+                answers[act.id] = answers.get(act.id, 0) + 1
+                if isinstance(act, i.Refuse) and random.random() < 0.7:
+                    again.append((now + random.uniform(0.05, 0.5), ops[act.id]))
+
+    servers = tuple(server(name, cell=cell) for name, cell in cells.items())
+    for gate in gates:
+        gate.feed(i.Members(i.ListKind.FULL, servers), now)
+    attempts_of: dict[int, int] = {}
+    for step in range(6000):
+        now += 0.005
+        for n, gate in enumerate(gates):
+            if step in (2000, 3500) and random.random() < 0.7:
+                gate.restart(now)
+                lives[n] += 1
+                gate.feed(i.Members(i.ListKind.FULL, tuple(
+                    server(s, i.ServerState.DRAINING if s in told[n] else i.ServerState.READY, cell=c)
+                    for s, c in cells.items())), now)
+            if step % 800 == 400 + n:  # one server more drains; each limiter hears of it at its own time
+                name = f"s{step // 800}"
+                told[n].add(name)
+                gate.feed(i.Members(i.ListKind.CHANGES, (
+                    server(name, i.ServerState.DRAINING, cell=cells[name]),)), now)
+        due.sort(key=lambda item: item[0])
+        while due and due[0][0] <= now:
+            _, n, life, act, status = due.pop(0)
+            number = attempts_of[act.id] = attempts_of.get(act.id, -1) + 1
+            if life != lives[n]:  # its limiter has died: a client may repeat what is safe
+                if ops[act.id].cls == 0:
+                    again.append((now + 0.1, ops[act.id]))
+                continue
+            final = status is i.Status.OK
+            answers[act.id] = answers.get(act.id, 0) + final
+            carry_out(n, gates[n].feed(i.Outcome(act.id, number, act.server, status, 0.1, final), now))
+        fresh = [Op(random.randrange(3))]
+        fresh += [op for at, op in again if at <= now]
+        again = [item for item in again if item[0] > now]
+        for op in fresh:
+            n = random.randrange(FLEET)
+            rid = len(ops) + 1
+            ops[rid] = op
+            carry_out(n, gates[n].ask(now, cls=op.cls, rid=rid))
+    assert max(answers.values()) == 1
+    dead = sum(rid not in answers for rid in ops)
+    assert dead < 200  # those that their limiter took with it, and the last ones out
+    assert len(ops) > 6000 and all(len(op.ran) <= 1 for op in ops.values() if op.cls == 2)
+    assert all(len(set(op.ran)) <= 1 for op in ops.values() if op.cls == 1)
--- a/tests/test_node_upgrade.py
+++ b/tests/test_node_upgrade.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
+import os
 import signal
 import socket
 from pathlib import Path
 
 import trio
 
+from finchshelf.__main__ import another
 from finchshelf.node import net
 from finchshelf.node.config import Address
-from tests.stand_ins import Client, call, trio_test, until
+from finchshelf.node.core import OVERLAP, Clock, Core
+from tests.stand_ins import Client, Quiet, call, config, trio_test, until
 from tests.test_node_life import Run, running, spawn
 
 
@@ -69,3 +72,28 @@
     empty = await net.listen(Address("127.0.0.1", 0))
     assert net.queued(empty) == []
     empty.close()
+
+
+def test_process_that_starts_beside_its_predecessor_knows_it(tmp_path: Path) -> None:
+    """Danger: on ceilings it would take for unused what the former process still lets in."""
+    state, word = str(tmp_path / "n0"), tmp_path / "n0.running"
+    assert not another(state) and word.read_text() == str(os.getpid())
+    assert not another(state)  # its own word
+    for text, beside in ((str(os.getppid()), True), ("4194304999", False), ("no number", False), ("", False)):
+        word.write_text(text)
+        assert another(state) is beside and word.read_text() == str(os.getpid())
+    assert not another(str(tmp_path / "none" / "n0"))  # nowhere to leave word: as on a new machine
+    clock = Clock()
+    alone, second = (Core(config(), clock, Quiet(), beside) for beside in (False, True))
+    assert alone.limiter.alone_from <= clock.now() < second.limiter.alone_from <= clock.now() + OVERLAP
+
+
+def test_counters_are_told_as_what_they_gained() -> None:
+    telemetry = Quiet()
+    telemetry.count["in.requests"] += 2
+    telemetry.tally()
+    telemetry.tally()  # nothing new: no line
+    telemetry.count["in.requests"] += 1
+    telemetry.count["out.served"] += 1
+    telemetry.tally()
+    assert telemetry.lines == [("tally", {"in.requests": 2}), ("tally", {"in.requests": 1, "out.served": 1})]
