A limiter that has not asked before believes half a burst at a window's start

Lines: RateCheck.__init__, which set the level at the window's start to a whole burst. Now half of it: the mean of empty and full, of which nothing is known; it is full again in half of the time that a burst takes. Test fails without it.

--- a/finchshelf/admission/logic.py
+++ b/finchshelf/admission/logic.py
@@ -22,7 +22,7 @@
 PEER_SHARE, POSTS_AHEAD, USES_MOST = 0.9, 4.0, 40  # of an inbox all may fill; messages at once; their uses
 OUT_SPAN = 3.5  # usual times that an attempt that was told of counts as out
 IDLE, NAME_LIFE = 60.0, 60.0  # s until a customer's tables go (design page); the counter's longest for a name
-WINDOW_BURSTS = 8.0  # window in burst/rate: fewer edges, at which the others' use since the last call is lost
+WINDOW_BURSTS, UNKNOWN = 8.0, 0.5  # window in burst/rate; of the burst, what stands at an edge if not known
 DEBT, GAUGE_AIMS = 0.5, 0.5  # bursts that a store may lack after others; life of a gauge in tightest aims
 SMOOTH, FLEET_SMOOTH = 0.05, 0.03  # weight of an answer in a server's time, in the fleet's: requests differ
 FAIL_SMOOTH, FAIL_FORGET = 0.25, 4.0  # weight of an outcome in a server's failures; s until 1/e is left
@@ -91,7 +91,7 @@
     # Exception to the fixed window: a total is read as a refilling store: an edge or a wipe grants nothing.
     def __init__(self, plan: i.Plan, customer: int, now: float) -> None:
         self.base, self.name = customer << 28, -1
-        self.rate, self.burst, self.level, self.at = plan.rate, plan.burst, plan.burst, now
+        self.rate, self.burst, self.level, self.at = plan.rate, plan.burst, plan.burst * UNKNOWN, now
         self.window = min(WINDOW_BURSTS * plan.burst / plan.rate, NAME_LIFE / 2)
         self.index, self.seen, self.pace = -1, 0.0, 0.0  # pace: units a second that the others use
         self.usual, self.told, self.heard = 0.0, now - NAME_LIFE, 0.0  # heard: by peers since then
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -10,6 +10,7 @@
 
 from benchmarks import fleet_log
 from finchshelf.admission import interface as i
+from finchshelf.admission.logic import RateCheck
 from tests.world import BASE, Ceiling, Counter, Gateway, attempts, server
 
 FLEET = 40
@@ -186,3 +187,16 @@
     assert dead < 200  # those that their limiter took with it, and the last ones out
     assert len(ops) > 6000 and all(len(op.ran) <= 1 for op in ops.values() if op.cls == 2)
     assert all(len(set(op.ran)) <= 1 for op in ops.values() if op.cls == 1)
+
+
+def test_who_has_not_asked_before_believes_no_full_store_at_a_windows_start() -> None:
+    """Danger: where a window ends, all that have not asked in it give a heavy customer a new burst."""
+    window = RateCheck(PLAN, 7, 0.0).window
+    start = window * 40
+    check = RateCheck(PLAN, 7, start + 1.0)
+    check.turn(start + 1.0)
+    check.answered(0.0, 40.0, 4, start + 1.0)  # others told forty units in this second, where ten fill again
+    assert check.level < 10.0
+    calm = RateCheck(PLAN, 7, start + 3.0)
+    calm.turn(start + 3.0)
+    assert calm.now_level(start + 3.0) == PLAN.burst  # full again within half of what a burst takes to fill
