--- a/tests/test_node_discovery.py
+++ b/tests/test_node_discovery.py
@@ -27,15 +27,22 @@
 NEAR = entry("s0", config().listen, up_since_ms=1500, locality="there", cell=3)
 
 
+async def begun(nursery: trio.Nursery, revision: int) -> tuple[Agent, Kept, Discovery]:
+    """An agent whose list is of version 1, and a node that knows one of `revision`."""
+    agent = Agent([NEAR])
+    await agent.start(nursery)
+    settings = config(agent.address, known={"revision": revision, "complete": True, "members": [NEAR]})
+    core = Kept(settings, Clock(), Quiet())
+    discovery = Discovery(core, settings)
+    discovery.begin()
+    return agent, core, discovery
+
+
 @trio_test
 async def test_starts_from_what_is_known_and_watches_for_what_came_after() -> None:
     async with trio.open_nursery() as nursery:
-        agent = Agent([NEAR])
-        await agent.start(nursery)
-        settings = config(agent.address, known={"revision": 0, "complete": True, "members": [NEAR]})
-        core = Kept(settings, Clock(), Quiet())
-        discovery = Discovery(core, settings)
-        discovery.begin()
+        agent, core, discovery = await begun(nursery, 0)
+        settings = discovery.config
         assert news(core) == [(i.ListKind.CACHED, [("s0", i.ServerState.READY)])]
         item = core.queue.popleft()
         assert isinstance(item, Listed) and item.addresses == {"s0": settings.listen}
@@ -135,12 +142,8 @@
 @trio_test
 async def test_list_that_counts_anew_is_asked_for_whole() -> None:
     async with trio.open_nursery() as nursery:
-        agent = Agent([NEAR])
-        await agent.start(nursery)
-        settings = config(agent.address, known={"revision": 9, "complete": True, "members": [NEAR]})
+        agent, _, discovery = await begun(nursery, 9)
         agent.waits = False
-        discovery = Discovery(Kept(settings, Clock(), Quiet()), settings)
-        discovery.begin()
         nursery.start_soon(discovery.run)
         await until(lambda: discovery.version == 1)
         assert agent.targets[:2] == ["/v1/servers?after=9&wait_ms=5000", "/v1/servers"]
