--- /dev/null
+++ b/finchshelf/controlplane/__main__.py
@@ -0,0 +1,100 @@
+"""Starts and ends a control plane: settings, parts, signals.
+
+Owns the order of start and of a planned end. It must never know what a beat or a configuration is.
+"""
+
+from __future__ import annotations
+
+import gc
+import os
+import secrets
+import signal
+import sys
+import time
+from random import Random
+
+import trio
+
+from finchshelf.agreement.store import Store
+from finchshelf.configuration.boot import Boot, SettingsError, read_boot
+from finchshelf.controlplane.cells import Cells
+from finchshelf.controlplane.news import News
+from finchshelf.controlplane.register import Register
+from finchshelf.controlplane.resources import Change, Departure, Observe, Pulse, Resource, Resources
+from finchshelf.transport import frames, net
+from finchshelf.transport.calls import Calls, Reader
+from finchshelf.transport.clients import Clients
+from finchshelf.transport.exchange import Clock
+from finchshelf.transport.telemetry import Telemetry
+
+LAST = 0.5  # s after SIGTERM in which calls still come and are answered
+
+
+async def serve(boot: Boot, telemetry: Telemetry, seed: int) -> None:
+    clock, random = Clock(), Random(seed)
+    port = boot.port_range[0]
+    address = f"{boot.ip}:{port}"
+    seeds = tuple(f"{peer.host}:{port}" for peer in boot.initial_peers)
+    store = Store(boot.state_dir, boot.storage_mb) if boot.state_dir else None
+    counted = store is not None and boot.loss_counted
+    cells = Cells(address, boot.zone, boot.pulse, int(time.time() * 1000), clock.now())
+    async with trio.open_nursery() as nursery:
+        news = News(cells, clock, nursery, counted, random, telemetry.log)
+        register = Register(address, seeds, boot.initial_condition, store, news, random, telemetry.log)
+        news.register = register
+        await register.begin()
+        for seed_address in seeds:
+            control = cells.meet(seed_address)
+            if control is not None:
+                news.follow(control)
+        inner = await net.listen(net.Address(boot.ip, port))
+        nursery.start_soon(frames.serve, inner, news.handle, nursery,
+                           lambda why: telemetry.rare("peer.broken", error=why))
+        nursery.start_soon(news.sweep)
+        nursery.start_soon(news.mend, seeds)
+        assert boot.control is not None
+        handlers: dict[str, Resource] = {
+            "servers.pulse": Pulse(cells, news, clock.now, boot.control.port),
+            "servers.departure": Departure(cells, news, clock.now),
+            "setpoint.replace": Change(register, "replace", telemetry.log),
+            "setpoint.adjust": Change(register, "adjust", telemetry.log),
+            "setpoint.observe": Observe(register),
+        }
+        calls = Calls(clock, telemetry, nursery, Resources(handlers).handle)
+        clients = Clients(calls, Reader(), nursery, lambda: True, boot.descriptors, int(boot.memory_mb * 1e6))
+        listener = await net.listen(net.Address(*boot.control))
+        nursery.start_soon(clients.accept, listener)
+        nursery.start_soon(clients.sweep)
+        telemetry.log("start", address=address, disk=register.me.disk, seed=seed,
+                      slot=register.decided.slot if register.decided else -1)
+        gc.collect()
+        gc.freeze()
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            async for number in signals:
+                if number != signal.SIGHUP:
+                    break
+                telemetry.log("settings", state="noted: seeds are only needed at a start")
+        clients.draining = True
+        telemetry.log("ending")
+        await trio.sleep(LAST)
+        nursery.cancel_scope.cancel()
+    telemetry.log("exit")
+
+
+def main() -> int:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # Danger: it ends whoever does not listen yet
+    try:
+        boot = read_boot(os.environ.get("FINCHSHELF_BOOT", ""))
+    except SettingsError as error:
+        print(f"finchshelf: {error}", file=sys.stderr)
+        return 2
+    try:
+        trio.run(serve, boot, Telemetry(boot.node), secrets.randbits(32))
+    except* OSError as group:
+        print(f"finchshelf: cannot serve: {group.exceptions[0]}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/finchshelf/controlplane/cells.py
@@ -0,0 +1,173 @@
+"""What the cells know: servers and limiters, who was heard when, and which control planes there are.
+
+Owns the tables and their change numbers; decisions only, time is handed in. A cell is a zone's: its control plane
+hears that zone's servers and limiters, and all cells tell each other. It must never call a server gone because it
+has itself only just come up, or lose a drain that it was told of.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from typing import Any
+
+from finchshelf.agreement.core import Member
+from finchshelf.membership.records import GONE, Limiter, Server, Servers, read_limiter, read_server
+
+LOST_BEATS, LOST_MORE = 3.0, 0.6  # beats missed, and s more, after which a server is lost to whoever heard it last
+LIMITER_SILENT = 2.6  # s without a question after which a limiter is not listed: it asks each second
+CLOSED_GRACE = 0.7  # s that a limiter whose connection ended has to come again: a dead process ends it at once
+CONTROL_SILENT = 2.0  # s after which another control plane is not named to data planes
+CONTROL_FORGET = 20.0  # s after which it is forgotten, unless it is a seed or a member
+GONE_KEPT = 60.0  # s that the record of a server that left is kept: late beats must find it
+
+
+@dataclass(slots=True)
+class Control:
+    """Another control plane as this one knows it."""
+
+    address: str
+    zone: str = ""
+    disk: str = ""
+    counted: bool = False
+    heard: float = -1e9
+    life: int = 0
+    rev: int = -1
+    own: int = -1
+    limiters: tuple[Limiter, ...] = ()
+
+
+class Cells:
+    def __init__(self, address: str, zone: str, pulse: float, life: int, now: float) -> None:
+        self.address, self.zone, self.pulse, self.life, self.began = address, zone, pulse, life, now
+        self.servers = Servers()
+        self.heard: dict[str, float] = {}  # servers that beat here last: when
+        self.left: dict[str, float] = {}  # servers that left: when
+        self.asked: dict[str, tuple[Limiter, float]] = {}  # limiters that ask here: until when they are listed
+        self.own = 0  # changes of the limiters that ask here
+        self.merged: tuple[Limiter, ...] = ()
+        self.merged_rev = 0
+        self.controls: dict[str, Control] = {}
+        self.named: tuple[tuple[str, str], ...] = ((address, zone),)
+        self.named_rev = 0
+
+    # ---- servers ----
+
+    def beat(self, record: Server, now: float) -> bool:
+        """A beat that came here; True if others must hear of it."""
+        self.heard[record.id] = now
+        known = self.servers.rows.get(record.id)
+        if known is not None and known.lost and not known.mode == GONE and record.count <= known.count:
+            # Danger: lost by one number and alive by the same: the beat is the newer word of the two.
+            record = replace(record, count=known.count + 1)
+        return self.servers.put(record)
+
+    def depart(self, name: str, now: float) -> Server:
+        known = self.servers.rows.get(name) or Server(name, "", "", "", 1)
+        record = replace(known, mode=GONE)
+        self.heard.pop(name, None)
+        self.left[name] = now
+        self.servers.put(record)
+        return record
+
+    def take(self, rows: list[Any], now: float) -> bool:
+        """Records of another control plane."""
+        news = False
+        for row in rows:
+            record = read_server(row, now)
+            if self.servers.put(record):
+                news = True
+                if record.mode == GONE:
+                    self.left.setdefault(record.id, now)
+        return news
+
+    def silent_servers(self, now: float) -> bool:
+        """Those that beat here last and no longer do are lost; True if there are such."""
+        least, news = now - self.pulse * LOST_BEATS - LOST_MORE, False
+        for name, at in list(self.heard.items()):
+            record = self.servers.rows.get(name)
+            if record is None or record.mode == GONE:
+                del self.heard[name]
+            elif at < least:
+                del self.heard[name]
+                news |= self.servers.put(replace(record, lost=True))
+        for name, at in list(self.left.items()):
+            if now - at > GONE_KEPT:
+                del self.left[name]
+                self.servers.drop(name)
+        return news
+
+    # ---- limiters ----
+
+    def ask(self, limiter: Limiter, now: float) -> bool:
+        """A limiter asked here; True if the list changed."""
+        known = self.asked.get(limiter.node)
+        if known is not None and known[0].life > limiter.life:
+            return False
+        self.asked[limiter.node] = limiter, now + LIMITER_SILENT
+        if known is None or known[0] != limiter:
+            self.own += 1
+            return self.merge(now)
+        return False
+
+    def closed(self, limiter: Limiter, now: float) -> None:
+        """Its connection ended: the process did, or will come again at once."""
+        known = self.asked.get(limiter.node)
+        if known is not None and known[0].life == limiter.life:
+            self.asked[limiter.node] = known[0], min(known[1], now + CLOSED_GRACE)
+
+    def silent_limiters(self, now: float) -> bool:
+        gone = [node for node, (_, until) in self.asked.items() if now > until]
+        for node in gone:
+            del self.asked[node]
+        self.own += bool(gone)
+        return self.merge(now)
+
+    def merge(self, now: float) -> bool:
+        """The limiters that ask any control plane that is heard; True if the list changed."""
+        found: dict[str, Limiter] = {node: limiter for node, (limiter, _) in self.asked.items()}
+        for control in self.controls.values():
+            if now - control.heard <= CONTROL_SILENT:
+                for limiter in control.limiters:
+                    known = found.get(limiter.node)
+                    if known is None or known.life < limiter.life:
+                        found[limiter.node] = limiter
+        merged = tuple(sorted(found.values(), key=lambda one: one.node))
+        named = tuple(sorted([(self.address, self.zone)] + [
+            (one.address, one.zone) for one in self.controls.values() if now - one.heard <= CONTROL_SILENT]))
+        news = False
+        if merged != self.merged:
+            self.merged, self.merged_rev, news = merged, self.merged_rev + 1, True
+        if named != self.named:
+            self.named, self.named_rev, news = named, self.named_rev + 1, True
+        return news
+
+    # ---- control planes ----
+
+    def meet(self, address: str) -> Control | None:
+        """A control plane that someone named."""
+        if address == self.address:
+            return None
+        return self.controls.setdefault(address, Control(address))
+
+    def forget(self, keep: set[str], now: float) -> list[str]:
+        gone = [one.address for one in self.controls.values()
+                if one.address not in keep and now - max(one.heard, self.began) > CONTROL_FORGET]
+        for address in gone:
+            del self.controls[address]
+        return gone
+
+    def hear(self, control: Control, now: float) -> None:
+        control.heard = now
+
+    def limiters_of(self, control: Control, rows: list[Any], own: int, now: float) -> bool:
+        control.limiters, control.own = tuple(read_limiter(row) for row in rows), own
+        return self.merge(now)
+
+    def silent(self, me: Member, now: float) -> dict[Member, float]:
+        """Seconds since each disk was heard."""
+        found = {Member(one.address, one.disk): now - one.heard for one in self.controls.values() if one.disk}
+        return {**found, me: 0.0}
+
+    def candidates(self, me: Member, counted: bool) -> tuple[Member, ...]:
+        rows = [Member(one.address, one.disk) for one in self.controls.values() if one.disk and one.counted]
+        return (*rows, me) if counted and me.disk else tuple(rows)
--- /dev/null
+++ b/finchshelf/controlplane/news.py
@@ -0,0 +1,274 @@
+"""News between our processes: long questions with the version held, answered when there is news.
+
+Owns the links to other control planes and the event that wakes who waits for news. It must never decide which
+news wins: `cells` and `register` do.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+import trio
+
+from finchshelf.agreement.core import Member, Value
+from finchshelf.agreement.store import StoreError
+from finchshelf.controlplane.cells import Cells, Control
+from finchshelf.controlplane.register import Register
+from finchshelf.membership.records import Server, Unfit, read_limiter
+from finchshelf.transport.exchange import Clock
+from finchshelf.transport.frames import Link, Message, PeerError
+from finchshelf.transport.net import Address
+
+GATHER = 0.01  # s that news may wait for more of it
+MOST_WAIT = 5.0  # s that a question may wait
+BETWEEN = 0.4  # s that a question between control planes waits: they judge each other's silence by it
+AFTER_FAILURE = 0.3  # s until a control plane that did not answer is asked again
+HOLD = 0.6  # s for other control planes to hold a record: a server waits a second for its acknowledgement
+SWEEP = 0.25  # s between two looks for silence
+MEND = 0.5  # s between two looks at the members
+
+
+def split(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    return Address(host, int(port))
+
+
+class News:
+    def __init__(self, cells: Cells, clock: Clock, nursery: trio.Nursery, counted: bool, random: Random,
+                 log: Callable[..., None]) -> None:
+        self.cells, self.clock, self.nursery, self.counted = cells, clock, nursery, counted
+        self.random, self.log = random, log
+        self.register: Register
+        self.links: dict[str, Link] = {}
+        self.event = trio.Event()
+        self.steady: set[str] = set()
+
+    def wake(self) -> None:
+        event, self.event = self.event, trio.Event()
+        event.set()
+
+    # ---- questions that come in ----
+
+    async def handle(self, message: Message) -> Message:
+        """One question of a limiter or of another control plane."""
+        kind = message.get("op")
+        if kind == "news":
+            return await self.answer_news(message)
+        if kind == "agree":
+            try:
+                return {"reply": await self.register.handle(message["message"])}
+            except StoreError as error:
+                return {"error": f"{error.step}: {error}"}
+        if kind == "hold":
+            if self.cells.take(message["rows"], self.clock.now()):
+                self.wake()
+            return {"ok": True}
+        if kind == "show":
+            return self.show()
+        return {"error": f"no such question: {kind!r}"[:100]}
+
+    async def answer_news(self, message: Message) -> Message:
+        now = self.clock.now()
+        self.note(message, now)
+        until = trio.current_time() + min(float(message.get("wait", 0.0)), MOST_WAIT)
+        have = message.get("have", {})
+        while True:
+            event, decided = self.event, self.register.decided_event
+            answer = self.fresh(have, "limiter" in message)
+            if answer is not None or trio.current_time() >= until:
+                return answer or {"life": self.cells.life, "none": True}
+            with trio.move_on_at(until):
+                await either(event, decided)
+                await trio.sleep(GATHER)
+
+    def note(self, message: Message, now: float) -> None:
+        """Who asks is there."""
+        if "limiter" in message:
+            limiter = read_limiter(message["limiter"])
+            if self.cells.ask(limiter, now):
+                self.wake()
+        elif "control" in message:
+            address, zone, disk, counted = message["control"]
+            control = self.cells.meet(str(address))
+            if control is not None:
+                control.zone, control.disk, control.counted = str(zone), str(disk), bool(counted)
+                self.cells.hear(control, now)
+                self.follow(control)
+                if self.cells.merge(now):
+                    self.wake()
+
+    def fresh(self, have: dict[str, Any], limiter: bool) -> Message | None:
+        """What the asker lacks, or None."""
+        cells, now = self.cells, self.clock.now()
+        same = have.get("life") == cells.life
+        rev = int(have.get("rev", -1)) if same else -1
+        answer: Message = {}
+        if cells.servers.rev > rev:
+            answer["servers"] = [record.pack(now) for record in cells.servers.since(rev)]
+            answer["rev"] = cells.servers.rev
+            if rev < 0:
+                answer["whole"] = now - cells.began
+        if not same or have.get("named") != cells.named_rev:
+            answer["controls"], answer["named"] = [list(one) for one in cells.named], cells.named_rev
+        if limiter and (not same or have.get("list") != cells.merged_rev):
+            answer["limiters"] = [one.pack() for one in cells.merged]
+            answer["list"] = cells.merged_rev
+        if not limiter and (not same or have.get("own") != cells.own):
+            answer["limiters"] = [one.pack() for one, _ in cells.asked.values()]
+            answer["own"] = cells.own
+        decided = self.register.decided
+        if decided is not None and decided.slot > int(have.get("slot", -1)):
+            answer["value"] = decided.pack()
+        if not answer:
+            return None
+        return {"life": cells.life, **answer}
+
+    def show(self) -> Message:
+        """What an operator's `show` tells."""
+        decided, now = self.register.decided, self.clock.now()
+        return {
+            "address": self.cells.address, "zone": self.cells.zone, "disk": self.register.me.disk,
+            "slot": decided.slot if decided else -1, "version": decided.version if decided else 0,
+            "members": [list(member) for member in decided.members] if decided else [],
+            "controls": [[one.address, one.zone, round(now - one.heard, 3)] for one in self.cells.controls.values()],
+            "limiters": [one.pack() for one in self.cells.merged],
+            "servers": [record.pack(now) for record in self.cells.servers.rows.values()],
+        }
+
+    # ---- questions that go out ----
+
+    def link(self, address: str) -> Link:
+        found = self.links.get(address)
+        if found is None:
+            found = self.links[address] = Link(split(address), self.nursery)
+        return found
+
+    async def agree(self, address: str, message: Message, limit: float) -> Message:
+        answer = await self.link(address).ask("agree", {"op": "agree", "message": message}, limit)
+        reply = answer.get("reply")
+        if not isinstance(reply, dict):
+            raise PeerError("agree", address, "no reply")
+        return reply
+
+    def follow(self, control: Control) -> None:
+        """Ask it for news from now on."""
+        if control.address not in self.steady:
+            self.steady.add(control.address)
+            self.nursery.start_soon(self.ask_on, control)
+
+    async def ask_on(self, control: Control) -> None:
+        try:
+            while self.cells.controls.get(control.address) is control:
+                try:
+                    await self.ask_once(control)
+                except (PeerError, Unfit, KeyError, TypeError, ValueError) as error:
+                    if not isinstance(error, PeerError):
+                        self.log("peer.unfit", peer=control.address, step="news", error=repr(error))
+                    await trio.sleep(AFTER_FAILURE * (0.5 + self.random.random()))
+        finally:
+            self.steady.discard(control.address)
+
+    async def ask_once(self, control: Control) -> None:
+        cells, me, decided = self.cells, self.register.me, self.register.decided
+        have = {"life": control.life, "rev": control.rev, "own": control.own,
+                "slot": decided.slot if decided else -1}
+        answer = await self.link(control.address).ask(
+            "news", {"op": "news", "have": have, "wait": BETWEEN,
+                     "control": [cells.address, cells.zone, me.disk, self.counted]}, BETWEEN + 1.0)
+        now = self.clock.now()
+        cells.hear(control, now)
+        if answer["life"] != control.life:
+            control.life, control.rev, control.own = int(answer["life"]), -1, -1
+            if answer.get("none"):
+                return
+        news = False
+        if "servers" in answer:
+            news |= cells.take(answer["servers"], now)
+            control.rev = int(answer["rev"])
+        if "limiters" in answer:
+            news |= cells.limiters_of(control, answer["limiters"], int(answer["own"]), now)
+        if "value" in answer:
+            self.register.learn(Value.unpack(answer["value"]))
+        for address, zone in answer.get("controls", ()):
+            met = cells.meet(str(address))
+            if met is not None:
+                met.zone = str(zone)
+                self.follow(met)
+        if news | cells.merge(now):
+            self.wake()
+
+    async def hold(self, record: Server) -> bool:
+        """Do more than half of the core hold this record?"""
+        decided = self.register.decided
+        core = {member.address for member in decided.members} if decided else set[str]()
+        held = {self.cells.address}
+        rows = [record.pack(self.clock.now())]
+        need = len(core) // 2 + 1
+        if len(held & core) >= need:
+            return True
+        done = trio.Event()
+
+        async def tell(address: str) -> None:
+            try:
+                await self.link(address).ask("hold", {"op": "hold", "rows": rows}, HOLD)
+            except PeerError:
+                return
+            held.add(address)
+            if len(held & core) >= need:
+                done.set()
+
+        with trio.move_on_after(HOLD):
+            async with trio.open_nursery() as nursery:
+                for address in core - held:
+                    nursery.start_soon(tell, address)
+                await done.wait()
+                # Danger: the others must hear of it too, so what is under way is not cut off.
+                for task in core - held:
+                    self.nursery.start_soon(tell, task)
+                nursery.cancel_scope.cancel()
+        return len(held & core) >= need
+
+    # ---- sweeps ----
+
+    async def sweep(self) -> None:
+        """What the news did not bring: silence."""
+        while True:
+            await trio.sleep(SWEEP)
+            now = self.clock.now()
+            if self.cells.silent_servers(now) | self.cells.silent_limiters(now):
+                self.wake()
+
+    async def mend(self, seeds: tuple[str, ...]) -> None:
+        """Members that are wiped, gone or new: a round of ballots, by whom rendezvous puts first of those heard."""
+        while True:
+            await trio.sleep(MEND * (0.75 + 0.5 * self.random.random()))
+            now, decided, me = self.clock.now(), self.register.decided, self.register.me
+            members = {member.address for member in decided.members} if decided else set[str]()
+            for address in self.cells.forget(members | set(seeds), now):
+                self.links.pop(address, None)
+            for address in members | set(seeds):
+                control = self.cells.meet(address)
+                if control is not None:
+                    self.follow(control)
+            if decided is None or now - self.cells.began < 2.0:
+                continue  # Danger: who has only just come up takes all others for silent
+            silent = self.cells.silent(me, now)
+            voters = [m.address for m in decided.members if silent.get(m, math.inf) <= 1.0]
+            if voters and min(voters) == self.cells.address:
+                await self.register.mend_members(silent, self.cells.candidates(me, self.counted))
+
+
+async def either(first: trio.Event, second: trio.Event) -> None:
+    async def one(event: trio.Event) -> None:
+        await event.wait()
+        nursery.cancel_scope.cancel()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(one, first)
+        nursery.start_soon(one, second)
+
+
+__all__ = ["Member", "News"]
--- /dev/null
+++ b/finchshelf/controlplane/resources.py
@@ -0,0 +1,165 @@
+"""What servers and operators call: one handler object for each resource.
+
+Owns the meaning of each call and the status of its answer. It must never acknowledge what is not yet held by
+more than half of the core: a drain in their memory, a configuration on their disks.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any, Protocol
+from urllib.parse import parse_qs
+
+import orjson
+import trio
+
+from finchshelf.agreement.core import Refusal, Value
+from finchshelf.configuration import change as changes
+from finchshelf.controlplane.cells import Cells
+from finchshelf.controlplane.news import News
+from finchshelf.controlplane.register import Register, Unsettled
+from finchshelf.membership.records import DECAYING, Unfit, read_beat
+from finchshelf.transport.calls import Call, told
+from finchshelf.transport.exchange import Answer
+
+LIMIT = 0.85  # s for a change to be decided: an operator asks another limiter after a second of silence
+READ = 0.7  # s for a read
+MOST_BEAT = 16384  # bytes of a beat
+
+
+class Resource(Protocol):
+    async def call(self, of: str, body: bytes) -> Answer: ...
+
+
+class Pulse:
+    """`servers.pulse`: a server says that it is there, and how."""
+
+    def __init__(self, cells: Cells, news: News, now: Callable[[], float], port: int) -> None:
+        self.cells, self.news, self.now, self.port = cells, news, now, port
+        self.held: set[str] = set()
+
+    async def call(self, of: str, body: bytes) -> Answer:
+        try:
+            if len(body) > MOST_BEAT:
+                raise Unfit("read a beat", "body", "too large")
+            record = read_beat(of, orjson.loads(body), self.now())
+        except (orjson.JSONDecodeError, Unfit) as error:
+            return told(400, {"error": str(error)})
+        if self.cells.beat(record, self.now()):
+            self.news.wake()
+        if record.mode == DECAYING and of not in self.held:
+            # Danger: acknowledged here alone and then forgotten, the server ends with requests on their way.
+            if not await self.news.hold(self.cells.servers.rows[of]):
+                return told(503, {"error": "not held by more than half of the core"})
+            self.held.add(of)
+        return told(200, self.target(record.zone))
+
+    def target(self, zone: str) -> dict[str, str]:
+        """The server's own cell, for its later beats."""
+        own = sorted(address for address, place in self.cells.named if place == zone)
+        if not own or self.cells.address in own:
+            return {}
+        return {"pulseTarget": f"{own[0].rpartition(':')[0]}:{self.port}"}
+
+
+class Departure:
+    """`servers.departure`: a server ends."""
+
+    def __init__(self, cells: Cells, news: News, now: Callable[[], float]) -> None:
+        self.cells, self.news, self.now = cells, news, now
+
+    async def call(self, of: str, body: bytes) -> Answer:
+        if not 0 < len(of) <= 128:
+            return told(400, {"error": "of: expected the server's id"})
+        record = self.cells.depart(of, self.now())
+        self.news.wake()
+        if not await self.news.hold(record):
+            return told(503, {"error": "not held by more than half of the core"})
+        return told(200)
+
+
+class Change:
+    """`setpoint.replace` and `setpoint.adjust`: a configuration on top of the one it names."""
+
+    def __init__(self, register: Register, kind: changes.Kind, log: Callable[..., None]) -> None:
+        self.register, self.kind, self.log = register, kind, log
+
+    async def call(self, of: str, body: bytes) -> Answer:
+        try:
+            wanted = await trio.to_thread.run_sync(changes.read_change, self.kind, body)
+        except changes.Invalid as error:
+            return told(400, {"error": str(error)})
+        try:
+            with trio.fail_after(LIMIT):
+                return await self.decide(wanted)
+        except (Unsettled, trio.TooSlowError):
+            return told(503, {"error": "not decided in time; it may be yet: send it again"})
+
+    async def decide(self, wanted: changes.Change) -> Answer:
+        current = await self.register.read(READ)
+        early = self.verdict(current, wanted)
+        if early is not None:
+            return early
+        base = orjson.loads(current.document) if current.document else None
+        try:
+            document = await trio.to_thread.run_sync(changes.apply, base, wanted)
+            await trio.to_thread.run_sync(changes.check, document, current.version)
+        except changes.Invalid as error:
+            return told(400, {"error": str(error)})
+        packed = orjson.dumps(document)
+
+        def make(value: Value) -> Value | Refusal:
+            if (wanted.version, wanted.digest) in value.taken:
+                return Refusal("taken")
+            if value.version != wanted.prior or value.document != current.document:
+                return Refusal("another version")
+            return replace(value, slot=value.slot + 1, version=wanted.version, document=packed,
+                           taken=(*value.taken, (wanted.version, wanted.digest)))
+
+        made = await self.register.change(make, LIMIT, f"setpoint.{self.kind}")
+        if isinstance(made, Value) or made == "taken":
+            self.log("configuration", version=wanted.version, kind=self.kind)
+            return told(200, {"setpointSeq": f"{wanted.version:08x}"})
+        return told(412, {"error": "another version is in place"})
+
+    def verdict(self, current: Value, wanted: changes.Change) -> Answer | None:
+        if (wanted.version, wanted.digest) in current.taken:
+            return told(200, {"setpointSeq": f"{wanted.version:08x}"})
+        if current.version != wanted.prior:
+            return told(412, {"error": "another version is in place", "setpointSeq": f"{current.version:08x}"})
+        return None
+
+
+class Observe:
+    """`setpoint.observe`: the newest configuration, whole."""
+
+    def __init__(self, register: Register) -> None:
+        self.register = register
+
+    async def call(self, of: str, body: bytes) -> Answer:
+        try:
+            current = await self.register.read(READ)
+        except Unsettled as error:
+            return told(503, {"error": str(error)})
+        if not current.document:
+            return told(404, {"error": "no configuration was taken yet"})
+        headers = [(b"Content-Type", b"application/json"), (b"Content-Length", b"%d" % len(current.document))]
+        return Answer(200, headers, current.document)
+
+
+class Resources:
+    """Finds the handler of a call."""
+
+    def __init__(self, handlers: dict[str, Resource]) -> None:
+        self.handlers = handlers
+
+    async def handle(self, call: Call) -> Answer:
+        path, _, query = call.target.decode("ascii", "replace").partition("?")
+        asked: dict[str, Any] = parse_qs(query, max_num_fields=8)
+        handler = self.handlers.get(asked.get("call", [""])[0])
+        if path != "/v1/rpc" or handler is None:
+            return told(404, {"error": "no such call"})
+        if call.method != b"POST":
+            return told(405, {"error": "expected POST"})
+        return await handler.call(asked.get("of", [""])[0], call.body)
--- /dev/null
+++ b/finchshelf/dataplane/__init__.py
@@ -0,0 +1,1 @@
+"""The data plane: carries the traffic of one limiter."""
--- /dev/null
+++ b/finchshelf/dataplane/__main__.py
@@ -0,0 +1,136 @@
+"""Starts and ends a data plane: settings, parts, signals.
+
+Owns the order of start, of new settings and of a planned end. It must never know what a request is.
+"""
+
+from __future__ import annotations
+
+import gc
+import os
+import secrets
+import signal
+import sys
+import time
+from random import Random
+
+import trio
+
+from finchshelf.configuration.boot import Boot, SettingsError, read_boot
+from finchshelf.dataplane.core import Core
+from finchshelf.dataplane.dialect import Reader, Words
+from finchshelf.dataplane.follower import Follower
+from finchshelf.dataplane.questions import Questions
+from finchshelf.membership.records import Limiter
+from finchshelf.transport import calls, net
+from finchshelf.transport.clients import Clients
+from finchshelf.transport.exchange import Clock
+from finchshelf.transport.servers import Servers
+from finchshelf.transport.telemetry import Telemetry
+
+TURNED_AWAY = 3.2  # s after SIGTERM by which the platform has seen two misses and sends no new connections
+LAST_WORD = 0.4  # s more for the first request on a connection taken late
+LEAVE = 0.4  # s before the platform's SIGKILL by which this process has ended
+LOOK = 0.02  # s between two looks at what is still to be answered
+COLLECT_EVERY = 20_000  # new objects until the collector looks at the young ones: most die by count alone
+READY = b"/v1/readiness"
+
+
+async def serve(boot: Boot, telemetry: Telemetry, seed: int) -> None:
+    clock, random = Clock(), Random(seed)
+    control, counts = boot.port_range[0], boot.port_range[0] + 1
+    me = Limiter(boot.node, int(time.time() * 1000), boot.ip, boot.zone)
+    assert boot.front is not None and boot.readiness is not None
+    margins = boot.margins
+    core = Core(boot.node, boot.zone, clock, telemetry, random, float(margins.get("retryRatio", 0.2)),
+                float(margins.get("retrySlack", 0.0)))
+    async with trio.open_nursery() as nursery:
+        core.wire = Questions(net.Address(boot.ip, counts), core, telemetry)
+        core.servers = Servers(core, Words(), nursery, boot.descriptors)
+        memory = int(boot.memory_mb * 1e6)
+        core.clients = clients = Clients(core, Reader(core.configuration), nursery, lambda: True,
+                                         boot.descriptors, memory)
+        seeds = [f"{peer.host}:{control}" for peer in boot.initial_peers]
+        follower = Follower(me, seeds, control, clock, core.put, random, telemetry.log, nursery)
+        looked_at = calls.Calls(clock, telemetry, nursery, None)
+        readiness = Clients(looked_at, calls.Reader(READY), nursery,
+                            lambda: core.ready() and follower.settled(), 64, memory)
+        front = await net.listen(net.Address(*boot.front))
+        gate = await net.listen(net.Address(*boot.readiness))
+        accepting = trio.CancelScope()
+        for task in (core.run, core.wire.run, core.servers.sweep, clients.sweep, follower.run, readiness.sweep):
+            nursery.start_soon(task)
+        nursery.start_soon(readiness.accept, gate)
+        nursery.start_soon(accept, clients, front, accepting)
+        telemetry.log("start", front=str(net.Address(*boot.front)), seed=seed)
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(COLLECT_EVERY, 20, 50)
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1) as signals:
+            async for number in signals:
+                if number == signal.SIGHUP:
+                    reload(follower, control, telemetry)
+                elif number == signal.SIGUSR1:
+                    telemetry.counters("asked", requests=len(core.live))
+                else:
+                    break
+        readiness.draining = clients.draining = True
+        telemetry.log("ending", unanswered=len(core.live), connections=len(clients.connections))
+        with trio.move_on_after(max(1.0, boot.seconds("tolerance", 6.0) - LEAVE)):
+            await end(clients, core, front, accepting)
+        nursery.cancel_scope.cancel()
+    telemetry.counters("exit", unanswered=len(core.live))
+
+
+async def accept(clients: Clients, listener: trio.socket.SocketType, scope: trio.CancelScope) -> None:
+    with scope:
+        await clients.accept(listener)
+
+
+def reload(follower: Follower, control: int, telemetry: Telemetry) -> None:
+    """Seeds may have changed; whoever is followed already stays followed."""
+    try:
+        boot = read_boot(os.environ.get("FINCHSHELF_BOOT", ""))
+    except SettingsError as error:
+        telemetry.log("settings", state="kept the old", error=str(error))
+        return
+    follower.seeds = [f"{peer.host}:{control}" for peer in boot.initial_peers]
+    for address in follower.seeds:
+        follower.meet(address, "")
+    telemetry.log("settings", state="taken", seeds=follower.seeds)
+
+
+async def end(clients: Clients, core: Core, listener: trio.socket.SocketType,
+              accepting: trio.CancelScope) -> None:
+    """Answer what is here and what still comes, then leave.
+
+    Danger: the platform sends new connections until it has seen two misses; who stops listening sooner turns them
+    back unheard."""
+    await trio.sleep(TURNED_AWAY)
+    accepting.cancel()
+    for stream in net.queued(listener):
+        clients.take(stream)
+    listener.close()
+    closed = core.clock.now()
+    while clients.connections:
+        await trio.sleep(LOOK)
+        now = core.clock.now()
+        clients.hang_up_idle(now - LAST_WORD if now < closed + LAST_WORD else float("inf"))
+
+
+def main() -> int:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # Danger: it ends whoever does not listen yet
+    try:
+        boot = read_boot(os.environ.get("FINCHSHELF_BOOT", ""))
+    except SettingsError as error:
+        print(f"finchshelf: {error}", file=sys.stderr)
+        return 2
+    try:
+        trio.run(serve, boot, Telemetry(boot.node), secrets.randbits(32))
+    except* OSError as group:
+        print(f"finchshelf: cannot serve: {group.exceptions[0]}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/finchshelf/dataplane/choice.py
@@ -0,0 +1,168 @@
+"""Which server a request goes to: what this limiter knows of each, and what it expects there.
+
+Owns the table of servers, its estimates and every figure they are made with. No I/O and no clock: time and chance
+are handed in. It must never send more to a server than its slots and a part of its queue, as far as anyone can
+tell: some servers hang or reset when they are full.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+from random import Random
+
+from finchshelf.admission.interface import Status
+from finchshelf.membership.records import GONE, Server
+
+OTHERS_FADE = 0.7  # s after which what others hold there, as last told, is worth 1/e: requests take that long
+OTHERS_SMOOTH = 0.1  # weight of one answer in what others hold there usually
+QUEUE_PART = 1.0  # of its slots that may wait at a server beside those that run: more would be late, or hang it
+TIME_SMOOTH, TIME_LEAST, TIME_MOST = 0.1, 0.5, 4.0  # weight and bounds of one answer's time, as a multiple of usual
+ROUTE_SMOOTH = 0.03  # weight of one answer in a route's usual time
+FAIL_SMOOTH, FAIL_FORGET, FAIL_COST = 0.3, 4.0, 8.0  # weight of an end in failures, s to 1/e, times its cost
+FAR = 1.1  # cost of another zone's server, as a multiple: bytes between zones are paid for
+COLD = 2.0  # of one that still warms up
+FILL = 0.3  # cost of a server with all slots taken but one, over an empty one
+NOISE = 0.05  # spread of the cost: limiters that know the same must not all take the same
+AWAY, AWAY_MOST = 0.5, 4.0  # s that a server whose connections do not come up is left alone, first and at most
+
+
+@dataclass(slots=True)
+class Known:
+    """What this limiter knows of one life of a server."""
+
+    record: Server
+    open: int = 0
+    told: float = 0.0  # running and waiting for others, as last told
+    told_at: float = -math.inf
+    usual: float = 0.0
+    time: float = 1.0
+    failed: float = 0.0
+    failed_at: float = 0.0
+    away: float = 0.0
+    away_until: float = -math.inf
+    silent: int = 0  # connections in a row that did not come up
+
+    def failing(self, now: float) -> float:
+        return self.failed * math.exp((self.failed_at - now) / FAIL_FORGET)
+
+    def others(self, now: float) -> float:
+        fresh = math.exp((self.told_at - now) / OTHERS_FADE)
+        return self.told * fresh + self.usual * (1 - fresh)
+
+
+@dataclass(frozen=True, slots=True)
+class Chosen:
+    server: Server
+    expected: float  # its time, as a multiple of the route's usual one
+
+
+class Choice:
+    def __init__(self, zone: str, random: Random) -> None:
+        self.zone, self.random = zone, random
+        self.table: dict[str, Known] = {}
+        self.services: dict[str, list[Known]] = {}
+        self.usual: dict[str, float] = {}  # by route: s that an answer takes
+
+    # ---- the table ----
+
+    def put(self, record: Server) -> bool:
+        """Take a record that is newer; True if its connections must go: it drains, is gone or lost."""
+        known = self.table.get(record.id)
+        if known is None:
+            if record.mode != GONE:
+                self.table[record.id] = Known(record)
+                self.services.setdefault(record.service, []).append(self.table[record.id])
+            return False
+        if not record.newer(known.record):
+            return False
+        if known.record.lost and not record.lost:
+            known.away, known.away_until, known.silent = 0.0, -math.inf, 0
+        known.record = record
+        if record.mode == GONE:
+            self.drop(record.id)
+        return not record.usable()
+
+    def drop(self, name: str) -> None:
+        known = self.table.pop(name, None)
+        if known is not None:
+            self.services[known.record.service].remove(known)
+
+    def keep(self, names: Iterable[str]) -> None:
+        """The whole list as one who knows it all tells it: whatever is not on it has ended unseen."""
+        for name in set(self.table) - set(names):
+            if not self.table[name].open:
+                self.drop(name)
+
+    def ready(self, services: Iterable[str]) -> bool:
+        return all(any(k.record.usable() for k in self.services.get(s, ())) for s in services)
+
+    # ---- the choice ----
+
+    def pick(self, service: str, now: float, tried: Iterable[str] = ()) -> Server | None:
+        """The server that should be done with one more soonest; None if none has room."""
+        best, least, tried = None, math.inf, set(tried)
+        for known in self.services.get(service, ()):
+            record = known.record
+            if not record.usable() or record.id in tried or now < known.away_until:
+                continue
+            held = known.open + known.others(now)
+            if known.open and held + 1 > record.capacity * (1 + QUEUE_PART):
+                continue
+            if not known.open and held > record.capacity * (2 + QUEUE_PART):
+                continue  # what others are said to hold may be wrong: one of ours finds out sooner
+            cost = self.cost(known, held, now) * (1 + NOISE * (2 * self.random.random() - 1))
+            if cost < least:
+                best, least = record, cost
+        return best
+
+    def cost(self, known: Known, held: float, now: float) -> float:
+        record, slots = known.record, known.record.capacity
+        wait = max(0.0, held + 1 - slots) / slots
+        cost = known.time * (1 + wait + FILL * min(held, slots) / slots)
+        cost *= 1 + FAIL_COST * known.failing(now)
+        cost *= COLD if now < record.warm_at else 1.0
+        return cost if record.zone == self.zone else cost * FAR
+
+    # ---- what is learnt ----
+
+    def sent(self, name: str) -> None:
+        known = self.table.get(name)
+        if known is not None:
+            known.open += 1
+
+    def ended(self, name: str, route: str, status: Status, took: float, load: tuple[int, int, int] | None,
+              now: float) -> None:
+        """One of ours ended; `load` is what the server said: running, waiting, slots."""
+        known = self.table.get(name)
+        if known is None:
+            return
+        if load is not None:
+            running, waiting, _ = load
+            known.told, known.told_at = max(0.0, running + waiting - known.open), now
+            known.usual += (known.told - known.usual) * OTHERS_SMOOTH
+        known.open = max(0, known.open - 1)
+        if status is Status.CANCELLED:
+            return
+        if status is Status.UNREACHABLE:
+            known.silent += 1
+            known.away = min(AWAY_MOST, max(AWAY, known.away * 2))
+            known.away_until = now + known.away * (0.75 + 0.5 * self.random.random())
+        else:
+            known.silent, known.away = 0, 0.0
+        bad = {Status.OK: 0.0, Status.FULL: 0.5}.get(status, 1.0)
+        failing = known.failing(now)
+        known.failed, known.failed_at = failing + (bad - failing) * FAIL_SMOOTH, now
+        if status is Status.OK:
+            self.timed(known, route, took, now)
+
+    def timed(self, known: Known, route: str, took: float, now: float) -> None:
+        usual = self.usual.get(route)
+        if usual is None:
+            self.usual[route] = took
+            return
+        seen = min(TIME_MOST, max(TIME_LEAST, took / max(usual, 1e-3)))
+        if now >= known.record.warm_at:
+            known.time += (seen - known.time) * TIME_SMOOTH
+        self.usual[route] = usual + (min(took, usual * TIME_MOST) - usual) * ROUTE_SMOOTH
--- /dev/null
+++ b/finchshelf/dataplane/core.py
@@ -0,0 +1,371 @@
+"""The one task that owns a limiter's requests, its table of servers, the counts and the budget.
+
+Owns every request that has no final answer yet. Socket tasks put what happens on its queue; this task asks the
+decisions (`choice`, `tries`, `budget`, `counts`) and carries out what they say. It must never wait for a socket,
+answer a request twice, or leave one without an answer.
+"""
+
+from __future__ import annotations
+
+import heapq
+import traceback
+from dataclasses import dataclass
+from random import Random
+from typing import Any, Protocol
+
+import trio
+
+from finchshelf.admission.interface import ClientGone, Status
+from finchshelf.configuration.document import Configuration, Limits, Route
+from finchshelf.counts.caller import BUDGET, Caller
+from finchshelf.counts.holder import Holder
+from finchshelf.dataplane import tries
+from finchshelf.dataplane.budget import Budget
+from finchshelf.dataplane.choice import Choice
+from finchshelf.dataplane.dialect import MISDIRECTED, Reader, Request
+from finchshelf.dataplane.questions import Questions
+from finchshelf.dataplane.tries import Next, Tried
+from finchshelf.membership.records import Limiter, Server
+from finchshelf.transport.address import Address
+from finchshelf.transport.clients import Clients
+from finchshelf.transport.exchange import Answer, Arrived, Attempt, Clock, Ended, Headers
+from finchshelf.transport.mailbox import Mailbox
+from finchshelf.transport.servers import Servers
+from finchshelf.transport.telemetry import Telemetry
+
+OVERDUE = 0.02  # s past its time at which a request gets the last answer, whatever was lost on the way
+NOTHING: Headers = [(b"Content-Length", b"0")]
+
+
+@dataclass(slots=True)
+class Told:
+    """The answer to one question about a count."""
+
+    number: int
+    fits: bool
+    after: float
+
+
+@dataclass(slots=True)
+class News:
+    """What a control plane told; None where it told nothing of that kind."""
+
+    servers: list[Server]
+    limiters: dict[str, Limiter] | None = None
+    configuration: Configuration | None = None
+    whole: frozenset[str] | None = None
+
+
+@dataclass(slots=True)
+class Question:
+    request: Request
+    holder: str
+    sent: float
+
+
+Item = Request | Ended | Arrived | ClientGone | Told | News
+
+
+class Ports(Protocol):
+    clients: Clients
+
+
+def plain(status: int, headers: Headers | None = None) -> Answer:
+    return Answer(status, [*NOTHING, *(headers or [])])
+
+
+def refusal(status: int, after: float) -> Answer:
+    return plain(status, [(b"Retry-After", b"%.3f" % max(0.001, after))])
+
+
+class Core:
+    def __init__(self, me: str, zone: str, clock: Clock, telemetry: Telemetry, random: Random,
+                 ratio: float, slack: float) -> None:
+        self.me, self.clock, self.telemetry, self.count = me, clock, telemetry, telemetry.count
+        self.random = random
+        self.configuration = Configuration(0, (), {}, {}, Limits())
+        self.choice, self.budget = Choice(zone, random), Budget(ratio, slack)
+        self.caller, self.holder = Caller(me, clock.now()), Holder()
+        self.limiters: dict[str, Limiter] = {}
+        self.addresses: dict[str, Address] = {}
+        self.mailbox: Mailbox[Any] = Mailbox()
+        self.live: dict[int, Request] = {}
+        self.questions: dict[int, Question] = {}
+        self.timers: list[tuple[float, int, str, int]] = []
+        self.last = self.ticks = 0
+        self.servers: Servers
+        self.clients: Clients
+        self.wire: Questions
+
+    # ---- for the socket tasks: nothing here waits ----
+
+    def next_id(self) -> int:
+        self.last += 1
+        return self.last
+
+    def halted(self, now: float) -> bool:
+        return False
+
+    def put(self, item: Any) -> None:
+        self.mailbox.put(item)
+
+    def told(self, number: int, fits: bool, after: float) -> None:
+        self.mailbox.put(Told(number, fits, after))
+
+    def asked(self, tenant: str, units: float) -> tuple[bool, float] | None:
+        """Another limiter's question; None where this one knows no such tenant (yet)."""
+        known, now = self.configuration.tenants.get(tenant), self.clock.now()
+        if known is None or known.rate <= 0:
+            return None
+        fits = self.holder.add(tenant, units, known.rate, max(1.0, known.surge), now)
+        return fits, 0.0 if fits else self.holder.after(tenant, units, now)
+
+    # ---- the task itself ----
+
+    async def run(self) -> None:
+        while True:
+            due = self.timers[0][0] if self.timers else None
+            until = trio.current_time() + max(0.0, due - self.clock.now()) if due is not None else float("inf")
+            for item in await self.mailbox.take(until):
+                try:
+                    self.take(item, self.clock.now())
+                except Exception as error:  # Danger: one event that can't be taken would end every request
+                    self.fault(item, error)
+            now = self.clock.now()
+            while self.timers and self.timers[0][0] <= now:
+                _, _, kind, number = heapq.heappop(self.timers)
+                self.tick(kind, number, now)
+            self.wire.flush()
+
+    def fault(self, item: Any, error: Exception) -> None:
+        self.telemetry.rare("core.error", error=repr(error), trace=traceback.format_exc(limit=-4))
+        request = item.attempt.exchange if isinstance(item, Ended) else item
+        if isinstance(request, Request):
+            self.answer(request, plain(502), "out.failed")
+
+    def timer(self, at: float, kind: str, number: int) -> None:
+        self.ticks += 1
+        heapq.heappush(self.timers, (at, self.ticks, kind, number))
+
+    def tick(self, kind: str, number: int, now: float) -> None:
+        if kind == "count":
+            question = self.questions.pop(number, None)
+            if question is not None:
+                self.count["count.late"] += 1
+                if self.caller.failed(question.holder, now):
+                    self.telemetry.log("breaker", state="open", holder=question.holder)
+                if question.request.id in self.live:
+                    self.local(question.request, now)
+        elif kind == "hedge":
+            request = self.live.get(number)
+            if request is not None:
+                self.hedge(request, now)
+        elif kind == "end":
+            request = self.live.get(number)
+            if request is not None and now < request.until + OVERDUE:
+                self.timer(request.until + OVERDUE, "end", number)  # its body was still coming
+            elif request is not None:
+                self.count["overdue"] += 1
+                self.finish(request, plain(504 if request.may_have_run or request.out else 503), "out.overdue")
+
+    def take(self, item: Item, now: float) -> None:
+        if isinstance(item, Request):
+            self.arrived(item, now)
+        elif isinstance(item, Ended):
+            self.ended(item, now)
+        elif isinstance(item, Told):
+            self.answered(item, now)
+        elif isinstance(item, News):
+            self.news(item, now)
+        elif isinstance(item, ClientGone):
+            request = self.live.pop(item.id, None)
+            if request is not None:
+                self.count["in.gone"] += 1
+                self.cancel(request)
+
+    # ---- a request ----
+
+    def arrived(self, request: Request, now: float) -> None:
+        self.count["in.requests"] += 1
+        self.live[request.id] = request
+        if self.configuration.version == 0:
+            return self.answer(request, refusal(503, 0.2), "refused.starting")
+        if request.route is None or request.verdict:
+            return self.answer(request, plain(request.verdict or 404), f"refused.{request.verdict}")
+        request.service = self.service(request.route)
+        self.budget.arrived(request.service)
+        self.timer(request.until + OVERDUE, "end", request.id)
+        tenant = request.tenant
+        if tenant is None or tenant.rate <= 0:
+            return self.send(request, now)
+        holder = self.caller.ask(tenant.label, now)
+        if holder is None:
+            return self.local(request, now)
+        if holder == self.me:
+            fits, after = self.asked(tenant.label, 1.0) or (True, 0.0)
+            return self.decide(request, fits, after, now)
+        limiter = self.limiters.get(holder)
+        if limiter is None:
+            return self.local(request, now)
+        number = self.wire.ask(limiter.host, tenant.label, 1.0)
+        self.questions[number] = Question(request, holder, now)
+        self.timer(now + BUDGET, "count", number)
+
+    def service(self, route: Route) -> str:
+        if len(route.services) == 1:
+            return route.services[0][0]
+        names, gains = zip(*route.services, strict=True)
+        return str(self.random.choices(names, gains)[0])
+
+    def answered(self, item: Told, now: float) -> None:
+        question = self.questions.pop(item.number, None)
+        if question is None:
+            return
+        self.caller.answered(question.holder, now - question.sent, now)
+        if question.request.id in self.live:
+            self.decide(question.request, item.fits, item.after, now)
+
+    def decide(self, request: Request, fits: bool, after: float, now: float) -> None:
+        assert request.tenant is not None
+        if fits:
+            self.caller.counted(request.tenant, 1.0, now)
+            return self.send(request, now)
+        self.answer(request, refusal(429, after), "refused.quota")
+
+    def local(self, request: Request, now: float) -> None:
+        """The count can't be asked: the share decides."""
+        assert request.tenant is not None
+        self.count["count.local"] += 1
+        if self.caller.local(request.tenant, 1.0, now):
+            return self.send(request, now)
+        self.answer(request, refusal(429, self.caller.after(request.tenant, 1.0, now)), "refused.share")
+
+    # ---- its tries ----
+
+    def send(self, request: Request, now: float) -> None:
+        """The first try, or the end where no server has room."""
+        assert request.route is not None
+        if not self.attempt(request, now):
+            usual = self.choice.usual.get(request.route.label, 0.1)
+            return self.answer(request, refusal(503, tries.come_again(usual, self.random.random())),
+                               "refused.room")
+        if request.route.repeatable and request.route.trials > 1 and request.stream is None:
+            usual = self.choice.usual.get(request.route.label, request.route.target)
+            self.timer(now + tries.hedge_after(request.route.target, usual), "hedge", request.id)
+
+    def attempt(self, request: Request, now: float) -> bool:
+        server = self.choice.pick(request.service, now, request.tried)
+        left = request.until - now
+        if server is None or left <= 0:
+            return False
+        address = self.addresses[server.id]
+        number = len(request.tried)
+        request.tried.append(server.id)
+        attempt = Attempt(request, number, server.id, address, left, now, request.until)
+        request.out[number] = attempt
+        request.attempts += 1
+        self.choice.sent(server.id)
+        self.count["tries"] += 1
+        self.servers.start(attempt)
+        return True
+
+    def hedge(self, request: Request, now: float) -> None:
+        """A repeatable request that takes long goes to a second server as well."""
+        assert request.route is not None
+        if len(request.out) == 1 and len(request.tried) < request.route.trials and not request.hedged:
+            usual = self.choice.usual.get(request.route.label, 0.0)
+            if request.until - now > usual and self.budget.spend(request.service):
+                request.hedged = self.attempt(request, now)
+                self.count["tries.hedged"] += request.hedged
+
+    def ended(self, item: Ended, now: float) -> None:
+        attempt = item.attempt
+        request = attempt.exchange
+        assert isinstance(request, Request) and request.route is not None
+        request.out.pop(attempt.number, None)
+        load = None
+        if item.load:
+            load = (int(item.load["running"]), int(item.load["waiting"]), int(item.load["slots"]))
+        self.choice.ended(attempt.server, request.route.label, item.status, now - attempt.issued, load, now)
+        self.count[f"tries.{item.status.value}"] += 1
+        if item.used == MISDIRECTED:
+            self.gone(attempt.server)
+        if request.id not in self.live:
+            if item.answer is not None and item.answer.more is not None:
+                item.answer.more.close()  # Danger: nobody takes the rest, and its server would wait for good
+            return
+        if item.status is Status.OK and item.answer is not None:
+            return self.finish(request, item.answer, "out.served")
+        request.may_have_run |= tries.ran(item.status)
+        if item.answer is not None:
+            if item.answer.more is not None:
+                return self.finish(request, item.answer, "out.error")
+            request.last = item.answer
+        usual = self.choice.usual.get(request.route.label, 0.0)
+        tried = Tried(request.route.repeatable, request.may_have_run, len(request.out), len(request.tried),
+                      request.route.trials, request.again, request.until - now, usual, request.last is not None)
+        follow = tries.after(tried, item.status, False)
+        if tries.after(tried, item.status, True) is Next.AGAIN and self.budget.spend(request.service):
+            if self.attempt(request, now):
+                self.count["tries.again"] += 1
+                return
+        self.close(request, follow, usual)
+
+    def close(self, request: Request, follow: Next, usual: float) -> None:
+        if follow is Next.WAIT:
+            return
+        if follow is Next.PASS and request.last is not None:
+            self.finish(request, request.last, "out.error")
+        elif follow is Next.PROMISE:
+            self.finish(request, refusal(503, tries.come_again(usual, self.random.random())), "refused.tries")
+        else:
+            self.finish(request, plain(504 if follow is Next.LATE else 502), "out.failed")
+
+    def finish(self, request: Request, answer: Answer, counted: str) -> None:
+        self.answer(request, answer, counted)
+        self.cancel(request)
+
+    def answer(self, request: Request, answer: Answer, counted: str) -> None:
+        if self.live.pop(request.id, None) is None:
+            return
+        self.count[counted] += 1
+        request.reply(answer)
+
+    def cancel(self, request: Request) -> None:
+        for attempt in request.out.values():
+            attempt.cancel()
+
+    # ---- what control planes tell ----
+
+    def gone(self, server: str) -> None:
+        """Its address is another's by now."""
+        self.choice.drop(server)
+        self.addresses.pop(server, None)
+        self.servers.forget(server)
+
+    def news(self, item: News, now: float) -> None:
+        for record in item.servers:
+            must_go = self.choice.put(record)
+            if record.id in self.choice.table:
+                host, _, port = record.address.rpartition(":")
+                self.addresses[record.id] = Address(host, int(port))
+            else:
+                self.addresses.pop(record.id, None)
+            if must_go:
+                self.servers.forget(record.id)
+        if item.whole is not None:
+            self.choice.keep(item.whole)
+            self.addresses = {name: at for name, at in self.addresses.items() if name in self.choice.table}
+        if item.limiters is not None:
+            self.limiters = item.limiters
+            self.caller.list(list(item.limiters), now)
+            self.budget.limiters = len(self.caller.limiters)
+        new = item.configuration
+        if new is not None and new.version > self.configuration.version:
+            self.configuration = new
+            self.clients.renew(Reader(new), 0.0)
+            self.telemetry.log("configuration", version=new.version, routes=len(new.routes))
+
+    def ready(self) -> bool:
+        return self.configuration.version > 0 and any(
+            self.choice.ready((name,)) for name in self.configuration.services)
--- /dev/null
+++ b/finchshelf/dataplane/follower.py
@@ -0,0 +1,155 @@
+"""Follows the control plane: asks the own cell and one more for news, with the version it has.
+
+Owns the links to control planes and what each of them told. It must never take an older configuration for a newer
+one, or give up what is known because a control plane says nothing.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+import orjson
+import trio
+
+from finchshelf.agreement.core import Value
+from finchshelf.configuration.document import read_configuration
+from finchshelf.dataplane.core import News
+from finchshelf.membership import rendezvous
+from finchshelf.membership.records import GONE, Limiter, Unfit, read_limiter, read_server
+from finchshelf.transport.exchange import Clock
+from finchshelf.transport.frames import Link, Message, PeerError
+from finchshelf.transport.net import Address
+
+WAIT = 1.0  # s that a question waits for news: by it a control plane knows that this limiter is there
+MORE = 1.0  # s beside that for the answer to come
+DOWN = 1.0  # s that a control plane which did not answer is passed over
+SETTLE = 1.5  # s after the first answer in which a second one is waited for before the limiter is ready
+LISTED = 6.0  # s after which the list of a control plane that is silent no longer counts
+KNOWS = 8.0  # s that a control plane must have been up for its list of servers to be taken for whole
+
+
+class Source:
+    """One control plane and what it told."""
+
+    def __init__(self, link: Link, zone: str) -> None:
+        self.link, self.zone = link, zone
+        self.have: dict[str, int] = {"life": 0, "rev": -1, "named": -1, "list": -1}
+        self.limiters: dict[str, Limiter] = {}
+        self.down_until = self.heard = -1e9
+        self.running = False
+
+
+class Follower:
+    def __init__(self, me: Limiter, seeds: list[str], port: int, clock: Clock, put: Callable[[News], None],
+                 random: Random, log: Callable[..., None], nursery: trio.Nursery) -> None:
+        self.me, self.clock, self.put, self.random, self.log = me, clock, put, random, log
+        self.nursery = nursery
+        self.seeds = seeds
+        self.sources: dict[str, Source] = {}
+        self.slot = -1
+        self.answered: set[str] = set()
+        self.first = 0.0
+        for address in seeds:
+            self.meet(address, "")
+
+    def meet(self, address: str, zone: str) -> None:
+        found = self.sources.get(address)
+        if found is None:
+            host, _, port = address.rpartition(":")
+            self.sources[address] = Source(Link(Address(host, int(port)), self.nursery), zone)
+        elif zone:
+            found.zone = zone
+
+    def settled(self) -> bool:
+        """Has it asked enough control planes that a decided configuration can't have been missed by all?"""
+        now = self.clock.now()
+        return len(self.answered) >= 2 or (bool(self.answered) and now - self.first > SETTLE)
+
+    def wanted(self) -> list[str]:
+        """Whom to ask: the own cell and one more; all while too few have answered."""
+        now = self.clock.now()
+        up = [name for name, one in self.sources.items() if now >= one.down_until] or list(self.sources)
+        if not self.settled():
+            return up
+        order = rendezvous.order(self.me.node, up)
+        own = [name for name in order if self.sources[name].zone == self.me.zone][:1] or order[:1]
+        return own + [name for name in order if name not in own][:1]
+
+    def follow(self) -> None:
+        for address in self.wanted():
+            source = self.sources[address]
+            if not source.running:
+                source.running = True
+                self.nursery.start_soon(self.ask_on, address, source)
+
+    async def run(self) -> None:
+        """Look after who is asked; the asking itself is a task each."""
+        while True:
+            self.follow()
+            await trio.sleep(0.25)
+
+    async def ask_on(self, address: str, source: Source) -> None:
+        try:
+            while address in self.wanted():
+                try:
+                    await self.ask_once(address, source)
+                except (PeerError, Unfit, KeyError, TypeError, ValueError) as error:
+                    if not isinstance(error, PeerError):
+                        self.log("peer.unfit", peer=address, step="news", error=repr(error))
+                    source.down_until = self.clock.now() + DOWN * (0.75 + 0.5 * self.random.random())
+                    self.follow()
+                    await trio.sleep(0.1)
+        finally:
+            source.running = False
+
+    async def ask_once(self, address: str, source: Source) -> None:
+        have: dict[str, Any] = {**source.have, "slot": self.slot}
+        answer = await source.link.ask("news", {"op": "news", "have": have, "wait": WAIT,
+                                                "limiter": self.me.pack()}, WAIT + MORE)
+        source.heard = self.clock.now()
+        if not self.answered:
+            self.first = source.heard
+        self.answered.add(address)
+        self.take(source, answer)
+
+    def take(self, source: Source, answer: Message) -> None:
+        now, have = self.clock.now(), source.have
+        if answer["life"] != have["life"]:
+            source.have = have = {"life": int(answer["life"]), "rev": -1, "named": -1, "list": -1}
+            if answer.get("none"):
+                return
+        news = News([read_server(row, now) for row in answer.get("servers", ())])
+        if "rev" in answer:
+            if have["rev"] < 0 and float(answer.get("whole", 0.0)) > KNOWS:
+                news.whole = frozenset(one.id for one in news.servers if one.mode != GONE)
+            have["rev"] = int(answer["rev"])
+        if "limiters" in answer:
+            rows = [read_limiter(row) for row in answer["limiters"]]
+            source.limiters, have["list"] = {one.node: one for one in rows}, int(answer["list"])
+        news.limiters = self.listed(now)
+        if "controls" in answer:
+            have["named"] = int(answer["named"])
+            named = {str(address): str(zone) for address, zone in answer["controls"]}
+            for address, zone in named.items():
+                self.meet(address, zone)
+            for address in [a for a, s in self.sources.items() if a not in named and not s.running]:
+                if address not in self.seeds:
+                    del self.sources[address]
+        if "value" in answer:
+            value = Value.unpack(answer["value"])
+            if value.slot > self.slot:
+                self.slot = value.slot
+                if value.document:
+                    news.configuration = read_configuration(orjson.loads(value.document))
+        self.put(news)
+
+    def listed(self, now: float) -> dict[str, Limiter]:
+        found: dict[str, Limiter] = {}
+        for source in self.sources.values():
+            if now - source.heard < LISTED:
+                for node, one in source.limiters.items():
+                    if node not in found or found[node].life < one.life:
+                        found[node] = one
+        return found
--- /dev/null
+++ b/finchshelf/dataplane/questions.py
@@ -0,0 +1,86 @@
+"""Questions about counts between limiters, one datagram each way.
+
+Owns the datagram socket. It must never decide whether something fits, wait, or answer what is no question.
+"""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+from contextlib import suppress
+from typing import Protocol
+
+import msgpack
+import trio
+
+from finchshelf.transport.exchange import Log
+from finchshelf.transport.net import Address
+
+MOST = 1400  # bytes of a datagram: more would be cut on its way
+ASK, TELL = 0, 1
+BATCH = 64  # datagrams read before others have a turn
+
+
+class Asked(Protocol):
+    def asked(self, tenant: str, units: float) -> tuple[bool, float] | None: ...
+    def told(self, number: int, fits: bool, after: float) -> None: ...
+
+
+class Questions:
+    def __init__(self, address: Address, core: Asked, log: Log) -> None:
+        self.core, self.log, self.port = core, log, address.port
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.setblocking(False)
+        self.sock.bind((address.host, address.port))
+        self.numbers = 0
+        self.out: dict[str, list[tuple[int, str, float]]] = {}
+
+    def ask(self, host: str, tenant: str, units: float) -> int:
+        """Put a question; those of one turn to one holder share a datagram."""
+        self.numbers += 1
+        self.out.setdefault(host, []).append((self.numbers, tenant, units))
+        return self.numbers
+
+    def flush(self) -> None:
+        for host, rows in self.out.items():
+            for at in range(0, len(rows), 16):
+                self.send([ASK, rows[at:at + 16]], (host, self.port))
+        self.out.clear()
+
+    def send(self, message: object, to: tuple[str, int]) -> None:
+        with suppress(OSError):  # a datagram may be lost in any case: whoever waits has a time
+            self.sock.sendto(msgpack.packb(message), to)
+
+    async def run(self) -> None:
+        while True:
+            await trio.lowlevel.wait_readable(self.sock)
+            for _ in range(BATCH):
+                try:
+                    data, source = self.sock.recvfrom(MOST)
+                except OSError:
+                    break
+                try:
+                    self.read(msgpack.unpackb(data), source)
+                except (ValueError, TypeError, msgpack.UnpackException) as error:
+                    self.log.rare("count.unfit", peer=source[0], step="read a question", error=repr(error))
+            await trio.lowlevel.checkpoint()
+
+    def read(self, message: object, source: tuple[str, int]) -> None:
+        kind, rows = message  # type: ignore[misc]
+        if kind == ASK:
+            answers: list[tuple[int, int, float]] = []
+            for number, tenant, units in rows:
+                found = self.core.asked(str(tenant), float(units))
+                if found is not None:
+                    answers.append((int(number), int(found[0]), round(found[1], 3)))
+            if answers:
+                self.send([TELL, answers], source)
+        elif kind == TELL:
+            for number, fits, after in rows:
+                self.core.told(int(number), bool(fits), float(after))
+        else:
+            raise ValueError(f"kind {kind!r}")
+
+
+Factory = Callable[[Address, Asked, Log], Questions]
--- /dev/null
+++ b/finchshelf/membership/records.py
@@ -0,0 +1,145 @@
+"""The records of servers and limiters, and which of two records is the newer.
+
+Owns their form and the order between them. Each machine that gets the same records in any order ends with the
+same table. It must never go back: an old beat that comes late changes nothing.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from typing import Any
+
+STABLE, LOST, DECAYING, GONE = "stable", "lost", "decaying", "gone"
+MOST_TEXT = 128
+
+
+class Unfit(ValueError):
+    """A record that can't be read; carries the step and the place."""
+
+    def __init__(self, step: str, place: str, why: str) -> None:
+        super().__init__(f"{step}: {place}: {why}")
+        self.step, self.place, self.why = step, place, why
+
+
+@dataclass(frozen=True, slots=True)
+class Server:
+    """A life of a server. `warm_at`: s on the holder's own steady clock when it is no longer slow."""
+
+    id: str
+    address: str
+    service: str
+    zone: str
+    capacity: int
+    count: int = 0
+    mode: str = STABLE
+    lost: bool = False
+    warm_at: float = 0.0
+
+    def rank(self) -> tuple[bool, int, bool]:
+        return self.mode == GONE, self.count, self.lost
+
+    def newer(self, other: Server | None) -> bool:
+        return other is None or self.rank() > other.rank()
+
+    def usable(self) -> bool:
+        """May a request be sent to it?"""
+        return self.mode == STABLE and not self.lost
+
+    def pack(self, now: float) -> list[Any]:
+        """As said to another machine, whose clock is another: what is left of the slow time, in ms."""
+        return [self.id, self.address, self.service, self.zone, self.capacity, self.count, self.mode, self.lost,
+                max(0, round((self.warm_at - now) * 1000))]
+
+
+def read_server(row: Any, now: float) -> Server:
+    """A row of another of our processes."""
+    try:
+        name, address, service, zone, capacity, count, mode, lost, warm = row
+        return Server(str(name), str(address), str(service), str(zone), int(capacity), int(count), str(mode),
+                      bool(lost), now + float(warm) / 1000)
+    except (TypeError, ValueError) as error:
+        raise Unfit("read a server's record", "row", repr(error)) from None
+
+
+def text(value: Any, place: str) -> str:
+    if not isinstance(value, str) or not 0 < len(value) <= MOST_TEXT:
+        raise Unfit("read a beat", place, "expected a short text")
+    return value
+
+
+def whole(value: Any, place: str, most: int = 1 << 53) -> int:
+    if not isinstance(value, int | float) or isinstance(value, bool) or not 0 <= value <= most:
+        raise Unfit("read a beat", place, "expected a number from 0 on")
+    return int(value)
+
+
+def read_beat(name: str, body: Any, now: float) -> Server:
+    """What a server says of itself (`servers.pulse`)."""
+    seen = body.get("observation") if isinstance(body, dict) else None
+    state = body.get("stateEstimate") if isinstance(body, dict) else None
+    if not isinstance(seen, dict) or not isinstance(state, dict):
+        raise Unfit("read a beat", "body", "observation and stateEstimate are needed")
+    address = text(body.get("address"), "address")
+    host, _, port = address.rpartition(":")
+    if not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+        raise Unfit("read a beat", "address", "expected HOST:PORT")
+    mode = state.get("mode", STABLE)
+    if mode not in (STABLE, DECAYING):
+        raise Unfit("read a beat", "stateEstimate.mode", "expected stable or decaying")
+    return Server(text(name, "of"), address, text(seen.get("subsystem"), "observation.subsystem"),
+                  text(seen.get("zone"), "observation.zone"),
+                  max(1, whole(seen.get("capacity", 1), "observation.capacity", 1 << 16)),
+                  whole(state.get("callCount", 0), "stateEstimate.callCount"), mode, False,
+                  now + whole(state.get("warmupMs", 0), "stateEstimate.warmupMs") / 1000)
+
+
+@dataclass(frozen=True, slots=True)
+class Limiter:
+    """A life of a data plane's process; `life` grows with each start on its machine."""
+
+    node: str
+    life: int
+    host: str
+    zone: str
+
+    def pack(self) -> list[Any]:
+        return [self.node, self.life, self.host, self.zone]
+
+
+def read_limiter(row: Any) -> Limiter:
+    try:
+        node, life, host, zone = row
+        return Limiter(str(node), int(life), str(host), str(zone))
+    except (TypeError, ValueError) as error:
+        raise Unfit("read a limiter's record", "row", repr(error)) from None
+
+
+class Servers:
+    """A table of servers' records with the number of the change that each last had.
+
+    `rev` counts changes within one life of the table's owner; whoever asks says the one it has."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, Server] = {}
+        self.revs: dict[str, int] = {}
+        self.rev = 0
+
+    def put(self, server: Server) -> bool:
+        """Take a record if it is newer; True if others must hear of it: more than its beat's number changed."""
+        known = self.rows.get(server.id)
+        if not server.newer(known):
+            return False
+        self.rows[server.id] = server
+        told = known is None or replace(known, count=server.count, warm_at=server.warm_at) != server
+        if told:
+            self.rev += 1
+            self.revs[server.id] = self.rev
+        return told
+
+    def since(self, rev: int) -> list[Server]:
+        return [self.rows[name] for name, at in self.revs.items() if at > rev]
+
+    def drop(self, name: str) -> None:
+        """Forget a record of which nothing more can come."""
+        self.rows.pop(name, None)
+        self.revs.pop(name, None)
--- /dev/null
+++ b/finchshelf/transport/__init__.py
@@ -0,0 +1,1 @@
+"""What old and new programs share between sockets and decisions."""
--- /dev/null
+++ b/finchshelf/transport/frames.py
@@ -0,0 +1,197 @@
+"""Frames between the system's own processes: msgpack with a length in front, questions and answers by number.
+
+Owns the connections between our processes. It must never know what a message says, wait for a peer without a
+time, or let one that sends rubbish harm more than its own connection.
+"""
+
+from __future__ import annotations
+
+import math
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from typing import Any
+
+import msgpack
+import trio
+
+from finchshelf.transport import net
+
+MOST_FRAME = 16 << 20  # bytes: a whole configuration and some
+MOST_OPEN = 256  # questions of one connection that wait for an answer
+HEAD = struct.Struct(">I")
+SILENCE_MS = 1500  # ms that sent bytes may stay unacknowledged: behind a cut a connection would hang for good
+WRITE = 2.0  # s for a frame to be taken
+Message = dict[str, Any]
+Handler = Callable[[Message], Awaitable[Message]]
+
+
+class PeerError(Exception):
+    """A peer did not answer; carries the step and the peer at which it arose."""
+
+    def __init__(self, step: str, peer: str, why: str) -> None:
+        super().__init__(f"{step} at {peer}: {why}")
+        self.step, self.peer, self.why = step, peer, why
+
+
+def pack(message: object) -> bytes:
+    body: bytes = msgpack.packb(message, use_bin_type=True)
+    return HEAD.pack(len(body)) + body
+
+
+def unpack(data: bytes) -> Any:
+    """A message that came; ValueError where it is none. Depth is bounded by msgpack itself (512)."""
+    try:
+        return msgpack.unpackb(data, raw=False, strict_map_key=False, max_buffer_size=MOST_FRAME)
+    except ValueError:
+        raise
+    except Exception as error:
+        raise ValueError(repr(error)) from None
+
+
+class Frames:
+    """One connection seen as frames."""
+
+    def __init__(self, stream: net.Stream) -> None:
+        self.stream, self.held, self.writing = stream, bytearray(), trio.Lock()
+        with suppress(OSError):
+            stream.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_MS)
+
+    async def read(self) -> Any:
+        """The next message; EOFError at the end, ValueError where it is none."""
+        while True:
+            if len(self.held) >= HEAD.size:
+                (size,) = HEAD.unpack_from(self.held)
+                if size > MOST_FRAME:
+                    raise ValueError(f"frame of {size} bytes")
+                if len(self.held) >= HEAD.size + size:
+                    data = bytes(self.held[HEAD.size:HEAD.size + size])
+                    del self.held[:HEAD.size + size]
+                    return unpack(data)
+            data = await self.stream.receive()
+            if not data:
+                raise EOFError
+            self.held += data
+
+    async def write(self, message: object) -> None:
+        data = pack(message)
+        async with self.writing:
+            # Danger: a question given up half written would spoil every frame after it.
+            with trio.CancelScope(shield=True, deadline=trio.current_time() + WRITE) as scope:
+                await self.stream.send(data)
+            if scope.cancelled_caught:
+                self.stream.hang_up()
+                raise BrokenPipeError("a peer that does not read")
+
+
+class Link:
+    """Questions to one peer over one connection, made when it is needed and made anew when it broke."""
+
+    def __init__(self, address: net.Address, nursery: trio.Nursery, connect_limit: float = 1.0) -> None:
+        self.address, self.nursery, self.connect_limit = address, nursery, connect_limit
+        self.frames: Frames | None = None
+        self.waiting: dict[int, tuple[trio.Event, list[Message]]] = {}
+        self.number = 0
+        self.opening = trio.Lock()
+        self.heard = -math.inf  # when the peer last said anything
+
+    async def ask(self, step: str, message: Message, limit: float) -> Message:
+        """The answer to a question; PeerError when there is none within `limit` s."""
+        answer: list[Message] = []
+        number = -1
+        with trio.move_on_after(limit):
+            try:
+                frames = await self.connected()
+                self.number += 1
+                number, event = self.number, trio.Event()
+                self.waiting[number] = event, answer
+                await frames.write([number, message])
+                await event.wait()
+            except (OSError, trio.ClosedResourceError) as error:
+                self.drop()
+                raise PeerError(step, str(self.address), repr(error)) from None
+            finally:
+                self.waiting.pop(number, None)
+        if not answer:
+            raise PeerError(step, str(self.address), "no answer in time")
+        if "error" in answer[0]:
+            raise PeerError(step, str(self.address), str(answer[0]["error"])[:200])
+        return answer[0]
+
+    async def connected(self) -> Frames:
+        async with self.opening:
+            if self.frames is None:
+                with trio.fail_after(self.connect_limit):
+                    stream = await net.connect(self.address)
+                self.frames = Frames(stream)
+                self.nursery.start_soon(self.read, self.frames)
+            return self.frames
+
+    async def read(self, frames: Frames) -> None:
+        try:
+            while True:
+                message = await frames.read()
+                self.heard = trio.current_time()
+                number, answer = message
+                event, slot = self.waiting.get(number, (None, []))
+                if event is not None and isinstance(answer, dict):
+                    slot.append(answer)
+                    event.set()
+        except (OSError, EOFError, ValueError, TypeError, trio.ClosedResourceError):
+            pass  # whoever waits is told below that nothing comes
+        finally:
+            if self.frames is frames:
+                self.drop()
+            frames.stream.close()
+
+    def drop(self) -> None:
+        """The connection is of no more use; all who wait hear that nothing comes."""
+        if self.frames is not None:
+            self.frames.stream.hang_up()
+            self.frames = None
+        for event, _ in self.waiting.values():
+            event.set()
+
+
+async def serve(listener: trio.socket.SocketType, handler: Handler, nursery: trio.Nursery,
+                broken: Callable[[str], None]) -> None:
+    """Answer the questions of whoever connects; each in a task of its own."""
+    while True:
+        try:
+            stream = await net.accept(listener)
+        except OSError as error:
+            broken(repr(error))
+            await trio.sleep(0.02)
+            continue
+        nursery.start_soon(answer_all, Frames(stream), handler, broken)
+
+
+async def answer_all(frames: Frames, handler: Handler, broken: Callable[[str], None]) -> None:
+    room = trio.CapacityLimiter(MOST_OPEN)
+
+    async def one(number: object, message: Message) -> None:
+        async with room:
+            try:
+                answer = await handler(message)
+            except Exception as error:  # Danger: one bad question must not end the program
+                broken(repr(error))
+                answer = {"error": repr(error)[:300]}
+            with suppress(OSError, trio.ClosedResourceError):
+                await frames.write([number, answer])
+
+    try:
+        async with trio.open_nursery() as nursery:
+            try:
+                while True:
+                    number, message = await frames.read()
+                    if not isinstance(message, dict) or not isinstance(number, int):
+                        raise ValueError("no question")
+                    nursery.start_soon(one, number, message)
+            except (OSError, EOFError, trio.ClosedResourceError):
+                pass
+            except (ValueError, TypeError) as error:
+                broken(repr(error))
+            nursery.cancel_scope.cancel()
+    finally:
+        frames.stream.close()
