Agreement: the decisions of a leaderless register, one instance a slot

Machines of the control plane must agree on the configuration and on their own members through loss, restart and wiped disks.

finchshelf/agreement/core.py decides what is promised, accepted and proposed, and who should be a member. It does no I/O.

--- /dev/null
+++ b/finchshelf/agreement/core.py
@@ -0,0 +1,391 @@
+"""Decisions of agreement: what a member promises and accepts, how an attempt ends, who should be a member.
+
+Owns every rule that keeps two machines from deciding differently. It must never do I/O, read a clock or
+draw a random number: the shell carries messages, saves the acceptor's state and measures silence.
+
+One Paxos instance a slot, no leader. The members of slot s+1 are those that the value decided for slot s
+names. A member is an address with one incarnation of its disk: a wiped disk is another member.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, replace
+from typing import Any, NamedTuple
+
+FIRST = "first"  # the disk of machines that were there at the very first start of the whole system
+TAKEN_KEPT = 64  # changes remembered, for telling a repeated change from a new one
+ASK_AGAIN = 3  # times a member that is behind is taught and asked again in one step: reordering can't loop
+
+HEARD_S = 1.0  # heard within this: several heartbeats fit, so a single lost one doesn't count
+REPLACE_S = 1.5  # silent this long, with a spare at hand: longer than a restart, well before a second loss
+REMOVE_S = 3.0  # silent this long, no spare: removing costs a spare later, so it waits longer
+FEWEST = 3  # below three members no single loss would be survived
+MOST = 9  # more members make each decision slower and survive nothing that the task has
+
+Message = dict[str, Any]
+
+
+class Member(NamedTuple):
+    address: str
+    disk: str
+
+
+class Ballot(NamedTuple):
+    n: int
+    address: str
+
+
+NO_BALLOT = Ballot(0, "")
+
+
+@dataclass(frozen=True)
+class Value:
+    slot: int
+    members: tuple[Member, ...]
+    version: int = 0
+    document: bytes = b""
+    taken: tuple[tuple[int, bytes], ...] = ()
+
+    def pack(self) -> Message:
+        return {"slot": self.slot, "members": [list(member) for member in self.members],
+                "version": self.version, "document": self.document,
+                "taken": [list(change) for change in self.taken]}
+
+    @staticmethod
+    def unpack(packed: Message) -> Value:
+        """The value; KeyError, TypeError or ValueError if this is none."""
+        return Value(int(packed["slot"]), tuple(_member(each) for each in packed["members"]),
+                     int(packed["version"]), _bytes(packed["document"]),
+                     tuple((int(version), _bytes(digest)) for version, digest in packed["taken"]))
+
+
+def genesis(addresses: tuple[str, ...]) -> Value:
+    """Slot 0, known by settings: the seeds with the disks of the very first start."""
+    return Value(0, tuple(Member(address, FIRST) for address in sorted(addresses)))
+
+
+def majority(count: int) -> int:
+    return count // 2 + 1
+
+
+def _member(packed: Any) -> Member:
+    address, disk = packed
+    return Member(str(address), str(disk))
+
+
+def _ballot(packed: Any) -> Ballot:
+    n, address = packed
+    return Ballot(int(n), str(address))
+
+
+def _bytes(packed: Any) -> bytes:
+    if not isinstance(packed, bytes):  # danger: bytes() of a large number would fill the memory
+        raise TypeError("no bytes")
+    return packed
+
+
+class Acceptor:
+    """One machine's part in every slot: what it promised and accepted, and the highest decided value.
+
+    Its state must be on disk before a reply that leans on it leaves. The shell, when `handle` says dirty:
+    takes `revision` and `state()` together, saves, calls `saved(revision)`, only then sends the reply.
+    """
+
+    def __init__(self, me: Member, decided: Value | None = None, promised: Ballot = NO_BALLOT,
+                 accepted: tuple[Ballot, Value] | None = None) -> None:
+        self.me = me
+        self.decided = decided
+        self.promised = promised
+        self.accepted = accepted
+        self.revision = 1  # a new acceptor isn't on disk: the first reply that leans on it saves it
+        self.on_disk = 0
+
+    @staticmethod
+    def restore(address: str, state: Message) -> Acceptor:
+        decided, accepted = state["decided"], state["accepted"]
+        acceptor = Acceptor(Member(address, str(state["disk"])),
+                            None if decided is None else Value.unpack(decided), _ballot(state["promised"]),
+                            None if accepted is None else (_ballot(accepted[0]), Value.unpack(accepted[1])))
+        acceptor.on_disk = acceptor.revision
+        return acceptor
+
+    def state(self) -> Message:
+        """What must last, as the store takes it."""
+        return {"disk": self.me.disk, "decided": None if self.decided is None else self.decided.pack(),
+                "promised": list(self.promised),
+                "accepted": None if self.accepted is None else [list(self.accepted[0]),
+                                                                self.accepted[1].pack()]}
+
+    def saved(self, revision: int) -> None:
+        self.on_disk = max(self.on_disk, revision)
+
+    def learn(self, value: Value) -> bool:
+        """Moves to a decided value; False if it is known already. Never back: that would undo promises."""
+        if self.decided is not None and value.slot <= self.decided.slot:
+            return False
+        self.decided, self.promised, self.accepted = value, NO_BALLOT, None
+        self.revision += 1
+        return True
+
+    def handle(self, message: Message) -> tuple[Message, bool]:
+        """The reply, and whether the state must be on disk before it leaves."""
+        try:
+            reply = self._answer(message)
+        except (KeyError, TypeError, ValueError):
+            reply = {"kind": "unknown"}  # what is no message harms nobody
+        # Danger: a repeated message changes nothing, but the first one's save may have failed or still run.
+        # So what counts is whether the state is on disk, not whether this message changed it.
+        dirty = reply["kind"] in ("promise", "accepted", "learned") and self.on_disk < self.revision
+        return {**reply, "from": list(self.me)}, dirty
+
+    def _answer(self, message: Message) -> Message:
+        kind = message["kind"]
+        if kind == "learn":
+            self.learn(Value.unpack(message["value"]))
+            return {"kind": "learned", "slot": self._slot()}
+        if kind == "read":
+            return {"kind": "state", "slot": self._slot(), "accepted": self.accepted is not None}
+        if kind not in ("prepare", "accept"):
+            raise ValueError(kind)
+        slot, ballot = int(message["slot"]), _ballot(message["ballot"])
+        about = {"slot": slot, "ballot": list(ballot)}
+        if self.decided is None or slot > self.decided.slot + 1:
+            return {"kind": "behind", **about, "decided": self._slot()}
+        if slot <= self.decided.slot:
+            return {"kind": "ahead", **about, "value": self.decided.pack()}
+        if not self._may_vote():
+            return {"kind": "no_member", **about}
+        if kind == "prepare":
+            # Danger: an equal ballot is refused too. A machine that forgot its counter in a restart may use
+            # a ballot twice; were it promised twice, two values could be accepted under one ballot.
+            if ballot <= self.promised:
+                return {"kind": "reject", **about, "promised": list(self.promised)}
+            self.promised = ballot
+            self.revision += 1
+            accepted = None
+            if self.accepted is not None:
+                accepted = [list(self.accepted[0]), self.accepted[1].pack()]
+            return {"kind": "promise", **about, "accepted": accepted}
+        value = Value.unpack(message["value"])
+        if value.slot != slot:
+            raise ValueError("a value of another slot")
+        if ballot < self.promised:
+            return {"kind": "reject", **about, "promised": list(self.promised)}
+        if self.accepted != (ballot, value) or self.promised != ballot:
+            self.promised, self.accepted = ballot, (ballot, value)
+            self.revision += 1
+        return {"kind": "accepted", **about}
+
+    def _slot(self) -> int:
+        return -1 if self.decided is None else self.decided.slot
+
+    def _may_vote(self) -> bool:
+        """Danger: a wiped disk forgot its promises. With a new disk it is no member until a value says so."""
+        return self.decided is not None and self.me in self.decided.members
+
+
+@dataclass(frozen=True)
+class Refusal:
+    reason: str
+
+
+@dataclass(frozen=True)
+class Decided:
+    value: Value
+    mine: bool  # False: another's value was finished; the change is still to be tried in the next slot
+
+
+@dataclass(frozen=True)
+class Refused:
+    reason: str
+
+
+@dataclass(frozen=True)
+class Retry:
+    higher_n: int
+    learned: Value | None
+
+
+Outcome = Decided | Refused | Retry
+Sends = list[tuple[Member, Message]]
+
+
+class Proposer:
+    """One attempt to decide the slot after `decided`. It never waits: the shell gives up by its own clock.
+
+    After a Retry, or if the shell gives up, the change may still be decided by whoever finds it accepted:
+    the next attempt's `change` must look it up in `taken` before doing it once more.
+    `change` runs only when a majority has promised and holds nothing accepted, so `decided` is then the
+    latest decided value and a refusal is as good as a read of a single machine.
+    """
+
+    def __init__(self, me: str, decided: Value, change: Callable[[Value], Value | Refusal], n: int) -> None:
+        self.decided = decided
+        self.slot = decided.slot + 1
+        self.ballot = Ballot(max(n, 1), me)
+        self.higher_n = self.ballot.n + 1  # for the next attempt, also one after the shell gave up
+        self.outcome: Outcome | None = None
+        self.settled = False  # a majority of the decided value's members has it on disk as decided
+        self._change = change
+        self._value: Value | None = None
+        self._own = False
+        self._promises: dict[Member, tuple[Ballot, Value] | None] = {}
+        self._accepts: frozenset[Member] = frozenset()
+        self._against: frozenset[Member] = frozenset()
+        self._learned: frozenset[Member] = frozenset()
+        self._asked: dict[Member, int] = {}
+
+    def start(self) -> Sends:
+        return [(member, self._question()) for member in self.decided.members]
+
+    def on_reply(self, member: Member, reply: Message) -> Sends:
+        """`member` is whom the question was sent to."""
+        try:
+            return self._on_reply(member, reply)
+        except (KeyError, TypeError, ValueError):
+            return []  # what is no reply harms nobody
+
+    def _on_reply(self, member: Member, reply: Message) -> Sends:
+        kind, speaker = reply["kind"], _member(reply["from"])
+        if kind == "learned":
+            self._on_learned(speaker, int(reply["slot"]))
+            return []
+        if self.outcome is not None or (int(reply["slot"]), _ballot(reply["ballot"])) != (self.slot, self.ballot):
+            return []
+        if kind == "ahead":  # a decided value is true whoever tells it
+            self._on_ahead(Value.unpack(reply["value"]))
+            return []
+        # Danger: a wiped disk answers at a member's address. Its promise is worth nothing.
+        if speaker != member or member not in self.decided.members:
+            return []
+        if kind == "behind":
+            return self._teach(member)
+        if kind == "promise" and self._value is None:
+            accepted = reply["accepted"]
+            self._promises[member] = None if accepted is None else (_ballot(accepted[0]),
+                                                                    Value.unpack(accepted[1]))
+            if len(self._promises) >= self._needed():
+                return self._propose()
+        elif kind == "accepted" and self._value is not None:
+            self._accepts |= {member}
+            if len(self._accepts) >= self._needed():
+                return self._decide(self._value)
+        elif kind in ("reject", "no_member"):
+            self._on_against(member, reply)
+        return []
+
+    def _needed(self) -> int:
+        return majority(len(self.decided.members))
+
+    def _question(self) -> Message:
+        about = {"slot": self.slot, "ballot": list(self.ballot)}
+        if self._value is None:
+            return {"kind": "prepare", **about}
+        return {"kind": "accept", **about, "value": self._value.pack()}
+
+    def _teach(self, member: Member) -> Sends:
+        asked = self._asked.get(member, 0)
+        if asked >= ASK_AGAIN:
+            return []
+        self._asked[member] = asked + 1
+        return [(member, {"kind": "learn", "value": self.decided.pack()}), (member, self._question())]
+
+    def _propose(self) -> Sends:
+        found = self._found()
+        if found is None:
+            made = self._change(self.decided)
+            if isinstance(made, Refusal):
+                self.outcome = Refused(made.reason)
+                return []
+            if made.slot != self.slot or not made.members:
+                raise RuntimeError(f"a change to slot {made.slot} offered for slot {self.slot}")
+            self._own, found = True, replace(made, taken=made.taken[-TAKEN_KEPT:])
+        self._value = found
+        self._against = frozenset()
+        self._asked = {}
+        return [(member, self._question()) for member in self.decided.members]
+
+    def _found(self) -> Value | None:
+        """Danger: an accepted value may be decided already. The one of the highest ballot must be kept."""
+        held = [accepted for accepted in self._promises.values() if accepted is not None]
+        return max(held, key=lambda each: each[0])[1] if held else None
+
+    def _decide(self, value: Value) -> Sends:
+        self.outcome = Decided(value, self._own)
+        told = dict.fromkeys((*value.members, *self.decided.members))
+        return [(member, {"kind": "learn", "value": value.pack()}) for member in told]
+
+    def _on_ahead(self, value: Value) -> None:
+        if value.slot < self.slot:
+            return
+        if value == self._value:  # another machine finished this very value
+            self.outcome = Decided(value, self._own)
+        else:
+            self.outcome = Retry(self.higher_n, value)
+
+    def _on_against(self, member: Member, reply: Message) -> None:
+        if reply["kind"] == "reject":
+            promised = _ballot(reply["promised"])
+            if promised == self.ballot:
+                return  # the echo of a repeated question, not a refusal
+            self.higher_n = max(self.higher_n, promised.n + 1)
+        self._against |= {member}
+        if len(self.decided.members) - len(self._against) < self._needed():
+            self.outcome = Retry(self.higher_n, None)
+
+    def _on_learned(self, speaker: Member, slot: int) -> None:
+        if isinstance(self.outcome, Decided) and slot >= self.slot and speaker in self.outcome.value.members:
+            self._learned |= {speaker}
+            self.settled = len(self._learned) >= majority(len(self.outcome.value.members))
+
+
+def fresh(decided: Value, states: Mapping[Member, Message]) -> bool:
+    """Whether these answers to `read` prove that nothing after `decided` was decided before they were asked.
+
+    A later value would have been accepted by a majority, of which one at least is among any other majority.
+    """
+    silent = 0
+    for member in decided.members:
+        reply = states.get(member)
+        if reply is None or reply.get("kind") != "state" or tuple(reply["from"]) != member:
+            silent += 1
+        elif reply["slot"] > decided.slot or (reply["slot"] == decided.slot and reply["accepted"]):
+            return False
+    return len(decided.members) - silent >= majority(len(decided.members))
+
+
+def next_members(current: tuple[Member, ...], silent: Mapping[Member, float],
+                 candidates: tuple[Member, ...]) -> tuple[Member, ...] | None:
+    """The members that should follow `current`, one change away, or None if they are right as they are.
+
+    `silent`: seconds since each disk was heard; one that isn't named was never heard.
+    Danger: two changes at once could leave old and new majorities without a common member that is up.
+    """
+    def quiet(member: Member) -> float:
+        return silent.get(member, float("inf"))
+
+    if sum(quiet(member) <= HEARD_S for member in current) < majority(len(current)):
+        return None  # it couldn't be decided, and an attempt would only get in the way of others
+    spares = sorted((each for each in candidates if each not in current and quiet(each) <= HEARD_S),
+                    key=lambda each: (quiet(each), each))
+    at = {member.address: member for member in current}
+    for spare in spares:
+        wiped = at.get(spare.address)
+        # Danger: an older disk of this address, heard a moment ago, must not displace the one in use.
+        if wiped is not None and quiet(spare) < quiet(wiped):
+            return _ordered(current, wiped, spare)
+    spares = [spare for spare in spares if spare.address not in at]
+    quietest = max(current, key=lambda member: (quiet(member), member))
+    if spares and quiet(quietest) > REPLACE_S:
+        return _ordered(current, quietest, spares[0])
+    if spares and len(current) < MOST:
+        return _ordered(current, None, spares[0])
+    if quiet(quietest) > REMOVE_S and len(current) > FEWEST:
+        return _ordered(current, quietest, None)
+    return None
+
+
+def _ordered(current: tuple[Member, ...], out: Member | None, add: Member | None) -> tuple[Member, ...]:
+    kept = [member for member in current if member != out]
+    return tuple(sorted(kept if add is None else [*kept, add]))
