--- a/finchshelf/agreement/core.py
+++ b/finchshelf/agreement/core.py
@@ -251,7 +251,9 @@
         if kind == "learned":
             self._on_learned(speaker, int(reply["slot"]))
             return []
-        if self.outcome is not None or (int(reply["slot"]), _ballot(reply["ballot"])) != (self.slot, self.ballot):
+        if self.outcome is not None:
+            return []
+        if (int(reply["slot"]), _ballot(reply["ballot"])) != (self.slot, self.ballot):
             return []
         if kind == "ahead":  # a decided value is true whoever tells it
             self._on_ahead(Value.unpack(reply["value"]))
