--- a/finchshelf/admission/__init__.py
+++ b/finchshelf/admission/__init__.py
@@ -1,1 +1,1 @@
-"""Admission decisions: `interface` holds the types, `logic` decides."""
+"""Admission decisions: `interface` holds the types, `limiter` decides (`breaker`, `quotas`, `servers`)."""
--- a/finchshelf/drill/__main__.py
+++ b/finchshelf/drill/__main__.py
@@ -7,7 +7,7 @@
 from typing import TextIO
 
 from finchshelf.admission import interface as i
-from finchshelf.admission.logic import Limiter
+from finchshelf.admission.limiter import Limiter
 from finchshelf.drill import codec
 
 
--- a/finchshelf/node/core.py
+++ b/finchshelf/node/core.py
@@ -19,7 +19,7 @@
 import trio
 
 from finchshelf.admission import interface as i
-from finchshelf.admission.logic import Limiter
+from finchshelf.admission.limiter import Limiter
 from finchshelf.node.bodies import Body
 from finchshelf.node.config import Address, Config
 from finchshelf.node.telemetry import Telemetry
--- a/tests/test_counter_failure.py
+++ b/tests/test_counter_failure.py
@@ -6,7 +6,8 @@
 import pytest
 
 from finchshelf.admission import interface as i
-from finchshelf.admission.logic import QUARANTINE, TRIP_AFTER, Breaker, Limiter
+from finchshelf.admission.breaker import QUARANTINE, TRIP_AFTER, Breaker
+from finchshelf.admission.limiter import Limiter
 from tests.world import BASE, Ceiling, Counter, Gateway, attempts, counts, refusals, server, settings
 
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -10,7 +10,7 @@
 
 from benchmarks import fleet_log
 from finchshelf.admission import interface as i
-from finchshelf.admission.logic import RateCheck
+from finchshelf.admission.quotas import RateCheck
 from tests.world import BASE, Ceiling, Counter, Gateway, attempts, server
 
 FLEET = 40
--- a/tests/test_node_move.py
+++ b/tests/test_node_move.py
@@ -12,7 +12,7 @@
 
 from finchshelf.__main__ import reload
 from finchshelf.admission import interface as i
-from finchshelf.admission.logic import Servers
+from finchshelf.admission.servers import Servers
 from tests.stand_ins import SETTINGS, Got, World, call, config_object, entry, ok, trio_test, until, world
 from tests.world import server, settings
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -8,7 +8,7 @@
 
 from finchshelf import peers
 from finchshelf.admission import interface as i
-from finchshelf.admission.logic import PEER_SHARE
+from finchshelf.admission.limiter import PEER_SHARE
 from finchshelf.drill.__main__ import Drill
 from tests.world import Counter, Gateway, attempts, counts, settings
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from finchshelf.admission import interface as i
-from finchshelf.admission.logic import Limiter
+from finchshelf.admission.limiter import Limiter
 
 SAFE = i.RequestClass(1.0, 4.0, 2.0, i.Effect.SAFE)
 KEYED = i.RequestClass(1.0, 4.0, 2.0, i.Effect.KEYED, i.Scope.CELL, 2.0)
