--- a/finchshelf/controlplane/__init__.py
+++ b/finchshelf/controlplane/__init__.py
@@ -1,1 +1,2 @@
-"""The control plane: knows which servers and limiters there are, keeps the configuration and brings it to all."""
+"""The control plane: knows which servers and limiters there are, keeps the configuration and brings it to
+all."""
--- a/finchshelf/controlplane/__main__.py
+++ b/finchshelf/controlplane/__main__.py
@@ -22,6 +22,7 @@
 from finchshelf.controlplane.register import Register
 from finchshelf.controlplane.resources import Change, Departure, Observe, Pulse, Resource, Resources
 from finchshelf.transport import frames, net
+from finchshelf.transport.address import Address
 from finchshelf.transport.calls import Calls, Reader
 from finchshelf.transport.clients import Clients
 from finchshelf.transport.exchange import Clock
@@ -47,7 +48,7 @@
             control = cells.meet(seed_address)
             if control is not None:
                 news.follow(control)
-        inner = await net.listen(net.Address(boot.ip, port))
+        inner = await net.listen(Address(boot.ip, port))
         nursery.start_soon(frames.serve, inner, news.handle, nursery,
                            lambda why: telemetry.rare("peer.broken", error=why))
         nursery.start_soon(news.sweep)
@@ -62,7 +63,7 @@
         }
         calls = Calls(clock, telemetry, nursery, Resources(handlers).handle)
         clients = Clients(calls, Reader(), nursery, lambda: True, boot.descriptors, int(boot.memory_mb * 1e6))
-        listener = await net.listen(net.Address(*boot.control))
+        listener = await net.listen(Address(*boot.control))
         nursery.start_soon(clients.accept, listener)
         nursery.start_soon(clients.sweep)
         telemetry.log("start", address=address, disk=register.me.disk, seed=seed,
--- a/finchshelf/controlplane/cells.py
+++ b/finchshelf/controlplane/cells.py
@@ -1,8 +1,8 @@
 """What the cells know: servers and limiters, who was heard when, and which control planes there are.
 
-Owns the tables and their change numbers; decisions only, time is handed in. A cell is a zone's: its control plane
-hears that zone's servers and limiters, and all cells tell each other. It must never call a server gone because it
-has itself only just come up, or lose a drain that it was told of.
+Owns the tables and their change numbers; decisions only, time is handed in. A cell is a zone's: its control
+plane hears that zone's servers and limiters, and all cells tell each other. It must never call a server
+gone because it has itself only just come up, or lose a drain that it was told of.
 """
 
 from __future__ import annotations
@@ -13,9 +13,11 @@
 from finchshelf.agreement.core import Member
 from finchshelf.membership.records import GONE, Limiter, Server, Servers, read_limiter, read_server
 
-LOST_BEATS, LOST_MORE = 3.0, 0.6  # beats missed, and s more, after which a server is lost to whoever heard it last
+# beats missed, and s more, after which a server is lost to whoever heard it last
+LOST_BEATS, LOST_MORE = 3.0, 0.6
 LIMITER_SILENT = 2.6  # s without a question after which a limiter is not listed: it asks each second
-CLOSED_GRACE = 0.7  # s that a limiter whose connection ended has to come again: a dead process ends it at once
+# s that a limiter whose connection ended has to come again: a dead process ends it at once
+CLOSED_GRACE = 0.7
 CONTROL_SILENT = 2.0  # s after which another control plane is not named to data planes
 CONTROL_FORGET = 20.0  # s after which it is forgotten, unless it is a seed or a member
 GONE_KEPT = 60.0  # s that the record of a server that left is kept: late beats must find it
@@ -42,7 +44,8 @@
         self.servers = Servers()
         self.heard: dict[str, float] = {}  # servers that beat here last: when
         self.left: dict[str, float] = {}  # servers that left: when
-        self.asked: dict[str, tuple[Limiter, float]] = {}  # limiters that ask here: until when they are listed
+        # limiters that ask here: until when they are listed
+        self.asked: dict[str, tuple[Limiter, float]] = {}
         self.own = 0  # changes of the limiters that ask here
         self.merged: tuple[Limiter, ...] = ()
         self.merged_rev = 0
@@ -56,7 +59,7 @@
         """A beat that came here; True if others must hear of it."""
         self.heard[record.id] = now
         known = self.servers.rows.get(record.id)
-        if known is not None and known.lost and not known.mode == GONE and record.count <= known.count:
+        if known is not None and known.lost and known.mode != GONE and record.count <= known.count:
             # Danger: lost by one number and alive by the same: the beat is the newer word of the two.
             record = replace(record, count=known.count + 1)
         return self.servers.put(record)
--- a/finchshelf/controlplane/news.py
+++ b/finchshelf/controlplane/news.py
@@ -18,9 +18,9 @@
 from finchshelf.controlplane.cells import Cells, Control
 from finchshelf.controlplane.register import Register
 from finchshelf.membership.records import Server, Unfit, read_limiter
+from finchshelf.transport.address import Address
 from finchshelf.transport.exchange import Clock
 from finchshelf.transport.frames import Link, Message, PeerError
-from finchshelf.transport.net import Address
 
 GATHER = 0.01  # s that news may wait for more of it
 MOST_WAIT = 5.0  # s that a question may wait
@@ -133,7 +133,8 @@
             "address": self.cells.address, "zone": self.cells.zone, "disk": self.register.me.disk,
             "slot": decided.slot if decided else -1, "version": decided.version if decided else 0,
             "members": [list(member) for member in decided.members] if decided else [],
-            "controls": [[one.address, one.zone, round(now - one.heard, 3)] for one in self.cells.controls.values()],
+            "controls": [[one.address, one.zone, round(now - one.heard, 3)]
+                         for one in self.cells.controls.values()],
             "limiters": [one.pack() for one in self.cells.merged],
             "servers": [record.pack(now) for record in self.cells.servers.rows.values()],
         }
@@ -242,7 +243,8 @@
                 self.wake()
 
     async def mend(self, seeds: tuple[str, ...]) -> None:
-        """Members that are wiped, gone or new: a round of ballots, by whom rendezvous puts first of those heard."""
+        """Members that are wiped, gone or new: a round of ballots, by whom rendezvous puts first of those
+        heard."""
         while True:
             await trio.sleep(MEND * (0.75 + 0.5 * self.random.random()))
             now, decided, me = self.clock.now(), self.register.decided, self.register.me
--- a/finchshelf/controlplane/register.py
+++ b/finchshelf/controlplane/register.py
@@ -99,7 +99,8 @@
             self.acceptor.saved(revision)
 
     async def handle(self, message: Message) -> Message:
-        """A member's or proposer's message; StoreError where the disk did not take what the reply leans on."""
+        """A member's or proposer's message; StoreError where the disk did not take what the reply leans
+        on."""
         before = self.acceptor.decided
         reply, dirty = self.acceptor.handle(message)
         if self.acceptor.decided is not before:
@@ -119,7 +120,8 @@
             return None
 
     async def change(self, make: Callable[[Value], Value | Refusal], limit: float, step: str) -> Value | str:
-        """The decided value with the change in it, or the reason it was refused. Unsettled: it may be decided yet."""
+        """The decided value with the change in it, or the reason it was refused. Unsettled: it may be
+        decided yet."""
         with trio.move_on_after(limit):
             async with self.changing:
                 while True:
--- a/finchshelf/controlplane/resources.py
+++ b/finchshelf/controlplane/resources.py
@@ -127,7 +127,8 @@
         if (wanted.version, wanted.digest) in current.taken:
             return told(200, {"setpointSeq": f"{wanted.version:08x}"})
         if current.version != wanted.prior:
-            return told(412, {"error": "another version is in place", "setpointSeq": f"{current.version:08x}"})
+            why = f"version {current.version:08x} is in place"
+            return told(412, {"error": why})
         return None
 
 
--- a/finchshelf/counts/caller.py
+++ b/finchshelf/counts/caller.py
@@ -1,8 +1,8 @@
 """The limiter's side of a count: whom to ask, when not to ask, and the local bucket meanwhile.
 
-Owns a breaker for each holder and a bucket for each tenant (Sentinel's ordinary path: one question a request under a
-short budget, consecutive failures open the breaker, after a quarantine one question at a time is a probe, meanwhile a
-local bucket at this limiter's share). It must never send anything; whoever carries it does.
+Owns a breaker for each holder and a bucket for each tenant (Sentinel's path: one question a request under a
+short budget, consecutive failures open the breaker, after a quarantine one question at a time is a probe,
+meanwhile a local bucket at this limiter's share). It must never send anything; whoever carries it does.
 """
 
 from __future__ import annotations
@@ -83,7 +83,8 @@
     def counted(self, tenant: Tenant, units: float, now: float) -> None:
         """The holder let it in: so much less is left of the share, should the holder go now.
 
-        Danger: a holder dies right after it granted a burst, and every limiter grants a full bucket on top."""
+        Danger: a holder dies right after it granted a burst, and every limiter grants a full bucket on
+        top."""
         bucket = self.bucket(tenant, now)
         bucket.level, bucket.at = max(0.0, bucket.now_level(now) - units), now
 
--- a/finchshelf/counts/holder.py
+++ b/finchshelf/counts/holder.py
@@ -1,8 +1,9 @@
 """The holder of tenants' counts: adds a request's units, and says whether they fit.
 
-Owns one count a tenant. The count is that of a window that slides: it drains at the tenant's rate, so that in any
-span t no more than `burst + rate x t` fit (a window that falls to nothing at an edge grants two bursts around it).
-A holder must never grant what a former holder may have granted already: it begins with a full window.
+Owns one count a tenant. The count is that of a window that slides: it drains at the tenant's rate, so that
+in any span t no more than `burst + rate x t` fit (a window that falls to nothing at an edge grants two
+bursts around it). A holder must never grant what a former holder may have granted already: it begins with a
+full window.
 """
 
 from __future__ import annotations
--- a/finchshelf/dataplane/__main__.py
+++ b/finchshelf/dataplane/__main__.py
@@ -22,6 +22,7 @@
 from finchshelf.dataplane.questions import Questions
 from finchshelf.membership.records import Limiter
 from finchshelf.transport import calls, net
+from finchshelf.transport.address import Address
 from finchshelf.transport.clients import Clients
 from finchshelf.transport.exchange import Clock
 from finchshelf.transport.servers import Servers
@@ -30,6 +31,7 @@
 TURNED_AWAY = 3.2  # s after SIGTERM by which the platform has seen two misses and sends no new connections
 LAST_WORD = 0.4  # s more for the first request on a connection taken late
 LEAVE = 0.4  # s before the platform's SIGKILL by which this process has ended
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1)
 LOOK = 0.02  # s between two looks at what is still to be answered
 COLLECT_EVERY = 20_000  # new objects until the collector looks at the young ones: most die by count alone
 READY = b"/v1/readiness"
@@ -44,7 +46,7 @@
     core = Core(boot.node, boot.zone, clock, telemetry, random, float(margins.get("retryRatio", 0.2)),
                 float(margins.get("retrySlack", 0.0)))
     async with trio.open_nursery() as nursery:
-        core.wire = Questions(net.Address(boot.ip, counts), core, telemetry)
+        core.wire = Questions(Address(boot.ip, counts), core, telemetry)
         core.servers = Servers(core, Words(), nursery, boot.descriptors)
         memory = int(boot.memory_mb * 1e6)
         core.clients = clients = Clients(core, Reader(core.configuration), nursery, lambda: True,
@@ -54,18 +56,19 @@
         looked_at = calls.Calls(clock, telemetry, nursery, None)
         readiness = Clients(looked_at, calls.Reader(READY), nursery,
                             lambda: core.ready() and follower.settled(), 64, memory)
-        front = await net.listen(net.Address(*boot.front))
-        gate = await net.listen(net.Address(*boot.readiness))
+        front = await net.listen(Address(*boot.front))
+        gate = await net.listen(Address(*boot.readiness))
         accepting = trio.CancelScope()
-        for task in (core.run, core.wire.run, core.servers.sweep, clients.sweep, follower.run, readiness.sweep):
+        sweeps = core.servers.sweep, clients.sweep, readiness.sweep
+        for task in (core.run, core.wire.run, follower.run, *sweeps):
             nursery.start_soon(task)
         nursery.start_soon(readiness.accept, gate)
         nursery.start_soon(accept, clients, front, accepting)
-        telemetry.log("start", front=str(net.Address(*boot.front)), seed=seed)
+        telemetry.log("start", front=str(Address(*boot.front)), seed=seed)
         gc.collect()
         gc.freeze()
         gc.set_threshold(COLLECT_EVERY, 20, 50)
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1) as signals:
+        with trio.open_signal_receiver(*SIGNALS) as signals:
             async for number in signals:
                 if number == signal.SIGHUP:
                     reload(follower, control, telemetry)
@@ -103,8 +106,8 @@
               accepting: trio.CancelScope) -> None:
     """Answer what is here and what still comes, then leave.
 
-    Danger: the platform sends new connections until it has seen two misses; who stops listening sooner turns them
-    back unheard."""
+    Danger: the platform sends new connections until it has seen two misses; who stops listening sooner
+    turns them back unheard."""
     await trio.sleep(TURNED_AWAY)
     accepting.cancel()
     for stream in net.queued(listener):
--- a/finchshelf/dataplane/budget.py
+++ b/finchshelf/dataplane/budget.py
@@ -1,7 +1,8 @@
 """The budget of further tries: one for all limiters, by shares.
 
-Owns how many arrivals after its first a service's requests may still have from here. It must never let all limiters
-together pass the operator's ratio and slack; a limiter that starts cannot know what the process before it used.
+Owns how many arrivals after its first a service's requests may still have from here. It must never let all
+limiters together pass the operator's ratio and slack; a limiter that starts cannot know what the process
+before it used.
 """
 
 from __future__ import annotations
--- a/finchshelf/dataplane/choice.py
+++ b/finchshelf/dataplane/choice.py
@@ -1,8 +1,8 @@
 """Which server a request goes to: what this limiter knows of each, and what it expects there.
 
-Owns the table of servers, its estimates and every figure they are made with. No I/O and no clock: time and chance
-are handed in. It must never send more to a server than its slots and a part of its queue, as far as anyone can
-tell: some servers hang or reset when they are full.
+Owns the table of servers, its estimates and every figure they are made with. No I/O and no clock: time and
+chance are handed in. It must never send more to a server than its slots and a part of its queue, as far as
+anyone can tell: some servers hang or reset when they are full.
 """
 
 from __future__ import annotations
@@ -17,15 +17,18 @@
 
 OTHERS_FADE = 0.7  # s after which what others hold there, as last told, is worth 1/e: requests take that long
 OTHERS_SMOOTH = 0.1  # weight of one answer in what others hold there usually
-QUEUE_PART = 1.0  # of its slots that may wait at a server beside those that run: more would be late, or hang it
-TIME_SMOOTH, TIME_LEAST, TIME_MOST = 0.1, 0.5, 4.0  # weight and bounds of one answer's time, as a multiple of usual
+# of its slots that may wait at a server beside those that run: more would be late, or hang it
+QUEUE_PART = 1.0
+# weight and bounds of one answer's time, as a multiple of usual
+TIME_SMOOTH, TIME_LEAST, TIME_MOST = 0.1, 0.5, 4.0
 ROUTE_SMOOTH = 0.03  # weight of one answer in a route's usual time
 FAIL_SMOOTH, FAIL_FORGET, FAIL_COST = 0.3, 4.0, 8.0  # weight of an end in failures, s to 1/e, times its cost
 FAR = 1.1  # cost of another zone's server, as a multiple: bytes between zones are paid for
 COLD = 2.0  # of one that still warms up
 FILL = 0.3  # cost of a server with all slots taken but one, over an empty one
 NOISE = 0.05  # spread of the cost: limiters that know the same must not all take the same
-AWAY, AWAY_MOST = 0.5, 4.0  # s that a server whose connections do not come up is left alone, first and at most
+# s that a server whose connections do not come up is left alone, first and at most
+AWAY, AWAY_MOST = 0.5, 4.0
 
 
 @dataclass(slots=True)
--- a/finchshelf/dataplane/core.py
+++ b/finchshelf/dataplane/core.py
@@ -1,13 +1,14 @@
 """The one task that owns a limiter's requests, its table of servers, the counts and the budget.
 
-Owns every request that has no final answer yet. Socket tasks put what happens on its queue; this task asks the
-decisions (`choice`, `tries`, `budget`, `counts`) and carries out what they say. It must never wait for a socket,
-answer a request twice, or leave one without an answer.
+Owns every request that has no final answer yet. Socket tasks put what happens on its queue; this task asks
+the decisions (`choice`, `tries`, `budget`, `counts`) and carries out what they say. It must never wait for
+a socket, answer a request twice, or leave one without an answer.
 """
 
 from __future__ import annotations
 
 import heapq
+import math
 import traceback
 from dataclasses import dataclass
 from random import Random
@@ -124,8 +125,8 @@
 
     async def run(self) -> None:
         while True:
-            due = self.timers[0][0] if self.timers else None
-            until = trio.current_time() + max(0.0, due - self.clock.now()) if due is not None else float("inf")
+            wait = max(0.0, self.timers[0][0] - self.clock.now()) if self.timers else math.inf
+            until = trio.current_time() + wait
             for item in await self.mailbox.take(until):
                 try:
                     self.take(item, self.clock.now())
@@ -166,7 +167,8 @@
                 self.timer(request.until + OVERDUE, "end", number)  # its body was still coming
             elif request is not None:
                 self.count["overdue"] += 1
-                self.finish(request, plain(504 if request.may_have_run or request.out else 503), "out.overdue")
+                may_have = request.may_have_run or request.out
+                self.finish(request, plain(504 if may_have else 503), "out.overdue")
 
     def take(self, item: Item, now: float) -> None:
         if isinstance(item, Request):
@@ -303,12 +305,13 @@
             request.last = item.answer
         usual = self.choice.usual.get(request.route.label, 0.0)
         tried = Tried(request.route.repeatable, request.may_have_run, len(request.out), len(request.tried),
-                      request.route.trials, request.again, request.until - now, usual, request.last is not None)
+                      request.route.trials, request.again, request.until - now, usual,
+                      request.last is not None)
         follow = tries.after(tried, item.status, False)
-        if tries.after(tried, item.status, True) is Next.AGAIN and self.budget.spend(request.service):
-            if self.attempt(request, now):
-                self.count["tries.again"] += 1
-                return
+        may = tries.after(tried, item.status, True) is Next.AGAIN and self.budget.spend(request.service)
+        if may and self.attempt(request, now):
+            self.count["tries.again"] += 1
+            return
         self.close(request, follow, usual)
 
     def close(self, request: Request, follow: Next, usual: float) -> None:
--- a/finchshelf/dataplane/dialect.py
+++ b/finchshelf/dataplane/dialect.py
@@ -106,7 +106,8 @@
                    (b"Target-Server", attempt.server.encode("latin-1"))]
         if request.tenant is not None:
             headers.append((b"Load-Name", request.tenant.label.encode()))
-        return h11.Request(method=request.method, target=request.target, headers=[*headers, *framing(request)])
+        headers += framing(request)
+        return h11.Request(method=request.method, target=request.target, headers=headers)
 
     def read(self, reply: Reply, attempt: Attempt, ended: Ended) -> None:
         told = dict(reply.headers)
--- a/finchshelf/dataplane/follower.py
+++ b/finchshelf/dataplane/follower.py
@@ -1,7 +1,7 @@
 """Follows the control plane: asks the own cell and one more for news, with the version it has.
 
-Owns the links to control planes and what each of them told. It must never take an older configuration for a newer
-one, or give up what is known because a control plane says nothing.
+Owns the links to control planes and what each of them told. It must never take an older configuration for a
+newer one, or give up what is known because a control plane says nothing.
 """
 
 from __future__ import annotations
@@ -18,9 +18,9 @@
 from finchshelf.dataplane.core import News
 from finchshelf.membership import rendezvous
 from finchshelf.membership.records import GONE, Limiter, Unfit, read_limiter, read_server
+from finchshelf.transport.address import Address
 from finchshelf.transport.exchange import Clock
 from finchshelf.transport.frames import Link, Message, PeerError
-from finchshelf.transport.net import Address
 
 WAIT = 1.0  # s that a question waits for news: by it a control plane knows that this limiter is there
 MORE = 1.0  # s beside that for the answer to come
--- a/finchshelf/dataplane/questions.py
+++ b/finchshelf/dataplane/questions.py
@@ -8,13 +8,13 @@
 import socket
 from collections.abc import Callable
 from contextlib import suppress
-from typing import Protocol
+from typing import Any, Protocol
 
 import msgpack
 import trio
 
+from finchshelf.transport.address import Address
 from finchshelf.transport.exchange import Log
-from finchshelf.transport.net import Address
 
 MOST = 1400  # bytes of a datagram: more would be cut on its way
 ASK, TELL = 0, 1
@@ -66,8 +66,8 @@
                     self.log.rare("count.unfit", peer=source[0], step="read a question", error=repr(error))
             await trio.lowlevel.checkpoint()
 
-    def read(self, message: object, source: tuple[str, int]) -> None:
-        kind, rows = message  # type: ignore[misc]
+    def read(self, message: Any, source: tuple[str, int]) -> None:
+        kind, rows = message
         if kind == ASK:
             answers: list[tuple[int, int, float]] = []
             for number, tenant, units in rows:
--- a/finchshelf/membership/records.py
+++ b/finchshelf/membership/records.py
@@ -47,8 +47,8 @@
 
     def pack(self, now: float) -> list[Any]:
         """As said to another machine, whose clock is another: what is left of the slow time, in ms."""
-        return [self.id, self.address, self.service, self.zone, self.capacity, self.count, self.mode, self.lost,
-                max(0, round((self.warm_at - now) * 1000))]
+        return [self.id, self.address, self.service, self.zone, self.capacity, self.count, self.mode,
+                self.lost, max(0, round((self.warm_at - now) * 1000))]
 
 
 def read_server(row: Any, now: float) -> Server:
@@ -125,7 +125,8 @@
         self.rev = 0
 
     def put(self, server: Server) -> bool:
-        """Take a record if it is newer; True if others must hear of it: more than its beat's number changed."""
+        """Take a record if it is newer; True if others must hear of it: more than its beat's number
+        changed."""
         known = self.rows.get(server.id)
         if not server.newer(known):
             return False
--- a/finchshelf/membership/rendezvous.py
+++ b/finchshelf/membership/rendezvous.py
@@ -19,4 +19,7 @@
 
 
 def first(key: str, names: Iterable[str]) -> str | None:
-    return max(names, key=lambda name: weight(key, name), default=None)
+    def by_weight(name: str) -> bytes:
+        return weight(key, name)
+
+    return max(names, key=by_weight, default=None)
--- a/finchshelf/transport/calls.py
+++ b/finchshelf/transport/calls.py
@@ -58,13 +58,15 @@
              reply: Callable[[Answer], None], stream: Body | None = None, coming: float = 0.0) -> Exchange:
         if self.health_target is not None:
             raise BadRequest("only health is told here", 404)
-        return Exchange(number, came + coming + 30.0, reply, event.method, event.target, [], body, stream=stream)
+        until = came + coming + 30.0
+        return Exchange(number, until, reply, event.method, event.target, [], body, stream=stream)
 
 
 class Calls:
     """The core of a listener whose requests go to one handler; satisfies what `transport.clients` asks."""
 
-    def __init__(self, clock: Clock, telemetry: Log, nursery: trio.Nursery, handler: CallHandler | None) -> None:
+    def __init__(self, clock: Clock, telemetry: Log, nursery: trio.Nursery,
+                 handler: CallHandler | None) -> None:
         self.clock, self.telemetry, self.nursery, self.handler = clock, telemetry, nursery, handler
         self.last = 0
         self.scopes: dict[int, trio.CancelScope] = {}
@@ -94,7 +96,7 @@
         except Cut:
             return
         except Exception as error:  # Danger: one call that can't be handled must not end the program
-            self.telemetry.rare("calls.error", error=repr(error), target=exchange.target.decode("ascii", "replace"))
+            self.telemetry.rare("calls.error", error=repr(error), target=repr(exchange.target))
             answer = told(500, {"error": "internal"})
         exchange.reply(answer)
 
--- a/finchshelf/transport/frames.py
+++ b/finchshelf/transport/frames.py
@@ -17,6 +17,7 @@
 import trio
 
 from finchshelf.transport import net
+from finchshelf.transport.address import Address
 
 MOST_FRAME = 16 << 20  # bytes: a whole configuration and some
 MOST_OPEN = 256  # questions of one connection that wait for an answer
@@ -88,7 +89,7 @@
 class Link:
     """Questions to one peer over one connection, made when it is needed and made anew when it broke."""
 
-    def __init__(self, address: net.Address, nursery: trio.Nursery, connect_limit: float = 1.0) -> None:
+    def __init__(self, address: Address, nursery: trio.Nursery, connect_limit: float = 1.0) -> None:
         self.address, self.nursery, self.connect_limit = address, nursery, connect_limit
         self.frames: Frames | None = None
         self.waiting: dict[int, tuple[trio.Event, list[Message]]] = {}
