--- a/finchshelf/__main__.py
+++ b/finchshelf/__main__.py
@@ -16,15 +16,18 @@
 
 import trio
 
-from finchshelf.node import net
-from finchshelf.node.clients import Clients
-from finchshelf.node.config import Address, Config, ConfigError, load
-from finchshelf.node.core import Clock, Core, Renewal
+from finchshelf.node.config import Config, ConfigError, load
+from finchshelf.node.core import FOLLOW, Core, Renewal
 from finchshelf.node.counter import Counter
+from finchshelf.node.dialect import Reader, Words
 from finchshelf.node.discovery import Discovery
 from finchshelf.node.operator import Operator
-from finchshelf.node.servers import Servers
-from finchshelf.node.telemetry import Telemetry
+from finchshelf.transport import net
+from finchshelf.transport.address import Address
+from finchshelf.transport.clients import Clients
+from finchshelf.transport.exchange import Clock
+from finchshelf.transport.servers import Servers
+from finchshelf.transport.telemetry import Telemetry
 
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP)
 LAST_CALLS = 0.5  # s after SIGTERM in which new connections are still taken
@@ -44,6 +47,7 @@
     discovery: Discovery
     clients: Clients
     address: Address
+    config: Config
     operator: Address | None = None
 
     def now(self) -> dict[str, int]:
@@ -57,10 +61,11 @@
                 task_status: trio.TaskStatus[Node] = trio.TASK_STATUS_IGNORED) -> None:
     core = Core(config, Clock(), telemetry, beside=another(config.state))
     async with trio.open_nursery() as parts:
-        core.servers = servers = Servers(core, config, parts)
+        core.servers = servers = Servers(core, Words(config), parts, config.descriptors)
         core.counter = counter = Counter(core, config, config.counter, parts) if config.counter else None
         discovery = Discovery(core, config)
-        clients = Clients(core, config, parts, lambda: core.listed and discovery.asked)
+        clients = Clients(core, Reader(config), parts, lambda: core.listed and discovery.asked,
+                          config.descriptors, config.memory)
         operator = Operator(core, config, clients.takes)
         operator.restore()
         # Danger: in an upgrade a second process of this limiter listens beside this one on the same address.
@@ -83,7 +88,7 @@
             telemetry.log("start", listen=str(address))
             if config.messages:
                 telemetry.log("messages", state="not carried")
-            node = Node(core, servers, counter, discovery, clients, address, second_address)
+            node = Node(core, servers, counter, discovery, clients, address, config, second_address)
             task_status.started(node)
             gc.collect()
             gc.freeze()
@@ -130,7 +135,7 @@
 def reload(node: Node, telemetry: Telemetry) -> None:
     """Take discovery's and the counter's address and the settings from the file as it is now."""
     try:
-        config = load(former=node.clients.config)
+        config = load(former=node.config)
     except ConfigError as error:
         telemetry.count["reloads.refused"] += 1
         telemetry.log("reload", state="kept the old", error=str(error))
@@ -139,11 +144,12 @@
         telemetry.log("reload", state="kept the old", error="calls to a counter need a start with one")
         return
     telemetry.count["reloads"] += 1
-    present = node.clients.config
+    present = node.config
     if (config.settings, config.around) != (present.settings, present.around):
         # Danger: a call read by former names and decided by new ones. No other task runs between these.
-        node.clients.renew(config)
-        node.servers.renew(config)
+        node.config = config
+        node.clients.renew(Reader(config), FOLLOW)
+        node.servers.renew(Words(config))
         node.discovery.renew(config)
         if node.counter is not None:
             node.counter.renew(config)
--- a/finchshelf/node/config.py
+++ b/finchshelf/node/config.py
@@ -1,6 +1,6 @@
 """The configuration of one node: what `BALANCER_CONFIG` holds, checked once at start.
 
-Owns the form of that file and the addresses in it. It must never decide anything, open a socket, or let a
+Owns the form of that file. It must never decide anything, open a socket, or let a
 value through that it has not checked: the rest of the node trusts what stands here.
 """
 
@@ -9,13 +9,13 @@
 import hashlib
 import ipaddress
 import os
-import socket
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
-from typing import Any, NamedTuple
+from typing import Any
 
 from finchshelf import settings as parse
 from finchshelf.admission import interface as i
+from finchshelf.transport.address import Address
 
 DEFAULT_DESCRIPTORS = 1024
 DEFAULT_MEMORY = 192  # MB
@@ -25,20 +25,6 @@
     """A configuration that can't be used; the text is one plain line."""
 
 
-class Address(NamedTuple):
-    """A numeric address: names would need DNS, and DNS a thread."""
-
-    host: str
-    port: int
-
-    @property
-    def family(self) -> socket.AddressFamily:
-        return socket.AF_INET6 if ":" in self.host else socket.AF_INET
-
-    def __str__(self) -> str:
-        return f"[{self.host}]:{self.port}" if ":" in self.host else f"{self.host}:{self.port}"
-
-
 def address(text: object, what: str = "address") -> Address:
     """HOST:PORT with a numeric host."""
     if isinstance(text, str):
--- a/finchshelf/node/core.py
+++ b/finchshelf/node/core.py
@@ -9,20 +9,22 @@
 
 import heapq
 import math
-import time
 import traceback
 from collections import deque
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Protocol
 
 import trio
 
 from finchshelf.admission import interface as i
 from finchshelf.admission.logic import Limiter
-from finchshelf.node.bodies import Body
-from finchshelf.node.config import Address, Config
-from finchshelf.node.telemetry import Telemetry
+from finchshelf.node.config import Config
+from finchshelf.transport import exchange as carried
+from finchshelf.transport.address import Address
+from finchshelf.transport.bodies import Body
+from finchshelf.transport.exchange import Answer, Arrived, Attempt, Clock, Ended, Headers
+from finchshelf.transport.telemetry import Telemetry
 
 STOOD_STILL = 0.05  # s that an event waited here, after which the sockets are read before it is handled
 BEAT = 0.25  # s between two looks at whether this process stood still
@@ -33,97 +35,19 @@
 OVERLAP = 7.0  # s after the start of a second process until the first has ended (6 s, and its last)
 FOLLOW = 1.2  # s after new settings in which clients still name classes by the former ones (protocol)
 
-Headers = list[tuple[bytes, bytes]]
 
+class Exchange(carried.Exchange):
+    """A request as the module knows it, by which module and by whose settings it is decided."""
 
-class Clock:
-    """Unix time at start plus the monotonic time since: never goes back, the same at all limiters."""
+    __slots__ = ("owner", "request", "settings")
 
-    def __init__(self) -> None:
-        self.origin = time.time() - time.monotonic()
-
-    def now(self) -> float:
-        return self.origin + time.monotonic()
-
-
-@dataclass(slots=True)
-class Answer:
-    """A final answer on its way to a client; `more`, of a large one: the rest of its body as it comes."""
-
-    status: int
-    headers: Headers
-    body: bytes = b""
-    more: trio.MemoryReceiveChannel[bytes] | None = None
-
-
-@dataclass(slots=True, eq=False)
-class Exchange:
-    """One request that a client waits for: what was asked, and what takes the answer without waiting."""
-
-    request: i.Request
-    reply: Callable[[Answer], None]
-    method: bytes
-    target: bytes
-    headers: Headers
-    body: bytes
-    key: bytes = b""
-    attempts: int = 0
-    owner: Limiter | None = None
-    settings: i.Settings | None = None  # by which it was read: a class is a number in those
-    stream: Body | None = None  # in place of `body`: one that is too large to keep, as it comes
-    wait: float = 0.0  # s that its client waits from its last byte on
-    until: float = field(init=False)  # when that is up; of one that still comes the latest that it may be
-
-    def __post_init__(self) -> None:
-        self.until = self.request.until
-
-    def arrived(self, now: float) -> None:
-        """Its last byte is here."""
-        self.until = min(self.request.until, now + self.wait)
-
-    @property
-    def again(self) -> bool:
-        """Can it be sent once more?"""
-        return self.stream is None or self.stream.again
-
-
-@dataclass(slots=True, eq=False)
-class Attempt:
-    """One attempt out at a server; `servers` runs it and ends it with exactly one `Ended`."""
-
-    exchange: Exchange
-    number: int
-    server: str
-    address: Address
-    limit: float
-    issued: float
-    until: float = 0.0  # its exchange's, as `limit` knows it
-    cancelled: bool = False
-    scope: trio.CancelScope | None = None
-
-    def cancel(self) -> None:
-        self.cancelled = True
-        if self.scope is not None:
-            self.scope.cancel()
-
-
-@dataclass(slots=True)
-class Ended:
-    """How an attempt ended, with the answer where there was a good one."""
-
-    attempt: Attempt
-    status: i.Status
-    answer: Answer | None = None
-    used: int = 0
-    true_units: int = 0
-    load: dict[str, float] | None = None
-
-
-@dataclass(slots=True)
-class Arrived:
-    """The last byte of a streamed request is here: its client's time counts from then (`Exchange.until`)."""
-
-    exchange: Exchange
+    def __init__(self, request: i.Request, reply: Callable[[Answer], None], method: bytes, target: bytes,
+                 headers: Headers, body: bytes, key: bytes = b"", settings: i.Settings | None = None,
+                 stream: Body | None = None, wait: float = 0.0) -> None:
+        """`settings`: by which it was read, a class is a number in those."""
+        super().__init__(request.id, request.until, reply, method, target, headers, body, key, stream, wait)
+        self.request, self.settings = request, settings
+        self.owner: Limiter | None = None
 
 
 @dataclass(slots=True)
@@ -297,13 +221,13 @@
             heapq.heappop(ends)
         return ends[0][0] if ends else math.inf
 
-    def watch_end(self, exchange: Exchange) -> None:
+    def watch_end(self, exchange: carried.Exchange) -> None:
         """Note when a request is overdue."""
         if len(self.ends) > LEAST_ENDS + 4 * len(self.live):
             # Danger: uploads that are answered soon leave their latest times, a quarter of an hour off, here.
             self.ends = [end for end in self.ends if end[1] in self.live]
             heapq.heapify(self.ends)
-        heapq.heappush(self.ends, (exchange.until + self.slack, exchange.request.id))
+        heapq.heappush(self.ends, (exchange.until + self.slack, exchange.id))
 
     def end_overdue(self, now: float) -> None:
         """The last resort: whatever was lost on the way, a client gets one answer in time."""
@@ -320,7 +244,7 @@
             raise error
         exchange = item.attempt.exchange if isinstance(item, Ended) else item
         if isinstance(exchange, Exchange):
-            self.answer(exchange.request.id, FAILED, "out.failed")
+            self.answer(exchange.id, FAILED, "out.failed")
 
     def take(self, item: Item, now: float) -> None:
         if isinstance(item, Exchange):
@@ -391,13 +315,13 @@
         if self.clock.now() < self.follow_until:
             return
         busy = {id(exchange.owner) for exchange in self.live.values()}
-        busy |= {id(attempt.exchange.owner) for attempt in self.out.values()}
+        busy |= {id(owned(attempt).owner) for attempt in self.out.values()}
         busy |= {id(owner) for owners in self.callers.values() for owner in owners}
         self.former = [limiter for limiter in self.former if id(limiter) in busy]
 
     def ended(self, item: Ended, now: float) -> None:
         attempt = item.attempt
-        request = attempt.exchange.request.id
+        request = attempt.exchange.id
         self.telemetry.holds(self.out.pop((request, attempt.number), None) is not None, "one_outcome")
         self.count[f"attempts.{item.status.value}"] += 1
         self.count["attempts.settled"] += item.true_units > 0
@@ -408,7 +332,7 @@
         elif item.answer is not None and item.answer.more is not None:
             item.answer.more.close()  # Danger: nobody takes the rest, and its server would wait for good
         took = now - attempt.issued
-        exchange = attempt.exchange
+        exchange = owned(attempt)
         self.handle(i.Outcome(request, attempt.number, attempt.server, item.status, took, final, item.used,
                               item.true_units, item.load or {}, exchange.again, exchange.stream is not None),
                     now, exchange.owner)
@@ -495,6 +419,13 @@
         exchange.reply(answer)
 
 
+def owned(attempt: Attempt) -> Exchange:
+    """An attempt's exchange, which `send` took from `live`."""
+    exchange = attempt.exchange
+    assert isinstance(exchange, Exchange)
+    return exchange
+
+
 def refusal(after: float) -> Answer:
     if after <= 0:
         return REFUSED
--- a/finchshelf/node/counter.py
+++ b/finchshelf/node/counter.py
@@ -16,9 +16,10 @@
 import trio
 
 from finchshelf.admission import interface as i
-from finchshelf.node import net
-from finchshelf.node.config import Address, Config
+from finchshelf.node.config import Config
 from finchshelf.node.core import Core
+from finchshelf.transport import net
+from finchshelf.transport.address import Address
 
 LINES = 8  # connections; the counter holds 32 of a node. Answers on one come in order: one slow name holds
 # up those behind it, so there are some
--- a/finchshelf/node/discovery.py
+++ b/finchshelf/node/discovery.py
@@ -16,9 +16,10 @@
 import trio
 
 from finchshelf.admission import interface as i
-from finchshelf.node import net
-from finchshelf.node.config import Address, Config, ConfigError, address
+from finchshelf.node.config import Config, ConfigError, address
 from finchshelf.node.core import Core, Listed
+from finchshelf.transport import net
+from finchshelf.transport.address import Address
 
 WAIT = 5.0  # s that a watch may wait: short, so that an agent gone silent is noticed
 GRACE = 1.5  # s beyond the wait until silence is a failure
--- a/finchshelf/node/operator.py
+++ b/finchshelf/node/operator.py
@@ -13,9 +13,9 @@
 import orjson
 import trio
 
-from finchshelf.node import net
 from finchshelf.node.config import Config
 from finchshelf.node.core import Core, Maintenance
+from finchshelf.transport import net
 
 MOST_LINE = 512  # bytes of a call with its end of line
 WHOLE_LINE = 10.0  # s for a caller to send its whole line: some hold a connection for seconds first
--- a/finchshelf/node/bodies.py
+++ b/finchshelf/transport/bodies.py
@@ -12,7 +12,6 @@
 
 import trio
 
-MOST_REQUEST = 32 * 1024 * 1024  # bytes of a request's body; more is 413
 WINDOW = 65536  # bytes that can be sent again; up to as many are read whole before anything is decided
 PIECE = 16384  # bytes read of a streamed body at once, and the window where room is short
 SHARE = 8  # part of the memory limit that all windows may hold together: one in so many
--- a/finchshelf/node/clients.py
+++ b/finchshelf/transport/clients.py
@@ -1,33 +1,30 @@
-"""Everything between clients and this node: accepting, reading requests, writing answers, hanging up.
+"""Everything between clients and a program: accepting, reading requests, writing answers, hanging up.
 
 Owns the listening socket and the clients' connections; h11's receive buffer is each connection's one buffer.
-It must never answer a call by itself (only what is no call at all: 400, 413, `/healthz`), lose one that was
-read whole, or let bad input harm more than its own connection.
+Puts on the core's queue: each `Exchange` as its reader made it, `Arrived`, `ClientGone`. What a request means
+is the program's (`Reader`). It must never answer a call by itself (only what is no call at all: 400, 408,
+413, 431, a look at health), lose one that was read whole, or let bad input harm more than its own connection.
 """
 
 from __future__ import annotations
 
 import errno
 import math
-from binascii import unhexlify
 from collections.abc import Callable
 from contextlib import suppress
+from dataclasses import dataclass
 from functools import lru_cache
+from typing import Protocol
 
 import h11
 import trio
 
 from finchshelf.admission import interface as i
-from finchshelf.node import net
-from finchshelf.node.bodies import MOST_REQUEST, PIECE, WINDOW, Body, Room
-from finchshelf.node.config import Config
-from finchshelf.node.core import FOLLOW, Answer, Arrived, Core, Exchange, Headers
-from finchshelf.node.servers import HOP_BY_HOP
+from finchshelf.transport import net
+from finchshelf.transport.bodies import PIECE, WINDOW, Body, Room
+from finchshelf.transport.exchange import Answer, Arrived, Exchange, Headers, Port
 
-SLOW_READ = 2.5  # s for the head of a request whose first byte has come: clients may take 2 s
 LEAST_RATE = 32768.0  # bytes a second that a body comes at, beyond that: clients send 64 kB a second
-SILENT = 2.2  # s that a new connection may say nothing: it may not be closed before 2 s, and must be by 3 s
-KEPT = 4.0  # s that a connection is kept after an answer: some clients ask once and stay for good
 MUTE = 10.0  # s that the client of a streamed body may send nothing, however far ahead it is
 SLOW_WRITE = 10.0  # s for an answer to be taken
 LINGER = 0.3  # s that a client has to end its side after the last answer on a connection
@@ -37,19 +34,58 @@
 MOST_AHEAD = 32768  # bytes read of what comes behind a request before that has its answer
 MOST_PARTS, LEAST_PART = 4096, 16  # chunks of a body, more of so many bytes on average: else to keep us busy
 YOUNG, HALF, IDLE = 0.05, 1.0, 2.0  # s of silence, of half a request, of idling, from which one makes room
-NOT_PASSED = HOP_BY_HOP | {b"x-budget-ms", b"x-metering", b"expect"}
-MOST_BUDGET = 3_600_000
-MOST_CUSTOMER = 1 << 33
-MOST_ID = 64
-# Danger: of two of these one would be read here and the other behind us.
-ONCE = frozenset((b"host", b"content-length", b"transfer-encoding", b"x-call-id", b"x-call-class",
-                  b"x-contract", b"x-budget-ms", b"x-metering", b"x-again", b"idempotency-key"))
 EMPTY = h11.EndOfMessage()
 NOTHING: Headers = [(b"Content-Length", b"0")]
 TOO_SLOW = Answer(408, NOTHING)
+CLOSE = ((b"Connection", b"close"),)
 CONTINUE = h11.InformationalResponse(status_code=100, headers=[])
 
 
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """The figures that a program holds its clients to."""
+
+    most_request: int
+    """Bytes of a request's body; more is 413."""
+    most_head: int
+    """Bytes of a request's head that is not whole yet; for one that came whole see `head_size`."""
+    slow_read: float
+    """Seconds for the head of a request whose first byte has come."""
+    silent: float
+    """Seconds that a new connection may say nothing."""
+    kept: float
+    """Seconds that a connection is kept after an answer."""
+    long_head: int = 431
+    """The status of an answer to a head beyond `most_head`."""
+    kept_headers: tuple[tuple[bytes, bytes], ...] = ()
+    """Headers of every answer after which the connection is kept, such as `Keep-Alive`."""
+
+
+class Core(Port, Protocol):
+    """What the clients' side asks of a program's core."""
+
+    def halted(self, now: float) -> bool: ...
+    def next_id(self) -> int: ...
+
+
+class Reader(Protocol):
+    """What a program's requests look like. Whatever is none of them raises `BadRequest`."""
+
+    @property
+    def limits(self) -> Limits: ...
+
+    @property
+    def health_target(self) -> bytes | None:
+        """The target whose GET is answered 200 while clients are taken, else 503; None: there is no such."""
+
+    def head(self, event: h11.Request) -> dict[bytes, bytes]:
+        """The headers by their names in small letters; `headers_once` does that."""
+
+    def call(self, event: h11.Request, body: bytes, number: int, came: float,
+             reply: Callable[[Answer], None], stream: Body | None, coming: float) -> Exchange:
+        """A call that has come whole, or but for `coming` seconds of its body."""
+
+
 class BadRequest(Exception):
     """What is no call in the protocol's form."""
 
@@ -59,76 +95,35 @@
 
 
 @lru_cache(512)
-def response(status: int, headers: tuple[tuple[bytes, bytes], ...], close: bool) -> h11.Response:
+def response(status: int, headers: tuple[tuple[bytes, bytes], ...],
+             extra: tuple[tuple[bytes, bytes], ...]) -> h11.Response:
     """The head of an answer; checked by h11 once for all answers that have the same."""
-    extra = ((b"Connection", b"close"),) if close else ()
     return h11.Response(status_code=status, headers=[*headers, *extra])
 
 
-class Reader:
-    """Reads calls by the settings' names of classes and plans."""
+def headers_once(event: h11.Request, once: frozenset[bytes]) -> dict[bytes, bytes]:
+    """A head's headers; those of `once` may stand in it once."""
+    headers = dict(event.headers)
+    if len(headers) < len(event.headers):
+        names = [name for name, _ in event.headers if name in once]
+        if len(set(names)) < len(names):
+            raise BadRequest("a header twice")
+    return headers
 
-    def __init__(self, config: Config) -> None:
-        self.settings = config.settings
-        self.classes = {name.encode(): n for n, name in enumerate(config.around.classes)}
-        self.plans = {name.encode(): n for n, name in enumerate(config.around.plans)}
 
-    def head(self, event: h11.Request) -> dict[bytes, bytes]:
-        """What any head must keep to, so that its body has one length only and that is not too much."""
-        told = dict(event.headers)
-        if len(told) < len(event.headers):
-            names = [name for name, _ in event.headers if name in ONCE]
-            if len(set(names)) < len(names):
-                raise BadRequest("a header twice")
-        if b"transfer-encoding" in told and (b"content-length" in told or event.http_version < b"1.1"):
-            # Danger: by one of the two lengths the body holds another request; whoever reads it so runs that.
-            raise BadRequest("two lengths")
-        if whole(told.get(b"content-length", b"0"), math.inf, 20) > MOST_REQUEST:
-            raise BadRequest("body too large", 413)
-        return told
+def one_length(headers: dict[bytes, bytes], version: bytes, most: int) -> None:
+    """What any head must keep to, so that its body has one length only and that is not too much."""
+    if b"transfer-encoding" in headers and (b"content-length" in headers or version < b"1.1"):
+        # Danger: by one of the two lengths the body holds another request; whoever reads it so runs that.
+        raise BadRequest("two lengths")
+    if whole(headers.get(b"content-length", b"0"), math.inf, 20) > most:
+        raise BadRequest("body too large", 413)
 
-    def call(self, event: h11.Request, body: bytes, number: int, came: float,
-             reply: Callable[[Answer], None], stream: Body | None = None, coming: float = 0.0) -> Exchange:
-        """A call that has come whole, or but for `coming` seconds of its body."""
-        told = dict(event.headers)
-        path = event.target.partition(b"?")[0].split(b"/")
-        name = told.get(b"x-call-class", b"")
-        cls, plan = self.classes.get(name), self.plans.get(told.get(b"x-contract", b""))
-        if cls is None or plan is None or path[1:2] != [name] or len(path) < 3:
-            raise BadRequest("class or contract")
-        kind = self.settings.classes[cls]
-        safe = kind.effect is i.Effect.SAFE
-        if event.method != (b"GET" if safe else b"POST") or (safe and (body or stream)):
-            raise BadRequest("method")
-        if kind.effect is i.Effect.KEYED and not told.get(b"idempotency-key"):
-            raise BadRequest("key")
-        if not 0 < len(told.get(b"x-call-id", b"")) <= MOST_ID:
-            raise BadRequest("id")
-        budget, customer = min(whole(told.get(b"x-budget-ms")), MOST_BUDGET), hexadecimal(path[-1])
-        units, spread = self.metering(told.get(b"x-metering", b""))
-        headers = [(raw, value) for (raw, value), (plain, _)
-                   in zip(event.headers.raw_items(), event.headers, strict=True) if plain not in NOT_PASSED]
-        wait = min(budget / 1000, kind.deadline) if kind.deadline > 0 else budget / 1000
-        request = i.Request(number, cls, plan, customer, came + coming + wait, units, spread,
-                            told.get(b"x-again") == b"1", coming=coming)
-        return Exchange(request, reply, event.method, event.target, headers, body, told[b"x-call-id"],
-                        settings=self.settings, stream=stream, wait=wait)
-
-    def metering(self, text: bytes) -> tuple[int, int]:
-        """Units and the customer's set; one unit of a set of all where nothing is said."""
-        units, spread, limiters = 1, self.settings.limiters, max(1, self.settings.limiters)
-        for pair in text.split(b",") if text else ():
-            key, _, value = pair.strip().partition(b"=")
-            # Danger: a wrong amount in a usual customer's name would be counted against its quota.
-            if key == b"units":
-                units = whole(value, self.settings.max_units or math.inf)
-            elif key == b"spread":
-                spread = whole(value, limiters)
-            elif key == b"first" and whole(value) >= limiters:
-                raise BadRequest("first")
-        if not (units and spread):
-            raise BadRequest("units or spread")
-        return units, spread
+
+def head_size(event: h11.Request) -> int:
+    """The bytes of a head, its request line included; h11 measures none that came whole in one read."""
+    lines = sum(len(name) + len(value) + 4 for name, value in event.headers.raw_items())
+    return len(event.method) + len(event.target) + len(b"  HTTP/1.1\r\n\r\n") + lines
 
 
 def whole(text: bytes | None, most: float = math.inf, digits: int = 12) -> int:
@@ -138,17 +133,6 @@
     return int(text)
 
 
-def hexadecimal(text: bytes) -> int:
-    try:
-        if len(text) == 16:
-            customer = int.from_bytes(unhexlify(text))
-            if customer < MOST_CUSTOMER:
-                return customer
-    except ValueError:
-        pass
-    raise BadRequest("customer")
-
-
 class Connection:
     """One client's connection: a task that reads for as long as it lives; the core's turn writes answers.
 
@@ -163,7 +147,7 @@
 
     def __init__(self, clients: Clients, stream: net.Stream, now: float) -> None:
         self.clients, self.stream, self.since, self.idle = clients, stream, now, True
-        self.http = h11.Connection(h11.SERVER)
+        self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=clients.limits.most_head)
         self.head: h11.Request | None = None
         self.parts: list[bytes] = []
         self.size = self.chunks = self.ahead = self.expect = 0
@@ -215,7 +199,7 @@
             clients.telemetry.rare("clients.error", error=repr(error))
         finally:
             if self.exchange is not None:
-                clients.core.put(i.ClientGone(self.exchange.request.id))
+                clients.core.put(i.ClientGone(self.exchange.id))
             self.release()
             self.drop_body()
             clients.connections.discard(self)
@@ -239,9 +223,12 @@
                     return
                 if isinstance(event, h11.Request):
                     self.head, self.idle = event, False
-                    told = self.clients.reader.head(event)
+                    clients = self.clients
+                    told = clients.reader.head(event)
+                    one_length(told, event.http_version, clients.limits.most_request)
                     chunked = b"transfer-encoding" in told
-                    self.expect = MOST_REQUEST if chunked else int(told.get(b"content-length", b"0"))
+                    most = clients.limits.most_request
+                    self.expect = most if chunked else int(told.get(b"content-length", b"0"))
                     if self.expect > net.MOST_BODY and self.http.they_are_waiting_for_100_continue:
                         return self.streamed(None if chunked else self.expect)
                 elif isinstance(event, h11.Data):
@@ -257,12 +244,17 @@
                     return
         except (BadRequest, h11.RemoteProtocolError) as error:
             self.clients.count["in.bad"] += 1
-            status = error.status if isinstance(error, BadRequest) else 400
-            self.reply(Answer(status, NOTHING), True)
+            self.reply(Answer(self.status(error), NOTHING), True)
+
+    def status(self, error: BadRequest | h11.RemoteProtocolError) -> int:
+        """The status of an answer to what is no call."""
+        if isinstance(error, BadRequest):
+            return error.status
+        return self.clients.limits.long_head if error.error_status_hint == 431 and self.head is None else 400
 
     def bounded(self, event: h11.Data) -> None:
         self.size, self.chunks = self.size + len(event.data), self.chunks + 1
-        if self.size > MOST_REQUEST or self.chunks > MOST_PARTS + self.size // LEAST_PART:
+        if self.size > self.clients.limits.most_request or self.chunks > MOST_PARTS + self.size // LEAST_PART:
             raise BadRequest("body too large", 413)
 
     def go_on(self) -> None:
@@ -275,11 +267,12 @@
         head, clients = self.head, self.clients
         body = b"" if stream is not None else b"".join(self.parts)
         assert head is not None
-        coming = SLOW_READ + (self.expect - self.size) / LEAST_RATE if stream is not None else 0.0
+        still = (self.expect - self.size) / LEAST_RATE
+        coming = clients.limits.slow_read + still if stream is not None else 0.0
         self.head, self.parts, self.expect = None, [], 0
         if stream is None:
             self.size = self.chunks = 0
-        if head.target == b"/healthz" and head.method == b"GET":
+        if head.target == clients.reader.health_target and head.method == b"GET":
             return self.reply(clients.health())
         now = clients.core.clock.now()
         if clients.core.halted(now):
@@ -287,16 +280,18 @@
             # clients who have given up. The kernel knows when the last byte came.
             now -= self.stream.quiet_for()
         exchange = clients.read(head, body, now, self.answered, stream, coming)
-        if exchange.key in clients.ids:
-            # Danger: a request under the id of another's is a second copy of that to whoever goes by ids.
-            raise BadRequest("id of an open request")
-        clients.ids.add(exchange.key)
+        if exchange.key:
+            if exchange.key in clients.ids:
+                # Danger: a request under the id of another's is a second copy of that to whoever goes by ids.
+                raise BadRequest("id of an open request")
+            clients.ids.add(exchange.key)
         self.exchange = exchange
         clients.core.put(exchange)
 
     def streamed(self, length: int | None) -> None:
         """A body too large to keep: the request is decided now, and the rest goes on as it comes."""
         waiting, now = self.http.they_are_waiting_for_100_continue, self.clients.core.clock.now()
+        slow_read = self.clients.limits.slow_read
         stream = Body(self.clients.room, b"".join(self.parts), length, self.wanted if waiting else None)
         try:
             self.whole(stream)
@@ -307,7 +302,7 @@
             return
         self.body = stream
         # Danger: one time for all cuts off who sends at the rate allowed; without, the silent hold servers.
-        self.due = math.inf if waiting else self.since + SLOW_READ + self.size / LEAST_RATE
+        self.due = math.inf if waiting else self.since + slow_read + self.size / LEAST_RATE
         self.mute = math.inf if waiting else now + MUTE
         self.clients.count["in.streamed"] += 1
         self.feed(b"")
@@ -315,7 +310,7 @@
     def wanted(self) -> None:
         """An attempt waits for the first byte of a body whose client waits for a word: 100 Continue."""
         now = self.clients.core.clock.now()
-        self.due, self.mute = now + SLOW_READ, now + MUTE
+        self.due, self.mute = now + self.clients.limits.slow_read, now + MUTE
         with suppress(h11.LocalProtocolError):  # it has its answer already
             self.go_on()
 
@@ -365,7 +360,7 @@
         """A streamed request whose body will not come whole: its attempt ends, its client may read why."""
         self.drop_body()
         if self.exchange is not None:
-            self.clients.core.put(i.ClientGone(self.exchange.request.id))
+            self.clients.core.put(i.ClientGone(self.exchange.id))
             return self.reply(answer, True)
         self.stream.hang_up()  # its answer has begun already
 
@@ -407,7 +402,8 @@
             return
         close = close or clients.draining or http.their_state is not h11.DONE
         try:
-            data = http.send(response(answer.status, tuple(answer.headers), close)) or b""
+            extra = CLOSE if close else clients.limits.kept_headers
+            data = http.send(response(answer.status, tuple(answer.headers), extra)) or b""
             if answer.body:
                 data += http.send(h11.Data(data=answer.body)) or b""
             if answer.more is not None:
@@ -506,12 +502,14 @@
 
     def spent(self, quiet: float) -> bool:
         """Past its time, or of no further use."""
+        limits = self.clients.limits
         if self.closing:
             return quiet > LAST_READ
         if self.idle:
-            return quiet > (SILENT if self.fresh else KEPT)
+            return quiet > (limits.silent if self.fresh else limits.kept)
         # Danger: a fixed time for all cuts off bodies that come at the rate the protocol allows.
-        return quiet > SLOW_READ + (min(self.expect, WINDOW) / LEAST_RATE if self.head is not None else 0.0)
+        body = min(self.expect, WINDOW) / LEAST_RATE if self.head is not None else 0.0
+        return quiet > limits.slow_read + body
 
     def give_up(self) -> bool:
         """End a connection on which no request waits, unless one has come and is not yet read."""
@@ -528,23 +526,26 @@
 
 
 class Clients:
-    def __init__(self, core: Core, config: Config, nursery: trio.Nursery, ready: Callable[[], bool]) -> None:
+    def __init__(self, core: Core, reader: Reader, nursery: trio.Nursery, ready: Callable[[], bool],
+                 descriptors: int, memory: int) -> None:
+        """`descriptors`, `memory` (bytes): the process's limits."""
         self.nursery = nursery
         self.core, self.telemetry, self.count = core, core.telemetry, core.telemetry.count
-        self.config, self.reader, self.ready = config, Reader(config), ready
+        self.reader, self.limits, self.ready = reader, reader.limits, ready
         self.former: Reader | None = None
         self.follow_until = -math.inf
         # Each request may want a socket to a server; some more are for the counter, discovery and the log.
-        self.most = max(8, (config.descriptors - 32) // 2)
+        self.most = max(8, (descriptors - 32) // 2)
         self.connections: set[Connection] = set()
         self.ids: set[bytes] = set()  # of the requests that wait for an answer
-        self.room = Room(config.memory)
+        self.room = Room(memory)
         self.draining = self.told_ready = False
 
-    def renew(self, config: Config) -> None:
-        """Read what comes from now on by other settings."""
-        self.config, self.former, self.reader = config, self.reader, Reader(config)
-        self.follow_until = self.core.clock.now() + FOLLOW
+    def renew(self, reader: Reader, follow: float) -> None:
+        """Read what comes from now on by other settings, and by the former what only they know, for `follow`
+        seconds."""
+        self.former, self.reader, self.limits = self.reader, reader, reader.limits
+        self.follow_until = self.core.clock.now() + follow
 
     def read(self, head: h11.Request, body: bytes, came: float, reply: Callable[[Answer], None],
              stream: Body | None = None, coming: float = 0.0) -> Exchange:
--- /dev/null
+++ b/finchshelf/transport/exchange.py
@@ -0,0 +1,128 @@
+"""What the sockets and a program's core hand each other: exchanges, attempts, their ends; and what both name.
+
+Owns these forms and what the sockets ask of any core (`Port`). It must never decide, wait, touch a socket or
+know what a program's own headers say.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, MutableMapping
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+import trio
+
+from finchshelf.admission import interface as i
+from finchshelf.transport.address import Address
+from finchshelf.transport.bodies import Body
+
+Headers = list[tuple[bytes, bytes]]
+HOP_BY_HOP = frozenset((b"connection", b"keep-alive", b"proxy-authenticate", b"proxy-authorization", b"te",
+                        b"trailer", b"transfer-encoding", b"upgrade", b"content-length"))
+
+
+class Clock:
+    """Unix time at start plus the monotonic time since: never goes back, the same at all limiters."""
+
+    def __init__(self) -> None:
+        self.origin = time.time() - time.monotonic()
+
+    def now(self) -> float:
+        return self.origin + time.monotonic()
+
+
+class Log(Protocol):
+    """What the sockets tell the staff by; `telemetry.Telemetry` is one."""
+
+    @property
+    def count(self) -> MutableMapping[str, int]: ...
+    def log(self, event: str, **fields: Any) -> None: ...
+    def rare(self, event: str, **fields: Any) -> None: ...
+
+
+class Port(Protocol):
+    """A program's core, as far as both sides' sockets need it. `put` takes what they have to tell, without
+    waiting: each file says what that is."""
+
+    @property
+    def clock(self) -> Clock: ...
+    @property
+    def telemetry(self) -> Log: ...
+    def put(self, item: Any) -> None: ...
+
+
+@dataclass(slots=True)
+class Answer:
+    """A final answer on its way to a client; `more`, of a large one: the rest of its body as it comes."""
+
+    status: int
+    headers: Headers
+    body: bytes = b""
+    more: trio.MemoryReceiveChannel[bytes] | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Exchange:
+    """One request that a client waits for: what was asked, and what takes the answer without waiting. A
+    program's own kind adds what its core needs to know."""
+
+    id: int
+    until: float  # when its client's time is up; of one that still comes the latest that it may be
+    reply: Callable[[Answer], None]
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    key: bytes = b""  # no other request that waits may have it; b"": it has none
+    stream: Body | None = None  # in place of `body`: one that is too large to keep, as it comes
+    wait: float = 0.0  # s that its client waits from its last byte on
+    attempts: int = 0
+
+    def arrived(self, now: float) -> None:
+        """Its last byte is here."""
+        self.until = min(self.until, now + self.wait)
+
+    @property
+    def again(self) -> bool:
+        """Can it be sent once more?"""
+        return self.stream is None or self.stream.again
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One attempt out at a server; `servers` runs it and ends it with exactly one `Ended`."""
+
+    exchange: Exchange
+    number: int
+    server: str
+    address: Address
+    limit: float
+    issued: float
+    until: float = 0.0  # its exchange's, as `limit` knows it
+    cancelled: bool = False
+    scope: trio.CancelScope | None = None
+
+    def cancel(self) -> None:
+        self.cancelled = True
+        if self.scope is not None:
+            self.scope.cancel()
+
+
+@dataclass(slots=True)
+class Ended:
+    """How an attempt ended, with the answer where there is one to pass on."""
+
+    attempt: Attempt
+    status: i.Status
+    answer: Answer | None = None
+    used: int = 0
+    true_units: int = 0
+    load: dict[str, float] | None = None
+
+
+@dataclass(slots=True)
+class Arrived:
+    """The last byte of a streamed request is here: its client's time counts from then (`Exchange.until`)."""
+
+    exchange: Exchange
--- a/finchshelf/node/net.py
+++ b/finchshelf/transport/net.py
@@ -1,4 +1,4 @@
-"""Streams the way this node uses them: numeric addresses, no delay, served by trio.
+"""Streams the way these programs use them: numeric addresses, no delay, served by trio.
 
 Owns how a socket is opened, waited for, read and written. It must never look up a name, start a thread,
 block, or know what the bytes mean.
@@ -13,7 +13,7 @@
 
 import trio
 
-from finchshelf.node.config import Address
+from finchshelf.transport.address import Address
 
 CHUNK = 65536
 MOST_BODY = 65536
--- a/finchshelf/node/servers.py
+++ b/finchshelf/transport/servers.py
@@ -1,41 +1,31 @@
-"""Everything between this node and the servers: pools of connections, attempts, probes.
+"""Everything between a program and the servers: pools of connections, attempts, probes.
 
 Owns the connections to servers. Each attempt is a task with a cancel scope of its own and ends with exactly
-one `Ended` on the core's queue. It must never choose a server, send anything a second time, or call an end
+one `Ended` on the core's queue, each probe with one `Probed`. What a request says and an answer means is the
+program's (`Dialect`). It must never choose a server, send anything a second time, or call an end
 "never ran" that may have run: whether the last byte was written decides.
 """
 
 from __future__ import annotations
 
-import re
+from collections.abc import Mapping
 from dataclasses import dataclass
+from typing import Protocol
 
 import h11
 import trio
 
 from finchshelf.admission import interface as i
-from finchshelf.node import net
-from finchshelf.node.bodies import Cut
-from finchshelf.node.config import Address, Config
-from finchshelf.node.core import Answer, Attempt, Core, Ended, Headers
+from finchshelf.transport import net
+from finchshelf.transport.address import Address
+from finchshelf.transport.bodies import Cut
+from finchshelf.transport.exchange import HOP_BY_HOP, Answer, Attempt, Ended, Exchange, Headers, Port
 
-IDLE_SHARE = 0.5  # of the server's idle close, after which a connection is not used again
 REST = 0.002  # s after an answer until its connection may carry the next request
 MOST_INTERIM = 16  # 1xx answers in front of one
-MOST_TOLD = 1e9  # no figure that a server tells is larger
-TRUE_UNITS = 16  # times the most units of a request that its true ones may be
 SWEEP = 1.0  # s between two looks at idle connections
 PIECE = 10.0  # s for the next piece of a large answer or body, from or to a server, or to a client
 PROBE_LIMIT = 0.25  # s for a probe, its connection included
-HOP_BY_HOP = frozenset((b"connection", b"keep-alive", b"proxy-authenticate", b"proxy-authorization", b"te",
-                        b"trailer", b"transfer-encoding", b"upgrade", b"content-length"))
-OURS = frozenset((b"x-load-report", b"x-meter", b"x-settled", b"x-rejected"))
-REPORT = {b"inflight": "held", b"queue": "queued", b"util": "busy", b"qps": "served", b"eps": "failed",
-          b"latency_ms": "service", b"busy_reqs": "held", b"pending": "queued", b"cpu_share": "busy",
-          b"svc_ms": "service", b"served_ps": "served", b"failed_ps": "failed"}
-
-
-FIGURE = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,18})?(e-?[0-9]{1,2})?")
 
 
 class Broken(Exception):
@@ -44,22 +34,59 @@
 
 @dataclass(slots=True)
 class Reply:
-    """An answer; `large`: only its first part is in `body`, the rest is still to be read."""
+    """An answer; `large`: only its first part is in `body`, the rest is still to be read. `most_idle`: set by
+    who reads it, the seconds that its connection may idle from now on (`Connection.most_idle`)."""
 
     status: int
     headers: Headers
     body: bytes
     large: bool = False
+    most_idle: float | None = None
+
+
+class Core(Port, Protocol):
+    """What the servers' side asks of a program's core."""
+
+    @property
+    def addresses(self) -> Mapping[str, Address]:
+        """Where each server is now: a connection to one that is elsewhere, or not here, is not kept."""
+
+
+class Dialect(Protocol):
+    """What goes to servers, and what they say, in a program's words. Nothing here may wait."""
+
+    @property
+    def connect_limit(self) -> float:
+        """Seconds for a connection to come up."""
+
+    @property
+    def most_idle(self) -> float:
+        """Seconds after which an idle connection is not used again."""
+
+    def head(self, attempt: Attempt, now: float) -> h11.Request:
+        """The head under which an exchange goes on; `framing` has the length of its body."""
+
+    def read(self, reply: Reply, attempt: Attempt, ended: Ended) -> None:
+        """What an answer means: `ended.status` (OK, FULL or ERROR, else its connection is not kept) and the
+        rest of `ended`. Any status may be passed on as `ended.answer` (`onward` makes it). One that is no
+        answer raises `Broken`: that is a reset."""
+
+    def probe(self, server: str, address: Address) -> h11.Request: ...
+
+    def probed(self, reply: Reply) -> tuple[i.Status, dict[str, float]]:
+        """What the answer to a probe means, and the load that it tells."""
 
 
 class Connection:
-    """One connection to a server, by its id and address; h11 holds its one buffer."""
+    """One connection to a server, by its id and address; h11 holds its one buffer. `most_idle`: the seconds
+    that it may idle, None where the pool's hold."""
 
-    __slots__ = ("address", "http", "server", "stream", "used")
+    __slots__ = ("address", "http", "most_idle", "server", "stream", "used")
 
     def __init__(self, server: str, address: Address, stream: net.Stream, now: float) -> None:
         self.server, self.address, self.stream, self.used = server, address, stream, now
         self.http = h11.Connection(h11.CLIENT)
+        self.most_idle: float | None = None
 
     async def write(self, request: h11.Request, body: bytes) -> None:
         data = self.http.send(request) or b""
@@ -142,19 +169,19 @@
 
 
 class Servers:
-    def __init__(self, core: Core, config: Config, nursery: trio.Nursery) -> None:
+    def __init__(self, core: Core, dialect: Dialect, nursery: trio.Nursery, descriptors: int) -> None:
+        """`descriptors`: the process's limit."""
         self.core, self.nursery, self.clock = core, nursery, core.clock
         self.telemetry, self.count = core.telemetry, core.telemetry.count
-        self.most = max(8, (config.descriptors - 32) // 2)
+        self.most = max(8, (descriptors - 32) // 2)
         self.idle: dict[str, list[Connection]] = {}
         self.open = 0
-        self.renew(config)
+        self.renew(dialect)
 
-    def renew(self, config: Config) -> None:
-        """Go by these settings from now on."""
-        self.connect_limit = config.around.connect_limit or 1.0
-        self.most_idle = (config.around.idle_close or 10.0) * IDLE_SHARE
-        self.most_units = TRUE_UNITS * config.settings.max_units or MOST_TOLD
+    def renew(self, dialect: Dialect) -> None:
+        """Go by these words and figures from now on."""
+        self.dialect = dialect
+        self.connect_limit, self.most_idle = dialect.connect_limit, dialect.most_idle
 
     # ---- for the core: nothing here waits ----
 
@@ -183,12 +210,15 @@
             del stack[place]
             # Danger: what is written to a connection that the server has closed ends as a reset that may
             # have run. So none is used that is near its time, or that has something to say already.
-            if now - connection.used < self.most_idle and connection.stream.silent():
+            if now - connection.used < self.may_idle(connection) and connection.stream.silent():
                 self.count["servers.reused"] += 1
                 return connection
             self.close(connection)
         return None
 
+    def may_idle(self, connection: Connection) -> float:
+        return self.most_idle if connection.most_idle is None else connection.most_idle
+
     async def open_one(self, server: str, address: Address) -> Connection:
         if self.open >= self.most:
             self.close_oldest()
@@ -221,11 +251,11 @@
     async def sweep(self) -> None:
         while True:
             await trio.sleep(SWEEP)
-            oldest = self.clock.now() - self.most_idle
-            for server in list(self.idle):
-                stack = self.idle[server]
-                while stack and stack[0].used < oldest:
-                    self.close(stack.pop(0))
+            now = self.clock.now()
+            for server, stack in list(self.idle.items()):
+                for connection in [one for one in stack if one.used < now - self.may_idle(one)]:
+                    stack.remove(connection)
+                    self.close(connection)
                 if not stack:
                     del self.idle[server]
 
@@ -249,14 +279,15 @@
                 # now. What has not begun within the time to connect has not begun at all.
                 if connection is not None and self.clock.now() - attempt.issued <= self.connect_limit:
                     if stream is None:
-                        await connection.write(head(attempt, self.clock.now()), attempt.exchange.body)
+                        await connection.write(self.dialect.head(attempt, self.clock.now()),
+                                               attempt.exchange.body)
                         written, ended.status = True, i.Status.RESET
                     else:
-                        await connection.part(head(attempt, self.clock.now()))
+                        await connection.part(self.dialect.head(attempt, self.clock.now()))
                         stream.reader = upload
                         self.nursery.start_soon(self.upload, connection, attempt, upload)
                     reply = await connection.read()
-                    read(reply, ended, self.most_units)
+                    self.read(connection, reply, attempt, ended)
             except (OSError, Broken, h11.LocalProtocolError, trio.TooSlowError):
                 # The status so far says what that means: before the last byte unreachable, then reset.
                 ended.status = i.Status.RESET if upload.written else ended.status
@@ -281,6 +312,17 @@
                 self.close(connection)
         self.core.put(ended)
 
+    def read(self, connection: Connection, reply: Reply, attempt: Attempt, ended: Ended) -> None:
+        """What an answer means; nothing where that can't be told."""
+        before = ended.status
+        try:
+            self.dialect.read(reply, attempt, ended)
+        except Exception:
+            ended.status, ended.answer = before, None
+            raise
+        if reply.most_idle is not None:
+            connection.most_idle = reply.most_idle
+
     async def upload(self, connection: Connection, attempt: Attempt, upload: Upload) -> None:
         """A body, as it comes from its client and as fast as the server takes it."""
         stream, at = attempt.exchange.stream, 0
@@ -329,12 +371,12 @@
         with trio.move_on_after(PROBE_LIMIT):
             try:
                 connection = self.take(server) or await self.open_one(server, address)
-                ask = h11.Request(method="GET", target="/load", headers=[("Host", str(address))])
-                await connection.write(ask, b"")
+                await connection.write(self.dialect.probe(server, address), b"")
                 probed = i.Status.TIMEOUT
                 reply = await connection.read()
-                load = report(reply.body)
-                probed = i.Status.OK if reply.status == 200 else i.Status.ERROR
+                probed, load = self.dialect.probed(reply)
+                if reply.most_idle is not None:
+                    connection.most_idle = reply.most_idle
             except (OSError, Broken, h11.LocalProtocolError):
                 probed = i.Status.RESET if probed is i.Status.TIMEOUT else probed
         if connection is not None:
@@ -345,18 +387,26 @@
         self.core.put(i.Probed(server, probed, self.clock.now() - began, load))
 
 
-def head(attempt: Attempt, now: float) -> h11.Request:
-    """The client's request as it goes on: all but the time that is left and the framing passes unchanged."""
-    exchange = attempt.exchange
-    left = max(1, int((attempt.issued + attempt.limit - now) * 1000))
-    headers = [*exchange.headers, (b"X-Budget-Ms", b"%d" % left)]
+def framing(exchange: Exchange) -> Headers:
+    """The header that says where a request's body ends, if it may have one."""
     if exchange.stream is not None:
         length = exchange.stream.length
-        headers.append((b"Transfer-Encoding", b"chunked") if length is None
-                       else (b"Content-Length", b"%d" % length))
-    elif exchange.body or exchange.method != b"GET":
-        headers.append((b"Content-Length", b"%d" % len(exchange.body)))
-    return h11.Request(method=exchange.method, target=exchange.target, headers=headers)
+        return [(b"Transfer-Encoding", b"chunked") if length is None else (b"Content-Length", b"%d" % length)]
+    if exchange.body or exchange.method not in (b"GET", b"HEAD"):
+        return [(b"Content-Length", b"%d" % len(exchange.body))]
+    return []
+
+
+def onward(reply: Reply, method: bytes, ours: frozenset[bytes]) -> Answer:
+    """An answer as it goes on to its client, without the headers of `ours` and those of one connection."""
+    headers = [pair for pair in reply.headers if pair[0] not in HOP_BY_HOP and pair[0] not in ours]
+    if reply.large or method == b"HEAD" or reply.status in (204, 304):
+        length = next((value for name, value in reply.headers if name == b"content-length"), None)
+    else:
+        length = b"%d" % len(reply.body)
+    if length is not None:  # else it goes on in chunks
+        headers.append((b"Content-Length", length))
+    return Answer(reply.status, headers, reply.body)
 
 
 def fits(status: int, headers: Headers) -> bool:
@@ -370,40 +420,3 @@
             raise Broken("body too large")
         return int(lengths[0]) > net.MOST_BODY
     return False
-
-
-def read(reply: Reply, ended: Ended, most_units: float) -> None:
-    """What a whole answer means, by the protocol's table."""
-    told = dict(reply.headers)
-    ended.used, settled = whole(told.get(b"x-meter"), 1), whole(told.get(b"x-settled"))
-    ended.true_units = settled if settled <= most_units else 0
-    if b"x-load-report" in told:
-        ended.load = report(told[b"x-load-report"])
-    if reply.status == 200:
-        ended.status = i.Status.OK
-        headers = [pair for pair in reply.headers if pair[0] not in HOP_BY_HOP and pair[0] not in OURS]
-        length = told.get(b"content-length") if reply.large else b"%d" % len(reply.body)
-        if length is not None:  # else it goes on in chunks
-            headers.append((b"Content-Length", length))
-        ended.answer = Answer(200, headers, reply.body)
-    elif reply.status in (503, 504) and told.get(b"x-rejected") == b"1":
-        ended.status = i.Status.FULL
-    else:
-        ended.status = i.Status.ERROR
-
-
-def whole(text: bytes | None, more: int = 0) -> int:
-    """A header's whole number, 0 where there is none that makes sense."""
-    return int(text) + more if text is not None and text.isdigit() and len(text) < 10 else 0
-
-
-def report(text: bytes) -> dict[str, float]:
-    """`TEXT inflight=7, queue=2, util=0.61`; keys that nobody knows are skipped."""
-    load: dict[str, float] = {}
-    for pair in text.removeprefix(b"TEXT").split(b","):
-        key, _, value = pair.strip().partition(b"=")
-        name = REPORT.get(key)
-        # Danger: float() takes nan and inf, which no later comparison finds.
-        if name is not None and FIGURE.fullmatch(value) and float(value) <= MOST_TOLD:
-            load[name] = float(value)
-    return load
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -21,8 +21,9 @@
 
 from finchshelf.__main__ import Node, serve
 from finchshelf.node import config as configuration
-from finchshelf.node.config import Address, Config
-from finchshelf.node.telemetry import Telemetry
+from finchshelf.node.config import Config
+from finchshelf.transport.address import Address
+from finchshelf.transport.telemetry import Telemetry
 
 LIMIT = 20.0  # s for a whole test: far more than any takes
 
--- a/tests/test_node_clients.py
+++ b/tests/test_node_clients.py
@@ -4,16 +4,17 @@
 
 import contextlib
 import time
+from dataclasses import replace
 
 import pytest
 import trio
 
 from finchshelf.admission import interface as i
-from finchshelf.node import clients as clients_module
-from finchshelf.node import net
-from finchshelf.node.clients import MOST_AHEAD, Connection
-from finchshelf.node.core import Answer
-from finchshelf.node.servers import REST
+from finchshelf.node import dialect
+from finchshelf.transport import net
+from finchshelf.transport.clients import MOST_AHEAD, Connection
+from finchshelf.transport.exchange import Answer
+from finchshelf.transport.servers import REST
 from tests.stand_ins import Client, Got, World, always, call, ok, trio_test, until, world
 from tests.stand_ins import status as answer_of
 
@@ -389,7 +390,7 @@
 
 @trio_test
 async def test_client_that_asks_once_and_stays_is_let_go(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(clients_module, "KEPT", 2.0)
+    monkeypatch.setattr(dialect, "LIMITS", replace(dialect.LIMITS, kept=2.0))
     async with world(always(ok())) as w:
         client = await w.client()
         assert (await client.ask(call())).status == 200
--- a/tests/test_node_core.py
+++ b/tests/test_node_core.py
@@ -12,9 +12,10 @@
 import trio
 
 from finchshelf.admission import interface as i
-from finchshelf.node.config import Address
-from finchshelf.node.core import Answer, Attempt, Clock, Core, Ended, Exchange, Listed
-from finchshelf.node.telemetry import Telemetry
+from finchshelf.node.core import Core, Exchange, Listed
+from finchshelf.transport.address import Address
+from finchshelf.transport.exchange import Answer, Attempt, Clock, Ended
+from finchshelf.transport.telemetry import Telemetry
 from tests.stand_ins import Quiet, config, trio_test, until
 
 ADDRESS = Address("127.0.0.1", 9)
@@ -82,7 +83,7 @@
     assert answers == [good] and not core.live and not core.out
     outcome = told.events[-1][0]
     assert isinstance(outcome, i.Outcome) and outcome.final
-    core.act([i.Refuse(attempt.exchange.request.id), i.Fail(attempt.exchange.request.id)], 0.0, core.limiter)
+    core.act([i.Refuse(attempt.exchange.id), i.Fail(attempt.exchange.id)], 0.0, core.limiter)
     assert answers == [good]
 
 
@@ -91,8 +92,8 @@
     answers: list[Answer] = []
     core.turn([exchange(core, answers)])
     attempt = servers.started[0]
-    core.turn([i.ClientGone(attempt.exchange.request.id)])
-    core.turn([i.ClientGone(attempt.exchange.request.id)])  # told once only
+    core.turn([i.ClientGone(attempt.exchange.id)])
+    core.turn([i.ClientGone(attempt.exchange.id)])  # told once only
     core.turn([Ended(attempt, i.Status.OK, Answer(200, []))])
     kinds = [type(event) for event, _ in told.events]
     assert kinds == [i.Members, i.Request, i.ClientGone, i.Outcome]
--- a/tests/test_node_counter.py
+++ b/tests/test_node_counter.py
@@ -11,9 +11,10 @@
 
 from finchshelf.admission import interface as i
 from finchshelf.node import counter as module
-from finchshelf.node import net
-from finchshelf.node.core import Clock, Core
+from finchshelf.node.core import Core
 from finchshelf.node.counter import Counter, number
+from finchshelf.transport import net
+from finchshelf.transport.exchange import Clock
 from tests import stand_ins
 from tests.stand_ins import Quiet, Say, config, trio_test, until
 
--- a/tests/test_node_life.py
+++ b/tests/test_node_life.py
@@ -17,7 +17,8 @@
 import pytest
 import trio
 
-from finchshelf.node.config import Address, ConfigError, read
+from finchshelf.node.config import ConfigError, read
+from finchshelf.transport.address import Address
 from tests.stand_ins import (
     Client,
     Counter,
--- a/tests/test_node_servers.py
+++ b/tests/test_node_servers.py
@@ -10,10 +10,12 @@
 import trio
 
 from finchshelf.admission import interface as i
-from finchshelf.node import net
-from finchshelf.node.config import Address
-from finchshelf.node.core import Attempt, Clock, Core, Ended, Exchange, Item
-from finchshelf.node.servers import REST, Servers, report
+from finchshelf.node.core import Core, Exchange, Item
+from finchshelf.node.dialect import Words, report
+from finchshelf.transport import net
+from finchshelf.transport.address import Address
+from finchshelf.transport.exchange import Attempt, Clock, Ended
+from finchshelf.transport.servers import REST, Servers
 from tests.stand_ins import (
     Got,
     Plan,
@@ -76,7 +78,7 @@
         await server.start(nursery)
         core = Kept(config(), Clock(), Quiet())
         core.addresses = {"s0": server.address}
-        yield Bench(core, Servers(core, config(), nursery), server)
+        yield Bench(core, Servers(core, Words(config()), nursery, config().descriptors), server)
         nursery.cancel_scope.cancel()
 
 
--- a/tests/test_node_upgrade.py
+++ b/tests/test_node_upgrade.py
@@ -10,9 +10,10 @@
 import trio
 
 from finchshelf.__main__ import another
-from finchshelf.node import net
-from finchshelf.node.config import Address
-from finchshelf.node.core import OVERLAP, Clock, Core
+from finchshelf.node.core import OVERLAP, Core
+from finchshelf.transport import net
+from finchshelf.transport.address import Address
+from finchshelf.transport.exchange import Clock
 from tests.stand_ins import Client, Quiet, call, config, trio_test, until
 from tests.test_node_life import Run, running, spawn
 
--- a/tests/test_node_uploads.py
+++ b/tests/test_node_uploads.py
@@ -13,8 +13,10 @@
 import trio
 
 from finchshelf.admission import interface as i
-from finchshelf.node import bodies, clients, core, servers
-from finchshelf.node.bodies import MOST_REQUEST, PIECE, WINDOW, Body, Cut, Room
+from finchshelf.node import core, dialect
+from finchshelf.node.dialect import MOST_REQUEST
+from finchshelf.transport import bodies, clients, servers
+from finchshelf.transport.bodies import PIECE, WINDOW, Body, Cut, Room
 from tests.stand_ins import Client, Listening, World, call, ok, status, trio_test, until, world
 from tests.test_node_life import running
 from tests.world import Counter, Gateway, attempts
@@ -227,7 +229,7 @@
 @trio_test
 async def test_who_falls_behind_the_least_rate_is_cut_off_but_not_for_its_server(
         monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(clients, "SLOW_READ", 0.5)
+    monkeypatch.setattr(dialect, "LIMITS", replace(dialect.LIMITS, slow_read=0.5))
     monkeypatch.setattr(clients, "LEAST_RATE", 1e9)  # no credit for what came quickly
     gate = trio.Event()
 
@@ -306,7 +308,7 @@
 
 @trio_test
 async def test_a_body_beyond_the_most_is_refused_where_that_shows(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(clients, "MOST_REQUEST", 200_000)
+    monkeypatch.setattr(dialect, "LIMITS", replace(dialect.LIMITS, most_request=200_000))
     async with world(Taker(takes_all)) as w:
         client = await w.client()
         await client.send(post(-1) + b"%x\r\n" % 300_000 + BIG[:250_000])
