--- a/finchshelf/dataplane/dialect.py
+++ b/finchshelf/dataplane/dialect.py
@@ -15,7 +15,7 @@
 from finchshelf.configuration.document import Configuration, Route, Tenant
 from finchshelf.transport.address import Address
 from finchshelf.transport.bodies import Body
-from finchshelf.transport.clients import BadRequest, Limits, headers_once
+from finchshelf.transport.clients import BadRequest, Limits, head_size, headers_once
 from finchshelf.transport.exchange import HOP_BY_HOP, Answer, Attempt, Ended, Exchange
 from finchshelf.transport.servers import Broken, Reply, framing, onward
 
@@ -62,6 +62,8 @@
             kept_headers=((b"Keep-Alive", b"timeout=%d" % max(1, int(bounds.idle_time) - 2)),))
 
     def head(self, event: h11.Request) -> dict[bytes, bytes]:
+        if head_size(event) > self.limits.most_head:
+            raise BadRequest("head", 431)
         return headers_once(event, ONCE)
 
     def call(self, event: h11.Request, body: bytes, number: int, came: float,
--- a/finchshelf/membership/rendezvous.py
+++ b/finchshelf/membership/rendezvous.py
@@ -19,7 +19,5 @@
 
 
 def first(key: str, names: Iterable[str]) -> str | None:
-    def by_weight(name: str) -> bytes:
-        return weight(key, name)
-
-    return max(names, key=by_weight, default=None)
+    found = max(((weight(key, name), name) for name in names), default=None)
+    return found[1] if found is not None else None
--- a/finchshelf/transport/__init__.py
+++ b/finchshelf/transport/__init__.py
@@ -1,1 +1,1 @@
-"""What old and new programs share between sockets and decisions."""
+"""HTTP/1.1 between clients, a program and servers; what a program's words mean stays with that program."""
