--- a/finchshelf/controlplane/__main__.py
+++ b/finchshelf/controlplane/__main__.py
@@ -89,12 +89,13 @@
     except SettingsError as error:
         print(f"finchshelf: {error}", file=sys.stderr)
         return 2
+    status = 0
     try:
         trio.run(serve, boot, Telemetry(boot.node), secrets.randbits(32))
     except* OSError as group:
         print(f"finchshelf: cannot serve: {group.exceptions[0]}", file=sys.stderr)
-        return 1
-    return 0
+        status = 1
+    return status
 
 
 if __name__ == "__main__":
--- a/finchshelf/transport/frames.py
+++ b/finchshelf/transport/frames.py
@@ -44,7 +44,7 @@
 def unpack(data: bytes) -> Any:
     """A message that came; ValueError where it is none. Depth is bounded by msgpack itself (512)."""
     try:
-        return msgpack.unpackb(data, raw=False, strict_map_key=False, max_buffer_size=MOST_FRAME)
+        return msgpack.unpackb(data, raw=False, strict_map_key=False)
     except ValueError:
         raise
     except Exception as error:
