--- a/finchshelf/controlplane/cells.py
+++ b/finchshelf/controlplane/cells.py
@@ -35,6 +35,7 @@
     life: int = 0
     rev: int = -1
     own: int = -1
+    named: int = -1
     limiters: tuple[Limiter, ...] = ()
 
 
--- a/finchshelf/controlplane/news.py
+++ b/finchshelf/controlplane/news.py
@@ -174,7 +174,7 @@
 
     async def ask_once(self, control: Control) -> None:
         cells, me, decided = self.cells, self.register.me, self.register.decided
-        have = {"life": control.life, "rev": control.rev, "own": control.own,
+        have = {"life": control.life, "rev": control.rev, "own": control.own, "named": control.named,
                 "slot": decided.slot if decided else -1}
         answer = await self.link(control.address).ask(
             "news", {"op": "news", "have": have, "wait": BETWEEN,
@@ -182,7 +182,7 @@
         now = self.clock.now()
         cells.hear(control, now)
         if answer["life"] != control.life:
-            control.life, control.rev, control.own = int(answer["life"]), -1, -1
+            control.life, control.rev, control.own, control.named = int(answer["life"]), -1, -1, -1
             if answer.get("none"):
                 return
         news = False
@@ -193,6 +193,7 @@
             news |= cells.limiters_of(control, answer["limiters"], int(answer["own"]), now)
         if "value" in answer:
             self.register.learn(Value.unpack(answer["value"]))
+        control.named = int(answer.get("named", control.named))
         for address, zone in answer.get("controls", ()):
             met = cells.meet(str(address))
             if met is not None:
