--- a/finchshelf/transport/frames.py
+++ b/finchshelf/transport/frames.py
@@ -109,7 +109,7 @@
                 self.waiting[number] = event, answer
                 await frames.write([number, message])
                 await event.wait()
-            except (OSError, trio.ClosedResourceError) as error:
+            except (OSError, trio.ClosedResourceError, trio.TooSlowError) as error:
                 self.drop()
                 raise PeerError(step, str(self.address), repr(error)) from None
             finally:
