--- a/finchshelf/controlplane/cells.py
+++ b/finchshelf/controlplane/cells.py
@@ -59,6 +59,7 @@
     def beat(self, record: Server, now: float) -> bool:
         """A beat that came here; True if others must hear of it."""
         self.heard[record.id] = now
+        record = replace(record, cell=self.address)
         known = self.servers.rows.get(record.id)
         if known is not None and known.lost and known.mode != GONE and record.count <= known.count:
             # Danger: lost by one number and alive by the same: the beat is the newer word of the two.
@@ -80,6 +81,10 @@
             record = read_server(row, now)
             if self.servers.put(record):
                 news = True
+                # Danger: a server that beats elsewhere by now is silent here, and no less alive.
+                self.heard.pop(record.id, None)
+                if record.cell == self.address and record.mode != GONE and not record.lost:
+                    self.heard[record.id] = now  # before this process started: to be heard from now on
                 if record.mode == GONE:
                     self.left.setdefault(record.id, now)
         return news
@@ -87,6 +92,10 @@
     def silent_servers(self, now: float) -> bool:
         """Those that beat here last and no longer do are lost; True if there are such."""
         least, news = now - self.pulse * LOST_BEATS - LOST_MORE, False
+        named = {address for address, _ in self.named}
+        for name, record in self.servers.rows.items():
+            if record.usable() and name not in self.heard and record.cell not in named:
+                self.heard[name] = now  # its cell is gone: whoever is left waits for its beats
         for name, at in list(self.heard.items()):
             record = self.servers.rows.get(name)
             if record is None or record.mode == GONE:
--- a/finchshelf/membership/records.py
+++ b/finchshelf/membership/records.py
@@ -23,7 +23,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Server:
-    """A life of a server. `warm_at`: s on the holder's own steady clock when it is no longer slow."""
+    """A life of a server. `warm_at`: s on the holder's own steady clock when it is no longer slow. `cell`: the
+    control plane that heard its last beat; only that one may call it lost."""
 
     id: str
     address: str
@@ -34,6 +35,7 @@
     mode: str = STABLE
     lost: bool = False
     warm_at: float = 0.0
+    cell: str = ""
 
     def rank(self) -> tuple[bool, int, bool]:
         return self.mode == GONE, self.count, self.lost
@@ -48,15 +50,15 @@
     def pack(self, now: float) -> list[Any]:
         """As said to another machine, whose clock is another: what is left of the slow time, in ms."""
         return [self.id, self.address, self.service, self.zone, self.capacity, self.count, self.mode,
-                self.lost, max(0, round((self.warm_at - now) * 1000))]
+                self.lost, max(0, round((self.warm_at - now) * 1000)), self.cell]
 
 
 def read_server(row: Any, now: float) -> Server:
     """A row of another of our processes."""
     try:
-        name, address, service, zone, capacity, count, mode, lost, warm = row
+        name, address, service, zone, capacity, count, mode, lost, warm, cell = row
         return Server(str(name), str(address), str(service), str(zone), int(capacity), int(count), str(mode),
-                      bool(lost), now + float(warm) / 1000)
+                      bool(lost), now + float(warm) / 1000, str(cell))
     except (TypeError, ValueError) as error:
         raise Unfit("read a server's record", "row", repr(error)) from None
 
