--- a/finchshelf/agreement/store.py
+++ b/finchshelf/agreement/store.py
@@ -69,7 +69,7 @@
         self._room = int(storage_mb * (1 << 20)) // len(GENERATIONS)
         self._known = False  # whether the files were looked at
         self._counter = 0  # highest ever seen; none is used twice
-        self._proved = False  # whether the generation that was loaded is known to be synced
+        self._proved = False  # whether what was loaded is known to be synced
         self._good: str | None = None  # the generation that no save may touch
         self._unsure = False  # the last save failed: the other generation may be sealed and newer
         self._last: bytes | None = None
@@ -85,7 +85,7 @@
         faults = [Fault(each.fault, each.path, each.counter > best or each.fault == "seal")
                   for each in found.values() if each.fault]
         state = None if self._good is None else found[self._good].state
-        self._known, self._proved, self._unsure = True, state is None, bool(faults)
+        self._known, self._proved, self._unsure = True, False, bool(faults)
         self._last = None
         return state, faults
 
@@ -104,12 +104,12 @@
         self._last = None
         with _step("folder", folder):
             self._make(folder)
-        if self._good is not None and not self._proved:
+        if not self._proved:
             # Danger: the program may have died between a seal and its sync. What was loaded is then whole to
             # read but gone at a power loss, and writing over the other generation would leave none.
-            good = self._folder / self._good
-            with _step("settle", good):
-                for path in (good / DATA, good / SEAL, good, self._folder):
+            with _step("settle", self._folder):
+                good = [] if self._good is None else [self._folder / self._good]
+                for path in (*(each / part for each in good for part in (DATA, SEAL, "")), self._folder):
                     _sync(path)
             self._proved = True
         if self._unsure:
--- /dev/null
+++ b/tests/stories/fleet.py
@@ -0,0 +1,220 @@
+"""Machines that agree, in memory: what can happen next is listed, and one of it done at a time.
+
+Owns the harm: loss, doubles, reordering, restarts that lose what wasn't synced, wiped disks.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import replace
+from typing import Any, TypeVar
+
+import msgpack
+
+from finchshelf.agreement import core
+
+ADDRESSES = ("a:1", "b:1", "c:1")
+Action = tuple[Any, ...]
+T = TypeVar("T")
+
+
+def _like(old: T) -> T:
+    new = object.__new__(type(old))
+    new.__dict__.update(old.__dict__)
+    return new
+
+
+class Split(Exception):
+    """What must never be: two values decided for one slot."""
+
+
+class Forgetful(core.Proposer):
+    """A mutant: ignores what was accepted."""
+
+    def _found(self) -> core.Value | None:
+        return None
+
+
+def add(change: str) -> Any:
+    def make(now: core.Value) -> core.Value | core.Refusal:
+        return replace(now, slot=now.slot + 1, version=now.version + 1,
+                       document=now.document + change.encode() + b" ")
+    return make
+
+
+def members(to: tuple[core.Member, ...]) -> Any:
+    return lambda now: replace(now, slot=now.slot + 1, members=to)
+
+
+class Fleet:
+    def __init__(self, mutant: str = "", lazy: bool = False) -> None:
+        self.mutant, self.lazy = mutant, lazy or mutant == "early"
+        self.acceptors = {each: core.Acceptor(core.Member(each, core.FIRST), core.genesis(ADDRESSES))
+                          for each in ADDRESSES}
+        self.disks = {each: msgpack.packb(one.state()) for each, one in self.acceptors.items()}
+        self.held: dict[str, tuple[Action, ...]] = {each: () for each in ADDRESSES}
+        self.net: frozenset[Action] = frozenset()  # (attempt, member, is a reply, packed message)
+        self.attempts: dict[str, core.Proposer] = {}
+        self.chosen: dict[int, core.Value] = {0: core.genesis(ADDRESSES)}
+        self.done: frozenset[str] = frozenset()  # acknowledged changes
+        self.wipes = 0
+
+    def clone(self) -> Fleet:
+        """Shares acceptors and attempts, which `touch` and `_hear` copy before they change them."""
+        new = _like(self)
+        new.acceptors, new.attempts = dict(self.acceptors), dict(self.attempts)
+        new.disks, new.held, new.chosen = dict(self.disks), dict(self.held), dict(self.chosen)
+        return new
+
+    def touch(self, address: str) -> core.Acceptor:
+        self.acceptors[address] = _like(self.acceptors[address])
+        return self.acceptors[address]
+
+    def key(self) -> Any:
+        return (self.net, self.wipes, tuple(self.disks.values()) if self.lazy else 0,
+                tuple((one.me, one.promised, one.accepted and (one.accepted[0], one.accepted[1].document))
+                      for one in self.acceptors.values()),
+                tuple((frozenset(one._promises), one._accepts, one._value and one._value.document,
+                       one.outcome is None) for one in self.attempts.values()))
+
+    def propose(self, name: str, address: str, change: Any, n: int) -> None:
+        decided = self.acceptors[address].decided
+        if decided is not None:
+            maker = Forgetful if self.mutant == "forgetful" else core.Proposer
+            self.attempts[name] = maker(address, decided, change, n)
+            self._send(name, self.attempts[name].start())
+
+    def _send(self, name: str, sends: core.Sends) -> None:
+        self.net |= {(name, to, False, msgpack.packb(message)) for to, message in sends}
+
+    def deliver(self, packet: Action, keep: bool = False) -> None:
+        if not keep:
+            self.net -= {packet}
+        name, to, is_reply, packed = packet
+        if is_reply:
+            self._hear(name, to, msgpack.unpackb(packed))
+            return
+        acceptor = self.touch(to.address)
+        reply, dirty = acceptor.handle(msgpack.unpackb(packed))
+        back = (name, to, True, msgpack.packb(reply))
+        if acceptor.decided is not None:
+            self._choose(acceptor.decided)
+        if dirty and self.lazy and self.mutant != "early":
+            self.held[to.address] += (back,)
+            return
+        if dirty and not self.lazy:
+            self.sync(to.address)
+        self.net |= {back}
+
+    def _hear(self, name: str, to: core.Member, reply: core.Message) -> None:
+        if name not in self.attempts:
+            return
+        attempt = self.attempts[name] = _like(self.attempts[name])
+        attempt._promises, attempt._asked = dict(attempt._promises), dict(attempt._asked)
+        before = attempt.outcome
+        self._send(name, attempt.on_reply(to, reply))
+        if isinstance(attempt.outcome, core.Decided) and before is None:
+            self._choose(attempt.outcome.value)
+            self.touch(attempt.ballot.address).learn(attempt.outcome.value)
+            if attempt.outcome.mine:
+                self.done |= {name}
+        elif isinstance(attempt.outcome, core.Retry):
+            if attempt.outcome.learned is not None:
+                self.touch(attempt.ballot.address).learn(attempt.outcome.learned)
+
+    def _choose(self, value: core.Value) -> None:
+        if self.chosen.setdefault(value.slot, value) != value:
+            raise Split(value.slot)
+
+    def sync(self, address: str) -> None:
+        one = self.touch(address)
+        self.disks[address] = msgpack.packb(one.state())
+        one.saved(one.revision)
+        self.net |= frozenset(self.held[address])
+        self.held[address] = ()
+
+    def restart(self, address: str) -> None:
+        self.acceptors[address] = core.Acceptor.restore(address, msgpack.unpackb(self.disks[address]))
+        self.held[address] = ()
+        self.attempts = {name: one for name, one in self.attempts.items() if one.ballot.address != address}
+
+    def wipe(self, address: str) -> None:
+        self.wipes += 1
+        me = core.Member(address, f"wiped {self.wipes}")
+        blank = core.Acceptor(me)
+        if self.mutant == "wiped":
+            blank = core.Acceptor(self.acceptors[address].me, self.chosen[0])
+        self.acceptors[address] = blank
+        self.attempts = {name: one for name, one in self.attempts.items() if one.ballot.address != address}
+        self.held[address] = ()
+        self.disks[address] = msgpack.packb(blank.state())
+
+    def recovered(self) -> bool:
+        """Whether another wipe may come: all members' disks are there, and a majority knows it durably."""
+        last = self.chosen[max(self.chosen)]
+        known = [msgpack.unpackb(self.disks[each.address])["decided"] == last.pack() for each in last.members
+                 if self.acceptors[each.address].me == each]
+        return len(known) == len(last.members) and sum(known) >= core.majority(len(last.members))
+
+    def heal(self, name: str) -> None:
+        """All is delivered in order until wiped disks are members again and a last change is decided."""
+        self.net, self.attempts = frozenset(), {}
+        for address in ADDRESSES:
+            self.sync(address)
+        n = 1000
+        for turn in range(12):
+            address = max(ADDRESSES, key=lambda each: self.acceptors[each]._slot())
+            now = self.acceptors[address].decided
+            assert now is not None
+            seen = {one.me: 0.0 for one in self.acceptors.values()}
+            to = core.next_members(now.members, seen, tuple(seen))
+            change = f"{name}{turn}" if to is None else f"m{name}{turn}"
+            self.propose(change, address, add(change) if to is None else members(to), n)
+            n = 1000 + 10 * turn
+            while self.net:
+                self.deliver(min(self.net))
+                for each in ADDRESSES:
+                    self.sync(each)
+            if to is None and change in self.done:
+                return
+        raise Split("nothing is decided any more")
+
+
+def explore(fleet: Fleet, limit: int, deep: bool = False) -> tuple[int, int]:
+    """The states seen, and the depth to which all were; Split if one is wrong.
+
+    A question is answered and the answer heard at once, or never: hearing it late changes nothing that
+    answers which are sent late don't. One wipe, or with late syncing one restart, may come anywhere.
+    """
+    seen, todo, full = {fleet.key()}, deque([(0, fleet)]), 0
+    while todo and len(seen) < limit:
+        full, now = todo.pop() if deep else todo.popleft()
+        for new in _next(now):
+            key = new.key()
+            if key not in seen:
+                seen.add(key)
+                todo.append((full + 1, new))
+    return len(seen), full
+
+
+def _next(now: Fleet) -> Iterator[Fleet]:
+    for packet in sorted(now.net):
+        unheard = now.clone()
+        unheard.deliver(packet)
+        reply, = (each for each in unheard.net if each[2])
+        unheard.net -= {reply}
+        yield unheard
+        heard = unheard.clone()
+        heard._hear(reply[0], reply[1], msgpack.unpackb(reply[3]))
+        if heard.attempts[packet[0]].outcome is not None:
+            heard.net = frozenset(each for each in heard.net if each[0] != packet[0])
+        yield heard
+    if not now.wipes:
+        new = now.clone()
+        new.wipes = 1
+        if now.lazy:
+            new.acceptors["b:1"] = core.Acceptor.restore("b:1", msgpack.unpackb(new.disks["b:1"]))
+        else:
+            new.wipe("b:1")
+        yield new
--- /dev/null
+++ b/tests/stories/test_agreement.py
@@ -0,0 +1,161 @@
+"""Stories of agreement: machines that race, lose messages, restart and lose disks decide one value a slot."""
+
+import random
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from finchshelf.agreement import core
+from tests.stories.fleet import ADDRESSES, Fleet, Split, add, explore, members
+
+A, B, C = core.genesis(ADDRESSES).members
+NEW_B, SPARE = core.Member("b:1", "x"), core.Member("d:1", "y")
+
+
+def play(seed: int, mutant: str = "") -> int:
+    """One random life of a fleet; how many changes were acknowledged."""
+    rng = random.Random(seed)
+    fleet = Fleet(mutant, lazy=True)
+    # Lives differ: the mutants are seen where restarts are many and syncs few, or the other way.
+    proposals, harm, syncs = rng.uniform(0.02, 0.1), rng.uniform(0.005, 0.05), rng.uniform(0.05, 0.4)
+    for step in range(1500):
+        address, chance = rng.choice(ADDRESSES), rng.random()
+        n = max(one.promised.n for one in fleet.acceptors.values()) + rng.randint(0, 2)
+        if chance < proposals:
+            fleet.propose(f"{step}", address, add(str(step)), n)
+        elif chance < proposals + 0.02:
+            now = fleet.acceptors[address].decided
+            silent = {one.me: 0.0 for one in fleet.acceptors.values()}
+            to = core.next_members(now.members, silent, tuple(silent)) if now else None
+            if to is not None:
+                fleet.propose(f"m{step}", address, members(to), n)
+        elif chance < proposals + 0.02 + harm:
+            fleet.restart(address)
+        elif chance < proposals + 0.02 + 2 * harm and fleet.recovered():
+            fleet.wipe(address)
+        elif chance < proposals + 0.02 + 2 * harm + syncs:
+            fleet.sync(address)
+        elif fleet.net:
+            packet = rng.choice(sorted(fleet.net))
+            if rng.random() < 0.05:
+                fleet.net -= {packet}
+            else:
+                fleet.deliver(packet, keep=rng.random() < 0.1)
+    fleet.heal("end")
+    kept = fleet.chosen[max(fleet.chosen)].document.decode().split()
+    if not fleet.done - {name for name in fleet.done if name.startswith("m")} <= set(kept):
+        raise Split("an acknowledged change is lost")
+    return len(fleet.done)
+
+
+def race(mutant: str = "") -> Fleet:
+    fleet = Fleet(mutant)
+    fleet.propose("one", "a:1", add("one"), 1)
+    fleet.propose("two", "c:1", add("two"), 2)
+    return fleet
+
+
+def test_given_loss_restarts_and_wipes_when_many_propose_then_nothing_acknowledged_is_lost() -> None:
+    assert sum(play(seed) for seed in range(200)) > 500
+
+
+@pytest.mark.parametrize("mutant", ["early", "wiped", "forgetful"])
+def test_given_a_guard_is_dropped_when_lives_are_played_then_it_is_seen(mutant: str) -> None:
+    with pytest.raises(Split):
+        for seed in range(300):
+            play(seed, mutant)
+
+
+def test_given_two_proposers_when_all_orders_are_tried_then_one_value_is_decided() -> None:
+    states, depth = explore(race(), limit=1_000_000)
+    assert states > 70_000 and depth == 13  # every state there is: the search ended by itself
+
+
+@pytest.mark.parametrize("mutant", ["early", "wiped", "forgetful"])
+def test_given_a_guard_is_dropped_when_all_orders_are_tried_then_it_is_seen(mutant: str) -> None:
+    with pytest.raises(Split):
+        explore(race(mutant), limit=100_000, deep=True)
+
+
+def test_given_two_operators_on_one_version_when_both_propose_then_one_alone_wins() -> None:
+    def change(document: bytes) -> Any:
+        def make(now: core.Value) -> core.Value | core.Refusal:
+            if now.version != 0:
+                return core.Refusal("done" if now.document == document else "version")
+            return replace(now, slot=now.slot + 1, version=1, document=document)
+        return make
+
+    for seed in range(30):
+        rng, fleet = random.Random(seed), Fleet()
+        ended: dict[str, str] = {}
+        for turn in range(60):
+            for name, address in (("one", "a:1"), ("two", "b:1")):
+                if name not in ended and turn % 6 == 0:
+                    fleet.propose(name, address, change(name.encode()), turn + 1 + (name == "two"))
+            for _ in range(12):
+                if fleet.net:
+                    fleet.deliver(rng.choice(sorted(fleet.net)))
+            for name, attempt in fleet.attempts.items():
+                if isinstance(attempt.outcome, core.Refused):  # "done": the other one finished it
+                    ended[name] = attempt.outcome.reason
+                elif name in fleet.done:
+                    ended[name] = "done"
+        assert sorted(ended.values()) == ["done", "version"]
+        assert ended[fleet.chosen[max(fleet.chosen)].document.decode()] == "done"
+
+
+def test_given_a_wiped_member_when_it_is_asked_then_it_has_no_vote_until_a_value_names_it() -> None:
+    wiped = core.Acceptor(NEW_B, core.genesis(ADDRESSES))
+    ask = {"kind": "prepare", "slot": 1, "ballot": [1, "a:1"]}
+    reply, _ = wiped.handle(ask)
+    assert reply["kind"] == "no_member"
+    attempt = core.Proposer("a:1", core.genesis(ADDRESSES), add("x"), 1)
+    promise = {"kind": "promise", "slot": 1, "ballot": [1, "a:1"], "accepted": None}
+    assert attempt.on_reply(A, {**promise, "from": list(A)}) == []
+    assert attempt.on_reply(B, {**promise, "from": list(NEW_B)}) == []  # at B's address, not B's disk
+    assert len(attempt.on_reply(C, {**promise, "from": list(C)})) == 3
+    wiped.learn(core.Value(1, (A, NEW_B, C)))
+    assert wiped.handle({**ask, "slot": 2})[0]["kind"] == "promise"
+
+
+def test_given_a_save_failed_when_the_message_comes_again_then_the_reply_still_waits_for_the_disk() -> None:
+    acceptor = core.Acceptor(A, core.genesis(ADDRESSES))
+    accept = {"kind": "accept", "slot": 1, "ballot": [1, "a:1"], "value": core.Value(1, (A, B, C)).pack()}
+    assert [acceptor.handle(accept)[1] for _ in range(2)] == [True, True]
+    acceptor.saved(acceptor.revision)
+    reply, dirty = acceptor.handle(accept)
+    assert reply == {"kind": "accepted", "slot": 1, "ballot": [1, "a:1"], "from": list(A)} and not dirty
+    assert core.Acceptor.restore("a:1", acceptor.state()).state() == acceptor.state()
+    for nonsense in ({}, {"kind": "accept"}, {"kind": "learn", "value": 7}, {**accept, "ballot": 3}):
+        assert acceptor.handle(nonsense)[0]["kind"] == "unknown"
+
+
+def test_given_answers_to_read_when_a_majority_holds_nothing_newer_then_the_value_is_fresh() -> None:
+    now = core.genesis(ADDRESSES)
+    states = {each: {"kind": "state", "slot": 0, "accepted": False, "from": list(each)} for each in (A, B)}
+    assert core.fresh(now, states)
+    assert not core.fresh(now, {A: states[A]})
+    assert not core.fresh(now, {**states, B: {**states[B], "from": list(NEW_B)}})
+    assert not core.fresh(now, {**states, B: {**states[B], "accepted": True}})
+
+
+@pytest.mark.parametrize(("silent", "candidates", "expected"), [
+    ({A: 0, B: 0, C: 0}, (), None),
+    ({A: 0, B: 0.5, C: 0, NEW_B: 0}, (NEW_B,), (A, NEW_B, C)),  # a wiped disk, at once
+    ({A: 0, B: 0, C: 0, NEW_B: 0.5}, (NEW_B,), None),  # an older disk of that address
+    ({A: 0, B: 0, C: 1.6, SPARE: 0}, (SPARE,), (A, B, SPARE)),  # a silent member
+    ({A: 0, B: 0, C: 1.4, SPARE: 0}, (SPARE,), (A, B, C, SPARE)),
+    ({A: 0, B: 0, C: 9, SPARE: 2}, (SPARE,), None),  # the spare is silent too
+    ({A: 0, B: 2, C: 2, SPARE: 0}, (SPARE,), None),  # no majority of the old is heard
+])
+def test_given_three_members_when_some_are_silent_then_one_change_is_named(
+        silent: dict[core.Member, float], candidates: tuple[core.Member, ...],
+        expected: tuple[core.Member, ...] | None) -> None:
+    assert core.next_members((A, B, C), silent, candidates) == expected
+
+
+def test_given_four_members_when_one_stays_silent_then_it_is_removed() -> None:
+    silent = {A: 0.0, B: 0.0, C: 0.0, SPARE: 3.1}
+    assert core.next_members((A, B, C, SPARE), silent, ()) == (A, B, C)
+    assert core.next_members((A, B, C, SPARE), {**silent, SPARE: 2.9}, ()) is None
