--- a/finchshelf/controlplane/cells.py
+++ b/finchshelf/controlplane/cells.py
@@ -97,12 +97,12 @@
             if record.usable() and name not in self.heard and record.cell not in named:
                 self.heard[name] = now  # its cell is gone: whoever is left waits for its beats
         for name, at in list(self.heard.items()):
-            record = self.servers.rows.get(name)
-            if record is None or record.mode == GONE:
+            known = self.servers.rows.get(name)
+            if known is None or known.mode == GONE:
                 del self.heard[name]
             elif at < least:
                 del self.heard[name]
-                news |= self.servers.put(replace(record, lost=True))
+                news |= self.servers.put(replace(known, lost=True))
         for name, at in list(self.left.items()):
             if now - at > GONE_KEPT:
                 del self.left[name]
