--- a/finchshelf/membership/records.py
+++ b/finchshelf/membership/records.py
@@ -23,7 +23,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Server:
-    """A life of a server. `warm_at`: s on the holder's own steady clock when it is no longer slow. `cell`: the
+    """A life of a server. `warm_at`: s on the holder's steady clock when it is no longer slow. `cell`: the
     control plane that heard its last beat; only that one may call it lost."""
 
     id: str
