--- a/finchshelf/controlplane/cells.py
+++ b/finchshelf/controlplane/cells.py
@@ -79,6 +79,10 @@
         news = False
         for row in rows:
             record = read_server(row, now)
+            known = self.servers.rows.get(record.id)
+            if record.lost and known is not None and known.newer(record) and known.usable():
+                self.servers.tell(record.id)  # someone takes it for lost by an older number: tell all again
+                news = True
             if self.servers.put(record):
                 news = True
                 # Danger: a server that beats elsewhere by now is silent here, and no less alive.
@@ -89,8 +93,14 @@
                     self.left.setdefault(record.id, now)
         return news
 
-    def silent_servers(self, now: float) -> bool:
-        """Those that beat here last and no longer do are lost; True if there are such."""
+    def silent_servers(self, now: float, in_touch: bool) -> bool:
+        """Those that beat here last and no longer do are lost; True if there are such. `in_touch`: with more
+        than half of the core."""
+        if not in_touch:
+            # Danger: a machine that is cut off hears nobody, and would tell those it still reaches that all
+            # servers are lost. It waits, and once it is back gives them time to be heard.
+            self.heard = dict.fromkeys(self.heard, now)
+            return False
         least, news = now - self.pulse * LOST_BEATS - LOST_MORE, False
         named = {address for address, _ in self.named}
         for name, record in self.servers.rows.items():
--- a/finchshelf/controlplane/news.py
+++ b/finchshelf/controlplane/news.py
@@ -240,7 +240,10 @@
         while True:
             await trio.sleep(SWEEP)
             now = self.clock.now()
-            if self.cells.silent_servers(now) | self.cells.silent_limiters(now):
+            decided, named = self.register.decided, {address for address, _ in self.cells.named}
+            members = {member.address for member in decided.members} if decided else set[str]()
+            in_touch = len(members & named) > len(members) // 2
+            if self.cells.silent_servers(now, in_touch) | self.cells.silent_limiters(now):
                 self.wake()
 
     async def mend(self, seeds: tuple[str, ...]) -> None:
--- a/finchshelf/dataplane/__main__.py
+++ b/finchshelf/dataplane/__main__.py
@@ -32,6 +32,7 @@
 LAST_WORD = 0.4  # s more for the first request on a connection taken late
 LEAVE = 0.4  # s before the platform's SIGKILL by which this process has ended
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1)
+TALLY = 5.0  # s between two lines of what the counters gained
 LOOK = 0.02  # s between two looks at what is still to be answered
 COLLECT_EVERY = 20_000  # new objects until the collector looks at the young ones: most die by count alone
 READY = b"/v1/readiness"
@@ -60,6 +61,7 @@
         gate = await net.listen(Address(*boot.readiness))
         accepting = trio.CancelScope()
         sweeps = core.servers.sweep, clients.sweep, readiness.sweep
+        nursery.start_soon(tally, telemetry)
         for task in (core.run, core.wire.run, follower.run, *sweeps):
             nursery.start_soon(task)
         nursery.start_soon(readiness.accept, gate)
@@ -84,6 +86,12 @@
     telemetry.counters("exit", unanswered=len(core.live))
 
 
+async def tally(telemetry: Telemetry) -> None:
+    while True:
+        await trio.sleep(TALLY)
+        telemetry.tally()
+
+
 async def accept(clients: Clients, listener: trio.socket.SocketType, scope: trio.CancelScope) -> None:
     with scope:
         await clients.accept(listener)
--- a/finchshelf/dataplane/choice.py
+++ b/finchshelf/dataplane/choice.py
@@ -13,7 +13,7 @@
 from random import Random
 
 from finchshelf.admission.interface import Status
-from finchshelf.membership.records import GONE, Server
+from finchshelf.membership.records import GONE, STABLE, Server
 
 OTHERS_FADE = 0.7  # s after which what others hold there, as last told, is worth 1/e: requests take that long
 OTHERS_SMOOTH = 0.1  # weight of one answer in what others hold there usually
@@ -105,10 +105,14 @@
 
     def pick(self, service: str, now: float, tried: Iterable[str] = ()) -> Server | None:
         """The server that should be done with one more soonest; None if none has room."""
-        best, least, tried = None, math.inf, set(tried)
-        for known in self.services.get(service, ()):
+        tried, all_of = set(tried), self.services.get(service, ())
+        usable = [known for known in all_of if known.record.usable()]
+        # Danger: whoever calls all servers lost at once is mistaken more likely than right. They are used.
+        usable = usable or [known for known in all_of if known.record.mode == STABLE]
+        best, least = None, math.inf
+        for known in usable:
             record = known.record
-            if not record.usable() or record.id in tried or now < known.away_until:
+            if record.id in tried or now < known.away_until:
                 continue
             held = known.open + known.others(now)
             if known.open and held + 1 > record.capacity * (1 + QUEUE_PART):
--- a/finchshelf/membership/records.py
+++ b/finchshelf/membership/records.py
@@ -135,10 +135,14 @@
         self.rows[server.id] = server
         told = known is None or replace(known, count=server.count, warm_at=server.warm_at) != server
         if told:
-            self.rev += 1
-            self.revs[server.id] = self.rev
+            self.tell(server.id)
         return told
 
+    def tell(self, name: str) -> None:
+        """Whoever asks next hears of it (again)."""
+        self.rev += 1
+        self.revs[name] = self.rev
+
     def since(self, rev: int) -> list[Server]:
         return [self.rows[name] for name, at in self.revs.items() if at > rev]
 
