Command line, numbered events, plain errors: what operators hold of the whole system

Change: `finchshelf` (click) starts the programs by becoming them, checks settings, configurations and deploy files, shows what control planes know over frames, makes the operator's calls the way the protocol asks, and runs a demo. `finchshelf/events.py` numbers every event; Telemetry adds the number where it is given a catalogue, the present node's lines are as before. Both programs share `finchshelf/program.py`: each error one line with step and peer, and a `fault` line. `configuration.change` lists all faults; check is its first.

--- /dev/null
+++ b/finchshelf/cli/show.py
@@ -0,0 +1,144 @@
+"""What a running system knows, asked of its control planes over frames: rows for a table or for a script.
+
+Owns the questions and how their answers become rows. It must never change anything at whom it asks, or
+show a tenant's keys.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import orjson
+import trio
+
+from finchshelf.agreement.core import Value
+from finchshelf.configuration.document import Configuration, read_configuration
+from finchshelf.counts.caller import Caller
+from finchshelf.membership.records import Unfit, read_limiter, read_server
+from finchshelf.transport.address import Address
+from finchshelf.transport.frames import Link, Message, PeerError
+
+LIMIT = 2.0  # s for one answer
+Row = dict[str, Any]
+
+
+async def ask(address: Address, message: Message) -> Message:
+    """One answer of one control plane; PeerError where there is none."""
+    outcome: Message | PeerError
+    async with trio.open_nursery() as nursery:
+        try:
+            outcome = await Link(address, nursery).ask("show", message, LIMIT)
+        except PeerError as error:  # past the nursery, which would put it into a group
+            outcome = error
+        nursery.cancel_scope.cancel()
+    if isinstance(outcome, PeerError):
+        raise outcome
+    return outcome
+
+
+async def first(addresses: list[Address], message: Message) -> Message:
+    """The answer of the first that gives one; PeerError of the last."""
+    for address in addresses[:-1]:
+        try:
+            return await ask(address, message)
+        except PeerError:
+            continue
+    return await ask(addresses[-1], message)
+
+
+async def versions(addresses: list[Address]) -> list[Row]:
+    """The version that each control plane has, by its own word."""
+    seen = await first(addresses, {"op": "show"})
+    rows: list[Row] = []
+
+    async def one(text: str, zone: str) -> None:
+        host, _, port = text.rpartition(":")
+        row: Row = {"control": text, "zone": zone, "version": None, "slot": None, "state": "silent"}
+        try:
+            told = seen if text == seen["address"] else await ask(Address(host, int(port)), {"op": "show"})
+            row |= {"zone": told["zone"], "version": f"{int(told['version']):08x}", "slot": told["slot"],
+                    "state": "up"}
+        except (PeerError, KeyError, TypeError, ValueError) as error:
+            row["state"] = f"silent: {error}" if isinstance(error, PeerError) else "not understood"
+        rows.append(row)
+
+    async with trio.open_nursery() as nursery:
+        for text, zone, *_ in [(seen["address"], seen["zone"]), *seen["controls"]]:
+            nursery.start_soon(one, str(text), str(zone))
+    return sorted(rows, key=lambda row: str(row["control"]))
+
+
+async def members(addresses: list[Address]) -> list[Row]:
+    """The members of the core, and how long each has been silent."""
+    seen = await first(addresses, {"op": "show"})
+    zones = {seen["address"]: (seen["zone"], 0.0)}
+    zones |= {row[0]: (row[1], float(row[2])) for row in seen["controls"]}
+    rows = []
+    for address, disk in seen["members"]:
+        zone, silent = zones.get(address, ("", float("inf")))
+        # Whoever was never heard has been silent since long before the start.
+        rows.append({"member": address, "zone": zone, "disk": disk,
+                     "silent_s": round(silent, 3) if silent < 1e6 else None})
+    return rows
+
+
+async def servers(addresses: list[Address]) -> list[Row]:
+    seen = await first(addresses, {"op": "show"})
+    records = sorted((read_server(row, 0.0) for row in seen["servers"]),
+                     key=lambda one: (one.service, one.id))
+    return [{"server": one.id, "service": one.service, "zone": one.zone, "address": one.address,
+             "slots": one.capacity, "state": "lost" if one.lost else one.mode, "beats": one.count,
+             "cell": one.cell} for one in records]
+
+
+async def limiters(addresses: list[Address]) -> list[Row]:
+    seen = await first(addresses, {"op": "show"})
+    return [{"limiter": one.node, "zone": one.zone, "host": one.host, "life": one.life}
+            for one in map(read_limiter, seen["limiters"])]
+
+
+async def holders(addresses: list[Address]) -> list[Row]:
+    """Which limiter holds which tenant's count, as the limiters work it out themselves."""
+    seen = await first(addresses, {"op": "show"})
+    configuration = await current(addresses)
+    names = [read_limiter(row).node for row in seen["limiters"]]
+    if configuration is None or not names:
+        return []
+    caller = Caller(names[0], 0.0)
+    caller.list(names, 0.0)
+    return [{"tenant": one.label, "holder": caller.holder(one.label), "rate_s": one.rate,
+             "surge": one.surge, "share_s": round(one.rate / len(names), 3)}
+            for one in sorted(configuration.tenants.values(), key=lambda one: one.label) if one.rate > 0]
+
+
+async def current(addresses: list[Address]) -> Configuration | None:
+    """The newest configuration that one control plane knows; None while there is none."""
+    # No `limiter` and no `control` in the question: who only looks must not be listed as one of them.
+    told = await first(addresses, {"op": "news", "have": {}, "wait": 0.0})
+    value = Value.unpack(told["value"]) if "value" in told else None
+    if value is None or not value.document:
+        return None
+    return read_configuration(orjson.loads(value.document))
+
+
+VIEWS = {"versions": versions, "members": members, "servers": servers, "limiters": limiters,
+         "holders": holders}
+
+
+def rows(view: str, addresses: list[Address]) -> list[Row]:
+    """The rows of a view; PeerError where no control plane answers, or not in a form that can be read."""
+    try:
+        return trio.run(VIEWS[view], addresses)
+    except (Unfit, KeyError, TypeError, ValueError) as error:
+        raise PeerError("show", str(addresses[0]), f"an answer of another form: {error!r:.200}") from None
+
+
+def table(found: list[Row]) -> str:
+    """Columns under their names, for a person."""
+    if not found:
+        return "none"
+    names = list(found[0])
+    cells = [names, *([("-" if row[name] is None else str(row[name])) for name in names] for row in found)]
+    widths = [max(len(line[at]) for line in cells) for at in range(len(names))]
+    padded = ([text.ljust(width) for text, width in zip(line, widths, strict=True)] for line in cells)
+    return "\n".join("  ".join(line).rstrip() for line in padded)
--- /dev/null
+++ b/finchshelf/cli/system.py
@@ -0,0 +1,134 @@
+"""A small whole system on loopback: machines with an address each, their settings files and their
+programs.
+
+Owns the child processes that it started, and ends each by its own process id. It must never leave one
+behind, touch a process that it did not start, or write outside its folder.
+"""
+
+from __future__ import annotations
+
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from finchshelf.cli.logs import log
+from finchshelf.transport.address import Address
+
+FRONT, READINESS, CONTROL, INNER = 8405, 8406, 8407, 7660
+ZONES = ("north", "middle", "south")
+PULSE_MS = 400  # of the stand-in servers' beats: a person watches
+PLANNED = 8.0  # s that a child has to end by itself
+PACKAGE = str(Path(__file__).parent.parent.parent)
+MARGINS = "contactMs=3000,acknowledgeMs=5000,convergenceS=4,settlingMs=500,toleranceS=6,retryRatio=0.2," \
+          "retryWindowS=10,retrySlack=64,quotaWindowS=5"
+
+
+def network() -> str:
+    """The first three numbers of loopback addresses at which our ports are free."""
+    for _ in range(20):
+        found = f"127.{random.randint(1, 250)}.{random.randint(1, 250)}"
+        try:
+            for port in (FRONT, READINESS, CONTROL, INNER, INNER + 1):
+                with socket.socket() as one:
+                    one.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                    one.bind((f"{found}.1", port))
+        except OSError:
+            continue
+        return found
+    raise OSError(f"ports {FRONT}-{CONTROL} and {INNER} are taken on all addresses tried")
+
+
+@dataclass
+class Child:
+    """One program that runs."""
+
+    name: str
+    process: subprocess.Popen[bytes]
+    log: Path
+    killed: bool = False
+
+    def last_lines(self) -> str:
+        return self.log.read_text(errors="replace")[-600:]
+
+
+@dataclass
+class System:
+    """Machines 1 to `machines`, each in a zone of its own, seeds of each other."""
+
+    folder: Path
+    machines: int = 3
+    net: str = field(default_factory=network)
+    children: dict[str, Child] = field(default_factory=dict)
+
+    def ip(self, machine: int) -> str:
+        return f"{self.net}.{machine}"
+
+    def each(self, port: int) -> list[Address]:
+        return [Address(self.ip(machine), port) for machine in range(1, self.machines + 1)]
+
+    def settings(self, role: str, machine: int) -> Path:
+        """The settings file of one program, written anew."""
+        ip, zone = self.ip(machine), ZONES[(machine - 1) % len(ZONES)]
+        disk = self.folder / f"disk-{machine}"
+        disk.mkdir(exist_ok=True)
+        edge = role == "data-plane"
+        inlets = {"front": FRONT, "readiness": READINESS} if edge else {"control": CONTROL}
+        lines = {
+            "node": f"edge-{zone}-{machine}", "function": role, "machineClass": "edge",
+            "serves": "edge" if edge else "supervisor", "ip": ip, "zone": zone, "region": "demo",
+            **{f"zones.{name}": "demo" for name in ZONES},
+            **{f"inlets.{name}": f"{ip}:{port}" for name, port in inlets.items()},
+            "portRange": f"{INNER},{INNER + 15}",
+            "initialPeers": ",".join(map(str, self.each(CONTROL))),
+            "initialCondition": "true", "lossCounted": "true",
+            "saturations.cpuFraction": "1", "saturations.cores": "1", "saturations.memoryMb": "300",
+            "saturations.descriptors": "1000", "saturations.bandwidthMbps": "1000",
+            "saturations.storageMb": "0" if edge else "64", "pulseMs": str(PULSE_MS),
+            "disturbances.machines": "1", "disturbances.zones": "0", "disturbances.regions": "0",
+            "margins": MARGINS, **({} if edge else {"stateDir": str(disk)})}
+        path = self.folder / f"{role}-{machine}.conf"
+        path.write_text("".join(f"{name}={value}\n" for name, value in lines.items()))
+        return path
+
+    def start(self, role: str, machine: int, options: tuple[str, ...] = ()) -> Child:
+        name = f"{role}-{machine}"
+        path = self.folder / f"{name}.log"
+        paths = [PACKAGE, *filter(None, [os.environ.get("PYTHONPATH")])]
+        env = {**os.environ, "FINCHSHELF_BOOT": str(self.settings(role, machine)),
+               "PYTHONPATH": os.pathsep.join(paths)}
+        with path.open("ab") as sink:
+            process = subprocess.Popen(
+                [sys.executable, *options, "-m", f"finchshelf.{role.replace('-', '')}"],
+                env=env, stdin=subprocess.DEVNULL, stdout=sink, stderr=sink)
+        log("child.started", child=name, pid=process.pid)
+        self.children[name] = Child(name, process, path)
+        return self.children[name]
+
+    def kill(self, name: str) -> None:
+        """Lose a process as a machine that loses power would, but for its disk."""
+        child = self.children[name]
+        child.killed = True
+        child.process.kill()
+        child.process.wait()
+
+    def end(self) -> dict[str, int]:
+        """End all as planned, whoever is left by force; exit statuses of those that were not killed."""
+        for child in self.children.values():
+            if child.process.poll() is None:
+                child.process.send_signal(signal.SIGTERM)
+        until = time.monotonic() + PLANNED
+        for child in self.children.values():
+            try:
+                child.process.wait(max(0.0, until - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                child.process.kill()
+                child.process.wait()
+            log("child.ended", child=child.name, status=child.process.returncode)
+        return {name: child.process.returncode
+                for name, child in self.children.items() if not child.killed}
--- a/finchshelf/configuration/change.py
+++ b/finchshelf/configuration/change.py
@@ -184,12 +184,16 @@
     return kind, label
 
 
+def _twice(step: str, place: str, name: tuple[str, str]) -> Invalid:
+    return Invalid(step, f"{place}.header.label", f"{name[0]} {name[1]!r:.80} is given twice")
+
+
 def _named(step: str, place: str, elements: list[Any]) -> dict[tuple[str, str], Any]:
     named: dict[tuple[str, str], Any] = {}
     for at, element in enumerate(elements):
         name = _name(step, f"{place}[{at}]", element)
         if name in named:
-            raise Invalid(step, f"{place}[{at}].header.label", f"{name[0]} {name[1]!r:.80} is given twice")
+            raise _twice(step, f"{place}[{at}]", name)
         named[name] = element
     return named
 
@@ -232,18 +236,19 @@
     return {kind: Draft202012Validator(schema) for kind, schema in REFERENCES.items()}
 
 
-def _shape(place: str, validator: Any, reference: Any) -> None:
-    error = next(validator.iter_errors(reference), None)
-    if error is None:
-        return
-    for part in error.absolute_path:
-        place += f"[{part}]" if isinstance(part, int) else f".{part}"
-    if error.validator == "required":
-        missing = next(name for name in error.validator_value if name not in error.instance)
-        raise Invalid("check", f"{place}.{missing}", "this field is missing")
-    # The text of the library quotes the whole value, which may be megabytes.
-    words = RULES.get(error.validator, error.validator)
-    raise Invalid("check", place, f"expected {words} {error.validator_value!r:.80}")
+def _shapes(place: str, validator: Any, reference: Any) -> Iterator[Invalid]:
+    for error in validator.iter_errors(reference):
+        where = place
+        for part in error.absolute_path:
+            where += f"[{part}]" if isinstance(part, int) else f".{part}"
+        if error.validator == "required":
+            for name in error.validator_value:
+                if name not in error.instance and f"'{name}'" in error.message:
+                    yield Invalid("check", f"{where}.{name}", "this field is missing")
+            continue
+        # The text of the library quotes the whole value, which may be megabytes.
+        words = RULES.get(error.validator, error.validator)
+        yield Invalid("check", where, f"expected {words} {error.validator_value!r:.80}")
 
 
 def _route(place: str, given: dict[str, Any], services: set[str]) -> None:
@@ -269,31 +274,61 @@
         raise Invalid("check", f"{place}.distribution", "expected a sum of gains over 0 and finite")
 
 
-def check(document: dict[str, Any], current_version: int) -> Configuration:
-    """The configuration of the whole document, or Invalid with the place of its first fault."""
-    if _version("check", "setpointSeq", document.get("setpointSeq")) <= current_version:
-        raise Invalid("check", "setpointSeq", f"expected more than {current_version:08x}")
-    elements = _elements("check", "elements", document.get("elements"))
-    named = _named("check", "elements", elements)
+def faults(document: dict[str, Any], current_version: int) -> Iterator[Invalid]:
+    """Each fault of the whole document with its place, as far as those before it leave it readable."""
+    try:
+        if _version("check", "setpointSeq", document.get("setpointSeq")) <= current_version:
+            yield Invalid("check", "setpointSeq", f"expected more than {current_version:08x}")
+    except Invalid as error:
+        yield error
+    try:
+        elements = _elements("check", "elements", document.get("elements"))
+    except Invalid as error:
+        yield error
+        return
+    named: dict[tuple[str, str], tuple[int, Any]] = {}
+    for at, element in enumerate(elements):
+        try:
+            name = _name("check", f"elements[{at}]", element)
+        except Invalid as error:
+            yield error
+            continue
+        if name in named:
+            yield _twice("check", f"elements[{at}]", name)
+        named.setdefault(name, (at, element))
     services = {label for kind, label in named if kind == "subsystems"}
     validators = _validators()
     prefixes: dict[tuple[str, str], str] = {}
     keys: dict[str, str] = {}
-    for at, ((kind, label), element) in enumerate(named.items()):
+    for (kind, label), (at, element) in named.items():
         place = f"elements[{at}].reference"
         if "reference" not in element:
-            raise Invalid("check", place, "this field is missing")
-        given = cast(dict[str, Any], element["reference"])
-        _shape(place, validators[kind], given)
+            yield Invalid("check", place, "this field is missing")
+            continue
+        given, sound = cast(dict[str, Any], element["reference"]), True
+        for fault in _shapes(place, validators[kind], given):
+            sound = False
+            yield fault
+        if not sound:
+            continue  # what has another shape can't be read any further
         if kind == "trajectories":
-            _route(place, given, services)
+            try:
+                _route(place, given, services)
+            except Invalid as error:
+                yield error
             first = prefixes.setdefault((bare_host(given["plant"]), given["pathPrefix"]), label)
             if first != label:
-                raise Invalid("check", f"{place}.pathPrefix", f"route {first!r:.80} has this host and prefix")
+                yield Invalid("check", f"{place}.pathPrefix", f"route {first!r:.80} has this host and prefix")
         elif kind == "loads":
             for number, key in enumerate(given["credentials"]):
                 if keys.setdefault(key, label) != label:
                     # Its owner is named, never the key: what is told here ends up in logs.
                     why = f"tenant {keys[key]!r:.80} has this key"
-                    raise Invalid("check", f"{place}.credentials[{number}]", why)
+                    yield Invalid("check", f"{place}.credentials[{number}]", why)
+
+
+def check(document: dict[str, Any], current_version: int) -> Configuration:
+    """The configuration of the whole document, or Invalid with the place of its first fault."""
+    for fault in faults(document, current_version):
+        raise fault
     return read_configuration(document)
--- a/finchshelf/controlplane/__main__.py
+++ b/finchshelf/controlplane/__main__.py
@@ -6,8 +6,6 @@
 from __future__ import annotations
 
 import gc
-import os
-import secrets
 import signal
 import sys
 import time
@@ -15,8 +13,9 @@
 
 import trio
 
+from finchshelf import program
 from finchshelf.agreement.store import Store
-from finchshelf.configuration.boot import Boot, SettingsError, read_boot
+from finchshelf.configuration.boot import Boot
 from finchshelf.controlplane.cells import Cells
 from finchshelf.controlplane.news import News
 from finchshelf.controlplane.register import Register
@@ -83,19 +82,7 @@
 
 
 def main() -> int:
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # Danger: it ends whoever does not listen yet
-    try:
-        boot = read_boot(os.environ.get("FINCHSHELF_BOOT", ""))
-    except SettingsError as error:
-        print(f"finchshelf: {error}", file=sys.stderr)
-        return 2
-    status = 0
-    try:
-        trio.run(serve, boot, Telemetry(boot.node), secrets.randbits(32))
-    except* OSError as group:
-        print(f"finchshelf: cannot serve: {group.exceptions[0]}", file=sys.stderr)
-        status = 1
-    return status
+    return program.main(serve)
 
 
 if __name__ == "__main__":
--- a/finchshelf/dataplane/__main__.py
+++ b/finchshelf/dataplane/__main__.py
@@ -7,7 +7,6 @@
 
 import gc
 import os
-import secrets
 import signal
 import sys
 import time
@@ -15,6 +14,7 @@
 
 import trio
 
+from finchshelf import program
 from finchshelf.configuration.boot import Boot, SettingsError, read_boot
 from finchshelf.dataplane.core import Core
 from finchshelf.dataplane.dialect import Reader, Words
@@ -121,19 +121,7 @@
 
 
 def main() -> int:
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # Danger: it ends whoever does not listen yet
-    try:
-        boot = read_boot(os.environ.get("FINCHSHELF_BOOT", ""))
-    except SettingsError as error:
-        print(f"finchshelf: {error}", file=sys.stderr)
-        return 2
-    status = 0
-    try:
-        trio.run(serve, boot, Telemetry(boot.node), secrets.randbits(32))
-    except* OSError as group:
-        print(f"finchshelf: cannot serve: {group.exceptions[0]}", file=sys.stderr)
-        status = 1
-    return status
+    return program.main(serve)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/finchshelf/events.py
@@ -0,0 +1,132 @@
+"""The catalogue of numbered events: every line that the system's programs and its command line may log.
+
+Owns each event's number, name, meaning and what to do; `docs/events.md` shows the same table and a test
+holds the two together with the code. A number is never given to another event. It must never be asked
+whether an event may be logged: an event that is missing here gets number 0 and fails a test, not a
+program.
+
+`python -m finchshelf.events` prints the table.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class Event(NamedTuple):
+    """One kind of log line. `rare`: it may come in masses: a line a second at most."""
+
+    number: int
+    name: str
+    means: str
+    do: str
+    rare: bool = False
+
+
+NOTHING = "Nothing."
+REPORT = "Report it with the line."
+
+# 1xx a program's life, 2xx clients, servers and calls, 3xx between our processes, 4xx the core and its
+# disks, 5xx configuration, 6xx counts of tenants, 7xx faults of ours, 9xx the command line.
+CATALOGUE = (
+    Event(101, "start",
+          "The program listens. `disk`: the name of this life of the disk, none without a disk; "
+          "`slot`: the newest decided value that the disk holds.",
+          NOTHING),
+    Event(102, "ready",
+          "A listener answered its health question with 200 for the first time.",
+          "If it does not come within seconds of `start`: ask a control plane with `finchshelf "
+          "show`."),
+    Event(103, "settings",
+          "SIGHUP came. `taken`: the seeds that count from now on; `kept the old`: the file can't "
+          "be used; `noted`: a control plane needs seeds only at its start.",
+          "`kept the old`: run `finchshelf check settings` on the file, mend it, send SIGHUP again."),
+    Event(104, "ending",
+          "SIGTERM or SIGINT came; what is here and what still comes is answered.",
+          "Nothing; the end should follow within `toleranceS`."),
+    Event(105, "exit",
+          "A control plane ends as planned.",
+          NOTHING),
+    Event(106, "counters",
+          "All counters of a data plane; `why` is `asked` (SIGUSR1) or `exit`.",
+          NOTHING),
+    Event(107, "tally",
+          "What each counter gained since the last such line.",
+          NOTHING),
+    Event(108, "fault",
+          "The program ends by an error that nothing caught; one line for each, with its step and "
+          "peer where it has them.",
+          REPORT),
+    Event(201, "clients.error",
+          "A fault that cost one client's connection.",
+          REPORT, rare=True),
+    Event(202, "clients.no_descriptor",
+          "Accepting found no descriptor left.",
+          "Raise the limit on descriptors, or find who opens so many connections.", rare=True),
+    Event(203, "servers.error",
+          "A fault that cost one try at a server.",
+          REPORT, rare=True),
+    Event(204, "calls.error",
+          "A call of a server or of the operator ended in a fault; its caller got 500.",
+          REPORT, rare=True),
+    Event(301, "peer.unfit",
+          "A peer's answer has not the form it should have. `peer`, `step`.",
+          "See whether both run versions that know each other's words."),
+    Event(302, "peer.broken",
+          "A connection from a peer was closed, as what came on it is no question.",
+          "See who connects to the first port of `portRange`.", rare=True),
+    Event(401, "core.members",
+          "The members of the core changed; `members` are those from now on.",
+          "Nothing, if a machine was replaced or lost its disk; else see why one was silent."),
+    Event(402, "disk.new",
+          "The disk was empty or could not be trusted: it votes as a new member, once the others "
+          "have decided so.",
+          "Nothing after a wipe or replacement; else look at the disk."),
+    Event(403, "disk.fault",
+          "A generation of the state on disk was left alone. `lost`: it had been whole, so the disk"
+          " broke and is taken for a wiped one.",
+          "`lost`: replace the disk."),
+    Event(404, "disk.refused",
+          "The disk did not take the state at the start; this member has no vote until it does.",
+          "Look at the disk: full, or failing."),
+    Event(501, "configuration",
+          "A configuration was taken: decided (control plane), or in force from here on (data "
+          "plane).",
+          NOTHING),
+    Event(601, "breaker",
+          "Questions to the holder of tenants' counts failed in a row; this limiter's share decides"
+          " until a probe is answered.",
+          "See whether the limiter named as `holder` is up and reachable."),
+    Event(602, "count.unfit",
+          "A datagram that is no question about a count. `peer`.",
+          "See who sends to the second port of `portRange`.", rare=True),
+    Event(701, "core.error",
+          "One event could not be taken; its request was answered as failed.",
+          REPORT, rare=True),
+    Event(901, "call.again",
+          "The command line's call got no clear answer and goes to the next control plane.",
+          "If it repeats: see which control planes are up."),
+    Event(902, "call.ended",
+          "The command line's call has its final answer.",
+          NOTHING),
+    Event(903, "child.started",
+          "The demo started a program; `pid`.",
+          NOTHING),
+    Event(904, "child.ended",
+          "A program of the demo ended; `status`.",
+          NOTHING),
+)
+
+NUMBERS = {event.name: event.number for event in CATALOGUE}
+
+
+def table() -> str:
+    """The catalogue as the table of `docs/events.md`."""
+    rows = ["| number | event | means | do |", "| --- | --- | --- | --- |"]
+    rows += [f"| {one.number} | `{one.name}`{' *' if one.rare else ''} | {one.means} | {one.do} |"
+             for one in CATALOGUE]
+    return "\n".join(rows)
+
+
+if __name__ == "__main__":
+    print(table())
--- /dev/null
+++ b/finchshelf/program.py
@@ -0,0 +1,77 @@
+"""What both programs of the system do round their work: settings in, a plain line an error, a status out.
+
+Owns the exit status and the form of what a program says before it can log and after it can't. It must
+never know what the program does, or load anything beside what a start needs: a killed limiter pays for
+it.
+"""
+
+from __future__ import annotations
+
+import os
+import secrets
+import signal
+import sys
+from collections.abc import Awaitable, Callable, Iterator
+
+import trio
+
+from finchshelf import events
+from finchshelf.configuration.boot import Boot, SettingsError, read_boot
+from finchshelf.transport.telemetry import Telemetry
+
+LONGEST = 500  # characters of an error's line
+Serve = Callable[[Boot, Telemetry, int], Awaitable[None]]
+
+
+def leaves(error: BaseException) -> Iterator[BaseException]:
+    """The single errors of a group, however deep it is."""
+    if isinstance(error, BaseExceptionGroup):
+        for inner in error.exceptions:
+            yield from leaves(inner)
+    else:
+        yield error
+
+
+def plain(error: BaseException) -> str:
+    """One line; our own errors say their step and peer (or place, or path) themselves."""
+    if isinstance(error, OSError):
+        words = f"cannot serve: {error}"
+    elif hasattr(error, "step"):
+        words = str(error)
+    else:
+        words = f"{type(error).__name__}: {error}"
+    return " ".join(words.split())[:LONGEST]
+
+
+def fields(error: BaseException) -> dict[str, str]:
+    """What an error carries beside its words, for the log."""
+    named = ("step", "peer", "place", "path")
+    return {name: str(getattr(error, name)) for name in named if hasattr(error, name)}
+
+
+def main(serve: Serve) -> int:
+    """Run a program to its end: 0 as planned, 1 by an error, 2 without settings that can be used."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # Danger: it ends whoever does not listen yet
+    try:
+        boot = read_boot(os.environ.get("FINCHSHELF_BOOT", ""))
+    except SettingsError as error:
+        print(f"finchshelf: {error}", file=sys.stderr)
+        return 2
+    telemetry, status = Telemetry(boot.node, numbers=events.NUMBERS), 0
+    try:
+        trio.run(serve, boot, telemetry, secrets.randbits(32))
+    except* Exception as group:
+        for leaf in leaves(group):
+            if not isinstance(leaf, OSError):
+                telemetry.log("fault", error=repr(leaf), at_line=where(leaf), **fields(leaf))
+            print(f"finchshelf: {plain(leaf)}", file=sys.stderr)
+        status = 1
+    return status
+
+
+def where(error: BaseException) -> str:
+    """File and line at which an error arose: what is left of its traceback in one line."""
+    frame = error.__traceback__
+    while frame is not None and frame.tb_next is not None:
+        frame = frame.tb_next
+    return f"{frame.tb_frame.f_code.co_filename}:{frame.tb_lineno}" if frame is not None else ""
--- a/finchshelf/transport/telemetry.py
+++ b/finchshelf/transport/telemetry.py
@@ -10,6 +10,7 @@
 import select
 import time
 from collections import defaultdict
+from collections.abc import Mapping
 from typing import Any
 
 import orjson
@@ -20,15 +21,19 @@
 
 
 class Telemetry:
-    def __init__(self, name: str, sink: int = LOG_TO) -> None:
-        self.name, self.sink = name, sink
+    def __init__(self, name: str, sink: int = LOG_TO, numbers: Mapping[str, int] | None = None) -> None:
+        """`numbers`: of the events, by name, where lines carry them; None: lines carry no number."""
+        self.name, self.sink, self.numbers = name, sink, numbers
         self.count: defaultdict[str, int] = defaultdict(int)
         self.last: dict[str, float] = {}
         self.told: dict[str, int] = {}  # the counters as the last `tally` line left them
 
     def log(self, event: str, **fields: Any) -> None:
         cut = {key: value[-LONGEST:] if isinstance(value, str) else value for key, value in fields.items()}
-        line = orjson.dumps({"at": round(time.time(), 3), "node": self.name, "event": event, **cut}) + b"\n"
+        head = {"at": round(time.time(), 3), "node": self.name, "event": event}
+        if self.numbers is not None:
+            head["number"] = self.numbers.get(event, 0)
+        line = orjson.dumps({**head, **cut}) + b"\n"
         # Danger: whoever reads the log stops reading, its pipe fills, and a write stops the whole node. A
         # pipe that says it can be written takes a line of 4 KiB at once.
         try:
