--- a/finchshelf/cli/__main__.py
+++ b/finchshelf/cli/__main__.py
@@ -11,6 +11,7 @@
 import signal
 import sys
 from contextlib import suppress
+from ipaddress import ip_address
 from pathlib import Path
 from types import FrameType
 from typing import Any, NoReturn
@@ -38,9 +39,13 @@
         if isinstance(value, Address):
             return value
         host, _, port = str(value).rpartition(":")
-        if not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
-            self.fail(f"{value!r}: expected HOST:PORT", param, ctx)
-        return Address(host.strip("[]"), int(port))
+        try:
+            plain = str(ip_address(host.strip("[]")))
+        except ValueError:
+            plain = ""  # a name would be looked up, and nothing here does that
+        if not plain or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+            self.fail(f"{value!r}: expected HOST:PORT, both numbers", param, ctx)
+        return Address(plain, int(port))
 
 
 CONTROLS = click.option("--control", "controls", type=HostPort(), multiple=True,
@@ -121,10 +126,17 @@
             base, prior = below.document, below.version
         elif wanted.kind == "adjust":
             return [f"{path}: a change by name is checked on top of a configuration: give --on FILE"]
-        document = change.apply(base, wanted)
+        document, found = change.apply(base, wanted), list[change.Invalid]()
     except change.Invalid as error:
-        return [f"{path}: {error}"]
-    return [f"{path}: {fault}" for fault in change.faults(document, prior)]
+        if error.place not in ("setpointSeq", "priorVersion"):
+            return [f"{path}: {error}"]
+        # Its bounds are kept, so the rest can be read; a version is told once, as it was met first.
+        document, found, prior = orjson.loads(body), [error], 0
+        if "elements" not in document:
+            return [f"{path}: {error}"]  # a change by name: without a version it builds on nothing
+    places = {fault.place for fault in found}
+    found += [fault for fault in change.faults(document, prior) if fault.place not in places]
+    return [f"{path}: {fault}" for fault in found]
 
 
 def read(path: str) -> bytes:
--- a/finchshelf/dataplane/questions.py
+++ b/finchshelf/dataplane/questions.py
@@ -32,7 +32,12 @@
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.sock.setblocking(False)
-        self.sock.bind((address.host, address.port))
+        try:
+            self.sock.bind((address.host, address.port))
+        except OSError as error:
+            error.add_note(f"listen for datagrams at {address}")
+            self.sock.close()
+            raise
         self.numbers = 0
         self.out: dict[str, list[tuple[int, str, float]]] = {}
 
--- a/finchshelf/program.py
+++ b/finchshelf/program.py
@@ -33,9 +33,9 @@
 
 
 def plain(error: BaseException) -> str:
-    """One line; our own errors say their step and peer (or place, or path) themselves."""
+    """One line; our own errors say their step and peer (or place, or path) themselves, others by a note."""
     if isinstance(error, OSError):
-        words = f"cannot serve: {error}"
+        words = ": ".join(["cannot serve", *getattr(error, "__notes__", ()), str(error)])
     elif hasattr(error, "step"):
         words = str(error)
     else:
--- a/finchshelf/transport/net.py
+++ b/finchshelf/transport/net.py
@@ -127,7 +127,8 @@
             sock.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_REUSEPORT, 1)
         await sock.bind((address.host, address.port))
         sock.listen(backlog)
-    except BaseException:
+    except BaseException as error:
+        error.add_note(f"listen at {address}")  # the step and place, which the kernel's words lack
         sock.close()
         raise
     return sock
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -129,6 +129,10 @@
         "elements[0].reference.cutoffMs", "elements[0].reference.variant",
         "elements[1].reference.subsystem", "elements[5].reference.credentials[0]"}
     assert demo.SMALL_KEY not in result.output
+    document["setpointSeq"] = "7"
+    file.write_text(json.dumps(document))
+    more = json.loads(run("check", "configuration", file, "--json").output)["faults"]
+    assert "setpointSeq" in more[0] and more[1:] == faults
 
 
 def test_a_change_by_name_is_checked_on_top_of_a_configuration(tmp_path: Path) -> None:
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -60,4 +60,6 @@
     assert [program.plain(error) for error in program.leaves(group)] == [
         "hold at 10.0.0.4:7660: no answer", "save: /data: full",
         "cannot serve: [Errno 98] Address already in use", "KeyError: 'life'"]
+    inner[1].add_note("listen at 10.0.0.1:7660")
+    assert program.plain(inner[1]).startswith("cannot serve: listen at 10.0.0.1:7660: [Errno 98]")
     assert program.fields(group.exceptions[0]) == {"step": "hold", "peer": "10.0.0.4:7660"}
