Stories of the whole fleet in virtual time: the real programs over a network in memory

One seed gives one run, under any hash seed. test_fleet_stories.py has a story for each fault.

Mended: the register told members what is decided from a task outside of the program's nursery, which goes on when the program ends and may then end it as an internal error. Without the mend the stories of exchanged seeds, replaced core machine and one-way cut fail.

--- a/finchshelf/controlplane/register.py
+++ b/finchshelf/controlplane/register.py
@@ -33,6 +33,8 @@
 
 
 class Peers(Protocol):
+    nursery: trio.Nursery
+
     async def agree(self, address: str, message: Message, limit: float) -> Message: ...
 
 
@@ -183,7 +185,9 @@
         """Tell the members what is decided; whoever misses it hears it with the news."""
         for member, message in sends:
             if member.address != self.address:
-                trio.lowlevel.spawn_system_task(self.tell, member, message)
+                # Danger: a task outside of the program's nursery goes on when that has ended; what it meets
+                # then, a link that opens no more tasks, would end the whole program as an internal error.
+                self.peers.nursery.start_soon(self.tell, member, message)
 
     async def tell(self, member: Member, message: Message) -> None:
         await self.send(member, message)
--- a/finchshelf/dataplane/questions.py
+++ b/finchshelf/dataplane/questions.py
@@ -26,13 +26,19 @@
     def told(self, number: int, fits: bool, after: float) -> None: ...
 
 
+def opened(address: Address) -> socket.socket:
+    """The datagram socket; stories put one in memory in its place."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.setblocking(False)
+    sock.bind((address.host, address.port))
+    return sock
+
+
 class Questions:
     def __init__(self, address: Address, core: Asked, log: Log) -> None:
         self.core, self.log, self.port = core, log, address.port
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.sock.setblocking(False)
-        self.sock.bind((address.host, address.port))
+        self.sock = opened(address)
         self.numbers = 0
         self.out: dict[str, list[tuple[int, str, float]]] = {}
 
--- /dev/null
+++ b/tests/stories/test_fleet_stories.py
@@ -0,0 +1,428 @@
+"""Stories of whole days: the real programs, one harm each, and what clients, servers and the operator saw.
+
+Owns what each story expects beside the rules. It must never sleep for real or look into a program.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+import trio
+
+from tests.stories.world.fleet import World, fine, play
+from tests.stories.world.network import now
+
+SEEDS = [11, 12]
+
+
+async def calm(world: World) -> None:
+    world.usual(6.0)
+    await trio.sleep(6.0)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_given_a_calm_day_when_clients_ask_then_all_is_served(seed: int) -> None:
+    world = fine(calm, seed)
+    assert world.judge.served() == 1.0 and len(world.judge.asked) > 100
+
+
+def test_given_one_seed_when_it_is_played_twice_then_both_days_are_the_same() -> None:
+    def seen() -> list[tuple[Any, ...]]:
+        return [(one.id, one.at, one.status, one.answered) for one in play(calm, 3).judge.asked.values()]
+
+    assert seen() == seen()
+
+
+# ---- processes that end ----
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_given_load_when_a_limiter_is_killed_then_no_rule_is_broken_and_it_is_back_in_seconds(
+        seed: int) -> None:
+    async def story(world: World) -> None:
+        world.usual(9.0)
+        await trio.sleep(2.0)
+        world.kill(world.edges[1])
+        await trio.sleep(7.0)
+        assert world.inside[world.edges[1]] == 0
+
+    world = fine(story, seed)
+    assert world.judge.served(since=7.0) == 1.0 and world.judge.served() > 0.97
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_given_load_when_all_processes_are_killed_at_once_then_traffic_and_configuration_are_back(
+        seed: int) -> None:
+    async def story(world: World) -> None:
+        world.usual(12.0)
+        await trio.sleep(2.0)
+        for host in world.edges:
+            world.kill(host, after=0.5)
+        await trio.sleep(10.0)
+        assert await world.replace(world.configuration(2, 1)) == 200
+
+    world = fine(story, seed)
+    assert world.judge.served(since=8.0) > 0.99
+
+
+def test_given_load_when_a_limiter_is_told_to_end_then_nothing_is_cut() -> None:
+    async def story(world: World) -> None:
+        world.usual(10.0)
+        await trio.sleep(2.0)
+        world.terminate(world.edges[1])
+        await trio.sleep(8.0)
+
+    world = fine(story, 21)
+    assert world.judge.count(0, 502, 504) == 0 and world.judge.served() == 1.0
+
+
+# ---- the configuration ----
+
+
+@pytest.mark.parametrize("seed", range(31, 35))
+def test_given_an_acknowledged_configuration_when_all_lose_power_at_once_then_it_is_there(seed: int) -> None:
+    async def story(world: World) -> None:
+        await trio.sleep(1.0)
+        assert await world.replace(world.configuration(2, 1)) == 200
+        await world.power_off(*world.edges, back=1.0)
+        await trio.sleep(4.0)
+        world.usual(2.0)
+        await trio.sleep(2.0)
+
+    assert fine(story, seed).judge.served() > 0.99
+
+
+@pytest.mark.parametrize("seed", range(41, 44))
+def test_given_an_acknowledged_configuration_when_a_disk_is_wiped_at_once_then_it_is_there(
+        seed: int) -> None:
+    async def story(world: World) -> None:
+        world.usual(10.0, rate=10.0)
+        await trio.sleep(1.0)
+        assert await world.replace(world.configuration(2, 1)) == 200
+        wiped = world.core[seed % 3]
+        others = [host for host in world.edges if host != wiped]
+        world.nursery.start_soon(lambda: world.power_off(wiped, back=1.0, wipe=True))
+        await world.power_off(*others, back=0.7)
+        await trio.sleep(6.0)
+        assert await world.replace(world.configuration(3, 2)) == 200  # the wiped one is a member again
+        await world.power_off(*[host for host in world.core if host != wiped][:1], back=1.0, wipe=True)
+        await trio.sleep(1.0)
+
+    fine(story, seed)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_given_a_core_machine_taken_away_when_an_empty_one_takes_its_place_then_changes_go_on(
+        seed: int) -> None:
+    async def story(world: World) -> None:
+        world.usual(14.0, rate=15.0)
+        await trio.sleep(1.0)
+        gone = world.core[0]
+        world.remove(gone)
+        await trio.sleep(1.0)
+        world.bring("10.0.0.9", "zone0")
+        await trio.sleep(5.0)
+        assert await world.replace(world.configuration(2, 1)) == 200
+        # One more may go now: the new one must be a member that votes.
+        world.remove(world.core[0])
+        await trio.sleep(1.0)
+        assert await world.replace(world.configuration(3, 2)) == 200
+        await trio.sleep(5.0)
+
+    world = fine(story, seed)
+    assert world.judge.served(since=9.0, until=13.0) > 0.97
+
+
+def test_given_all_seeds_exchanged_when_limiters_hear_of_the_new_then_they_follow_them() -> None:
+    async def story(world: World) -> None:
+        world.usual(26.0, rate=10.0)
+        await trio.sleep(1.0)
+        for n, host in enumerate(list(world.core)):
+            world.bring(f"10.{n}.0.9", world.zones[n])
+            await trio.sleep(2.5)
+            world.remove(host)
+            await trio.sleep(4.0)
+        world.reseed()
+        await trio.sleep(1.0)
+        assert await world.replace(world.configuration(2, 1)) == 200
+        world.kill("10.1.0.2")  # one that starts knows the new seeds only
+        await trio.sleep(4.0)
+        assert world.inside["10.1.0.2"] == 0
+
+    world = fine(story, 51)
+    assert world.judge.served(since=20.0) > 0.97
+
+
+@pytest.mark.parametrize("seed", range(61, 64))
+def test_given_the_core_cut_in_two_when_the_operator_reaches_either_side_then_only_most_decide(
+        seed: int) -> None:
+    async def story(world: World) -> None:
+        world.usual(12.0, rate=15.0)
+        await trio.sleep(1.0)
+        heal = world.cut(world.around("zone0"), world.around("zone1", "zone2"))
+        alone, most = world.supervisors()[:1], world.supervisors()[1:]
+        assert await world.replace(world.configuration(2, 1), at=alone, limit=2.0) == 0
+        assert await world.replace(world.configuration(3, 1), at=most) in (200, 412)
+        await trio.sleep(3.0)
+        heal()
+        await trio.sleep(3.0)
+        current = await world.observe(at=alone)
+        assert current is not None and current["setpointSeq"] in ("00000002", "00000003")
+        number = int(current["setpointSeq"], 16)
+        assert await world.replace(world.configuration(4, number), at=alone) == 200
+
+    fine(story, seed)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_given_a_cut_one_way_between_core_machines_when_a_change_comes_then_it_is_decided(seed: int) -> None:
+    async def story(world: World) -> None:
+        world.usual(9.0, rate=15.0)
+        await trio.sleep(1.0)
+        first, *others = world.core
+        heal = world.cut([first], others, both=False)
+        await trio.sleep(2.5)
+        assert await world.replace(world.configuration(2, 1)) == 200
+        heal()
+        await trio.sleep(3.0)
+        assert await world.replace(world.configuration(3, 2), at=world.supervisors()[:1]) == 200
+
+    fine(story, seed)
+
+
+@pytest.mark.parametrize("seed", range(71, 76))
+def test_given_one_version_when_two_operators_change_it_at_once_then_one_of_them_wins(seed: int) -> None:
+    async def story(world: World) -> None:
+        await trio.sleep(0.5)
+        told: list[int] = []
+
+        async def send(number: int) -> None:
+            keys = {"plain": ["key-plain", f"key-{number}"]}
+            told.append(await world.replace(world.configuration(number, 1, keys=keys)))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send, 2)
+            nursery.start_soon(send, 3)
+        assert sorted(told) == [200, 412]
+
+    fine(story, seed, servers=1, limiters=1)
+
+
+def test_given_full_disks_when_a_change_comes_then_most_must_have_room_for_it() -> None:
+    async def story(world: World) -> None:
+        world.usual(8.0, rate=10.0)
+        disks = [one.disk for one in world.of("control") if one.disk is not None]
+        disks[0].mode = "full"
+        assert await world.replace(world.configuration(2, 1)) == 200
+        disks[1].mode = "full"
+        assert await world.replace(world.configuration(3, 2), limit=3.0) == 0
+        disks[0].mode = disks[1].mode = "well"
+        assert await world.replace(world.configuration(3, 2)) == 200
+
+    fine(story, 81)
+
+
+def test_given_a_disk_that_hangs_when_a_change_comes_then_the_others_decide_it() -> None:
+    async def story(world: World) -> None:
+        disks = [one.disk for one in world.of("control") if one.disk is not None]
+        disks[0].mode, disks[1].mode = "hang", "slow"
+        assert await world.replace(world.configuration(2, 1)) == 200
+        disks[0].mode = "well"
+        await trio.sleep(1.0)
+        assert await world.replace(world.configuration(3, 2)) == 200
+
+    fine(story, 82, servers=1)
+
+
+def test_given_an_invalid_configuration_when_it_is_sent_then_it_is_refused_and_nothing_changes() -> None:
+    async def story(world: World) -> None:
+        routes = {"read": ("/read/", "nullipotent", "nowhere")}
+        assert await world.replace(world.configuration(2, 1, routes=routes), valid=False) == 400
+        assert await world.replace(world.configuration(1, 1), valid=False) == 400
+        assert await world.replace(world.configuration(3, 7)) == 412
+
+    fine(story, 83, limiters=1, servers=1)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_given_a_key_taken_away_and_a_route_moved_when_that_holds_then_nobody_goes_by_the_old(
+        seed: int) -> None:
+    async def story(world: World) -> None:
+        async def old_key() -> None:
+            await world.traffic(10.0, 9.0, key="key-old")
+
+        first = world.configuration(2, 1, keys={"plain": ["key-plain", "key-old"]})
+        assert await world.replace(first) == 200
+        world.usual(9.0)
+        world.nursery.start_soon(old_key)
+        await trio.sleep(3.0)
+        moved = {"read": ("/read/", "nullipotent", "beta"), "write": ("/write/", "mutating", "alpha"),
+                 "new": ("/new/", "nullipotent", "alpha")}
+        whole = world.configuration(3, 2, routes=moved)
+        change = {"setpointSeq": whole["setpointSeq"], "priorVersion": whole["priorVersion"],
+                  "apply": {"elements": whole["elements"]}, "remove": {"trajectories": ["other"]}}
+        assert await world.adjust(change, whole) == 200
+        await trio.sleep(3.0)
+        for zone in world.zones:
+            assert (await world.ask(zone, "/read/", "key-old")).status == 401
+            assert (await world.ask(zone, "/other/")).status == 404
+            assert (await world.ask(zone, "/new/")).status == 200
+        await trio.sleep(3.5)
+
+    world = fine(story, seed)
+    assert world.judge.served(path="/write/") == 1.0
+
+
+# ---- servers ----
+
+
+@pytest.mark.parametrize("seed", range(91, 95))
+def test_given_a_drain_acknowledged_when_who_acknowledged_it_is_killed_then_the_server_is_left_alone(
+        seed: int) -> None:
+    async def story(world: World) -> None:
+        world.usual(10.0, rate=60.0)
+        await trio.sleep(2.0)
+        server = world.at("alpha")[0]
+        server.target = world.supervisors()[seed % 3]
+        with world.being(server.life):
+            assert await server.drain()
+        world.kill(world.core[seed % 3], "control", after=0.05)
+        world.nursery.start_soon(server.leave)
+        await trio.sleep(8.0)
+        assert not server.life.alive
+
+    fine(story, seed)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_given_servers_that_crash_when_addresses_get_others_then_requests_go_round_them(seed: int) -> None:
+    async def story(world: World) -> None:
+        world.usual(12.0)
+        await trio.sleep(2.0)
+        one, two = world.at("alpha")[:2]
+        one.life.die()  # with resets
+        two.life.machine.power = False
+        two.life.die(dark=True)
+        await trio.sleep(1.0)
+        world.serve("beta", one.machine.zone, one.machine.host)  # another service, at the old address
+        await trio.sleep(9.0)
+
+    world = fine(story, seed)
+    assert world.judge.served(since=5.0) > 0.99
+
+
+@pytest.mark.parametrize("on_full", ["503", "reset", "hang"])
+def test_given_servers_with_little_room_when_more_comes_then_what_is_refused_has_not_run(
+        on_full: str) -> None:
+    async def story(world: World) -> None:
+        for server in world.at("alpha"):
+            server.on_full, server.queue, server.work = on_full, 1, 0.4
+        world.usual(5.0, rate=100.0)
+        await trio.sleep(5.0)
+
+    world = fine(story, 95, servers=1)
+    assert world.judge.count(429, 503) > 0 or on_full != "503"
+    assert 0.3 < world.judge.served() < 1.0
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_given_a_lost_answer_when_the_request_may_run_once_then_nobody_else_gets_it(seed: int) -> None:
+    async def story(world: World) -> None:
+        world.usual(6.0)
+        await trio.sleep(1.0)
+        world.at("alpha")[0].lose = 6
+        await trio.sleep(5.0)
+
+    world = fine(story, seed)
+    assert 0 < world.judge.count(502, 504) <= 6
+    assert world.judge.served(path="/read/") == 1.0
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_given_an_extra_answer_when_it_comes_in_the_place_of_the_next_then_no_client_gets_it(
+        seed: int) -> None:
+    async def story(world: World) -> None:
+        world.usual(6.0)
+        await trio.sleep(1.0)
+        for server in world.at("alpha"):
+            server.extra = 4
+        await trio.sleep(5.0)
+
+    world = fine(story, seed)
+    assert world.judge.served(path="/read/") > 0.97
+
+
+# ---- quotas ----
+
+HOT = {"plain": (0.0, 0.0), "hot": (20.0, 20.0)}
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_given_a_hot_tenant_when_the_holder_of_its_count_is_killed_then_its_quota_holds(seed: int) -> None:
+    async def story(world: World) -> None:
+        world.usual(12.0, rate=10.0)
+
+        async def hot() -> None:
+            await world.traffic(80.0, 12.0, key="key-hot", tries=1)
+
+        world.nursery.start_soon(hot)
+        await trio.sleep(3.0)
+        for host in world.edges:  # whoever the holder is
+            world.kill(host, "data", after=0.3)
+            await trio.sleep(1.2)
+        await trio.sleep(3.0)
+
+    world = fine(story, seed, tenants=HOT)
+    hot = [one for one in world.judge.asked.values() if one.key == "key-hot"]
+    assert sum(one.status == 200 for one in hot) > 100 and any(one.status == 429 for one in hot)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_given_a_hot_tenant_when_zones_are_cut_from_each_other_then_its_quota_holds(seed: int) -> None:
+    async def story(world: World) -> None:
+        async def hot() -> None:
+            await world.traffic(80.0, 13.0, key="key-hot", tries=1)
+
+        world.nursery.start_soon(hot)
+        await trio.sleep(4.0)
+        heal = world.cut(world.around("zone0"), world.around("zone1", "zone2"))
+        await trio.sleep(5.0)
+        heal()
+        await trio.sleep(4.5)
+
+    world = fine(story, seed, tenants=HOT)
+    assert sum(one.status == 200 for one in world.judge.asked.values()) > 150
+
+
+def test_given_datagrams_that_get_lost_when_a_tenant_is_hot_then_its_quota_holds() -> None:
+    async def story(world: World) -> None:
+        world.network.loss = 0.2
+        await world.traffic(80.0, 8.0, key="key-hot", tries=1)
+
+    fine(story, 96, tenants=HOT)
+
+
+# ---- the judge itself ----
+
+
+def test_given_a_request_that_runs_twice_when_the_day_is_judged_then_it_is_seen() -> None:
+    async def story(world: World) -> None:
+        asked = await world.ask("zone0", "/write/", mutating=True)
+        once = next(one for one in world.judge.ran if one.id == asked.id)
+        world.judge.ran.append(once)
+        asked.status = 503
+
+    rules = {line.partition(":")[0] for line in play(story, 97, limiters=1, servers=1).judge.verdict()}
+    assert {"TWICE", "REFUSED"} <= rules
+
+
+def test_given_a_drain_that_nobody_heeds_when_the_day_is_judged_then_it_is_seen() -> None:
+    async def story(world: World) -> None:
+        await trio.sleep(4.0)
+        world.judge.drained = dict.fromkeys(world.servers, now())
+        await trio.sleep(3.0)
+        assert (await world.ask("zone0", "/read/", front=world.edges[0])).status == 200
+
+    rules = [line.partition(":")[0] for line in play(story, 98, limiters=1, servers=1).judge.verdict()]
+    assert rules == ["DRAIN"]
