Quota behind a cut: who is out of touch with the core holds no count

A holder that came back granted a second burst, as its count had drained meanwhile.

Change: a control plane tells limiters whether more than half of the core answered it in the last 1.1 s, sooner than the others stop naming it. A limiter that nobody in touch speaks to holds nothing, asks nobody, keeps the list it had and grants its share; back in touch it begins with full windows. The share is 0.85 of its part: while the holder behind a cut still grants, the others grant too. The list of a silent control plane counts for 2.5 s, not 6: limiters with different lists asked different holders. The budget's shares follow the same list.

--- a/finchshelf/controlplane/cells.py
+++ b/finchshelf/controlplane/cells.py
@@ -32,6 +32,7 @@
     disk: str = ""
     counted: bool = False
     heard: float = -1e9
+    answered: float = -1e9  # a question of ours
     life: int = 0
     rev: int = -1
     own: int = -1
--- a/finchshelf/controlplane/news.py
+++ b/finchshelf/controlplane/news.py
@@ -27,6 +27,7 @@
 BETWEEN = 0.4  # s that a question between control planes waits: they judge each other's silence by it
 AFTER_FAILURE = 0.3  # s until a control plane that did not answer is asked again
 HOLD = 0.6  # s for other control planes to hold a record: a server waits a second for its acknowledgement
+JOINED = 1.1  # s, less than `CONTROL_SILENT`: who is cut off knows it before the others do without it
 SWEEP = 0.25  # s between two looks for silence
 MEND = 0.5  # s between two looks at the members
 
@@ -116,6 +117,8 @@
         if limiter and (not same or have.get("list") != cells.merged_rev):
             answer["limiters"] = [one.pack() for one in cells.merged]
             answer["list"] = cells.merged_rev
+        if limiter and (not same or have.get("core") != self.joined()):
+            answer["core"] = self.joined()
         if not limiter and (not same or have.get("own") != cells.own):
             answer["limiters"] = [one.pack() for one, _ in cells.asked.values()]
             answer["own"] = cells.own
@@ -126,6 +129,22 @@
             return None
         return {"life": cells.life, **answer}
 
+    def in_touch(self) -> bool:
+        """With more than half of the core, by whom was heard last."""
+        decided, named = self.register.decided, {address for address, _ in self.cells.named}
+        members = {member.address for member in decided.members} if decided else set[str]()
+        return len(members & named) > len(members) // 2
+
+    def joined(self) -> bool:
+        """Did more than half of the core answer a question of this one just now?
+
+        Danger: behind a cut one way the others' questions still come; by the time that they name this one no
+        more, it must have stopped to call itself one of them."""
+        decided, now = self.register.decided, self.clock.now()
+        members = {member.address for member in decided.members} if decided else set[str]()
+        answered = {one.address for one in self.cells.controls.values() if now - one.answered <= JOINED}
+        return len(members & (answered | {self.cells.address})) > len(members) // 2
+
     def show(self) -> Message:
         """What an operator's `show` tells."""
         decided, now = self.register.decided, self.clock.now()
@@ -181,6 +200,7 @@
                      "control": [cells.address, cells.zone, me.disk, self.counted]}, BETWEEN + 1.0)
         now = self.clock.now()
         cells.hear(control, now)
+        control.answered = now
         if answer["life"] != control.life:
             control.life, control.rev, control.own, control.named = int(answer["life"]), -1, -1, -1
             if answer.get("none"):
@@ -237,13 +257,13 @@
 
     async def sweep(self) -> None:
         """What the news did not bring: silence."""
+        joined = False
         while True:
             await trio.sleep(SWEEP)
             now = self.clock.now()
-            decided, named = self.register.decided, {address for address, _ in self.cells.named}
-            members = {member.address for member in decided.members} if decided else set[str]()
-            in_touch = len(members & named) > len(members) // 2
-            if self.cells.silent_servers(now, in_touch) | self.cells.silent_limiters(now):
+            before, joined = joined, self.joined()
+            news = self.cells.silent_servers(now, self.in_touch()) | self.cells.silent_limiters(now)
+            if news or joined != before:
                 self.wake()
 
     async def mend(self, seeds: tuple[str, ...]) -> None:
--- a/finchshelf/counts/caller.py
+++ b/finchshelf/counts/caller.py
@@ -16,6 +16,7 @@
 
 BUDGET = 0.02  # s that a question may take (design page)
 LEAST = 1.0  # units that a share's bucket holds at least: else it never holds a request
+SHARE = 0.85  # of its part of the rate that the local bucket grants: behind a cut the holder grants all of it
 IDLE = 60.0  # s until an unused bucket goes (design page)
 
 
@@ -66,7 +67,7 @@
         return not before and breaker.open_until > now
 
     def bucket(self, tenant: Tenant, now: float) -> Bucket:
-        rate = tenant.rate / len(self.limiters)
+        rate = SHARE * tenant.rate / len(self.limiters)
         found = self.buckets.get(tenant.label)
         if found is None:
             # Danger: a limiter that starts while its holder is away would begin with a share already used by
--- a/finchshelf/dataplane/__main__.py
+++ b/finchshelf/dataplane/__main__.py
@@ -54,6 +54,7 @@
                                          boot.descriptors, memory)
         seeds = [f"{peer.host}:{control}" for peer in boot.initial_peers]
         follower = Follower(me, seeds, control, clock, core.put, random, telemetry.log, nursery)
+        core.in_touch = follower.in_touch
         looked_at = calls.Calls(clock, telemetry, nursery, None)
         readiness = Clients(looked_at, calls.Reader(READY), nursery,
                             lambda: core.ready() and follower.settled(), 64, memory)
--- a/finchshelf/dataplane/core.py
+++ b/finchshelf/dataplane/core.py
@@ -10,6 +10,7 @@
 import heapq
 import math
 import traceback
+from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
 from typing import Any, Protocol
@@ -34,6 +35,7 @@
 from finchshelf.transport.servers import Servers
 from finchshelf.transport.telemetry import Telemetry
 
+APART = 2.0  # s without a word of the core after which another may have held this limiter's counts meanwhile
 OVERDUE = 0.02  # s past its time at which a request gets the last answer, whatever was lost on the way
 NOTHING: Headers = [(b"Content-Length", b"0")]
 
@@ -94,6 +96,8 @@
         self.questions: dict[int, Question] = {}
         self.timers: list[tuple[float, int, str, int]] = []
         self.last = self.ticks = 0
+        self.in_touch: Callable[[], bool] = lambda: True
+        self.touched = -math.inf
         self.servers: Servers
         self.clients: Clients
         self.wire: Questions
@@ -116,11 +120,21 @@
     def asked(self, tenant: str, units: float) -> tuple[bool, float] | None:
         """Another limiter's question; None where this one knows no such tenant (yet)."""
         known, now = self.configuration.tenants.get(tenant), self.clock.now()
-        if known is None or known.rate <= 0:
-            return None
+        if known is None or known.rate <= 0 or not self.may_hold(now):
+            return None  # Danger: on the other side of a cut another holder grants the whole rate
         fits = self.holder.add(tenant, units, known.rate, max(1.0, known.surge), now)
         return fits, 0.0 if fits else self.holder.after(tenant, units, now)
 
+    def may_hold(self, now: float) -> bool:
+        """May this limiter hold counts and go by the list of limiters?"""
+        if not self.in_touch():
+            return False
+        if now - self.touched > APART:
+            # Danger: the counts drained here while another limiter held them: a burst would be granted twice.
+            self.holder.counts.clear()
+        self.touched = now
+        return True
+
     # ---- the task itself ----
 
     async def run(self) -> None:
@@ -200,7 +214,9 @@
         tenant = request.tenant
         if tenant is None or tenant.rate <= 0:
             return self.send(request, now)
-        holder = self.caller.ask(tenant.label, now)
+        # Danger: each side of a cut takes the other's limiters for gone, and would grant the whole rate. Who
+        # hears nothing of more than half of the core keeps to its share of the list from before.
+        holder = self.caller.ask(tenant.label, now) if self.may_hold(now) else None
         if holder is None:
             return self.local(request, now)
         if holder == self.me:
@@ -359,7 +375,7 @@
         if item.whole is not None:
             self.choice.keep(item.whole)
             self.addresses = {name: at for name, at in self.addresses.items() if name in self.choice.table}
-        if item.limiters is not None:
+        if item.limiters is not None and (self.may_hold(now) or not self.limiters):
             self.limiters = item.limiters
             self.caller.list(list(item.limiters), now)
             self.budget.limiters = len(self.caller.limiters)
--- a/finchshelf/dataplane/follower.py
+++ b/finchshelf/dataplane/follower.py
@@ -26,7 +26,8 @@
 MORE = 1.0  # s beside that for the answer to come
 DOWN = 1.0  # s that a control plane which did not answer is passed over
 SETTLE = 1.5  # s after the first answer in which a second one is waited for before the limiter is ready
-LISTED = 6.0  # s after which the list of a control plane that is silent no longer counts
+TOUCH = 1.4  # s after which the word of a silent control plane, that it is in touch with the core, is too old
+LISTED = 2.5  # s after which the list of a silent control plane does not count: limiters must not differ
 KNOWS = 8.0  # s that a control plane must have been up for its list of servers to be taken for whole
 
 
@@ -38,6 +39,7 @@
         self.have: dict[str, int] = {"life": 0, "rev": -1, "named": -1, "list": -1}
         self.limiters: dict[str, Limiter] = {}
         self.down_until = self.heard = -1e9
+        self.core = False  # was it in touch with more than half of the core, as it last said?
         self.running = False
 
 
@@ -67,6 +69,11 @@
         now = self.clock.now()
         return len(self.answered) >= 2 or (bool(self.answered) and now - self.first > SETTLE)
 
+    def in_touch(self) -> bool:
+        """Does anyone who is in touch with more than half of the core speak to this limiter?"""
+        now = self.clock.now()
+        return any(one.core and now - one.heard < TOUCH for one in self.sources.values())
+
     def wanted(self) -> list[str]:
         """Whom to ask: the own cell and one more; all while too few have answered."""
         now = self.clock.now()
@@ -105,7 +112,7 @@
             source.running = False
 
     async def ask_once(self, address: str, source: Source) -> None:
-        have: dict[str, Any] = {**source.have, "slot": self.slot}
+        have: dict[str, Any] = {**source.have, "slot": self.slot, "core": source.core}
         answer = await source.link.ask("news", {"op": "news", "have": have, "wait": WAIT,
                                                 "limiter": self.me.pack()}, WAIT + MORE)
         source.heard = self.clock.now()
@@ -118,8 +125,10 @@
         now, have = self.clock.now(), source.have
         if answer["life"] != have["life"]:
             source.have = have = {"life": int(answer["life"]), "rev": -1, "named": -1, "list": -1}
+            source.core = False
             if answer.get("none"):
                 return
+        source.core = bool(answer.get("core", source.core))
         news = News([read_server(row, now) for row in answer.get("servers", ())])
         if "rev" in answer:
             if have["rev"] < 0 and float(answer.get("whole", 0.0)) > KNOWS:
