--- a/finchshelf/dataplane/questions.py
+++ b/finchshelf/dataplane/questions.py
@@ -31,7 +31,12 @@
     sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     sock.setblocking(False)
-    sock.bind((address.host, address.port))
+    try:
+        sock.bind((address.host, address.port))
+    except OSError as error:
+        error.add_note(f"listen for datagrams at {address}")
+        sock.close()
+        raise
     return sock
 
 
