--- a/tests/stories/world/fleet.py
+++ b/tests/stories/world/fleet.py
@@ -359,7 +359,11 @@
     def front(self, zone: str) -> Address:
         hosts = [one.machine.host for one in self.of("data", zone)]
         inside = [host for host in hosts if self.inside.get(host, 2) < 2]
-        chosen = inside if 2 * len(inside) >= len(hosts) and inside else hosts
+        elsewhere = [host for host in self.edges if self.inside.get(host, 2) < 2]
+        if inside:
+            chosen = inside if 2 * len(inside) >= len(hosts) else hosts
+        else:  # none of the zone's is in: those of others, else any
+            chosen = elsewhere or hosts or self.edges
         return Address(self.random.choice(chosen), FRONT)
 
     async def ask(self, zone: str, path: str, key: str = "key-plain", *, front: str = "", tries: int = 2,
