Quotas: a holder grants only for limiters in touch; a model of callers and holders

Change: questions say whether their limiter is in touch, and each tenant in use is named to its holder every 0.3 s; a count drains only at the shares of limiters in touch, and until lists have settled only at those heard; limiters off the list keep their share for 12 s; a refusal by the holder empties the local bucket; a caller out of touch with control planes falls to a tenth of its share.

--- a/finchshelf/counts/caller.py
+++ b/finchshelf/counts/caller.py
@@ -2,34 +2,61 @@
 
 Owns a breaker for each holder and a bucket for each tenant (Sentinel's path: one question a request under a
 short budget, consecutive failures open the breaker, after a quarantine one question at a time is a probe,
-meanwhile a local bucket at this limiter's share). It must never send anything; whoever carries it does.
+meanwhile a local bucket at this limiter's share), and what holders must hear of this limiter. It must never
+send anything; whoever carries it does.
 """
 
 from __future__ import annotations
 
 from collections.abc import Sequence
+from dataclasses import dataclass
+from math import inf
 from zlib import crc32
 
-from finchshelf.admission.breaker import Breaker, Bucket
+from finchshelf.admission.breaker import TRIP_AFTER, Breaker, Bucket
 from finchshelf.configuration.document import Tenant
+from finchshelf.counts.holder import AWAY, BYE, KEEP, NEAR
 from finchshelf.membership import rendezvous
 
 BUDGET = 0.02  # s that a question may take (design page)
 LEAST = 1.0  # units that a share's bucket holds at least: else it never holds a request
 IDLE = 60.0  # s until an unused bucket goes (design page)
+BEAT = 0.3  # s between two words to a holder that is asked nothing
+USE = 5.0  # s without a request after which a tenant is not in use here
+LAG = 3.0  # s after which a list is known to all limiters in touch
+GAP = 2.5  # s without a word of a control plane after which this limiter may have been taken off the list
+FALLEN = 0.1  # of the share, once others may no longer set it aside: over all limiters the rule's own tenth
+
+
+@dataclass(slots=True)
+class Use:
+    """A tenant in use here: whom it was asked of, and when."""
+
+    holder: str
+    asked: float
+    used: float
 
 
 class Caller:
     def __init__(self, me: str, now: float) -> None:
         self.me, self.began, self.swept = me, now, now
         self.limiters: tuple[str, ...] = (me,)
+        self.known: dict[str, float] = {me: now}  # limiters listed of late: when last
+        self.told, self.settled = now, now  # the last list; since when lists came and were the same
         self.holders: dict[str, str] = {}
         self.breakers: dict[str, Breaker] = {}
         self.buckets: dict[str, Bucket] = {}
+        self.uses: dict[str, Use] = {}
 
-    def list(self, names: Sequence[str], now: float) -> None:
-        """The limiters there are, this one always among them."""
+    def listed(self, names: Sequence[str], now: float) -> None:
+        """The limiters there are, this one always among them; said at each answer of a control plane."""
         limiters = tuple(sorted({*names, self.me}))
+        if limiters != self.limiters or now - self.told > GAP:
+            self.settled = now
+        self.told = now
+        # Danger: limiters that a cut took off the list let in their shares on the other side of it.
+        self.known = {name: at for name, at in self.known.items() if now - at < KEEP}
+        self.known.update(dict.fromkeys(limiters, now))
         if limiters == self.limiters:
             return
         self.limiters, self.holders = limiters, {}
@@ -41,13 +68,56 @@
             found = self.holders[tenant] = rendezvous.first(tenant, self.limiters) or self.me
         return found
 
+    def sole(self, tenant: str) -> float:
+        """When no other limiter can be the tenant's holder any more, if this one is by its list."""
+        return self.settled + LAG if self.holder(tenant) == self.me else inf
+
+    def left(self) -> int:
+        """Limiters that went off the list of late: cut off or dead, who can say."""
+        return len(self.known) - len(self.limiters)
+
     def ask(self, tenant: str, now: float) -> str | None:
         """The holder to ask, or None while its breaker is open: then the local bucket decides."""
         name = self.holder(tenant)
+        use = self.uses.get(tenant)
+        if use is None:
+            use = self.uses[tenant] = Use(name, now, now)
+        use.used = now
         if name == self.me or self.breaker(name, now).allows(now):
+            if use.holder == name:
+                use.asked = now
             return name
         return None
 
+    def state(self, holder: str) -> int:
+        """Does this limiter let in its share, as far as that holder is concerned?"""
+        breaker = self.breakers.get(holder)
+        return AWAY if breaker is not None and breaker.failures >= TRIP_AFTER else NEAR
+
+    def beats(self, now: float) -> list[tuple[str, str, int]]:
+        """What holders must hear by now beside questions: (holder, tenant, state); every `BEAT`.
+
+        Danger: a limiter that asks nothing may have no requests, or be cut off and let in its share."""
+        found: list[tuple[str, str, int]] = []
+        for tenant, use in [*self.uses.items()]:
+            name = self.holder(tenant)
+            if use.holder != name:
+                found.append((use.holder, tenant, AWAY))
+                use.holder, use.asked = name, -inf
+            if now - use.used > USE:
+                found.append((name, tenant, BYE))
+                del self.uses[tenant]
+            elif now - use.asked > BEAT * 0.9 or self.state(name) == AWAY:
+                found.append((name, tenant, self.state(name)))
+                use.asked = now
+        return found
+
+    def share(self, tenant: Tenant, now: float) -> float:
+        """Units a second that this limiter may let in where the holder can't be asked."""
+        out = (now - self.told - KEEP * 0.75) / (KEEP * 0.25)
+        fall = 1.0 - (1.0 - FALLEN) * min(1.0, max(0.0, out))
+        return tenant.rate / len(self.known) * fall
+
     def breaker(self, name: str, now: float) -> Breaker:
         found = self.breakers.get(name)
         if found is None:
@@ -66,7 +136,7 @@
         return not before and breaker.open_until > now
 
     def bucket(self, tenant: Tenant, now: float) -> Bucket:
-        rate = tenant.rate / len(self.limiters)
+        rate = self.share(tenant, now)
         found = self.buckets.get(tenant.label)
         if found is None:
             # Danger: a limiter that starts while its holder is away would begin with a share already used by
@@ -88,6 +158,14 @@
         bucket = self.bucket(tenant, now)
         bucket.level, bucket.at = max(0.0, bucket.now_level(now) - units), now
 
+    def refused(self, tenant: Tenant, now: float) -> None:
+        """The holder had no room: nothing is saved up here either.
+
+        Danger: the holder goes while a tenant asks too much, and each limiter that few of its requests come
+        through has a whole bucket left."""
+        bucket = self.bucket(tenant, now)
+        bucket.level, bucket.at = min(0.0, bucket.now_level(now)), now
+
     def local(self, tenant: Tenant, units: float, now: float) -> bool:
         """Does the share have room? Only an allow writes to it."""
         bucket = self.bucket(tenant, now)
--- a/finchshelf/counts/holder.py
+++ b/finchshelf/counts/holder.py
@@ -1,16 +1,22 @@
 """The holder of tenants' counts: adds a request's units, and says whether they fit.
 
-Owns one count a tenant. The count is that of a window that slides: it drains at the tenant's rate, so that
-in any span t no more than `burst + rate x t` fit (a window that falls to nothing at an edge grants two
-bursts around it). A holder must never grant what a former holder may have granted already: it begins with a
-full window.
+Owns one count a tenant, and for each count which limiters are in touch with it. The count is that of a
+window that slides: it drains at the tenant's rate, so that in any span t no more than `burst + rate x t` fit
+(a window that falls to nothing at an edge grants two bursts around it). It drains only at the shares of the
+limiters in touch: the others let in their own meanwhile. A holder must never grant what another holder may
+have granted already, or what a limiter may let in without it. `docs/quotas.md` has the bound.
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 IDLE = 60.0  # s after which a count that nobody asked for goes (design page)
+TOUCH = 0.8  # s without a word after which a limiter may be letting in its share: more than two beats
+KEEP = 12.0  # s that the share of a limiter out of touch is set aside: longer than a cut lasts
+LOOK = 0.1  # s between two looks at who is in touch
+COME = 2.0  # s ahead at most that refused requests are told to come back
+BYE, AWAY, NEAR = -1, 0, 1  # what a limiter says of itself: no use of it, lets in its share, asks here
 
 
 @dataclass(slots=True)
@@ -19,9 +25,52 @@
     burst: float
     total: float
     at: float
+    sole: float  # when no other can be the holder any more; until then whoever isn't heard asks elsewhere
+    part: float = 1.0  # of the rate: the limiters in touch
+    looked: float = -1e9
+    promised: float = 0.0  # when the last of those refused comes back
+    near: dict[str, float] = field(default_factory=dict)  # limiters in touch: heard when
+    away: dict[str, float] = field(default_factory=dict)  # limiters that may let in their share: since when
 
     def drained(self, now: float) -> float:
-        return max(0.0, self.total - self.rate * max(0.0, now - self.at))
+        return max(0.0, self.total - self.rate * self.part * max(0.0, now - self.at))
+
+    def settle(self, now: float) -> None:
+        self.total, self.at = self.drained(now), max(self.at, now)
+
+    def hear(self, who: str, state: int, now: float) -> None:
+        if state == NEAR:
+            if who in self.away or who not in self.near:
+                self.looked = -1e9
+            self.away.pop(who, None)
+            self.near[who] = now
+        else:
+            self.near.pop(who, None)
+            self.away.pop(who, None)
+            if state == AWAY:
+                self.away[who] = now
+            self.looked = -1e9
+
+    def look(self, limiters: int, left: int, now: float) -> None:
+        """Who is in touch, and so at what part of the rate it drains from now on."""
+        self.looked = now
+        self.settle(now)
+        limiters = max(limiters, len(self.near) + len(self.away), 1)
+        for who, heard in [*self.near.items()]:
+            if now - heard > TOUCH:
+                # Danger: it was cut off the moment after its last word, and let in its share since.
+                del self.near[who]
+                self.away[who] = now
+                self.total = min(self.total + self.rate / limiters * (now - heard), 2 * self.burst)
+        for who, since in [*self.away.items()]:
+            if now - since > KEEP:
+                del self.away[who]
+        # Danger: half of the limiters are cut off from the other half, whose holder has never heard of them.
+        aside = max(len(self.away), left)
+        if now < self.sole:
+            # Danger: two holders by two lists. Whoever was not heard here still asks the other one.
+            aside = max(aside, limiters - len(self.near))
+        self.part = max(1, limiters - aside) / limiters
 
 
 class Holder:
@@ -29,16 +78,26 @@
         self.counts: dict[str, Count] = {}
         self.swept = 0.0
 
-    def add(self, tenant: str, units: float, rate: float, burst: float, now: float) -> bool:
-        """Do the units fit? Those that do not are taken off again. `rate` in units a second, above 0."""
+    def add(self, tenant: str, units: float, rate: float, burst: float, now: float, who: str = "",
+            state: int = NEAR, sole: float = 0.0, limiters: int = 1, left: int = 0) -> bool:
+        """Do the units fit? Those that do not are taken off again. `rate` in units a second, above 0.
+
+        `sole`: when nobody else can be the holder, `limiters`: known, `left`: those of them off the list, as
+        `Caller` has them."""
         count = self.counts.get(tenant)
         if count is None:
             # Danger: the former holder died, or the list of limiters changed: what it granted in this window
             # is not known here. A full window grants only what drains, whatever came before.
-            count = self.counts[tenant] = Count(rate, burst, burst, now)
+            since = max(0.0, now - sole)
+            count = self.counts[tenant] = Count(rate, burst, max(0.0, burst - rate * since), now, sole)
         elif (count.rate, count.burst) != (rate, burst):
-            count.total, count.at = min(count.drained(now), burst), now
+            count.settle(now)
+            count.total = min(count.total, burst)
             count.rate, count.burst = rate, burst
+        count.sole = min(count.sole, sole)
+        count.hear(who, state, now)
+        if now - count.looked > LOOK:
+            count.look(limiters, left, now)
         total = count.drained(now) + units
         fits = total <= count.burst
         count.total, count.at = total if fits else total - units, now
@@ -48,8 +107,16 @@
         return fits
 
     def after(self, tenant: str, units: float, now: float) -> float:
-        """Seconds until that many units fit."""
+        """Seconds until that many units fit, one refused request after the other.
+
+        Danger: all of them told the same moment come back as a crowd, and all but one are refused again."""
         count = self.counts.get(tenant)
         if count is None:
             return 0.0
-        return max(0.0, (count.drained(now) + units - count.burst) / count.rate)
+        rate = count.rate * count.part
+        first = max(0.0, (count.drained(now) + units - count.burst) / rate)
+        after = max(first, count.promised - now)
+        if after > max(COME, first):
+            after = first
+        count.promised = now + after + units / rate
+        return after
--- a/finchshelf/dataplane/core.py
+++ b/finchshelf/dataplane/core.py
@@ -18,8 +18,8 @@
 
 from finchshelf.admission.interface import ClientGone, Status
 from finchshelf.configuration.document import Configuration, Limits, Route
-from finchshelf.counts.caller import BUDGET, Caller
-from finchshelf.counts.holder import Holder
+from finchshelf.counts.caller import BEAT, BUDGET, Caller
+from finchshelf.counts.holder import NEAR, Holder
 from finchshelf.dataplane import tries
 from finchshelf.dataplane.budget import Budget
 from finchshelf.dataplane.choice import Choice
@@ -88,6 +88,7 @@
         self.choice, self.budget = Choice(zone, random), Budget(ratio, slack)
         self.caller, self.holder = Caller(me, clock.now()), Holder()
         self.limiters: dict[str, Limiter] = {}
+        self.hosts: dict[str, str] = {}  # of limiters listed of late: those just left must hear of it
         self.addresses: dict[str, Address] = {}
         self.mailbox: Mailbox[Any] = Mailbox()
         self.live: dict[int, Request] = {}
@@ -113,17 +114,19 @@
     def told(self, number: int, fits: bool, after: float) -> None:
         self.mailbox.put(Told(number, fits, after))
 
-    def asked(self, tenant: str, units: float) -> tuple[bool, float] | None:
-        """Another limiter's question; None where this one knows no such tenant (yet)."""
+    def asked(self, tenant: str, units: float, who: str, state: int) -> tuple[bool, float] | None:
+        """A limiter's question or word (0 units); None where this one knows no such tenant (yet)."""
         known, now = self.configuration.tenants.get(tenant), self.clock.now()
         if known is None or known.rate <= 0:
             return None
-        fits = self.holder.add(tenant, units, known.rate, max(1.0, known.surge), now)
+        fits = self.holder.add(tenant, units, known.rate, max(1.0, known.surge), now, who, state,
+                               self.caller.sole(tenant), len(self.caller.known), self.caller.left())
         return fits, 0.0 if fits else self.holder.after(tenant, units, now)
 
     # ---- the task itself ----
 
     async def run(self) -> None:
+        self.timer(self.clock.now() + BEAT, "beat", 0)
         while True:
             wait = max(0.0, self.timers[0][0] - self.clock.now()) if self.timers else math.inf
             until = trio.current_time() + wait
@@ -157,6 +160,13 @@
                     self.telemetry.log("breaker", state="open", holder=question.holder)
                 if question.request.id in self.live:
                     self.local(question.request, now)
+        elif kind == "beat":
+            for holder, tenant, state in self.caller.beats(now):
+                if holder == self.me:
+                    self.asked(tenant, 0.0, self.me, state)
+                elif holder in self.hosts:
+                    self.wire.ask(self.hosts[holder], tenant, 0.0, state)
+            self.timer(now + BEAT, "beat", 0)
         elif kind == "hedge":
             request = self.live.get(number)
             if request is not None:
@@ -204,12 +214,12 @@
         if holder is None:
             return self.local(request, now)
         if holder == self.me:
-            fits, after = self.asked(tenant.label, 1.0) or (True, 0.0)
+            fits, after = self.asked(tenant.label, 1.0, self.me, NEAR) or (True, 0.0)
             return self.decide(request, fits, after, now)
         limiter = self.limiters.get(holder)
         if limiter is None:
             return self.local(request, now)
-        number = self.wire.ask(limiter.host, tenant.label, 1.0)
+        number = self.wire.ask(limiter.host, tenant.label, 1.0, self.caller.state(holder))
         self.questions[number] = Question(request, holder, now)
         self.timer(now + BUDGET, "count", number)
 
@@ -232,6 +242,7 @@
         if fits:
             self.caller.counted(request.tenant, 1.0, now)
             return self.send(request, now)
+        self.caller.refused(request.tenant, now)
         self.answer(request, refusal(429, after), "refused.quota")
 
     def local(self, request: Request, now: float) -> None:
@@ -361,7 +372,9 @@
             self.addresses = {name: at for name, at in self.addresses.items() if name in self.choice.table}
         if item.limiters is not None:
             self.limiters = item.limiters
-            self.caller.list(list(item.limiters), now)
+            self.caller.listed(list(item.limiters), now)
+            self.hosts.update((name, one.host) for name, one in item.limiters.items())
+            self.hosts = {name: host for name, host in self.hosts.items() if name in self.caller.known}
             self.budget.limiters = len(self.caller.limiters)
         new = item.configuration
         if new is not None and new.version > self.configuration.version:
--- a/finchshelf/dataplane/questions.py
+++ b/finchshelf/dataplane/questions.py
@@ -22,7 +22,7 @@
 
 
 class Asked(Protocol):
-    def asked(self, tenant: str, units: float) -> tuple[bool, float] | None: ...
+    def asked(self, tenant: str, units: float, who: str, state: int) -> tuple[bool, float] | None: ...
     def told(self, number: int, fits: bool, after: float) -> None: ...
 
 
@@ -34,12 +34,13 @@
         self.sock.setblocking(False)
         self.sock.bind((address.host, address.port))
         self.numbers = 0
-        self.out: dict[str, list[tuple[int, str, float]]] = {}
+        self.out: dict[str, list[tuple[int, str, float, int]]] = {}
 
-    def ask(self, host: str, tenant: str, units: float) -> int:
-        """Put a question; those of one turn to one holder share a datagram."""
+    def ask(self, host: str, tenant: str, units: float, state: int) -> int:
+        """Put a question, or with 0 units say a word that wants no answer; those of one turn to one holder
+        share a datagram."""
         self.numbers += 1
-        self.out.setdefault(host, []).append((self.numbers, tenant, units))
+        self.out.setdefault(host, []).append((self.numbers, tenant, units, state))
         return self.numbers
 
     def flush(self) -> None:
@@ -70,9 +71,9 @@
         kind, rows = message
         if kind == ASK:
             answers: list[tuple[int, int, float]] = []
-            for number, tenant, units in rows:
-                found = self.core.asked(str(tenant), float(units))
-                if found is not None:
+            for number, tenant, units, state in rows:
+                found = self.core.asked(str(tenant), float(units), source[0], int(state))
+                if found is not None and units > 0:
                     answers.append((int(number), int(found[0]), round(found[1], 3)))
             if answers:
                 self.send([TELL, answers], source)
--- /dev/null
+++ b/tests/stories/counts_fleet.py
@@ -0,0 +1,254 @@
+"""Limiters that count for each other, in memory: virtual time, seeded, the real decisions of `counts`.
+
+Owns the harm (datagrams lost, late, cut one way or both; limiters killed and cut off; lists that lag and
+differ) and the record of what was let in. It must never decide what is let in.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from itertools import accumulate
+from math import inf
+from random import Random
+
+from finchshelf.configuration.document import Tenant
+from finchshelf.counts.caller import BEAT, BUDGET, Caller
+from finchshelf.counts.holder import AWAY, NEAR, Holder
+
+WINDOW, OVERSHOOT, SLACK = 5.0, 0.1, 20.0  # of the rule (QUOTA)
+UNLISTED, CLOSED = 2.6, 0.7  # s until a limiter that is cut off, or killed, is off the list
+POLL = 0.25  # s between two looks at the list
+
+
+@dataclass(frozen=True)
+class Plan:
+    """A site, and the guards that a mutant drops."""
+
+    limiters: int = 12
+    rate: float = 60.0
+    hot: float = 10.0  # times its rate that the tenant asks
+    skew: float = 1.0  # 0: each limiter gets the same
+    loss: float = 0.005
+    late: float = 0.0  # share of datagrams that take 30 ms
+    lag: float = 3.0
+    until: float = 16.0
+    mutant: str = ""
+
+
+class Node:
+    def __init__(self, name: str, now: float) -> None:
+        self.caller, self.holder = Caller(name, now), Holder()
+        self.asked: dict[int, str] = {}
+        self.list: tuple[str, ...] = ()
+
+
+class Fleet:
+    """One tenant, whose holder by the whole list is `first`."""
+
+    def __init__(self, plan: Plan, seed: int) -> None:
+        self.plan, self.rng, self.now = plan, Random(seed), 0.0
+        self.names = [f"n{i}" for i in range(plan.limiters)]
+        self.tenant = Tenant("t", (), 1, plan.rate, plan.rate)
+        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        self.steps = 0
+        self.cut: set[tuple[str, str]] = set()  # datagrams from the one to the other are lost
+        self.alone: dict[str, float] = {}  # cut off from control planes: since
+        self.dead: dict[str, float] = {}
+        self.lists: list[tuple[float, tuple[str, ...]]] = [(-100.0, tuple(self.names))]
+        self.force: tuple[str, ...] | None = None
+        self.lags: dict[tuple[str, float], float] = {}
+        self.let: list[float] = []
+        self.came: list[float] = []
+        self.weights = [1 + plan.skew * (self.rng.paretovariate(1.2) - 1) for _ in self.names]
+        self.nodes: dict[str, Node] = {}
+        for name in self.names:
+            self.start(name)
+            self.nodes[name].caller.settled = -100.0
+            self.at(self.rng.random() * BEAT, self.beating(name))
+        self.first = self.nodes["n0"].caller.holder("t")
+        self.others = [name for name in self.names if name != self.first]
+        self.at(0.0, self.polling)
+        self.at(0.0, self.arriving)
+
+    # ---- time ----
+
+    def at(self, when: float, what: Callable[[], None]) -> None:
+        self.steps += 1
+        heapq.heappush(self.events, (when, self.steps, what))
+
+    def play(self) -> Fleet:
+        while self.events and self.events[0][0] < self.plan.until:
+            self.now, _, what = heapq.heappop(self.events)
+            what()
+        return self
+
+    # ---- harm ----
+
+    def start(self, name: str) -> None:
+        self.dead.pop(name, None)
+        node = self.nodes[name] = Node(name, self.now)
+        node.caller.listed(self.lists[-1][1], self.now)
+
+    def kill(self, name: str, when: float, down: float) -> None:
+        self.at(when, lambda: self.dead.update({name: self.now}))
+        self.at(when + down, lambda: self.start(name))
+
+    def apart(self, some: Iterable[str], when: float, span: float) -> None:
+        """These are cut off from all others and from the control planes."""
+        names = set(some)
+        pairs = {(a, b) for a in self.names for b in self.names if (a in names) != (b in names)}
+
+        def begin() -> None:
+            self.cut |= pairs
+            self.alone.update(dict.fromkeys(names, self.now))
+
+        def end() -> None:
+            self.cut -= pairs
+            for name in names:
+                self.alone.pop(name, None)
+        self.at(when, begin)
+        self.at(when + span, end)
+
+    def mute(self, name: str, when: float, span: float) -> None:
+        """Questions come to it, its answers are lost."""
+        pairs = {(name, b) for b in self.names}
+        self.at(when, lambda: self.cut.update(pairs))
+        self.at(when + span, lambda: self.cut.difference_update(pairs))
+
+    def listed(self, names: tuple[str, ...] | None, when: float) -> None:
+        """The control planes list these, whatever runs; None: those that run."""
+        self.at(when, lambda: setattr(self, "force", names))
+
+    def lower(self, rate: float, when: float) -> None:
+        self.at(when, lambda: setattr(self, "tenant", Tenant("t", (), 1, rate, rate)))
+
+    # ---- control planes ----
+
+    def polling(self) -> None:
+        there = self.force or tuple(
+            name for name in self.names
+            if self.now - self.dead.get(name, inf) < CLOSED or name not in self.dead
+            if self.now - self.alone.get(name, inf) < UNLISTED or name not in self.alone)
+        if there != self.lists[-1][1]:
+            self.lists.append((self.now, there))
+        for name, node in self.nodes.items():
+            if name in self.dead or name in self.alone:
+                continue
+            for since, names in reversed(self.lists):
+                lag = self.lags.setdefault((name, since), self.rng.random() * self.plan.lag)
+                if since + lag <= self.now:
+                    node.caller.listed(names, self.now)
+                    break
+        self.at(self.now + POLL, self.polling)
+
+    # ---- datagrams ----
+
+    def send(self, a: str, b: str, what: Callable[[Node], None]) -> None:
+        if (a, b) in self.cut or self.rng.random() < self.plan.loss:
+            return
+        takes = 0.015 if self.rng.random() < self.plan.late else 0.0005 + 0.003 * self.rng.random()
+
+        def come() -> None:
+            if b not in self.dead:
+                what(self.nodes[b])
+        self.at(self.now + takes, come)
+
+    def beating(self, name: str) -> Callable[[], None]:
+        def beat() -> None:
+            node = self.nodes[name]
+            if name not in self.dead and self.plan.mutant != "silent":
+                for holder, _, state in node.caller.beats(self.now):
+                    if holder == name:
+                        self.add(node, name, state, 0.0)
+                    else:
+                        self.send(name, holder, lambda to, s=state: self.add(to, name, s, 0.0))  # type: ignore
+            self.at(self.now + BEAT, beat)
+        return beat
+
+    # ---- requests: the steps of the data plane's core ----
+
+    def arriving(self) -> None:
+        weights = list(accumulate(0.0 if name in self.dead else weight
+                                  for name, weight in zip(self.names, self.weights, strict=True)))
+        if weights[-1] > 0:
+            self.came.append(self.now)
+            self.arrived(self.rng.choices(self.names, cum_weights=weights)[0])
+        self.at(self.now + self.rng.expovariate(self.plan.rate * self.plan.hot), self.arriving)
+
+    def arrived(self, name: str) -> None:
+        node, number = self.nodes[name], self.steps
+        holder = node.caller.ask("t", self.now)
+        if holder is None:
+            return self.local(node)
+        if holder == name:
+            return self.decide(node, self.add(node, name, NEAR, 1.0))
+        state, sent = node.caller.state(holder), self.now
+        node.asked[number] = holder
+        self.at(self.now + BUDGET, lambda: self.late(name, node, number))
+
+        def told(fits: bool) -> None:
+            if node.asked.pop(number, None) is not None:
+                node.caller.answered(holder, self.now - sent, self.now)
+                self.decide(node, fits)
+
+        def question(to: Node) -> None:
+            fits = self.add(to, name, state, 1.0)
+            self.send(holder, name, lambda back: told(fits) if back is node else None)
+        self.send(name, holder, question)
+
+    def add(self, to: Node, who: str, state: int, units: float) -> bool:
+        tenant, sole, limiters = self.tenant, to.caller.sole("t"), len(to.caller.known)
+        left = to.caller.left() if self.plan.mutant != "left" else 0
+        if self.plan.mutant == "fresh":
+            sole = -inf
+        if self.plan.mutant == "whole" and state == AWAY:
+            state = NEAR
+        fits = to.holder.add("t", units, tenant.rate, tenant.surge, self.now, who, state, sole, limiters,
+                           left)
+        if self.plan.mutant == "whole":
+            to.holder.counts["t"].part = 1.0
+        return fits
+
+    def late(self, name: str, node: Node, number: int) -> None:
+        holder = node.asked.pop(number, None)
+        if holder is not None and self.nodes[name] is node and name not in self.dead:
+            node.caller.failed(holder, self.now)
+            self.local(node)
+
+    def decide(self, node: Node, fits: bool) -> None:
+        if fits:
+            if self.plan.mutant != "uncharged":
+                node.caller.counted(self.tenant, 1.0, self.now)
+            self.let.append(self.now)
+        elif self.plan.mutant != "saved":
+            node.caller.refused(self.tenant, self.now)
+
+    def local(self, node: Node) -> None:
+        if node.caller.local(self.tenant, 1.0, self.now):
+            self.let.append(self.now)
+
+    # ---- what came of it ----
+
+    def worst(self, after: float = 0.0) -> float:
+        """The most let in within a window, over what is allowed; above 1 breaks the rule."""
+        most, first = 0, 0
+        times = [each for each in self.let if each >= after]
+        for last, at in enumerate(times):
+            while times[first] < at - WINDOW:
+                first += 1
+            most = max(most, last - first + 1)
+        tenant = self.tenant
+        return most / ((tenant.rate * WINDOW + tenant.surge) * (1 + OVERSHOOT) + SLACK)
+
+    def served(self, since: float = 0.0, until: float = inf) -> float:
+        """Let in, over what one bucket for all would have let in."""
+        level, at, room = self.tenant.surge, 0.0, 0
+        for each in self.came:
+            level = min(self.tenant.surge, level + self.tenant.rate * (each - at))
+            at = each
+            if level >= 1:
+                level -= 1
+                room += since <= each < until
+        return sum(since <= each < until for each in self.let) / max(1, room)
