--- a/finchshelf/counts/caller.py
+++ b/finchshelf/counts/caller.py
@@ -20,6 +20,7 @@
 
 BUDGET = 0.02  # s that a question may take (design page)
 LEAST = 1.0  # units that a share's bucket holds at least: else it never holds a request
+WHOLE = 8.0  # units that all limiters hold beyond half of small shares: of the 20 that the rule lets pass
 IDLE = 60.0  # s until an unused bucket goes (design page)
 BEAT = 0.3  # s between two words to a holder that is asked nothing
 USE = 5.0  # s without a request after which a tenant is not in use here
@@ -44,6 +45,7 @@
         self.known: dict[str, float] = {me: now}  # limiters listed of late: when last
         self.told, self.settled = now, now  # the last list; since when lists came and were the same
         self.holders: dict[str, str] = {}
+        self.held: dict[str, float] = {}  # tenants that this limiter is the holder of by its list: since when
         self.breakers: dict[str, Breaker] = {}
         self.buckets: dict[str, Bucket] = {}
         self.uses: dict[str, Use] = {}
@@ -53,6 +55,10 @@
         limiters = tuple(sorted({*names, self.me}))
         if limiters != self.limiters or now - self.told > GAP:
             self.settled = now
+            # Danger: off the list unawares, and back: another limiter held the counts meanwhile.
+            self.held = {} if now - self.told > GAP else {
+                tenant: since for tenant, since in self.held.items()
+                if rendezvous.first(tenant, limiters) == self.me}
         self.told = now
         # Danger: limiters that a cut took off the list let in their shares on the other side of it.
         self.known = {name: at for name, at in self.known.items() if now - at < KEEP}
@@ -70,7 +76,9 @@
 
     def sole(self, tenant: str) -> float:
         """When no other limiter can be the tenant's holder any more, if this one is by its list."""
-        return self.settled + LAG if self.holder(tenant) == self.me else inf
+        if self.holder(tenant) != self.me:
+            return inf
+        return self.held.setdefault(tenant, self.settled) + LAG
 
     def left(self) -> int:
         """Limiters that went off the list of late: cut off or dead, who can say."""
@@ -107,7 +115,7 @@
             if now - use.used > USE:
                 found.append((name, tenant, BYE))
                 del self.uses[tenant]
-            elif now - use.asked > BEAT * 0.9 or self.state(name) == AWAY:
+            elif now - use.asked > BEAT * 0.4 or self.state(name) == AWAY:
                 found.append((name, tenant, self.state(name)))
                 use.asked = now
         return found
@@ -154,9 +162,10 @@
         """The holder let it in: so much less is left of the share, should the holder go now.
 
         Danger: a holder dies right after it granted a burst, and every limiter grants a full bucket on
-        top."""
+        top. So no more than half of a bucket is kept while the holder can be asked: it has the burst."""
         bucket = self.bucket(tenant, now)
-        bucket.level, bucket.at = max(0.0, bucket.now_level(now) - units), now
+        most = max(bucket.rate / 2, min(LEAST, WHOLE / len(self.known)))
+        bucket.level, bucket.at = min(most, max(0.0, bucket.now_level(now) - units)), now
 
     def refused(self, tenant: Tenant, now: float) -> None:
         """The holder had no room: nothing is saved up here either.
@@ -166,6 +175,11 @@
         bucket = self.bucket(tenant, now)
         bucket.level, bucket.at = min(0.0, bucket.now_level(now)), now
 
+    def credit(self, tenant: Tenant, units: float, now: float) -> None:
+        """The holder let it in, too late: the share had decided, so the units are there to be used."""
+        bucket = self.bucket(tenant, now)
+        bucket.level, bucket.at = min(bucket.size, bucket.now_level(now) + units), now
+
     def local(self, tenant: Tenant, units: float, now: float) -> bool:
         """Does the share have room? Only an allow writes to it."""
         bucket = self.bucket(tenant, now)
--- a/finchshelf/counts/holder.py
+++ b/finchshelf/counts/holder.py
@@ -12,10 +12,11 @@
 from dataclasses import dataclass, field
 
 IDLE = 60.0  # s after which a count that nobody asked for goes (design page)
-TOUCH = 0.8  # s without a word after which a limiter may be letting in its share: more than two beats
+TOUCH = 0.5  # s without a word after which a limiter may be letting in its share: more than a beat
 KEEP = 12.0  # s that the share of a limiter out of touch is set aside: longer than a cut lasts
 LOOK = 0.1  # s between two looks at who is in touch
 COME = 2.0  # s ahead at most that refused requests are told to come back
+SPARE = 4.0  # units left in a window that starts full: of the 20 that the rule lets pass, for three holders
 BYE, AWAY, NEAR = -1, 0, 1  # what a limiter says of itself: no use of it, lets in its share, asks here
 
 
@@ -88,13 +89,17 @@
         if count is None:
             # Danger: the former holder died, or the list of limiters changed: what it granted in this window
             # is not known here. A full window grants only what drains, whatever came before.
-            since = max(0.0, now - sole)
-            count = self.counts[tenant] = Count(rate, burst, max(0.0, burst - rate * since), now, sole)
+            full = max(0.0, burst - SPARE - rate * max(0.0, now - sole))
+            count = self.counts[tenant] = Count(rate, burst, full, now, sole)
         elif (count.rate, count.burst) != (rate, burst):
             count.settle(now)
             count.total = min(count.total, burst)
             count.rate, count.burst = rate, burst
-        count.sole = min(count.sole, sole)
+        if sole > count.sole:
+            # Danger: another held it meanwhile and granted a window; this one has drained since.
+            count.settle(now)
+            count.total = max(count.total, burst - SPARE)
+        count.sole = sole
         count.hear(who, state, now)
         if now - count.looked > LOOK:
             count.look(limiters, left, now)
--- a/finchshelf/dataplane/core.py
+++ b/finchshelf/dataplane/core.py
@@ -35,6 +35,7 @@
 from finchshelf.transport.telemetry import Telemetry
 
 OVERDUE = 0.02  # s past its time at which a request gets the last answer, whatever was lost on the way
+LATER = 0.5  # s after its budget in which an answer about a count is still of use
 NOTHING: Headers = [(b"Content-Length", b"0")]
 
 
@@ -62,6 +63,7 @@
     request: Request
     holder: str
     sent: float
+    late: bool = False
 
 
 Item = Request | Ended | Arrived | ClientGone | Told | News
@@ -153,8 +155,12 @@
 
     def tick(self, kind: str, number: int, now: float) -> None:
         if kind == "count":
-            question = self.questions.pop(number, None)
-            if question is not None:
+            question = self.questions.get(number)
+            if question is not None and question.late:
+                del self.questions[number]
+            elif question is not None:
+                question.late = True
+                self.timer(now + LATER, "count", number)
                 self.count["count.late"] += 1
                 if self.caller.failed(question.holder, now):
                     self.telemetry.log("breaker", state="open", holder=question.holder)
@@ -233,6 +239,10 @@
         question = self.questions.pop(item.number, None)
         if question is None:
             return
+        if question.late:
+            if item.fits and question.request.tenant is not None:
+                self.caller.credit(question.request.tenant, 1.0, now)
+            return
         self.caller.answered(question.holder, now - question.sent, now)
         if question.request.id in self.live:
             self.decide(question.request, item.fits, item.after, now)
--- a/tests/stories/counts_fleet.py
+++ b/tests/stories/counts_fleet.py
@@ -41,6 +41,7 @@
     def __init__(self, name: str, now: float) -> None:
         self.caller, self.holder = Caller(name, now), Holder()
         self.asked: dict[int, str] = {}
+        self.overdue: set[int] = set()
         self.list: tuple[str, ...] = ()
 
 
@@ -59,6 +60,7 @@
         self.lists: list[tuple[float, tuple[str, ...]]] = [(-100.0, tuple(self.names))]
         self.force: tuple[str, ...] | None = None
         self.lags: dict[tuple[str, float], float] = {}
+        self.hot = plan.hot
         self.let: list[float] = []
         self.came: list[float] = []
         self.weights = [1 + plan.skew * (self.rng.paretovariate(1.2) - 1) for _ in self.names]
@@ -121,6 +123,15 @@
         """The control planes list these, whatever runs; None: those that run."""
         self.at(when, lambda: setattr(self, "force", names))
 
+    def press(self, hot: float, when: float) -> None:
+        """From now on the tenant asks so many times its rate."""
+        self.at(when, lambda: setattr(self, "hot", hot))
+
+    def settle(self, when: float) -> None:
+        """All limiters start at the same moment."""
+        for name in self.names:
+            self.nodes[name].caller.settled = when
+
     def lower(self, rate: float, when: float) -> None:
         self.at(when, lambda: setattr(self, "tenant", Tenant("t", (), 1, rate, rate)))
 
@@ -175,7 +186,7 @@
         if weights[-1] > 0:
             self.came.append(self.now)
             self.arrived(self.rng.choices(self.names, cum_weights=weights)[0])
-        self.at(self.now + self.rng.expovariate(self.plan.rate * self.plan.hot), self.arriving)
+        self.at(self.now + self.rng.expovariate(self.plan.rate * self.hot), self.arriving)
 
     def arrived(self, name: str) -> None:
         node, number = self.nodes[name], self.steps
@@ -192,6 +203,8 @@
             if node.asked.pop(number, None) is not None:
                 node.caller.answered(holder, self.now - sent, self.now)
                 self.decide(node, fits)
+            elif number in node.overdue and fits:
+                node.caller.credit(self.tenant, 1.0, self.now)
 
         def question(to: Node) -> None:
             fits = self.add(to, name, state, 1.0)
@@ -214,6 +227,7 @@
     def late(self, name: str, node: Node, number: int) -> None:
         holder = node.asked.pop(number, None)
         if holder is not None and self.nodes[name] is node and name not in self.dead:
+            node.overdue.add(number)
             node.caller.failed(holder, self.now)
             self.local(node)
 
@@ -221,8 +235,10 @@
         if fits:
             if self.plan.mutant != "uncharged":
                 node.caller.counted(self.tenant, 1.0, self.now)
+            else:
+                node.caller.bucket(self.tenant, self.now)
             self.let.append(self.now)
-        elif self.plan.mutant != "saved":
+        elif self.plan.mutant not in ("saved", "uncharged"):
             node.caller.refused(self.tenant, self.now)
 
     def local(self, node: Node) -> None:
--- /dev/null
+++ b/tests/stories/test_counts.py
@@ -0,0 +1,173 @@
+"""Stories of quotas: whatever is lost, cut, killed or listed otherwise, a tenant's window holds."""
+
+from collections.abc import Callable
+from random import Random
+
+import pytest
+
+from finchshelf.configuration.document import Tenant
+from finchshelf.counts.caller import FALLEN, GAP, LAG, Caller
+from finchshelf.counts.holder import AWAY, BYE, COME, KEEP, NEAR, SPARE, TOUCH, Holder
+from tests.stories.counts_fleet import Fleet, Plan
+
+Harm = Callable[[Fleet, Random], None]
+T = Tenant("t", (), 1, 60.0, 60.0)
+
+
+def nothing(fleet: Fleet, rng: Random) -> None:
+    pass
+
+
+def holder_killed_twice(fleet: Fleet, rng: Random) -> None:
+    fleet.kill(fleet.first, 4, 0.5 + rng.random())
+    fleet.kill(fleet.first, 6.5, 0.5 + 2 * rng.random())
+
+
+def holders_killed_in_turn(fleet: Fleet, rng: Random) -> None:
+    for at, name in enumerate([fleet.first, *rng.sample(fleet.others, 4)]):
+        fleet.kill(name, 4 + 1.2 * at, 0.5 + 2 * rng.random())
+
+
+def third_cut_off(fleet: Fleet, rng: Random) -> None:
+    fleet.apart(rng.sample(fleet.others, len(fleet.names) // 3), 4 + rng.random(), 10)
+
+
+def third_cut_off_with_the_holder(fleet: Fleet, rng: Random) -> None:
+    fleet.apart([fleet.first, *rng.sample(fleet.others, len(fleet.names) // 3 - 1)], 4 + rng.random(), 8)
+
+
+def cut_in_two(fleet: Fleet, rng: Random) -> None:
+    fleet.apart(rng.sample(fleet.names, len(fleet.names) // 2), 4 + rng.random(), 10)
+
+
+def answers_lost(fleet: Fleet, rng: Random) -> None:
+    fleet.mute(fleet.first, 4 + rng.random(), 5)
+    for name in fleet.others[:4]:
+        fleet.kill(name, 5 + 2 * rng.random(), 0.5)
+
+
+def lists_flap(fleet: Fleet, rng: Random) -> None:
+    at = 4.0
+    for _ in range(3):
+        fleet.listed(tuple(fleet.others), at)
+        fleet.listed(None, at + 0.6 + 1.5 * rng.random())
+        at += 2.5
+
+
+def holder_killed_after_a_burst(fleet: Fleet, rng: Random) -> None:
+    fleet.press(0.2, 0)
+    fleet.press(8, 5)
+    fleet.kill(fleet.first, 5.1 + 0.2 * rng.random(), 3)
+
+
+HARMS: list[Harm] = [nothing, holder_killed_twice, holders_killed_in_turn, third_cut_off,
+                     third_cut_off_with_the_holder, cut_in_two, answers_lost, lists_flap,
+                     holder_killed_after_a_burst]
+
+
+def play(harm: Harm, seed: int, plan: Plan) -> Fleet:
+    fleet = Fleet(plan, seed)
+    harm(fleet, Random(seed))
+    return fleet.play()
+
+
+@pytest.mark.parametrize("harm", HARMS, ids=lambda harm: harm.__name__)
+def test_given_a_hot_tenant_when_harm_comes_then_every_window_holds(harm: Harm) -> None:
+    for seed in range(24):
+        plan = Plan(rate=(10.0, 60.0, 60.0, 150.0)[seed % 4], hot=6, skew=seed % 3 / 2, until=13,
+                    late=0.2 * (seed % 5 == 0), loss=0.02 * (seed % 2))
+        assert play(harm, seed, plan).worst() <= 1.0, seed
+
+
+@pytest.mark.parametrize("harm", [third_cut_off, lists_flap], ids=lambda harm: harm.__name__)
+def test_given_a_grown_fleet_when_harm_comes_then_every_window_holds(harm: Harm) -> None:
+    assert play(harm, 1, Plan(limiters=96, rate=300, hot=5, until=12)).worst() <= 1.0
+
+
+@pytest.mark.parametrize(("mutant", "harm"), [
+    ("fresh", holder_killed_twice), ("whole", third_cut_off_with_the_holder),
+    ("left", cut_in_two), ("uncharged", holder_killed_after_a_burst)])
+def test_given_a_mutant_without_a_guard_then_a_window_breaks(mutant: str, harm: Harm) -> None:
+    assert any(play(harm, seed, Plan(rate=150, hot=8, mutant=mutant)).worst() > 1.0 for seed in range(24))
+
+
+def test_given_a_lower_limit_when_a_window_has_passed_then_it_holds() -> None:
+    for seed in range(6):
+        fleet = Fleet(Plan(rate=200, hot=3, until=14), seed)
+        fleet.lower(60, 5)
+        assert fleet.play().worst(after=5) <= 1.0
+
+
+def test_given_calm_when_within_the_limit_then_next_to_nothing_is_refused() -> None:
+    for seed in range(6):
+        for rate in (10.0, 60.0):
+            assert play(nothing, seed, Plan(rate=rate, hot=0.9, loss=0.0)).served() > 0.98
+            assert play(nothing, seed, Plan(rate=rate, hot=6)).served() > 0.97
+
+
+def test_given_beats_that_stop_when_clients_are_few_then_their_limiters_are_taken_for_cut_off() -> None:
+    with_beats, without = (play(nothing, 1, Plan(rate=10, hot=0.9, mutant=each)).served()
+                           for each in ("", "silent"))
+    assert with_beats > 0.97 > 0.5 > without
+
+
+def test_given_a_holder_that_gets_a_tenant_back_then_it_starts_full() -> None:
+    holder = Holder()
+    assert holder.add("t", 1, 60, 60, 10.0, "a", NEAR, sole=5.0)
+    assert sum(holder.add("t", 1, 60, 60, 12.0, "a", NEAR, sole=15.0) for _ in range(90)) == SPARE
+
+
+def test_given_a_limiter_that_goes_when_it_says_so_then_nothing_is_set_aside() -> None:
+    holder = Holder()
+    for who in "ab":
+        holder.add("t", 1, 60, 60, 10.0, who, NEAR, 0.0, 2)
+    holder.add("t", 0, 60, 60, 10.2, "b", AWAY, 0.0, 2)
+    assert holder.counts["t"].part == 0.5
+    holder.add("t", 0, 60, 60, 10.4, "b", BYE, 0.0, 2)
+    assert holder.counts["t"].part == 1.0
+    holder.add("t", 0, 60, 60, 10.5, "b", NEAR, 0.0, 2)
+    holder.add("t", 0, 60, 60, 10.5 + 2 * TOUCH, "a", NEAR, 0.0, 2)
+    assert holder.counts["t"].part == 0.5
+    holder.add("t", 0, 60, 60, 11 + 2 * TOUCH + KEEP, "a", NEAR, 0.0, 2)
+    assert holder.counts["t"].part == 1.0
+
+
+def test_given_a_crowd_refused_then_each_is_told_a_moment_of_its_own() -> None:
+    holder = Holder()
+    told = [holder.after("t", 1, 10.0) for _ in range(100) if not holder.add("t", 1, 20, 20, 10.0)]
+    assert len(told) == 80 and len(set(told[:38])) == 38 and max(told) <= COME
+
+
+def test_given_a_limiter_out_of_touch_with_control_planes_then_its_share_falls() -> None:
+    caller = Caller("a", 0.0)
+    caller.listed(["a", "b"], 0.0)
+    assert caller.share(T, 5.0) == 30.0
+    assert caller.share(T, KEEP) == pytest.approx(30.0 * FALLEN)
+
+
+def test_given_limiters_that_left_the_list_then_they_keep_their_shares_for_a_while() -> None:
+    caller = Caller("a", 0.0)
+    caller.listed(["a", "b", "c"], 0.0)
+    caller.listed(["a"], 1.0)
+    assert (caller.left(), caller.share(T, 1.0)) == (2, 20.0)
+    for now in range(2, 14):
+        caller.listed(["a"], float(now))
+    assert (caller.left(), caller.share(T, 13.0)) == (0, 60.0)
+
+
+def test_given_a_holder_when_lists_stop_then_it_is_not_taken_for_the_only_one() -> None:
+    caller = Caller("a", 0.0)
+    caller.listed(["a"], 0.0)
+    caller.listed(["a"], 2.0)
+    assert caller.sole("t") == LAG
+    caller.listed(["a"], 2.1 + GAP)
+    assert caller.sole("t") == 2.1 + GAP + LAG
+
+
+def test_given_an_answer_that_was_late_then_its_units_may_be_used() -> None:
+    caller = Caller("a", 0.0)
+    caller.listed(["a", "b"], 0.0)
+    caller.refused(T, 1.0)
+    assert not caller.local(T, 1.0, 1.0)
+    caller.credit(T, 1.0, 1.0)
+    assert caller.local(T, 1.0, 1.0)
