The command line asks a caller by its new name

Cause: main's view of holders called Caller.list, which is now Caller.listed (a method named list hid the type). Change: both calls renamed.

--- a/finchshelf/cli/show.py
+++ b/finchshelf/cli/show.py
@@ -105,7 +105,7 @@
     if configuration is None or not names:
         return []
     caller = Caller(names[0], 0.0)
-    caller.list(names, 0.0)
+    caller.listed(names, 0.0)
     return [{"tenant": one.label, "holder": caller.holder(one.label), "rate_s": one.rate,
              "surge": one.surge, "share_s": round(one.rate / len(names), 3)}
             for one in sorted(configuration.tenants.values(), key=lambda one: one.label) if one.rate > 0]
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -180,7 +180,7 @@
     assert rows("servers")[0]["state"] == "decaying"
     assert [row["limiter"] for row in rows("limiters")] == ["edge-1", "edge-2", "edge-3"]
     caller = Caller("edge-2", 0.0)
-    caller.list([one.node for one in LIMITERS], 0.0)
+    caller.listed([one.node for one in LIMITERS], 0.0)
     assert rows("holders") == [{"tenant": "corner-shop", "holder": caller.holder("corner-shop"),
                                 "rate_s": 5.0, "surge": 5.0, "share_s": 1.667}]
     text = run("show", "limiters", "--control", control).output.splitlines()
