A control plane recalls its servers from disk when it starts again

Need: after a power loss of all, limiters were ready only with the servers' next beats, up to 1.5 s later. Tests: recalled after a power loss, and not back once gone.

--- a/finchshelf/controlplane/__main__.py
+++ b/finchshelf/controlplane/__main__.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import gc
+import os
 import signal
 import sys
 import time
@@ -17,6 +18,7 @@
 from finchshelf.agreement.store import Store
 from finchshelf.configuration.boot import Boot
 from finchshelf.controlplane.cells import Cells
+from finchshelf.controlplane.memory import Memory
 from finchshelf.controlplane.news import News
 from finchshelf.controlplane.register import Register
 from finchshelf.controlplane.resources import Change, Departure, Observe, Pulse, Resource, Resources
@@ -37,8 +39,14 @@
     seeds = tuple(f"{peer.host}:{port}" for peer in boot.initial_peers)
     store = Store(boot.state_dir, boot.storage_mb) if boot.state_dir else None
     counted = store is not None and boot.loss_counted
+    recalled = 0
     cells = Cells(address, boot.zone, boot.pulse, int(time.time() * 1000), clock.now())
     async with trio.open_nursery() as nursery:
+        if store is not None:
+            folder = os.path.join(boot.state_dir, "cells")
+            memory = Memory(Store(folder, boot.storage_mb), cells, telemetry.log)
+            recalled = memory.recall(clock.now())
+            nursery.start_soon(memory.run, clock.now)
         news = News(cells, clock, nursery, counted, random, telemetry.log)
         register = Register(address, seeds, boot.initial_condition, store, news, random, telemetry.log)
         news.register = register
@@ -65,7 +73,7 @@
         listener = await net.listen(Address(*boot.control))
         nursery.start_soon(clients.accept, listener)
         nursery.start_soon(clients.sweep)
-        telemetry.log("start", address=address, disk=register.me.disk, seed=seed,
+        telemetry.log("start", address=address, disk=register.me.disk, seed=seed, recalled=recalled,
                       slot=register.decided.slot if register.decided else -1)
         gc.collect()
         gc.freeze()
--- a/finchshelf/controlplane/cells.py
+++ b/finchshelf/controlplane/cells.py
@@ -94,6 +94,14 @@
                     self.left.setdefault(record.id, now)
         return news
 
+    def recall(self, rows: list[Any], now: float) -> int:
+        """Servers that this control plane knew before it started again; any beat is newer."""
+        for row in rows:
+            record = replace(read_server(row, now), cell=self.address)
+            if record.usable() and self.servers.put(record):
+                self.heard[record.id] = now
+        return len(self.heard)
+
     def silent_servers(self, now: float, in_touch: bool) -> bool:
         """Those that beat here last and no longer do are lost; True if there are such. `in_touch`: with more
         than half of the core."""
--- a/tests/stories/test_fleet_stories.py
+++ b/tests/stories/test_fleet_stories.py
@@ -13,12 +13,13 @@
 
 from finchshelf.admission.interface import Status
 from finchshelf.configuration.document import Configuration
+from finchshelf.controlplane.cells import Cells
 from finchshelf.controlplane.register import Register
 from finchshelf.counts.holder import Holder
 from finchshelf.dataplane import tries
 from finchshelf.dataplane.choice import Choice
 from finchshelf.dataplane.dialect import Words
-from finchshelf.membership.records import DECAYING, Server
+from finchshelf.membership.records import DECAYING, GONE, Server
 from finchshelf.transport.exchange import Attempt, Ended
 from finchshelf.transport.servers import Reply
 from tests.stories.world.fleet import World, fine, play
@@ -515,3 +516,27 @@
     with mock.patch.object(owner, name, mutant):
         world = play(story, 97, tenants={"plain": (0.0, 0.0), "hot": (20.0, 20.0)})
     assert rule in {line.partition(":")[0] for line in world.judge.verdict()}, guard
+
+
+# ---- what a control plane knew before it started again ----
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_given_a_core_without_power_when_it_is_back_then_it_knows_the_servers_at_once(seed: int) -> None:
+    async def story(world: World) -> None:
+        world.usual(6.0)
+        await trio.sleep(3.0)
+        await world.power_off(*world.edges, back=0.5)
+        await trio.sleep(4.0)
+
+    world = fine(story, seed)
+    known = [fields["recalled"] for at, _, _, fields in world.told("start", "control") if at > 3.0]
+    assert len(known) >= 3 and min(known) >= 2  # of the cells' servers, none of which has beaten since
+
+
+def test_given_what_a_control_plane_recalls_when_the_server_has_left_since_then_it_stays_gone() -> None:
+    cells = Cells("10.0.0.1:7660", "north", 1.5, 1, 0.0)
+    row = Server("i-1", "10.9.0.1:80", "runner", "north", 4, count=7).pack(0.0)
+    assert cells.recall([row], 0.0) == 1
+    cells.take([Server("i-1", "10.9.0.1:80", "runner", "north", 4, count=7, mode=GONE).pack(0.0)], 0.1)
+    assert cells.servers.rows["i-1"].mode == GONE and cells.recall([row], 0.2) == 0
--- a/tests/stories/world/disk.py
+++ b/tests/stories/world/disk.py
@@ -25,6 +25,11 @@
         self.synced: bytes | None = None
         self.pending: bytes | None = None
         self.mode = "well"  # full, slow, hang
+        self.folders: dict[str, Disk] = {}
+
+    def at(self, folder: str) -> Disk:
+        """The copy of the cell's servers stands in a folder of its own on the same disk."""
+        return self.folders.setdefault("cells", Disk(self.random)) if folder.endswith("cells") else self
 
     def load(self) -> tuple[State | None, list[Fault]]:
         return (None if self.synced is None else msgpack.unpackb(self.synced)), []
@@ -55,9 +60,12 @@
         if self.pending is not None and self.random.random() < 0.5:
             self.synced = self.pending
         self.pending = None
+        for disk in self.folders.values():
+            disk.cut_off()
 
     def wipe(self) -> None:
         self.synced = self.pending = None
+        self.folders.clear()
 
 
 async def run_sync(work: Any, *given: Any, **_: Any) -> Any:
--- a/tests/stories/world/fleet.py
+++ b/tests/stories/world/fleet.py
@@ -105,7 +105,8 @@
         stack.enter_context(mock.patch.object(trio.lowlevel, "wait_readable", wait_readable))
         stack.enter_context(mock.patch.object(trio, "open_signal_receiver", signals))
         stack.enter_context(mock.patch.object(trio.to_thread, "run_sync", run_sync))
-        stack.enter_context(mock.patch.object(control_plane, "Store", lambda *_: current.get().store))
+        stack.enter_context(mock.patch.object(control_plane, "Store",
+                                              lambda folder, _: current.get().store.at(folder)))
         stack.enter_context(mock.patch.object(register, "secrets", SimpleNamespace(token_hex=token_hex)))
         stack.enter_context(mock.patch.object(data_plane, "read_boot", lambda _: current.get().boot))
         for program in (data_plane, control_plane):
