What sockets tell of ends stands apart from the module's many forms

Cause: a data plane that starts again paid a tenth of its own start for the types of the present node's events. Change: Status, ClientGone and Probed in outcome.py, named from interface.py as before.

--- a/finchshelf/admission/interface.py
+++ b/finchshelf/admission/interface.py
@@ -9,6 +9,10 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from finchshelf.admission.outcome import ClientGone as ClientGone
+from finchshelf.admission.outcome import Probed as Probed
+from finchshelf.admission.outcome import Status as Status
+
 
 class Effect(Enum):
     """May a request run again?"""
@@ -26,24 +30,6 @@
     CELL = "cell"
 
 
-class Status(Enum):
-    """How an attempt, a probe or a counter call ended."""
-
-    OK = "ok"
-    ERROR = "error"
-    FULL = "full"
-    TIMEOUT = "timeout"
-    UNREACHABLE = "unreachable"
-    RESET = "reset"
-    CANCELLED = "cancelled"
-    NOT_SENT = "not sent"
-
-    @property
-    def never_ran(self) -> bool:
-        """True when the outcome proves that the work was not started."""
-        return self in (Status.FULL, Status.UNREACHABLE, Status.NOT_SENT)
-
-
 class ServerState(Enum):
     READY = "ready"
     DRAINING = "draining"
@@ -196,11 +182,6 @@
     attempt: int
 
 
-@dataclass(frozen=True, slots=True)
-class ClientGone:
-    id: int
-
-
 @dataclass(frozen=True, slots=True)
 class Counted:
     """The answer to one `Count`; answers for one name come in the order of the calls."""
@@ -211,14 +192,6 @@
     took: float
 
 
-@dataclass(frozen=True, slots=True)
-class Probed:
-    server: str
-    status: Status
-    took: float
-    load: dict[str, float] = field(default_factory=dict)
-
-
 @dataclass(frozen=True, slots=True)
 class Timer:
     tag: int
--- a/finchshelf/dataplane/choice.py
+++ b/finchshelf/dataplane/choice.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from finchshelf.admission.interface import Status
+from finchshelf.admission.outcome import Status
 from finchshelf.membership.records import GONE, STABLE, Server
 
 OTHERS_FADE = 0.7  # s after which what others hold there, as last told, is worth 1/e: requests take that long
--- a/finchshelf/dataplane/core.py
+++ b/finchshelf/dataplane/core.py
@@ -17,7 +17,7 @@
 
 import trio
 
-from finchshelf.admission.interface import ClientGone, Status
+from finchshelf.admission.outcome import ClientGone, Status
 from finchshelf.configuration.document import Configuration, Limits, Route
 from finchshelf.counts.caller import BEAT, BUDGET, Caller
 from finchshelf.counts.holder import NEAR, Holder
--- a/finchshelf/dataplane/dialect.py
+++ b/finchshelf/dataplane/dialect.py
@@ -11,7 +11,7 @@
 
 import h11
 
-from finchshelf.admission.interface import Status
+from finchshelf.admission.outcome import Status
 from finchshelf.configuration.document import Configuration, Route, Tenant
 from finchshelf.transport.address import Address
 from finchshelf.transport.bodies import Body
--- a/finchshelf/dataplane/tries.py
+++ b/finchshelf/dataplane/tries.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from finchshelf.admission.interface import Status
+from finchshelf.admission.outcome import Status
 
 HEDGE_TIMES, HEDGE_AIM = 3.0, 0.35  # usual times of the route, and the share of its aim, after which a second
 #                                     server is asked as well, whichever is later
--- a/finchshelf/transport/calls.py
+++ b/finchshelf/transport/calls.py
@@ -14,7 +14,7 @@
 import orjson
 import trio
 
-from finchshelf.admission import interface as i
+from finchshelf.admission import outcome as i
 from finchshelf.transport.bodies import Body, Cut
 from finchshelf.transport.clients import BadRequest, Limits, headers_once
 from finchshelf.transport.exchange import Answer, Arrived, Clock, Exchange, Headers, Log
--- a/finchshelf/transport/clients.py
+++ b/finchshelf/transport/clients.py
@@ -19,7 +19,7 @@
 import h11
 import trio
 
-from finchshelf.admission import interface as i
+from finchshelf.admission import outcome as i
 from finchshelf.transport import net
 from finchshelf.transport.bodies import PIECE, WINDOW, Body, Room
 from finchshelf.transport.exchange import Answer, Arrived, Exchange, Headers, Port
--- a/finchshelf/transport/exchange.py
+++ b/finchshelf/transport/exchange.py
@@ -13,7 +13,7 @@
 
 import trio
 
-from finchshelf.admission import interface as i
+from finchshelf.admission import outcome as i
 from finchshelf.transport.address import Address
 from finchshelf.transport.bodies import Body
 
--- a/finchshelf/transport/servers.py
+++ b/finchshelf/transport/servers.py
@@ -15,7 +15,7 @@
 import h11
 import trio
 
-from finchshelf.admission import interface as i
+from finchshelf.admission import outcome as i
 from finchshelf.transport import net
 from finchshelf.transport.address import Address
 from finchshelf.transport.bodies import Cut
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -24,7 +24,7 @@
 
 def test_policy_is_all_of_the_package_but_its_types() -> None:
     beside = set((ROOT / "finchshelf" / "admission").glob("*.py"))
-    assert {p.name for p in beside - set(POLICY)} == {"__init__.py", "interface.py"}
+    assert {p.name for p in beside - set(POLICY)} == {"__init__.py", "interface.py", "outcome.py"}
     assert len(POLICY) == len(set(POLICY)) and set(POLICY) <= beside
 
 
