Shared experience: digests, witnesses, the way back, and how they travel

Need: each limiter learns of a failing server by itself and in vain, once for each limiter. Change: limiters tell a server's own cell what they saw; the cell judges and tells all with the news; the choice takes a share for each server.

--- a/finchshelf/cli/show.py
+++ b/finchshelf/cli/show.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from datetime import UTC, datetime
 from typing import Any
 
 import orjson
@@ -14,6 +15,7 @@
 from finchshelf.agreement.core import Value
 from finchshelf.configuration.document import Configuration, read_configuration
 from finchshelf.counts.caller import Caller
+from finchshelf.experience.board import read_verdict
 from finchshelf.membership.records import Unfit, read_limiter, read_server
 from finchshelf.transport.address import Address
 from finchshelf.transport.frames import Link, Message, PeerError
@@ -86,9 +88,20 @@
     seen = await first(addresses, {"op": "show"})
     records = sorted((read_server(row, 0.0) for row in seen["servers"]),
                      key=lambda one: (one.service, one.id))
+    # A control plane from before shared experience says nothing of it.
+    verdicts = {one.server: one for one in map(read_verdict, seen.get("experience", ()))}
+
+    def stands(name: str) -> Row:
+        one = verdicts.get(name)
+        if one is None:
+            return {"share": 1.0, "stands": "full", "since": None, "by": None, "why": None}
+        at = datetime.fromtimestamp(one.at, UTC).isoformat("T", "seconds")
+        state = f"{one.state}, tried by {one.holder}" if one.holder else one.state
+        return {"share": one.share, "stands": state, "since": at, "by": one.cell, "why": one.why or None}
+
     return [{"server": one.id, "service": one.service, "zone": one.zone, "address": one.address,
              "slots": one.capacity, "state": "lost" if one.lost else one.mode, "beats": one.count,
-             "cell": one.cell} for one in records]
+             "cell": one.cell, **stands(one.id)} for one in records]
 
 
 async def limiters(addresses: list[Address]) -> list[Row]:
--- a/finchshelf/controlplane/__main__.py
+++ b/finchshelf/controlplane/__main__.py
@@ -38,6 +38,7 @@
     store = Store(boot.state_dir, boot.storage_mb) if boot.state_dir else None
     counted = store is not None and boot.loss_counted
     cells = Cells(address, boot.zone, boot.pulse, int(time.time() * 1000), clock.now())
+    cells.board.log = telemetry.log
     async with trio.open_nursery() as nursery:
         news = News(cells, clock, nursery, counted, random, telemetry.log)
         register = Register(address, seeds, boot.initial_condition, store, news, random, telemetry.log)
--- a/finchshelf/controlplane/cells.py
+++ b/finchshelf/controlplane/cells.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from finchshelf.agreement.core import Member
+from finchshelf.experience.board import Board
 from finchshelf.membership.records import GONE, Limiter, Server, Servers, read_limiter, read_server
 
 # beats missed, and s more, after which a server is lost to whoever heard it last
@@ -20,6 +21,7 @@
 CLOSED_GRACE = 0.7
 CONTROL_SILENT = 2.0  # s after which another control plane is not named to data planes
 CONTROL_FORGET = 20.0  # s after which it is forgotten, unless it is a seed or a member
+JUDGES = 2.0  # s that a control plane must have been up: unheard of others, it takes all servers for its own
 GONE_KEPT = 60.0  # s that the record of a server that left is kept: late beats must find it
 
 
@@ -36,6 +38,7 @@
     rev: int = -1
     own: int = -1
     named: int = -1
+    verdicts: int = -1
     limiters: tuple[Limiter, ...] = ()
 
 
@@ -43,6 +46,7 @@
     def __init__(self, address: str, zone: str, pulse: float, life: int, now: float) -> None:
         self.address, self.zone, self.pulse, self.life, self.began = address, zone, pulse, life, now
         self.servers = Servers()
+        self.board = Board(address)
         self.heard: dict[str, float] = {}  # servers that beat here last: when
         self.left: dict[str, float] = {}  # servers that left: when
         # limiters that ask here: until when they are listed
@@ -164,6 +168,15 @@
             self.named, self.named_rev, news = named, self.named_rev + 1, True
         return news
 
+    # ---- experience ----
+
+    def judge(self, now: float) -> bool:
+        """Look anew at what limiters say of servers; True if others must hear of it."""
+        if now - self.began < JUDGES:
+            return False
+        named = [address for address, _ in self.named]
+        return self.board.look(self.servers.rows.values(), named, len(self.merged), now)
+
     # ---- control planes ----
 
     def meet(self, address: str) -> Control | None:
--- a/finchshelf/controlplane/news.py
+++ b/finchshelf/controlplane/news.py
@@ -8,6 +8,7 @@
 
 import math
 from collections.abc import Callable
+from contextlib import suppress
 from random import Random
 from typing import Any
 
@@ -17,6 +18,7 @@
 from finchshelf.agreement.store import StoreError
 from finchshelf.controlplane.cells import Cells, Control
 from finchshelf.controlplane.register import Register
+from finchshelf.experience.board import owner, read_verdict
 from finchshelf.membership.records import Server, Unfit, read_limiter
 from finchshelf.transport.address import Address
 from finchshelf.transport.exchange import Clock
@@ -28,6 +30,7 @@
 AFTER_FAILURE = 0.3  # s until a control plane that did not answer is asked again
 HOLD = 0.6  # s for other control planes to hold a record: a server waits a second for its acknowledgement
 SWEEP = 0.25  # s between two looks for silence
+RELAY = 0.3  # s for another cell to take what a limiter could not tell it itself
 MEND = 0.5  # s between two looks at the members
 
 
@@ -66,6 +69,8 @@
             if self.cells.take(message["rows"], self.clock.now()):
                 self.wake()
             return {"ok": True}
+        if kind == "experience":
+            return await self.experience(message)
         if kind == "show":
             return self.show()
         return {"error": f"no such question: {kind!r}"[:100]}
@@ -84,6 +89,34 @@
                 await either(event, decided)
                 await trio.sleep(GATHER)
 
+    async def experience(self, message: Message) -> Message:
+        """What a limiter saw, the trials it asks for and how those went. What is another cell's goes on to it
+        once: the limiter may not reach that cell."""
+        cells, now, limiter = self.cells, self.clock.now(), str(message["limiter"])
+        board, granted = cells.board, list[list[Any]]()
+        board.tell(limiter, message.get("rows", ()), now)
+        for server, number, well in message.get("results", ()):
+            board.tried(str(server), limiter, int(number), bool(well), now)
+        for server, number in message.get("bids", ()):
+            if board.bid(str(server), limiter, int(number), now):
+                granted.append([server, number])
+        if cells.judge(now):
+            self.wake()
+        if not message.get("relayed"):
+            named, onward = [address for address, _ in cells.named], dict[str, Message]()
+            for what in ("rows", "bids", "results"):
+                for row in message.get(what, ()):
+                    record = cells.servers.rows.get(str(row[0]))
+                    to = owner(record.id, record.cell, named) if record is not None else cells.address
+                    if to != cells.address:
+                        onward.setdefault(to, {}).setdefault(what, []).append(row)
+            for to, part in onward.items():
+                with suppress(PeerError):
+                    answer = await self.link(to).ask("experience", {
+                        "op": "experience", "limiter": limiter, "relayed": True, **part}, RELAY)
+                    granted += answer.get("granted", ())
+        return {"granted": granted}
+
     def note(self, message: Message, now: float) -> None:
         """Who asks is there."""
         if "limiter" in message:
@@ -119,6 +152,11 @@
         if not limiter and (not same or have.get("own") != cells.own):
             answer["limiters"] = [one.pack() for one, _ in cells.asked.values()]
             answer["own"] = cells.own
+        if "verdicts" in have:  # Danger: one that does not know the word would be told of them for ever
+            seen = max(0, int(have["verdicts"])) if same else 0
+            if cells.board.rev > seen:
+                answer["verdicts"] = cells.board.since(seen, not limiter)
+                answer["verdictsRev"] = cells.board.rev
         decided = self.register.decided
         if decided is not None and decided.slot > int(have.get("slot", -1)):
             answer["value"] = decided.pack()
@@ -137,6 +175,7 @@
                          for one in self.cells.controls.values()],
             "limiters": [one.pack() for one in self.cells.merged],
             "servers": [record.pack(now) for record in self.cells.servers.rows.values()],
+            "experience": self.cells.board.since(0, True),
         }
 
     # ---- questions that go out ----
@@ -175,6 +214,7 @@
     async def ask_once(self, control: Control) -> None:
         cells, me, decided = self.cells, self.register.me, self.register.decided
         have = {"life": control.life, "rev": control.rev, "own": control.own, "named": control.named,
+                "verdicts": control.verdicts,
                 "slot": decided.slot if decided else -1}
         answer = await self.link(control.address).ask(
             "news", {"op": "news", "have": have, "wait": BETWEEN,
@@ -183,12 +223,17 @@
         cells.hear(control, now)
         if answer["life"] != control.life:
             control.life, control.rev, control.own, control.named = int(answer["life"]), -1, -1, -1
+            control.verdicts = -1
             if answer.get("none"):
                 return
         news = False
         if "servers" in answer:
             news |= cells.take(answer["servers"], now)
             control.rev = int(answer["rev"])
+        if "verdicts" in answer:
+            for row in answer["verdicts"]:
+                news |= cells.board.put(read_verdict(row))
+            control.verdicts = int(answer["verdictsRev"])
         if "limiters" in answer:
             news |= cells.limiters_of(control, answer["limiters"], int(answer["own"]), now)
         if "value" in answer:
@@ -243,7 +288,8 @@
             decided, named = self.register.decided, {address for address, _ in self.cells.named}
             members = {member.address for member in decided.members} if decided else set[str]()
             in_touch = len(members & named) > len(members) // 2
-            if self.cells.silent_servers(now, in_touch) | self.cells.silent_limiters(now):
+            news = self.cells.silent_servers(now, in_touch) | self.cells.silent_limiters(now)
+            if news | self.cells.judge(now):
                 self.wake()
 
     async def mend(self, seeds: tuple[str, ...]) -> None:
--- a/finchshelf/dataplane/__main__.py
+++ b/finchshelf/dataplane/__main__.py
@@ -10,6 +10,8 @@
 import signal
 import sys
 import time
+from dataclasses import replace
+from functools import partial
 from random import Random
 
 import trio
@@ -20,6 +22,8 @@
 from finchshelf.dataplane.dialect import Reader, Words
 from finchshelf.dataplane.follower import Follower
 from finchshelf.dataplane.questions import Questions
+from finchshelf.dataplane.teller import Teller
+from finchshelf.experience.policy import DEFAULT, Policy
 from finchshelf.membership.records import Limiter
 from finchshelf.transport import calls, net
 from finchshelf.transport.address import Address
@@ -38,14 +42,14 @@
 READY = b"/v1/readiness"
 
 
-async def serve(boot: Boot, telemetry: Telemetry, seed: int) -> None:
+async def serve(boot: Boot, telemetry: Telemetry, seed: int, policy: Policy = DEFAULT) -> None:
     clock, random = Clock(), Random(seed)
     control, counts = boot.port_range[0], boot.port_range[0] + 1
     me = Limiter(boot.node, int(time.time() * 1000), boot.ip, boot.zone)
     assert boot.front is not None and boot.readiness is not None
     margins = boot.margins
     core = Core(boot.node, boot.zone, clock, telemetry, random, float(margins.get("retryRatio", 0.2)),
-                float(margins.get("retrySlack", 0.0)))
+                float(margins.get("retrySlack", 0.0)), policy)
     async with trio.open_nursery() as nursery:
         core.wire = Questions(Address(boot.ip, counts), core, telemetry)
         core.servers = Servers(core, Words(), nursery, boot.descriptors)
@@ -53,7 +57,8 @@
         core.clients = clients = Clients(core, Reader(core.configuration), nursery, lambda: True,
                                          boot.descriptors, memory)
         seeds = [f"{peer.host}:{control}" for peer in boot.initial_peers]
-        follower = Follower(me, seeds, control, clock, core.put, random, telemetry.log, nursery)
+        follower = Follower(me, seeds, control, clock, core.put, random, telemetry.log, nursery,
+                            policy.on)
         looked_at = calls.Calls(clock, telemetry, nursery, None)
         readiness = Clients(looked_at, calls.Reader(READY), nursery,
                             lambda: core.ready() and follower.settled(), 64, memory)
@@ -64,6 +69,8 @@
         nursery.start_soon(tally, telemetry)
         for task in (core.run, core.wire.run, follower.run, *sweeps):
             nursery.start_soon(task)
+        if policy.on:
+            nursery.start_soon(Teller(core.steering, follower, clock, nursery, telemetry.log).run)
         nursery.start_soon(readiness.accept, gate)
         nursery.start_soon(accept, clients, front, accepting)
         telemetry.log("start", front=str(Address(*boot.front)), seed=seed)
@@ -128,8 +135,20 @@
         clients.hang_up_idle(now - LAST_WORD if now < closed + LAST_WORD else float("inf"))
 
 
+def switched(words: list[str]) -> Policy | None:
+    """The policy by the command's words: nothing, or `--experience on|off`; None where they are others."""
+    if not words:
+        return DEFAULT
+    known = len(words) == 2 and words[0] == "--experience" and words[1] in ("on", "off")
+    return replace(DEFAULT, on=words[1] == "on") if known else None
+
+
 def main() -> int:
-    return program.main(serve)
+    policy = switched(sys.argv[1:])
+    if policy is None:
+        print("finchshelf: expected no argument, or --experience on|off", file=sys.stderr)
+        return 2
+    return program.main(partial(serve, policy=policy))
 
 
 if __name__ == "__main__":
--- a/finchshelf/dataplane/choice.py
+++ b/finchshelf/dataplane/choice.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 from random import Random
 
@@ -46,6 +46,8 @@
     away: float = 0.0
     away_until: float = -math.inf
     silent: int = 0  # connections in a row that did not come up
+    share: float = 1.0  # of its ordinary load, by what all limiters know together
+    dead: bool = False  # nobody gets an answer out of it
 
     def failing(self, now: float) -> float:
         return self.failed * math.exp((self.failed_at - now) / FAIL_FORGET)
@@ -109,20 +111,35 @@
         usable = [known for known in all_of if known.record.usable()]
         # Danger: whoever calls all servers lost at once is mistaken more likely than right. They are used.
         usable = usable or [known for known in all_of if known.record.mode == STABLE]
-        best, least = None, math.inf
+        best, spared = self.best(usable, now, tried, True)
+        if best is None and spared:
+            # Danger: steering that refuses a request while there is room. A lowered server is used before
+            # that; one that nobody gets an answer out of only if all are such.
+            best, _ = self.best([k for k in usable if not k.dead] or usable, now, tried, False)
+        return best
+
+    def best(self, usable: Iterable[Known], now: float, tried: Collection[str],
+             steer: bool) -> tuple[Server | None, bool]:
+        """The cheapest with room; and whether any was passed over by its share (`steer`)."""
+        best, least, spared = None, math.inf, False
         for known in usable:
             record = known.record
             if record.id in tried or now < known.away_until:
                 continue
-            held = known.open + known.others(now)
-            if known.open and held + 1 > record.capacity * (1 + QUEUE_PART):
+            held, slots = known.open + known.others(now), float(record.capacity)
+            if known.share < 1.0 and steer:
+                spared = True
+                if self.random.random() >= known.share:
+                    continue
+                slots = max(1.0, slots * known.share)
+            if known.open and held + 1 > slots * (1 + QUEUE_PART):
                 continue
-            if not known.open and held > record.capacity * (2 + QUEUE_PART):
+            if not known.open and held > slots * (2 + QUEUE_PART):
                 continue  # what others are said to hold may be wrong: one of ours finds out sooner
             cost = self.cost(known, held, now) * (1 + NOISE * (2 * self.random.random() - 1))
             if cost < least:
                 best, least = record, cost
-        return best
+        return best, spared
 
     def cost(self, known: Known, held: float, now: float) -> float:
         record, slots = known.record, known.record.capacity
--- a/finchshelf/dataplane/core.py
+++ b/finchshelf/dataplane/core.py
@@ -10,7 +10,7 @@
 import heapq
 import math
 import traceback
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
 from typing import Any, Protocol
 
@@ -25,7 +25,9 @@
 from finchshelf.dataplane.choice import Choice
 from finchshelf.dataplane.dialect import MISDIRECTED, Reader, Request
 from finchshelf.dataplane.questions import Questions
+from finchshelf.dataplane.steering import Steering
 from finchshelf.dataplane.tries import Next, Tried
+from finchshelf.experience.policy import DEFAULT, Policy
 from finchshelf.membership.records import Limiter, Server
 from finchshelf.transport.address import Address
 from finchshelf.transport.clients import Clients
@@ -55,6 +57,7 @@
     limiters: dict[str, Limiter] | None = None
     configuration: Configuration | None = None
     whole: frozenset[str] | None = None
+    verdicts: list[Any] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -81,11 +84,12 @@
 
 class Core:
     def __init__(self, me: str, zone: str, clock: Clock, telemetry: Telemetry, random: Random,
-                 ratio: float, slack: float) -> None:
+                 ratio: float, slack: float, policy: Policy = DEFAULT) -> None:
         self.me, self.clock, self.telemetry, self.count = me, clock, telemetry, telemetry.count
         self.random = random
         self.configuration = Configuration(0, (), {}, {}, Limits())
         self.choice, self.budget = Choice(zone, random), Budget(ratio, slack)
+        self.steering = Steering(me, policy, self.choice)
         self.caller, self.holder = Caller(me, clock.now()), Holder()
         self.limiters: dict[str, Limiter] = {}
         self.addresses: dict[str, Address] = {}
@@ -256,8 +260,9 @@
             self.timer(now + tries.hedge_after(request.route.target, usual), "hedge", request.id)
 
     def attempt(self, request: Request, now: float) -> bool:
-        server = self.choice.pick(request.service, now, request.tried)
         left = request.until - now
+        server = self.trial(request, now) if self.steering.duties and not request.tried and left > 0 else None
+        server = server or self.choice.pick(request.service, now, request.tried)
         if server is None or left <= 0:
             return False
         address = self.addresses[server.id]
@@ -271,6 +276,15 @@
         self.servers.start(attempt)
         return True
 
+    def trial(self, request: Request, now: float) -> Server | None:
+        """The server that this limiter is to try, if this request may go to another one after it."""
+        assert request.route is not None
+        if not request.route.repeatable or request.route.trials < 2 or request.stream is not None:
+            return None
+        name = self.steering.trial(request.service, now)
+        self.count["tries.trial"] += name is not None
+        return self.choice.table[name].record if name is not None else None
+
     def hedge(self, request: Request, now: float) -> None:
         """A repeatable request that takes long goes to a second server as well."""
         assert request.route is not None
@@ -288,6 +302,11 @@
         load = None
         if item.load:
             load = (int(item.load["running"]), int(item.load["waiting"]), int(item.load["slots"]))
+        if self.steering.on:
+            # The time of a streamed body is its client's.
+            usual = self.choice.usual.get(request.route.label, 0.0) if request.stream is None else 0.0
+            took = now - attempt.issued
+            self.steering.ended(attempt.server, item.status, item.used, took, usual, load, now)
         self.choice.ended(attempt.server, request.route.label, item.status, now - attempt.issued, load, now)
         self.count[f"tries.{item.status.value}"] += 1
         if item.used == MISDIRECTED:
@@ -356,6 +375,7 @@
                 self.addresses.pop(record.id, None)
             if must_go:
                 self.servers.forget(record.id)
+            self.steering.apply(record.id)  # a verdict may have been here before its server
         if item.whole is not None:
             self.choice.keep(item.whole)
             self.addresses = {name: at for name, at in self.addresses.items() if name in self.choice.table}
@@ -363,6 +383,11 @@
             self.limiters = item.limiters
             self.caller.list(list(item.limiters), now)
             self.budget.limiters = len(self.caller.limiters)
+            self.steering.limiters = sorted({self.me, *item.limiters})
+        if item.verdicts:
+            self.steering.news(item.verdicts, now)
+        if item.servers:
+            self.steering.keep()
         new = item.configuration
         if new is not None and new.version > self.configuration.version:
             self.configuration = new
--- a/finchshelf/dataplane/dialect.py
+++ b/finchshelf/dataplane/dialect.py
@@ -115,10 +115,10 @@
         told = dict(reply.headers)
         request = attempt.exchange
         mine = next((value for name, value in request.headers if name.lower() == b"trial-id"), b"")
+        ended.used = reply.status
         # Danger: an answer left over from another request, in the place of ours.
         if told.get(b"trial-id", b"") != mine and reply.status != MISDIRECTED:
             raise Broken("another request's answer")
-        ended.used = reply.status
         load = told.get(b"server-load", b"").split(b",")
         if len(load) == 3 and all(part.strip().isdigit() and len(part) < 7 for part in load):
             ended.load = dict(zip(("running", "waiting", "slots"), map(float, load), strict=True))
--- a/finchshelf/dataplane/follower.py
+++ b/finchshelf/dataplane/follower.py
@@ -43,7 +43,10 @@
 
 class Follower:
     def __init__(self, me: Limiter, seeds: list[str], port: int, clock: Clock, put: Callable[[News], None],
-                 random: Random, log: Callable[..., None], nursery: trio.Nursery) -> None:
+                 random: Random, log: Callable[..., None], nursery: trio.Nursery,
+                 experience: bool = False) -> None:
+        """`experience`: does it ask for verdicts on servers?"""
+        self.experience = experience
         self.me, self.clock, self.put, self.random, self.log = me, clock, put, random, log
         self.nursery = nursery
         self.seeds = seeds
@@ -106,6 +109,8 @@
 
     async def ask_once(self, address: str, source: Source) -> None:
         have: dict[str, Any] = {**source.have, "slot": self.slot}
+        if self.experience:
+            have["verdicts"] = source.have.get("verdicts", -1)
         answer = await source.link.ask("news", {"op": "news", "have": have, "wait": WAIT,
                                                 "limiter": self.me.pack()}, WAIT + MORE)
         source.heard = self.clock.now()
@@ -137,6 +142,8 @@
             for address in [a for a, s in self.sources.items() if a not in named and not s.running]:
                 if address not in self.seeds:
                     del self.sources[address]
+        if "verdicts" in answer:
+            news.verdicts, have["verdicts"] = answer["verdicts"], int(answer["verdictsRev"])
         if "value" in answer:
             value = Value.unpack(answer["value"])
             if value.slot > self.slot:
--- a/finchshelf/events.py
+++ b/finchshelf/events.py
@@ -27,7 +27,8 @@
 REPORT = "Report it with the line."
 
 # 1xx a program's life, 2xx clients, servers and calls, 3xx between our processes, 4xx the core and its
-# disks, 5xx configuration, 6xx counts of tenants, 7xx faults of ours, 9xx the command line.
+# disks, 5xx configuration, 6xx counts of tenants, 7xx faults of ours, 8xx shared experience, 9xx the
+# command line.
 CATALOGUE = (
     Event(101, "start",
           "The program listens. `disk`: the name of this life of the disk, none without a disk; "
@@ -103,6 +104,17 @@
     Event(701, "core.error",
           "One event could not be taken; its request was answered as failed.",
           REPORT, rare=True),
+    Event(801, "server.steered",
+          "Limiters agree that a server is bad: all leave it. `share`: what the floor keeps in use there; "
+          "`falls`: how often lately; `why`: who said what.",
+          "See `finchshelf show servers`, then the server. It comes back by itself once it does well."),
+    Event(802, "server.back",
+          "A server that was left is at full share again.",
+          "Nothing; if it keeps falling (`falls`), take it out."),
+    Event(803, "witness.ignored",
+          "A limiter calls most servers of a `service` bad, and most other limiters do not: it is not "
+          "heard for a while.",
+          "Look at that limiter: cut off, overloaded or halted."),
     Event(901, "call.again",
           "The command line's call got no clear answer and goes to the next control plane.",
           "If it repeats: see which control planes are up."),
--- /dev/null
+++ b/finchshelf/experience/digest.py
@@ -0,0 +1,123 @@
+"""What one limiter sums up of each server, and what of it is worth saying.
+
+Owns the sums and their versions. No I/O and no clock. It must never say anything of a server that does well
+and that nobody asks about: no news costs nothing.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+from enum import IntEnum
+from typing import Any
+
+from finchshelf.admission.interface import Status
+from finchshelf.experience.policy import Policy
+
+
+class Kind(IntEnum):
+    """What was bad about an end."""
+
+    FAILED = 0  # the server's own answer of 500 or more
+    LOST = 1  # its bytes went out and no answer came
+    WRONG = 2  # an answer that is not the server's own, or another request's
+    REFUSED = 3  # no room, though it says itself that it has
+    SILENT = 4  # the connection did not come up
+    SLOW = 5  # many times what the route takes elsewhere
+    HUNG = 6  # no answer in that time either; the second server that was asked answered
+
+
+WEIGHT = (1.0, 1.0, 1.0, 0.3, 1.0, 0.5, 0.7)
+
+
+@dataclass(slots=True)
+class Sum:
+    """What was seen of one life of a server, worth less as it ages."""
+
+    good: float = 0.0
+    kinds: list[float] = field(default_factory=lambda: [0.0] * len(Kind))
+    time: float = 1.0  # as a multiple of what the route takes at all servers
+    at: float = 0.0
+    version: int = 0
+    told: int = 0
+    bad: bool = False  # has any kind a weight?
+
+    def weight(self) -> float:
+        return sum(map(float.__mul__, self.kinds, WEIGHT)) if self.bad else 0.0
+
+
+def kind(status: Status, used: int, multiple: float, room: bool, slow: float) -> Kind | None:
+    """What was bad about this end. `room`: the server says that it has room."""
+    if status is Status.OK:
+        return Kind.SLOW if multiple >= slow else None
+    if status is Status.CANCELLED:
+        # Danger: a hanging server's tries are all cancelled, as the second server answers: never a time-out.
+        return Kind.HUNG if multiple >= slow else None
+    if status is Status.ERROR:
+        return Kind.FAILED
+    if status is Status.UNREACHABLE:
+        return Kind.SILENT
+    if status is Status.RESET:
+        return Kind.WRONG if used else Kind.LOST
+    if status is Status.TIMEOUT:
+        # Danger: a client that gives a request no time makes any server look as if it hung.
+        return Kind.LOST if multiple >= slow else None
+    return Kind.REFUSED if status is Status.FULL and room else None
+
+
+class Digest:
+    def __init__(self, policy: Policy) -> None:
+        self.policy = policy
+        self.sums: dict[str, Sum] = {}
+        self.due: set[str] = set()  # servers of which something bad is new, or that were asked about
+
+    def ended(self, server: str, found: Kind | None, ok: bool, multiple: float, now: float) -> bool:
+        """One try ended; True if something bad is new."""
+        if not ok and found is None:
+            return False
+        one = self.sums.get(server)
+        if one is None:
+            one = self.sums[server] = Sum(at=now)
+        policy = self.policy
+        fade = math.exp((one.at - now) / policy.forget)
+        one.good, one.at = one.good * fade, now
+        one.version += 1
+        if found is None:
+            one.good += 1.0
+            one.time += (min(multiple, 9.0) - one.time) * 0.1
+            if one.bad:
+                one.kinds = [value * fade * policy.after_good for value in one.kinds]
+                one.bad = one.weight() > 0.05
+                self.due.add(server)
+            return False
+        one.good *= policy.after_bad
+        one.kinds = [value * fade for value in one.kinds]
+        one.kinds[found] += 1.0
+        if multiple > 0 and found is Kind.SLOW:
+            one.time += (min(multiple, 9.0) - one.time) * 0.1
+        one.bad = True
+        self.due.add(server)
+        return True
+
+    def asked(self, server: str) -> None:
+        """Others say that it is bad: whoever has seen it lately says what."""
+        if server in self.sums:
+            self.due.add(server)
+
+    def forget(self, server: str) -> None:
+        """A new spell begins for it, or it is gone."""
+        self.sums.pop(server, None)
+        self.due.discard(server)
+
+    def take(self, now: float) -> list[list[Any]]:
+        """The rows that are due, each said once in each version."""
+        rows = []
+        for server in self.due:
+            one = self.sums[server]
+            if one.version > one.told and now - one.at < 2 * self.policy.forget:
+                one.told = one.version
+                fade = math.exp((one.at - now) / self.policy.forget)
+                rows.append([server, one.version, round(one.good * fade * 100),
+                             [round(value * fade * 100) for value in one.kinds], round(one.time * 100)])
+        self.due.clear()
+        return rows
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -15,7 +15,7 @@
 from finchshelf.transport.telemetry import Telemetry
 
 ROOT = Path(__file__).parent.parent
-PACKAGES = "transport", "controlplane", "dataplane", "cli"
+PACKAGES = "transport", "controlplane", "dataplane", "experience", "cli"
 FILES = [ROOT / "finchshelf" / "program.py",
          *(path for package in PACKAGES for path in (ROOT / "finchshelf" / package).glob("*.py"))]
 
