--- a/finchshelf/controlplane/news.py
+++ b/finchshelf/controlplane/news.py
@@ -107,7 +107,7 @@
             for what in ("rows", "bids", "results"):
                 for row in message.get(what, ()):
                     record = cells.servers.rows.get(str(row[0]))
-                    to = owner(record.id, record.cell, named) if record is not None else cells.address
+                    to = owner(record.service, named) if record is not None else cells.address
                     if to != cells.address:
                         onward.setdefault(to, {}).setdefault(what, []).append(row)
             for to, part in onward.items():
--- a/finchshelf/dataplane/steering.py
+++ b/finchshelf/dataplane/steering.py
@@ -14,7 +14,7 @@
 from finchshelf.experience.board import Verdict, owner, read_verdict
 from finchshelf.experience.digest import Digest, kind
 from finchshelf.experience.policy import Policy
-from finchshelf.experience.wayback import OUT, RISING, TRIAL
+from finchshelf.experience.wayback import FULL, OUT, RISING, TRIAL
 from finchshelf.membership import rendezvous
 
 
@@ -36,8 +36,10 @@
               load: tuple[int, int, int] | None, now: float) -> None:
         """One try ended; `usual`: s that its route takes."""
         multiple = took / max(usual, 1e-3) if usual else 1.0
+        # Danger: where answers take a millisecond, a turn of our own loop makes any server look slow.
+        slow = multiple >= self.policy.slow and took - usual >= self.policy.slow_least
         room = load is not None and load[0] < load[2] and not load[1]
-        found = kind(status, used, multiple, room, self.policy.slow)
+        found = kind(status, used, slow, room)
         if server in self.trying and (found is not None or status is Status.OK):
             self.results.append((server, self.trying.pop(server), found is None))
             if found is not None:
@@ -77,7 +79,10 @@
         name = verdict.server
         if verdict.state in (OUT, RISING) and (old is None or old.state != verdict.state):
             self.digest.forget(name)  # what it was before is no word on what it is now
-        self.digest.asked(name)
+        if verdict.state == FULL:
+            self.digest.watched.discard(name)
+        else:
+            self.digest.watch(name, old is None or old.state == FULL)
         if verdict.state != TRIAL or verdict.holder not in ("", self.me) \
                 or self.duties.get(name, verdict.round) != verdict.round:
             self.duties.pop(name, None)
@@ -120,12 +125,12 @@
     # ---- what goes out ----
 
     def take(self, named: Iterable[str], now: float) -> dict[str, dict[str, list[Any]]]:
-        """What there is to say, by the cell that owns the server it is about."""
+        """What there is to say, by the cell that owns the service it is about."""
         heard, found = list(named), dict[str, dict[str, list[Any]]]()
 
         def put(server: str, what: str, row: list[Any]) -> None:
             known = self.choice.table.get(server)
-            cell = owner(server, known.record.cell, heard) if known is not None else ""
+            cell = owner(known.record.service, heard) if known is not None else ""
             if cell:
                 found.setdefault(cell, {"rows": [], "bids": [], "results": []})[what].append(row)
 
--- a/finchshelf/dataplane/teller.py
+++ b/finchshelf/dataplane/teller.py
@@ -1,4 +1,4 @@
-"""Carries a limiter's experience to the cells that own the servers it is about, and grants back.
+"""Carries a limiter's experience to the cells that own the services it is about, and grants back.
 
 Owns when it goes out. It must never hold up a request, say more often than it must, or take the silence of
 a cell for news.
--- a/finchshelf/experience/board.py
+++ b/finchshelf/experience/board.py
@@ -1,8 +1,8 @@
 """What a cell knows of servers' behaviour: limiters' rows, its verdicts on them and other cells' verdicts.
 
-Owns the rows, the verdicts and their change number. No I/O and no clock. It must never judge a server whose
-owner is another cell that is heard: the owner is the server's own cell, and while that is silent the one
-that rendezvous names of those heard.
+Owns the rows, the verdicts and their change number. No I/O and no clock. It must never judge a service that
+is another cell's: each has one owner, the cell that rendezvous names of those heard. Two owners would each
+keep to the floor and break it together, and a limiter that sees all as bad would seem to see a part.
 """
 
 from __future__ import annotations
@@ -17,7 +17,7 @@
 from finchshelf.membership import rendezvous
 from finchshelf.membership.records import Server, Unfit
 
-FINE = 0.1  # change of a share that is worth telling
+FINE, KEEP = 0.1, 0.02  # change of a share that is worth telling; of one that the floor keeps up
 KEPT = 150.0  # s that the verdict of a server back at full share is kept: its falls count until then
 WORDS = 3  # witnesses named in a verdict
 
@@ -33,9 +33,8 @@
     state: str
     holder: str = ""
     round: int = 0
-    wanted: float = 1.0
-    rate: float = 0.0
     dead: bool = False
+    rate: float = 0.0  # how bad it was: the order of who is kept in use
     falls: int = 0
     at: float = 0.0
     why: str = ""
@@ -46,27 +45,25 @@
     def pack(self, whole: bool) -> list[Any]:
         """`whole`: for another cell; limiters need not know why."""
         row = [self.server, self.count, self.cell, self.share, self.state, self.holder, self.round,
-               self.wanted, round(self.rate, 2), self.dead]
-        return [*row, self.falls, round(self.at, 2), self.why] if whole else row
+               self.dead]
+        return [*row, round(self.rate, 2), self.falls, round(self.at, 2), self.why] if whole else row
 
 
 def read_verdict(row: Any) -> Verdict:
     try:
-        server, count, cell, share, state, holder, number, wanted, rate, dead, *rest = row
-        falls, at, why = rest or (0, 0.0, "")
+        server, count, cell, share, state, holder, number, dead, *rest = row
+        rate, falls, at, why = rest or (0.0, 0, 0.0, "")
         if state not in (FULL, LOWERED, OUT, TRIAL, RISING):
             raise ValueError(f"state {state!r}")
         return Verdict(str(server), int(count), str(cell), min(1.0, max(0.0, float(share))), str(state),
-                       str(holder), int(number), float(wanted), float(rate), bool(dead), int(falls),
-                       float(at), str(why))
+                       str(holder), int(number), bool(dead), float(rate), int(falls), float(at), str(why))
     except (TypeError, ValueError) as error:
         raise Unfit("read a verdict", "row", repr(error)) from None
 
 
-def owner(server: str, cell: str, named: Iterable[str]) -> str:
-    """Who judges it, of the cells that are heard."""
-    heard = list(named)
-    return cell if cell in heard or not heard else rendezvous.first(server, heard) or cell
+def owner(service: str, named: Iterable[str]) -> str:
+    """Which of the cells that are heard judges its servers."""
+    return rendezvous.first(service, named) or ""
 
 
 class Board:
@@ -153,9 +150,10 @@
             if record.usable():
                 services.setdefault(record.service, []).append(record)
         self.forget(known, now)
-        for records in services.values():
-            if any(one.id in self.rows or one.id in self.verdicts for one in records):
-                self.judge(records, heard, limiters, now)
+        for service, records in services.items():
+            if any(one.id in self.rows or one.id in self.verdicts for one in records) \
+                    and owner(service, heard) == self.address:
+                self.judge(records, limiters, now)
         return self.rev > before
 
     def forget(self, known: set[str], now: float) -> None:
@@ -173,26 +171,28 @@
                 del self.verdicts[name], self.revs[name]
                 self.ways.pop(name, None)
 
-    def judge(self, records: list[Server], heard: list[str], limiters: int, now: float) -> None:
+    def judge(self, records: list[Server], limiters: int, now: float) -> None:
         names = [one.id for one in records]
         credit, doubted = self.witness.credits(self.rows, names, limiters, now)
         for limiter in doubted:
             self.log("witness.ignored", limiter=limiter, service=records[0].service)
         mine: dict[str, tuple[Way, Opinion]] = {}
+        for one in records:
+            if one.id in self.rows or one.id in self.verdicts:
+                way = self.way(one.id, now)
+                since = way.since if way.state == RISING else float("-inf")
+                mine[one.id] = way, self.witness.opinion(self.rows.get(one.id, {}), credit, now, since)
+        bad = sum(one.witnesses > 0 and not one.dead for _, one in mine.values())
+        # Danger: a service that fails or slows as a whole has no servers to steer to: none is left for it.
+        common = bad > self.policy.most * len(records) and bad > 1
         places = []
         for one in records:
             verdict = self.verdicts.get(one.id)
-            if owner(one.id, one.cell, heard) != self.address:
-                told = (verdict.wanted, verdict.rate, verdict.dead) if verdict else (1.0, 0.0, False)
-                places.append(Place(one.id, one.zone, one.capacity, *told))
-                continue
-            if one.id not in self.rows and verdict is None:
+            if one.id not in mine:
                 places.append(Place(one.id, one.zone, one.capacity, 1.0, 0.0, False))
                 continue
-            way = self.way(one.id, now)
-            opinion = self.witness.opinion(self.rows.get(one.id, {}), credit, now,
-                                           way.since if way.state == RISING else float("-inf"))
-            wanted = self.step(way, opinion, now)
+            way, opinion = mine[one.id]
+            wanted = self.step(way, Opinion() if common and not opinion.dead else opinion, now)
             out = way.state in (OUT, TRIAL)
             dead, rate = out and opinion.dead, opinion.rate
             if out and verdict is not None and verdict.state in (OUT, TRIAL):
@@ -227,19 +227,20 @@
         old = self.verdicts.get(place.server)
         if old is None and way.state == FULL:
             return
+        kept = share > place.wanted + 0.01
         now_is = (way.state, way.holder, way.round, way.falls)
         if old is not None and (old.state, old.holder, old.round, old.falls) == now_is \
-                and abs(old.share - share) < FINE and old.cell == self.address:
+                and abs(old.share - share) < (KEEP if kept else FINE) and old.cell == self.address:
             return
         rows = sorted(self.rows.get(place.server, {}).values(), key=lambda row: -row.bad())
         why = "; ".join(row.words(now) for row in rows[:WORDS])
-        if share > place.wanted + 0.01:
+        if kept:
             why = f"kept in use by the floor; {why}"
         if not why and old is not None:
             why = old.why
         count = old.count + 1 if old is not None else 1
         self.keep(Verdict(place.server, count, self.address, share, way.state, way.holder, way.round,
-                          place.wanted, place.rate, place.dead, way.falls, now, why[:300]))
+                          place.dead, place.rate, way.falls, now, why[:300]))
         was = old.state if old is not None else FULL
         if way.state == OUT and was in (FULL, LOWERED, RISING):
             self.log("server.steered", server=place.server, share=share, falls=way.falls, why=why)
--- a/finchshelf/experience/digest.py
+++ b/finchshelf/experience/digest.py
@@ -27,7 +27,7 @@
     HUNG = 6  # no answer in that time either; the second server that was asked answered
 
 
-WEIGHT = (1.0, 1.0, 1.0, 0.3, 1.0, 0.5, 0.7)
+WEIGHT = (1.0, 1.0, 1.0, 0.7, 1.0, 0.5, 0.7)
 
 
 @dataclass(slots=True)
@@ -46,13 +46,13 @@
         return sum(map(float.__mul__, self.kinds, WEIGHT)) if self.bad else 0.0
 
 
-def kind(status: Status, used: int, multiple: float, room: bool, slow: float) -> Kind | None:
-    """What was bad about this end. `room`: the server says that it has room."""
+def kind(status: Status, used: int, slow: bool, room: bool) -> Kind | None:
+    """What was bad about this end. `slow`: by far more than its route takes; `room`: the server has some."""
     if status is Status.OK:
-        return Kind.SLOW if multiple >= slow else None
+        return Kind.SLOW if slow else None
     if status is Status.CANCELLED:
-        # Danger: a hanging server's tries are all cancelled, as the second server answers: never a time-out.
-        return Kind.HUNG if multiple >= slow else None
+        # Danger: a hanging server's tries are all cancelled, as the second server answers: never late.
+        return Kind.HUNG if slow else None
     if status is Status.ERROR:
         return Kind.FAILED
     if status is Status.UNREACHABLE:
@@ -61,7 +61,7 @@
         return Kind.WRONG if used else Kind.LOST
     if status is Status.TIMEOUT:
         # Danger: a client that gives a request no time makes any server look as if it hung.
-        return Kind.LOST if multiple >= slow else None
+        return Kind.LOST if slow else None
     return Kind.REFUSED if status is Status.FULL and room else None
 
 
@@ -69,10 +69,12 @@
     def __init__(self, policy: Policy) -> None:
         self.policy = policy
         self.sums: dict[str, Sum] = {}
-        self.due: set[str] = set()  # servers of which something bad is new, or that were asked about
+        self.version = 0  # one for all sums: a server that is forgotten and met again must not seem older
+        self.due: set[str] = set()  # servers of which something is new that others want to hear
+        self.watched: set[str] = set()  # that are not at full share: good ends there are news too
 
     def ended(self, server: str, found: Kind | None, ok: bool, multiple: float, now: float) -> bool:
-        """One try ended; True if something bad is new."""
+        """One try ended; True if that is to be told soon."""
         if not ok and found is None:
             return False
         one = self.sums.get(server)
@@ -81,7 +83,7 @@
         policy = self.policy
         fade = math.exp((one.at - now) / policy.forget)
         one.good, one.at = one.good * fade, now
-        one.version += 1
+        self.version = one.version = max(self.version + 1, int(now * 1000))  # past those of an earlier life
         if found is None:
             one.good += 1.0
             one.time += (min(multiple, 9.0) - one.time) * 0.1
@@ -89,8 +91,11 @@
                 one.kinds = [value * fade * policy.after_good for value in one.kinds]
                 one.bad = one.weight() > 0.05
                 self.due.add(server)
+            if server in self.watched:
+                self.due.add(server)
+                return True
             return False
-        one.good *= policy.after_bad
+        one.good = min(one.good * policy.after_bad, policy.after_bad_most)
         one.kinds = [value * fade for value in one.kinds]
         one.kinds[found] += 1.0
         if multiple > 0 and found is Kind.SLOW:
@@ -99,15 +104,18 @@
         self.due.add(server)
         return True
 
-    def asked(self, server: str) -> None:
-        """Others say that it is bad: whoever has seen it lately says what."""
-        if server in self.sums:
-            self.due.add(server)
+    def watch(self, server: str, begin: bool) -> None:
+        """Others say that it is bad: whoever sends there says how it goes. `begin`: they just did."""
+        self.watched.add(server)
+        one = self.sums.get(server)
+        if begin and one is not None and not one.bad:
+            one.good = 0.0  # Danger: what was good before a server died would speak for it
 
     def forget(self, server: str) -> None:
         """A new spell begins for it, or it is gone."""
         self.sums.pop(server, None)
         self.due.discard(server)
+        self.watched.discard(server)
 
     def take(self, now: float) -> list[list[Any]]:
         """The rows that are due, each said once in each version."""
--- a/finchshelf/experience/policy.py
+++ b/finchshelf/experience/policy.py
@@ -16,20 +16,25 @@
     # s after which what was seen is worth 1/e: requests take tenths of a second, spells last seconds
     forget: float = 3.0
     slow: float = 4.0  # times what the route takes elsewhere: a queue at a full server makes two or three
-    after_bad: float = 0.4  # of the good before a bad end that still counts: it may be another spell by now
+    slow_least: float = 0.15  # s beyond that usual time: less may be our own halts
+    # of the good before a bad end that still counts, and at most: it may be another spell by now. The most is
+    # so much that limiters with one bad end each, however many, do not make `eject_rate` of it.
+    after_bad: float = 0.3
+    after_bad_most: float = 1.5
     after_good: float = 0.8  # of the bad before a good end that still counts
-    bad: float = 0.7  # weight from which a row says that its server is bad
+    bad: float = 0.6  # weight from which a row says that its server is bad
     prompt: float = 0.03  # s that a bad end waits for more of them
-    least: float = 0.25  # share that one witness alone can lower a server to
+    least: float = 0.2  # share that one witness alone can lower a server to
+    lower: float = 2.2  # times what is bad of all seen, by which a share is lowered
     eject_rate: float = 0.45  # of what witnesses saw that is bad, from which a server is left by all
-    eject_weight: float = 1.6  # that must be bad in all, and
+    eject_weight: float = 2.4  # that must be bad in all, and
     eject_witnesses: int = 2  # witnesses that must say so
     floor: float = 0.7  # of a service's capacity that stays in use, dead servers aside
     zone_floor: float = 0.5  # of a zone's capacity of a service, where the zone has two servers or more
-    most: float = 0.5  # of a service's servers that a limiter may call bad before it is doubted itself
+    most: float = 0.5  # of a service that may be called bad before it is the witness, or all of it
     doubt: float = 5.0  # s that a doubted witness is not heard
     first_wait: float = 0.5  # s until the first trial; doubled by each fall
-    trial_wait: float = 2.0  # s, most between two trials of one fall: a trial costs one further try
+    trial_wait: float = 4.0  # s, most between two trials of one fall: a trial costs one further try
     most_wait: float = 60.0  # s, most that falls can make of it
     calm: float = 30.0  # s at full share after which one fall is forgotten
     grant: float = 1.5  # s that a trial is one limiter's
--- a/finchshelf/experience/witness.py
+++ b/finchshelf/experience/witness.py
@@ -139,7 +139,7 @@
             return 0.0, True
         if not opinion.witnesses:
             return 1.0, False
-        return max(policy.least, 1.0 - 1.2 * opinion.rate), False
+        return max(policy.least, 1.0 - policy.lower * opinion.rate), False
 
 
 @dataclass(frozen=True, slots=True)
