Shared experience on sockets: a failing server is lowered, told of and taken back

Need: the wiring between limiters and cells was only driven by hand. Change: a story with three control planes and three limiters on loopback; a stand-in server that fails on request; the switch as an option of the command line. The most good that outlives a bad end is 1, the floor 0.72.

--- a/finchshelf/cli/__main__.py
+++ b/finchshelf/cli/__main__.py
@@ -83,21 +83,23 @@
 # ---- the programs ----
 
 
-def become(package: str, settings: str | None) -> NoReturn:
+def become(package: str, settings: str | None, *words: str) -> NoReturn:
     """Turn into the program: a command line that stays in memory would be paid for as long as it runs."""
     if settings is not None:
         os.environ["FINCHSHELF_BOOT"] = settings
     if not os.environ.get("FINCHSHELF_BOOT"):
         raise click.UsageError("expected --settings FILE or FINCHSHELF_BOOT")
     sys.stdout.flush()
-    os.execv(sys.executable, [sys.executable, "-O", "-m", package])
+    os.execv(sys.executable, [sys.executable, "-O", "-m", package, *words])
 
 
 @main.command("data-plane")
 @click.option("--settings", type=FILE, help="The settings file; else FINCHSHELF_BOOT names it.")
-def data_plane(settings: str | None) -> None:
+@click.option("--experience", type=click.Choice(["on", "off"]),
+              help="Steer by what all limiters know of servers; else as this version has it.")
+def data_plane(settings: str | None, experience: str | None) -> None:
     """Start a data plane: carries the traffic of one limiter."""
-    become("finchshelf.dataplane", settings)
+    become("finchshelf.dataplane", settings, *(("--experience", experience) if experience else ()))
 
 
 @main.command("control-plane")
--- a/finchshelf/cli/stand_ins.py
+++ b/finchshelf/cli/stand_ins.py
@@ -34,7 +34,7 @@
         if mine:
             owner.ran[self.headers.get("Trial-Id", "")] += 1
         text = f"{owner.identity} {self.command} {self.path} {len(body)}\n".encode()
-        self.send_response(200 if mine else 421)
+        self.send_response((500 if owner.failing else 200) if mine else 421)
         trial, length = self.headers.get("Trial-Id", ""), str(len(text))
         for name, value in (("Trial-Id", trial), ("Content-Length", length),
                             ("Server-Load", f"1,0,{owner.slots}"), ("Server-Seal", "demo")):
@@ -57,7 +57,7 @@
         self.identity, self.service, self.zone, self.slots = f"s-{next(NUMBERS)}", service, zone, 4
         self.controls, self.pulse = list(controls), pulse
         self.ran: Counter[str] = Counter()
-        self.calls, self.mode = 0, "stable"
+        self.calls, self.mode, self.failing = 0, "stable", False
         self.saying, self.ending = threading.Lock(), threading.Event()
         self.web = Web((ip, 0), Handler)
         self.web.owner = self
--- a/finchshelf/cli/system.py
+++ b/finchshelf/cli/system.py
@@ -97,7 +97,9 @@
         path.write_text("".join(f"{name}={value}\n" for name, value in lines.items()))
         return path
 
-    def start(self, role: str, machine: int, options: tuple[str, ...] = (), first: bool = True) -> Child:
+    def start(self, role: str, machine: int, options: tuple[str, ...] = (), first: bool = True,
+              words: tuple[str, ...] = ()) -> Child:
+        """`options` are the interpreter's, `words` the program's."""
         name = f"{role}-{machine}"
         path = self.folder / f"{name}.log"
         paths = [PACKAGE, *filter(None, [os.environ.get("PYTHONPATH")])]
@@ -105,7 +107,7 @@
                "PYTHONPATH": os.pathsep.join(paths)}
         with path.open("ab") as sink:
             process = subprocess.Popen(
-                [sys.executable, *options, "-m", f"finchshelf.{role.replace('-', '')}"],
+                [sys.executable, *options, "-m", f"finchshelf.{role.replace('-', '')}", *words],
                 env=env, stdin=subprocess.DEVNULL, stdout=sink, stderr=sink)
         log("child.started", child=name, pid=process.pid)
         self.children[name] = Child(name, process, path)
--- a/finchshelf/dataplane/steering.py
+++ b/finchshelf/dataplane/steering.py
@@ -110,6 +110,7 @@
             if (known := self.choice.table.get(name)) is not None:
                 known.share, known.dead = 1.0, False
         self.verdicts.clear()
+        self.digest.watched.clear()
         self.bids.clear()
         self.duties.clear()
         self.trying.clear()
--- a/finchshelf/experience/policy.py
+++ b/finchshelf/experience/policy.py
@@ -17,10 +17,10 @@
     forget: float = 3.0
     slow: float = 4.0  # times what the route takes elsewhere: a queue at a full server makes two or three
     slow_least: float = 0.15  # s beyond that usual time: less may be our own halts
-    # of the good before a bad end that still counts, and at most: it may be another spell by now. The most is
-    # so much that limiters with one bad end each, however many, do not make `eject_rate` of it.
+    # of the good before a bad end that still counts, and at most: it may be another spell by now. By that,
+    # three limiters with one bad end each, at once, make `eject_rate`; two do not.
     after_bad: float = 0.3
-    after_bad_most: float = 1.5
+    after_bad_most: float = 1.0
     after_good: float = 0.8  # of the bad before a good end that still counts
     bad: float = 0.6  # weight from which a row says that its server is bad
     prompt: float = 0.03  # s that a bad end waits for more of them
@@ -29,7 +29,8 @@
     eject_rate: float = 0.45  # of what witnesses saw that is bad, from which a server is left by all
     eject_weight: float = 2.4  # that must be bad in all, and
     eject_witnesses: int = 2  # witnesses that must say so
-    floor: float = 0.7  # of a service's capacity that stays in use, dead servers aside
+    # of a service's capacity that stays in use, dead servers aside: 0.7 and what is too little to be told
+    floor: float = 0.72
     zone_floor: float = 0.5  # of a zone's capacity of a service, where the zone has two servers or more
     most: float = 0.5  # of a service that may be called bad before it is the witness, or all of it
     doubt: float = 5.0  # s that a doubted witness is not heard
--- a/tests/stories/test_experience.py
+++ b/tests/stories/test_experience.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Mapping
+from pathlib import Path
 from random import Random
 from typing import Any
 
@@ -13,6 +14,9 @@
 
 from benchmarks.experience import RATE, World
 from finchshelf.admission.interface import Status
+from finchshelf.cli import show
+from finchshelf.cli.demo import Demo
+from finchshelf.cli.system import INNER, Child
 from finchshelf.dataplane.__main__ import switched
 from finchshelf.dataplane.choice import Choice
 from finchshelf.dataplane.steering import Steering
@@ -150,7 +154,7 @@
     world.run(11.0)
     # Then no server is left by all, most of the capacity stays in use, and others' clients see nothing
     assert not world.steered()
-    assert min(least) >= ON.floor - 0.01
+    assert min(least) >= 0.7
     good, ended = (now - then for now, then in zip(world.served("edge-0"), before, strict=True))
     assert good / ended > 0.99
     # And whoever calls most servers bad is doubted by name
@@ -174,7 +178,7 @@
     world.fault.update(dict.fromkeys(world.records, "failing"))
     world.run(9.0)
     # Then none is steered to another that fails as well
-    assert min(least) >= ON.floor - 0.01 and mean_share(world) > 0.9
+    assert min(least) >= 0.7 and mean_share(world) > 0.9
 
 
 # ---- the floor ----
@@ -187,7 +191,7 @@
     least = lowest(world)
     world.fault.update({f"srv-{at}": "part" for at in range(number)})
     world.run(12.0)
-    assert min(least) >= ON.floor - 0.01
+    assert min(least) >= 0.7
 
 
 def test_servers_that_nobody_gets_an_answer_from_are_left_past_the_floor() -> None:
@@ -207,7 +211,7 @@
     well = [Place(f"w{at}", "b", 4, 1.0, 0.0, False) for at in range(6)]
     shares = allot([place("x", 0.6, "c"), place("y", 0.9, "d"), place("z", 0.8, "e"), place("v", 0.5, "f"),
                     *well], ON)
-    assert [shares[name] for name in "yzxv"] == [0.0, 0.0, 0.0, 1.0]
+    assert [shares[name] for name in "yzxv"] == [0.0, 0.0, 0.2, 1.0]
     # A zone keeps half of its own; what is dead is gone already, and is no reason to keep less of the rest.
     shares = allot([place("x", 0.6), place("y", 0.9), *well], ON)
     assert shares["x"] == 1.0 and shares["y"] == 0.0
@@ -363,7 +367,7 @@
     assert not digest.take(0.1)
     assert digest.ended("a", Kind.FAILED, False, 1.0, 0.2)
     (name, version, good, kinds, _), = digest.take(0.2)
-    assert (name, kinds[Kind.FAILED]) == ("a", 100) and good <= 150 and not digest.take(0.3)
+    assert (name, kinds[Kind.FAILED]) == ("a", 100) and good <= 100 and not digest.take(0.3)
     digest.forget("a")
     digest.ended("a", Kind.LOST, False, 1.0, 0.4)
     assert digest.take(0.4)[0][1] > version
@@ -389,6 +393,42 @@
     assert not steering.digest.take(1.0)
 
 
+def test_on_sockets_a_failing_server_is_lowered_and_comes_back(tmp_path: Path) -> None:
+    # Given three control planes, three limiters that share and three servers of a service
+    found = Demo(tmp_path, print)
+    start = found.system.start
+
+    def begin(role: str, machine: int) -> Child:
+        return start(role, machine, words=("--experience", "on") if role == "data-plane" else ())
+
+    found.system.start = begin  # type: ignore[assignment, method-assign]
+
+    def shown(name: str) -> show.Row:
+        return next(row for row in show.rows("servers", found.system.each(INNER)) if row["server"] == name)
+
+    try:
+        found.start()
+        found.configure()
+        found.many(60)
+        bad = found.servers[0]
+        # When one fails; then it is told who saw it, and clients see nothing
+        bad.failing = True
+        seen: set[int] = set()
+
+        def lowered() -> bool:
+            seen.update(status for status, _ in found.many(30))
+            return bool(shown(bad.identity)["share"] < 0.5)
+
+        found.wait("it is lowered", lowered, 10.0)
+        row = shown(bad.identity)
+        assert "failed of" in row["why"] and row["stands"] != "full" and seen == {200}
+        # And when it does well again, it is at full share
+        bad.failing = False
+        found.wait("it is back", lambda: bool(found.many(6)) and shown(bad.identity)["share"] == 1.0, 15.0)
+    finally:
+        found.close()
+
+
 SPOILT: list[Callable[[], Any]] = [lambda: Policy(floor=1.5), lambda: Policy(eject_witnesses=1),
                                    lambda: Policy(steps=(0.5, 0.1)), lambda: Policy(first_wait=0.0)]
 
