A limiter doubts itself, queues are no slowness, steering never makes requests wait

Need: under 1.3 times the load that all can bear up to 3 of 12 well servers were left, as queues made them look slow; a limiter cut off from servers spoke ill of half of them before it was doubted. Change: slow is measured against a server's queue; a limiter whose tries fail at three servers in a row is silent; a lowered server is used before the rest has a queue.

--- a/finchshelf/dataplane/choice.py
+++ b/finchshelf/dataplane/choice.py
@@ -111,17 +111,20 @@
         usable = [known for known in all_of if known.record.usable()]
         # Danger: whoever calls all servers lost at once is mistaken more likely than right. They are used.
         usable = usable or [known for known in all_of if known.record.mode == STABLE]
-        best, spared = self.best(usable, now, tried, True)
-        if best is None and spared:
-            # Danger: steering that refuses a request while there is room. A lowered server is used before
-            # that; one that nobody gets an answer out of only if all are such.
-            best, _ = self.best([k for k in usable if not k.dead] or usable, now, tried, False)
+        best, spared, waits = self.best(usable, now, tried, True)
+        if spared and (best is None or waits):
+            # Danger: steering that makes requests wait, or refuses them, while there is room. A lowered
+            # server is used before the rest has a queue, one that all left before a request is refused, and
+            # one that nobody gets an answer out of only if all are such.
+            rest = [k for k in usable if (k.share > 0.0 if best is not None else not k.dead)]
+            best = self.best(rest or usable, now, tried, False)[0] or best
         return best
 
     def best(self, usable: Iterable[Known], now: float, tried: Collection[str],
-             steer: bool) -> tuple[Server | None, bool]:
-        """The cheapest with room; and whether any was passed over by its share (`steer`)."""
-        best, least, spared = None, math.inf, False
+             steer: bool) -> tuple[Server | None, bool, bool]:
+        """The cheapest with room; whether any was passed over by its share (`steer`), and whether the one
+        found has no slot free."""
+        best, least, spared, waits = None, math.inf, False, False
         for known in usable:
             record = known.record
             if record.id in tried or now < known.away_until:
@@ -138,8 +141,8 @@
                 continue  # what others are said to hold may be wrong: one of ours finds out sooner
             cost = self.cost(known, held, now) * (1 + NOISE * (2 * self.random.random() - 1))
             if cost < least:
-                best, least = record, cost
-        return best, spared
+                best, least, waits = record, cost, held + 1 > record.capacity
+        return best, spared, waits
 
     def cost(self, known: Known, held: float, now: float) -> float:
         record, slots = known.record, known.record.capacity
--- a/finchshelf/dataplane/steering.py
+++ b/finchshelf/dataplane/steering.py
@@ -38,6 +38,10 @@
         multiple = took / max(usual, 1e-3) if usual else 1.0
         # Danger: where answers take a millisecond, a turn of our own loop makes any server look slow.
         slow = multiple >= self.policy.slow and took - usual >= self.policy.slow_least
+        known = self.choice.table.get(server)
+        if slow and known is not None:
+            # Danger: under a load that is more than all can bear, queues would make every server look slow.
+            slow = multiple >= self.policy.slow * max(1.0, (known.open + known.told) / known.record.capacity)
         room = load is not None and load[0] < load[2] and not load[1]
         found = kind(status, used, slow, room)
         if server in self.trying and (found is not None or status is Status.OK):
@@ -47,8 +51,7 @@
             self.wake()
         elif server in self.trying and status is Status.CANCELLED:
             del self.trying[server]
-        if server in self.choice.table and self.digest.ended(server, found, status is Status.OK, multiple,
-                                                             now):
+        if known is not None and self.digest.ended(server, found, status is Status.OK, multiple, now):
             verdict = self.verdicts.get(server)
             if verdict is None or verdict.state not in (OUT, TRIAL):  # else all know; the next round will do
                 self.wake()
--- a/finchshelf/experience/digest.py
+++ b/finchshelf/experience/digest.py
@@ -71,6 +71,7 @@
         self.sums: dict[str, Sum] = {}
         self.version = 0  # one for all sums: a server that is forgotten and met again must not seem older
         self.due: set[str] = set()  # servers of which something is new that others want to hear
+        self.run: set[str] = set()  # servers of the bad ends since the last good one
         self.watched: set[str] = set()  # that are not at full share: good ends there are news too
 
     def ended(self, server: str, found: Kind | None, ok: bool, multiple: float, now: float) -> bool:
@@ -85,6 +86,8 @@
         one.good, one.at = one.good * fade, now
         self.version = one.version = max(self.version + 1, int(now * 1000))  # past those of an earlier life
         if found is None:
+            alone = self.alone()
+            self.run.clear()
             one.good += 1.0
             one.time += (min(multiple, 9.0) - one.time) * 0.1
             if one.bad:
@@ -93,8 +96,8 @@
                 self.due.add(server)
             if server in self.watched:
                 self.due.add(server)
-                return True
-            return False
+            return server in self.watched or alone
+        self.run.add(server)
         one.good = min(one.good * policy.after_bad, policy.after_bad_most)
         one.kinds = [value * fade for value in one.kinds]
         one.kinds[found] += 1.0
@@ -102,7 +105,11 @@
             one.time += (min(multiple, 9.0) - one.time) * 0.1
         one.bad = True
         self.due.add(server)
-        return True
+        return not self.alone()
+
+    def alone(self) -> bool:
+        """Is it this limiter that is bad? All its tries fail, at one server after the other."""
+        return len(self.run) >= self.policy.alone
 
     def watch(self, server: str, begin: bool) -> None:
         """Others say that it is bad: whoever sends there says how it goes. `begin`: they just did."""
@@ -119,7 +126,9 @@
 
     def take(self, now: float) -> list[list[Any]]:
         """The rows that are due, each said once in each version."""
-        rows = []
+        rows: list[list[Any]] = []
+        if self.alone():
+            return rows  # Danger: frozen or cut off, it would speak ill of all; until a good end it is silent
         for server in self.due:
             one = self.sums[server]
             if one.version > one.told and now - one.at < 2 * self.policy.forget:
--- a/finchshelf/experience/policy.py
+++ b/finchshelf/experience/policy.py
@@ -33,6 +33,7 @@
     floor: float = 0.72
     zone_floor: float = 0.5  # of a zone's capacity of a service, where the zone has two servers or more
     most: float = 0.5  # of a service that may be called bad before it is the witness, or all of it
+    alone: int = 3  # servers in a row at which all ends are bad, from which a limiter doubts itself
     doubt: float = 5.0  # s that a doubted witness is not heard
     first_wait: float = 0.5  # s until the first trial; doubled by each fall
     trial_wait: float = 4.0  # s, most between two trials of one fall: a trial costs one further try
