--- a/finchshelf/controlplane/__main__.py
+++ b/finchshelf/controlplane/__main__.py
@@ -41,6 +41,7 @@
     counted = store is not None and boot.loss_counted
     recalled = 0
     cells = Cells(address, boot.zone, boot.pulse, int(time.time() * 1000), clock.now())
+    cells.board.log = telemetry.log
     async with trio.open_nursery() as nursery:
         if store is not None:
             folder = os.path.join(boot.state_dir, "cells")
