Words to holders grow with the fleet alone, not with its square

Cause: each limiter named each tenant in use to its holder each 0.3 s: 12,000 datagrams a second over 96 limiters and 88 tenants. Change: beyond 24 limiters both the beat and the time after which silence counts grow with the fleet. The model's stories keep the bound, those of 96 limiters too.

--- a/finchshelf/counts/caller.py
+++ b/finchshelf/counts/caller.py
@@ -15,7 +15,7 @@
 
 from finchshelf.admission.breaker import TRIP_AFTER, Breaker, Bucket
 from finchshelf.configuration.document import Tenant
-from finchshelf.counts.holder import AWAY, BYE, KEEP, NEAR
+from finchshelf.counts.holder import AWAY, BYE, KEEP, NEAR, seldom
 from finchshelf.membership import rendezvous
 
 BUDGET = 0.02  # s that a question may take (design page)
@@ -102,8 +102,12 @@
         breaker = self.breakers.get(holder)
         return AWAY if breaker is not None and breaker.failures >= TRIP_AFTER else NEAR
 
+    def pace(self) -> float:
+        """Seconds from one round of words to the next."""
+        return BEAT * seldom(len(self.known))
+
     def beats(self, now: float) -> list[tuple[str, str, int]]:
-        """What holders must hear by now beside questions: (holder, tenant, state); every `BEAT`.
+        """What holders must hear by now beside questions: (holder, tenant, state); every `pace`.
 
         Danger: a limiter that asks nothing may have no requests, or be cut off and let in its share."""
         found: list[tuple[str, str, int]] = []
@@ -115,7 +119,7 @@
             if now - use.used > USE:
                 found.append((name, tenant, BYE))
                 del self.uses[tenant]
-            elif now - use.asked > BEAT * 0.4 or self.state(name) == AWAY:
+            elif now - use.asked > self.pace() * 0.4 or self.state(name) == AWAY:
                 found.append((name, tenant, self.state(name)))
                 use.asked = now
         return found
--- a/finchshelf/counts/holder.py
+++ b/finchshelf/counts/holder.py
@@ -14,12 +14,18 @@
 IDLE = 60.0  # s after which a count that nobody asked for goes (design page)
 TOUCH = 0.5  # s without a word after which a limiter may be letting in its share: more than a beat
 KEEP = 12.0  # s that the share of a limiter out of touch is set aside: longer than a cut lasts
+FEW = 24  # limiters to which that holds; among more each gives word more seldom, as its share is smaller
 LOOK = 0.1  # s between two looks at who is in touch
 COME = 2.0  # s ahead at most that refused requests are told to come back
 SPARE = 4.0  # units left in a window that starts full: of the 20 that the rule lets pass, for three holders
 BYE, AWAY, NEAR = -1, 0, 1  # what a limiter says of itself: no use of it, lets in its share, asks here
 
 
+def seldom(limiters: int) -> float:
+    """How much more seldom than among a few limiters a word is given: words in all grow with the fleet alone."""
+    return max(1.0, limiters / FEW)
+
+
 @dataclass(slots=True)
 class Count:
     rate: float
@@ -58,7 +64,7 @@
         self.settle(now)
         limiters = max(limiters, len(self.near) + len(self.away), 1)
         for who, heard in [*self.near.items()]:
-            if now - heard > TOUCH:
+            if now - heard > TOUCH * seldom(limiters):
                 # Danger: it was cut off the moment after its last word, and let in its share since.
                 del self.near[who]
                 self.away[who] = now
--- a/finchshelf/dataplane/core.py
+++ b/finchshelf/dataplane/core.py
@@ -19,7 +19,7 @@
 
 from finchshelf.admission.outcome import ClientGone, Status
 from finchshelf.configuration.document import Configuration, Limits, Route
-from finchshelf.counts.caller import BEAT, BUDGET, Caller
+from finchshelf.counts.caller import BUDGET, Caller
 from finchshelf.counts.holder import NEAR, Holder
 from finchshelf.dataplane import tries
 from finchshelf.dataplane.budget import Budget
@@ -146,7 +146,7 @@
     # ---- the task itself ----
 
     async def run(self) -> None:
-        self.timer(self.clock.now() + BEAT, "beat", 0)
+        self.timer(self.clock.now() + self.caller.pace(), "beat", 0)
         while True:
             wait = max(0.0, self.timers[0][0] - self.clock.now()) if self.timers else math.inf
             until = trio.current_time() + wait
@@ -190,7 +190,7 @@
                     self.asked(tenant, 0.0, self.me, state)
                 elif holder in self.hosts:
                     self.wire.ask(self.hosts[holder], tenant, 0.0, state)
-            self.timer(now + BEAT, "beat", 0)
+            self.timer(now + self.caller.pace(), "beat", 0)
         elif kind == "hedge":
             request = self.live.get(number)
             if request is not None:
--- a/tests/stories/counts_fleet.py
+++ b/tests/stories/counts_fleet.py
@@ -175,7 +175,7 @@
                         self.add(node, name, state, 0.0)
                     else:
                         self.send(name, holder, lambda to, s=state: self.add(to, name, s, 0.0))  # type: ignore
-            self.at(self.now + BEAT, beat)
+            self.at(self.now + self.nodes[name].caller.pace(), beat)
         return beat
 
     # ---- requests: the steps of the data plane's core ----
