--- a/finchshelf/counts/holder.py
+++ b/finchshelf/counts/holder.py
@@ -22,7 +22,7 @@
 
 
 def seldom(limiters: int) -> float:
-    """How much more seldom than among a few limiters a word is given, so that all words grow with the fleet."""
+    """How much more seldom than among a few limiters a word is given: all words grow with the fleet alone."""
     return max(1.0, limiters / FEW)
 
 
