Careful roll-out: plan, evidence, statistics, a driver that is a duty, keepers and commands

Need: a policy change should reach one agency or office first, go on only on evidence, and halt itself at the first site where confirmations grow late, vanish or repeat. Data planes do not count yet.

--- a/finchshelf/cli/__main__.py
+++ b/finchshelf/cli/__main__.py
@@ -20,6 +20,7 @@
 import orjson
 
 from finchshelf.cli import deploy, logs, operator, show
+from finchshelf.cli.rollout import rollout
 from finchshelf.configuration import change
 from finchshelf.configuration.boot import SettingsError, check_boot, read_boot
 from finchshelf.transport.address import Address
@@ -247,6 +248,11 @@
     send("setpoint.adjust", called(controls, settings, False), file, within)
 
 
+# ---- many sites ----
+
+main.add_command(rollout)
+
+
 # ---- the demo ----
 
 
--- a/finchshelf/events.py
+++ b/finchshelf/events.py
@@ -27,7 +27,8 @@
 REPORT = "Report it with the line."
 
 # 1xx a program's life, 2xx clients, servers and calls, 3xx between our processes, 4xx the core and its
-# disks, 5xx configuration, 6xx counts of tenants, 7xx faults of ours, 9xx the command line.
+# disks, 5xx configuration, 6xx counts of tenants, 7xx faults of ours, 8xx roll-outs (the head
+# office's keepers), 9xx the command line.
 CATALOGUE = (
     Event(101, "start",
           "The program listens. `disk`: the name of this life of the disk, none without a disk; "
@@ -103,6 +104,46 @@
     Event(701, "core.error",
           "One event could not be taken; its request was answered as failed.",
           REPORT, rare=True),
+    Event(801, "rollout.began",
+          "Every site's version is known; the past of all is gathered from here on.",
+          NOTHING),
+    Event(802, "rollout.step",
+          "A site's change is written down in the register and about to be sent. `version`: the one it "
+          "gets.",
+          NOTHING),
+    Event(803, "rollout.changed",
+          "A site took the change; its watch begins.",
+          NOTHING),
+    Event(804, "rollout.passed",
+          "It is proven that no harm has grown at the site; `requests` were watched.",
+          NOTHING),
+    Event(805, "rollout.halted",
+          "No further site gets the change; `why`, and `harm` where one has grown.",
+          "Read `why` in `finchshelf rollout status`; mend the policy, begin a new roll-out."),
+    Event(806, "rollout.returned",
+          "The site has its last good policy back, under the new `version`.",
+          NOTHING),
+    Event(807, "rollout.left",
+          "Another operator's version is in place at the site: the roll-out leaves it alone.",
+          "Ask who changed it and whether that builds on the change that was rolled out."),
+    Event(808, "rollout.paused",
+          "An operator paused: what has changed is still watched, nothing more changes.",
+          "`finchshelf rollout resume` when it may go on."),
+    Event(809, "rollout.resumed",
+          "An operator let it go on.",
+          NOTHING),
+    Event(810, "rollout.done",
+          "Every site has the change, and each has passed.",
+          NOTHING),
+    Event(811, "rollout.ended",
+          "A roll-out that was halted or aborted has nothing more to take back.",
+          NOTHING),
+    Event(812, "rollout.duty",
+          "This keeper drives from here on; `epoch`.",
+          "Nothing, if the former driver was ended or lost; if it repeats, see what cuts keepers off."),
+    Event(813, "rollout.fenced",
+          "This keeper no longer drives: another has a later epoch, or no majority of keepers answers.",
+          "See whether the other keepers are up; nothing else: it can do no harm."),
     Event(901, "call.again",
           "The command line's call got no clear answer and goes to the next control plane.",
           "If it repeats: see which control planes are up."),
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -15,7 +15,7 @@
 from finchshelf.transport.telemetry import Telemetry
 
 ROOT = Path(__file__).parent.parent
-PACKAGES = "transport", "controlplane", "dataplane", "cli"
+PACKAGES = "transport", "controlplane", "dataplane", "rollout", "cli"
 FILES = [ROOT / "finchshelf" / "program.py",
          *(path for package in PACKAGES for path in (ROOT / "finchshelf" / package).glob("*.py"))]
 
@@ -27,7 +27,7 @@
         if isinstance(node, ast.Call) and isinstance(node.func, ast.Attribute | ast.Name):
             name = node.func.attr if isinstance(node.func, ast.Attribute) else node.func.id
             first = node.args[0] if node.args else None
-            if name in ("log", "rare") and isinstance(first, ast.Constant):
+            if name in ("log", "rare", "note") and isinstance(first, ast.Constant):
                 found.add((str(first.value), name == "rare"))
     return found
 
