Data planes count for a roll-out, and a drill of it on real sockets

Change: while somebody asks `op: evidence`, control planes say `watch` with the news; data planes count eight numbers a route and tell the rows that changed, as totals of their life, at most every two seconds in the question they ask anyway. `finchshelf rollout drill` starts five small systems and three keepers on loopback.

--- a/finchshelf/cli/rollout.py
+++ b/finchshelf/cli/rollout.py
@@ -6,9 +6,11 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 import time
 from pathlib import Path
+from types import FrameType
 from typing import Any, NoReturn
 
 import click
@@ -146,7 +148,8 @@
         harms = [f"{kind} {part:.1%}" for kind, part in seen.get("harms", {}).items() if part >= 0.001]
         listed.append({"site": name, "wave": waves[name], "state": row["state"],
                        "version": f"{version:08x}" if version else None,
-                       "a_second": seen.get("rate"), "watched": seen.get("taken"), "seen": ", ".join(harms) or None})
+                       "a_second": seen.get("rate"), "watched": seen.get("taken"),
+                       "seen": ", ".join(harms) or None})
     return listed
 
 
@@ -220,3 +223,21 @@
             more = " ".join(f"{key}={value}" for key, value in line.items()
                             if key not in ("at", "event", "site") and value != "")
             click.echo(f"  {when}  {line['event']:18} {line['site']:16} {more}".rstrip())
+
+
+@rollout.command("drill")
+def drill_command() -> None:
+    """Five small systems on loopback: a good policy reaches all, a bad one stops at the first."""
+    from finchshelf.cli import drill  # it loads what no other command needs
+
+    def ended(number: int, frame: FrameType | None) -> NoReturn:
+        # Danger: ended by a signal, the children that the drill started would stay.
+        sys.exit(128 + number)
+
+    former = signal.signal(signal.SIGTERM, ended)
+    try:
+        well = drill.run(click.echo)
+    finally:
+        signal.signal(signal.SIGTERM, former)
+    click.echo("all went through" if well else "not all went through")
+    sys.exit(0 if well else 1)
--- a/finchshelf/cli/stand_ins.py
+++ b/finchshelf/cli/stand_ins.py
@@ -6,10 +6,13 @@
 from __future__ import annotations
 
 import json
+import sys
 import threading
+import time
 from collections import Counter
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from itertools import count
+from typing import Any
 
 from finchshelf.cli import operator
 from finchshelf.transport.address import Address
@@ -22,6 +25,10 @@
     daemon_threads, request_queue_size = True, 128
     owner: Server
 
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        if not isinstance(sys.exception(), OSError):  # a gateway that gave up a try is no fault here
+            super().handle_error(request, client_address)
+
 
 class Handler(BaseHTTPRequestHandler):
     protocol_version, timeout = "HTTP/1.1", 10.0
@@ -33,6 +40,7 @@
         mine = target is None or target == owner.identity
         if mine:
             owner.ran[self.headers.get("Trial-Id", "")] += 1
+            time.sleep(owner.takes)
         text = f"{owner.identity} {self.command} {self.path} {len(body)}\n".encode()
         self.send_response(200 if mine else 421)
         trial, length = self.headers.get("Trial-Id", ""), str(len(text))
@@ -57,6 +65,7 @@
         self.identity, self.service, self.zone, self.slots = f"s-{next(NUMBERS)}", service, zone, 4
         self.controls, self.pulse = list(controls), pulse
         self.ran: Counter[str] = Counter()
+        self.takes = 0.0  # s of an answer
         self.calls, self.mode = 0, "stable"
         self.saying, self.ending = threading.Lock(), threading.Event()
         self.web = Web((ip, 0), Handler)
--- a/finchshelf/controlplane/news.py
+++ b/finchshelf/controlplane/news.py
@@ -18,6 +18,7 @@
 from finchshelf.controlplane.cells import Cells, Control
 from finchshelf.controlplane.register import Register
 from finchshelf.membership.records import Server, Unfit, read_limiter
+from finchshelf.rollout.evidence import Table
 from finchshelf.transport.address import Address
 from finchshelf.transport.exchange import Clock
 from finchshelf.transport.frames import Link, Message, PeerError
@@ -45,6 +46,7 @@
         self.links: dict[str, Link] = {}
         self.event = trio.Event()
         self.steady: set[str] = set()
+        self.table = Table()  # what data planes count while a roll-out watches
 
     def wake(self) -> None:
         event, self.event = self.event, trio.Event()
@@ -68,6 +70,8 @@
             return {"ok": True}
         if kind == "show":
             return self.show()
+        if kind == "evidence":
+            return self.evidence(message)
         return {"error": f"no such question: {kind!r}"[:100]}
 
     async def answer_news(self, message: Message) -> Message:
@@ -79,7 +83,9 @@
             event, decided = self.event, self.register.decided_event
             answer = self.fresh(have, "limiter" in message)
             if answer is not None or trio.current_time() >= until:
-                return answer or {"life": self.cells.life, "none": True}
+                answer = answer or {"life": self.cells.life, "none": True}
+                word = self.table.word(have.get("watch"), self.clock.now()) if "limiter" in message else None
+                return answer if word is None else {**answer, "watch": word}
             with trio.move_on_at(until):
                 await either(event, decided)
                 await trio.sleep(GATHER)
@@ -90,6 +96,8 @@
             limiter = read_limiter(message["limiter"])
             if self.cells.ask(limiter, now):
                 self.wake()
+            if "seen" in message:
+                self.table.take(limiter.node, limiter.life, message["seen"])
         elif "control" in message:
             address, zone, disk, counted = message["control"]
             control = self.cells.meet(str(address))
@@ -139,6 +147,15 @@
             "servers": [record.pack(now) for record in self.cells.servers.rows.values()],
         }
 
+    def evidence(self, message: Message) -> Message:
+        """What a roll-out asks: what the data planes that ask here saw. While it is asked, they count."""
+        now, cells, decided = self.clock.now(), self.cells, self.register.decided
+        if self.table.ask(message.get("aims", {}), now):
+            self.wake()
+        usable = sum(record.usable() for record in cells.servers.rows.values())
+        return {"rows": self.table.rows(), "version": decided.version if decided else 0,
+                "machines": usable + len(cells.merged)}
+
     # ---- questions that go out ----
 
     def link(self, address: str) -> Link:
--- a/finchshelf/dataplane/__main__.py
+++ b/finchshelf/dataplane/__main__.py
@@ -53,7 +53,8 @@
         core.clients = clients = Clients(core, Reader(core.configuration), nursery, lambda: True,
                                          boot.descriptors, memory)
         seeds = [f"{peer.host}:{control}" for peer in boot.initial_peers]
-        follower = Follower(me, seeds, control, clock, core.put, random, telemetry.log, nursery)
+        follower = Follower(me, seeds, control, clock, core.put, random, telemetry.log, nursery,
+                            core.seen)
         looked_at = calls.Calls(clock, telemetry, nursery, None)
         readiness = Clients(looked_at, calls.Reader(READY), nursery,
                             lambda: core.ready() and follower.settled(), 64, memory)
--- a/finchshelf/dataplane/core.py
+++ b/finchshelf/dataplane/core.py
@@ -27,6 +27,7 @@
 from finchshelf.dataplane.questions import Questions
 from finchshelf.dataplane.tries import Next, Tried
 from finchshelf.membership.records import Limiter, Server
+from finchshelf.rollout.evidence import SAFE, Seen
 from finchshelf.transport.address import Address
 from finchshelf.transport.clients import Clients
 from finchshelf.transport.exchange import Answer, Arrived, Attempt, Clock, Ended, Headers
@@ -93,6 +94,7 @@
         self.live: dict[int, Request] = {}
         self.questions: dict[int, Question] = {}
         self.timers: list[tuple[float, int, str, int]] = []
+        self.seen = Seen()
         self.last = self.ticks = 0
         self.servers: Servers
         self.clients: Clients
@@ -183,6 +185,8 @@
             request = self.live.pop(item.id, None)
             if request is not None:
                 self.count["in.gone"] += 1
+                if self.seen.on and request.route is not None:
+                    self.seen.add(request.route.label, "broken")
                 self.cancel(request)
 
     # ---- a request ----
@@ -190,6 +194,8 @@
     def arrived(self, request: Request, now: float) -> None:
         self.count["in.requests"] += 1
         self.live[request.id] = request
+        if self.seen.on:
+            self.seen.add(request.route.label if request.route is not None else "", "taken")
         if self.configuration.version == 0:
             return self.answer(request, refusal(503, 0.2), "refused.starting")
         if request.route is None or request.verdict:
@@ -262,6 +268,9 @@
             return False
         address = self.addresses[server.id]
         number = len(request.tried)
+        if self.seen.on and (request.out or request.may_have_run) and request.method not in SAFE:
+            assert request.route is not None  # it may run a second time, whatever the route says of it
+            self.seen.add(request.route.label, "repeated")
         request.tried.append(server.id)
         attempt = Attempt(request, number, server.id, address, left, now, request.until)
         request.out[number] = attempt
@@ -292,6 +301,8 @@
         self.count[f"tries.{item.status.value}"] += 1
         if item.used == MISDIRECTED:
             self.gone(attempt.server)
+        if self.seen.on and item.status is Status.OK and request.method not in SAFE:
+            self.seen.ran(request.route.label, request.named())
         if request.id not in self.live:
             if item.answer is not None and item.answer.more is not None:
                 item.answer.more.close()  # Danger: nobody takes the rest, and its server would wait for good
@@ -332,6 +343,10 @@
         if self.live.pop(request.id, None) is None:
             return
         self.count[counted] += 1
+        if self.seen.on:
+            route = request.route
+            self.seen.ended(route.label if route else "", route.target if route else 0.0, counted,
+                            answer.status, self.clock.now() - request.came)
         request.reply(answer)
 
     def cancel(self, request: Request) -> None:
--- a/finchshelf/dataplane/dialect.py
+++ b/finchshelf/dataplane/dialect.py
@@ -47,6 +47,10 @@
     last: Answer | None = None  # of a server that failed: passed on where no other does better
     hedged: bool = False
 
+    def named(self) -> bytes:
+        """Its client's name for it, the same each time the client sends it."""
+        return next((value for name, value in self.headers if name.lower() == b"trial-id"), b"")
+
 
 class Reader:
     """Reads requests by the configuration in force."""
--- a/finchshelf/dataplane/follower.py
+++ b/finchshelf/dataplane/follower.py
@@ -18,6 +18,7 @@
 from finchshelf.dataplane.core import News
 from finchshelf.membership import rendezvous
 from finchshelf.membership.records import GONE, Limiter, Unfit, read_limiter, read_server
+from finchshelf.rollout.evidence import EACH, Seen
 from finchshelf.transport.address import Address
 from finchshelf.transport.exchange import Clock
 from finchshelf.transport.frames import Link, Message, PeerError
@@ -37,13 +38,15 @@
         self.link, self.zone = link, zone
         self.have: dict[str, int] = {"life": 0, "rev": -1, "named": -1, "list": -1}
         self.limiters: dict[str, Limiter] = {}
-        self.down_until = self.heard = -1e9
+        self.down_until = self.heard = self.evident = -1e9
+        self.told = 0  # what it knows of the counters that a roll-out watches
         self.running = False
 
 
 class Follower:
     def __init__(self, me: Limiter, seeds: list[str], port: int, clock: Clock, put: Callable[[News], None],
-                 random: Random, log: Callable[..., None], nursery: trio.Nursery) -> None:
+                 random: Random, log: Callable[..., None], nursery: trio.Nursery, seen: Seen) -> None:
+        self.seen = seen
         self.me, self.clock, self.put, self.random, self.log = me, clock, put, random, log
         self.nursery = nursery
         self.seeds = seeds
@@ -106,9 +109,19 @@
 
     async def ask_once(self, address: str, source: Source) -> None:
         have: dict[str, Any] = {**source.have, "slot": self.slot}
-        answer = await source.link.ask("news", {"op": "news", "have": have, "wait": WAIT,
-                                                "limiter": self.me.pack()}, WAIT + MORE)
+        question = {"op": "news", "have": have, "wait": WAIT, "limiter": self.me.pack()}
+        now, rev = self.clock.now(), source.told
+        self.seen.look(now)
+        if self.seen.on:
+            have["watch"] = self.seen.id
+            if self.seen.rev > rev and now - source.evident >= EACH:
+                rev, source.evident = self.seen.rev, now
+                question["seen"] = self.seen.since(source.told)
+        answer = await source.link.ask("news", question, WAIT + MORE)
+        source.told = rev  # only now: what was not answered is told again
         source.heard = self.clock.now()
+        if "watch" in answer:
+            self.seen.watch(answer["watch"], source.heard)
         if not self.answered:
             self.first = source.heard
         self.answered.add(address)
@@ -118,6 +131,7 @@
         now, have = self.clock.now(), source.have
         if answer["life"] != have["life"]:
             source.have = have = {"life": int(answer["life"]), "rev": -1, "named": -1, "list": -1}
+            source.told = 0  # it came up anew and knows nothing
             if answer.get("none"):
                 return
         news = News([read_server(row, now) for row in answer.get("servers", ())])
