--- a/finchshelf/cli/drill.py
+++ b/finchshelf/cli/drill.py
@@ -109,6 +109,9 @@
         found: dict[str, Any] = json.loads(told.body)
         return found
 
+    def policy(self) -> dict[Any, Any]:
+        return {plans.label(element): element for element in self.document()["elements"]}
+
     def close(self) -> None:
         self.load.ending.set()
         for server in self.servers:
@@ -232,16 +235,18 @@
         before, versions = [site.load.harmed() for site in self.sites], self.versions()
         route: dict[str, Any] = demo.route("buy", "/orders/", "orders", "mutating")
         route["reference"]["cutoffMs"] = TOO_SHORT
-        document = self.sites[0].document()["elements"]
+        policy = self.sites[0].policy()
+        began = time.monotonic()
         self.begin(name, {"apply": {"elements": [route]}})
         meanwhile()
-        took = self.wait("the roll-out's end", self.ended, 90.0)
+        self.wait("the roll-out's end", self.ended, 90.0)
+        took = time.monotonic() - began
         state = self.document()["state"]
         harmed = [site.load.harmed() - former for site, former in zip(self.sites, before, strict=True)]
         now = self.versions()
         if state["phase"] != "halted" or now[1:] != versions[1:] or any(harmed[1:]):
             raise demo.Failed(f"{state['phase']}: {state['why']} {state['says']}; {now}; harmed {harmed}")
-        if sorted(map(str, self.sites[0].document()["elements"])) != sorted(map(str, document)):
+        if self.sites[0].policy() != policy:
             raise demo.Failed("the first site does not have its last good policy")
         if self.doubled():
             raise demo.Failed(f"{self.doubled()} orders ran twice")
--- a/finchshelf/rollout/driver.py
+++ b/finchshelf/rollout/driver.py
@@ -292,12 +292,12 @@
             mind.deltas.append({route: [max(0, a - b) for a, b in zip(now[route], mind.last[route],
                                                                       strict=True)] for route in now})
             mind.last = now
+        under_way = {(one.system, self.row(one.name)["version"]) for one in self.plan.sites
+                     if self.row(one.name)["state"] == "changing"}
         for site in self.plan.sites:
             mind, row = self.mind[site.name], self.row(site.name)
             known = self.state["systems"].get(site.system)
-            open_steps = [self.row(one.name).get("version") for one in self.plan.sites
-                          if one.system == site.system and self.row(one.name)["state"] == "changing"]
-            if known is not None and mind.version > known and mind.version not in open_steps:
+            if known is not None and mind.version > known and (site.system, mind.version) not in under_way:
                 return self.halt(site.name, f"version {mind.version:08x} is another operator's")
             if row["state"] == "watching" and mind.deltas[-1]:
                 self.examine(site, passed)
--- a/finchshelf/rollout/plan.py
+++ b/finchshelf/rollout/plan.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterator
 from copy import deepcopy
 from dataclasses import dataclass, field
+from functools import cached_property
 from ipaddress import ip_address
 from pathlib import Path
 from typing import Any
@@ -83,7 +84,7 @@
     words: dict[str, str]
     least_rate: float = 0.0  # 0: the plan's
 
-    @property
+    @cached_property
     def system(self) -> str:
         return ",".join(sorted(self.controls))
 
--- a/finchshelf/rollout/statistics.py
+++ b/finchshelf/rollout/statistics.py
@@ -64,6 +64,8 @@
 def ratio(x: int, n: int, p1: float, p0: float) -> float:
     """Log of the likelihood of `x` of `n` at p1 over that at p0."""
     p1, p0 = clamp(p1), clamp(p0)
+    if not x:
+        return n * math.log((1 - p1) / (1 - p0))
     return x * math.log(p1 / p0) + (n - x) * math.log((1 - p1) / (1 - p0))
 
 
--- /dev/null
+++ b/tests/test_rollout.py
@@ -0,0 +1,161 @@
+"""The roll-out on real sockets, in small: keepers that hand over, and what a data plane counts."""
+
+from __future__ import annotations
+
+import json
+import time
+from pathlib import Path
+from typing import Any
+
+import orjson
+import pytest
+import trio
+from click.testing import CliRunner
+
+from finchshelf.cli import demo, drill, keeper, operator
+from finchshelf.cli import rollout as words
+from finchshelf.cli.__main__ import main
+from finchshelf.cli.system import CONTROL, FRONT, INNER, READINESS, System, network
+from finchshelf.rollout import duty
+from finchshelf.rollout.evidence import AT, Sums
+from finchshelf.transport import frames, net
+from finchshelf.transport.address import Address
+from finchshelf.transport.frames import Link
+from finchshelf.transport.telemetry import Telemetry
+
+PLAN = """
+name = "try"
+change = { apply = { elements = [] } }
+[[kinds]]
+route = "buy"
+[[sites]]
+name = "tartu"
+controls = ["127.0.0.1:9"]
+"""
+
+
+async def run_keeper(address: str, seeds: tuple[str, ...], folder: Path, first: bool,
+                     task_status: trio.TaskStatus[trio.CancelScope]) -> None:
+    with trio.CancelScope() as scope:
+        async with trio.open_nursery() as nursery:
+            one = keeper.Keeper(address, seeds, folder, first, nursery, Telemetry(address))
+            listener = await net.listen(keeper.address_of(address))
+            nursery.start_soon(frames.serve, listener, one.handle, nursery, lambda why: None)
+            nursery.start_soon(one.run)
+            task_status.started(scope)
+            await trio.sleep_forever()
+
+
+async def until(keepers: list[Address], true: Any, limit: float = 15.0) -> duty.Document:
+    with trio.fail_after(limit):
+        while True:
+            answer = await keeper.say(keepers, {"word": "status"}, 2.0)
+            if "document" in answer:
+                document: duty.Document = orjson.loads(answer["document"])
+                if true(document):
+                    return document
+            await trio.sleep(0.1)
+
+
+def test_keepers_hand_the_duty_over_and_a_wiped_one_is_a_member_again(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(duty, "LEASE", 1.0)
+    monkeypatch.setattr(keeper, "TURN", 0.2)
+    at = network()
+    seeds = tuple(f"{at}.{number}:{INNER}" for number in (1, 2, 3))
+    (tmp_path / "plan.toml").write_text(PLAN)
+
+    async def story() -> None:
+        async with trio.open_nursery() as nursery:
+            scopes = {}
+            for seed in seeds:
+                scopes[seed] = await nursery.start(run_keeper, seed, seeds, tmp_path / seed, True)
+            there = [keeper.address_of(seed) for seed in seeds]
+            await until(there, lambda document: document["state"] is None)
+            given = orjson.dumps(words.load(str(tmp_path / "plan.toml"), False).given)
+            assert await keeper.say(there, {"word": "start", "plan": given}, 3.0) == {"ok": True}
+            given = given.replace(b'"try"', b'"more"')
+            again = await keeper.say(there, {"word": "start", "plan": given}, 3.0)
+            assert "is under way" in again["refused"]
+            first = await until(there, lambda document: document["driver"])
+            # Its driver is lost: another takes the duty, under a later epoch
+            scopes[first["driver"]].cancel()
+            left = [keeper.address_of(seed) for seed in seeds if seed != first["driver"]]
+            second = await until(left, lambda document: document["driver"] not in ("", first["driver"]))
+            assert second["epoch"] > first["epoch"]
+            # It comes back without its disk, and counts again
+            await nursery.start(run_keeper, first["driver"], seeds, tmp_path / "new", False)
+            await trio.sleep(4.0)
+            other = next(seed for seed in seeds if seed not in (first["driver"], second["driver"]))
+            scopes[other].cancel()
+            assert await keeper.say(left, {"word": "abort"}, 4.0) == {"ok": True}
+            ended = await until(left, lambda document: document["state"]["phase"] == "aborted")
+            assert words.text(ended).startswith("try: aborted")
+            nursery.cancel_scope.cancel()
+
+    trio.run(story)
+
+
+def test_the_commands_say_what_is_wrong_and_who_does_not_answer(tmp_path: Path) -> None:
+    def run(*given: object) -> Any:
+        return CliRunner().invoke(main, ["rollout", *map(str, given)])
+
+    file = tmp_path / "plan.toml"
+    file.write_text(PLAN)
+    good = run("plan", file, "--json")
+    assert good.exit_code == 0 and json.loads(good.output)["waves"] == [["tartu"]]
+    assert "wave 1: tartu" in run("plan", file).output
+    file.write_text(PLAN.replace("127.0.0.1:9", "nowhere"))
+    bad = run("plan", file, "--json")
+    assert bad.exit_code == 1 and "sites[0].controls[0]" in json.loads(bad.output)["faults"][0]
+    silent = run("status", "--keeper", "127.0.0.1:9")
+    assert silent.exit_code == 2 and silent.output.count("\n") == 1
+
+
+def test_a_data_plane_counts_while_it_is_watched_and_not_before(tmp_path: Path) -> None:
+    system = System(tmp_path, machines=1)
+    site = drill.Site.__new__(drill.Site)
+    site.name, site.system, site.servers = "site", system, []
+    site.load = drill.Load("site", system.each(FRONT)[0])
+    teller = demo.Demo.__new__(demo.Demo)
+
+    def request(method: str, path: str, trial: str, key: str = demo.KEY) -> int:
+        teller.trials = (one for one in [trial])
+        return demo.Demo.request(teller, system.each(FRONT)[0], method, path, key)[0]
+
+    async def watched(true: Any) -> Sums:
+        async with trio.open_nursery() as nursery:
+            link, sums = Link(system.each(INNER)[0], nursery), Sums()
+            with trio.fail_after(12.0):
+                while True:
+                    sums.take(await link.ask("evidence", {"op": "evidence", "aims": {"read": 0.001}}, 2.0))
+                    if true(sums):
+                        break
+                    await trio.sleep(0.1)
+            nursery.cancel_scope.cancel()
+        return sums
+
+    try:
+        site.start()
+        site.begin()
+        limit = time.monotonic() + 10.0
+        while demo.status_of(system.each(READINESS)[0], "/v1/readiness") != 200:
+            assert time.monotonic() < limit
+            time.sleep(0.05)
+        assert request("GET", "/pages/1", "before") == 200
+        trio.run(watched, lambda sums: True)
+        time.sleep(1.3)  # the word comes with the next news
+        for trial in ("one", "two", "two"):  # a client that sends what has run once more
+            assert request("POST", "/orders/1", trial) == 200
+        assert request("GET", "/pages/1", "three") == 200
+        assert request("GET", "/pages/1", "four", "no-such-key") == 401
+        assert request("GET", "/nowhere", "five") == 404
+        sums = trio.run(watched, lambda sums: sums.totals("buy")[0] == 3 and sums.totals("read")[0] == 2)
+        told = operator.call(system.each(CONTROL), "setpoint.observe", b"", 2.0)
+        assert told.status == 200
+    finally:
+        site.close()
+    buy, read = sums.totals("buy"), sums.totals("read")
+    assert buy[AT["repeated"]] == 1 and sum(buy) == 4
+    assert read[AT["denied"]] == 1 and read[AT["late"]] == 1  # nothing is answered in a microsecond
+    assert sums.totals("")[AT["denied"]] == 1
