Roll-out: a lost zone is no past in which a bad policy hides

Change: seconds of a loss, and the four before it is known, are no past; what is not proven after ten times the requests of a proof halts.

--- a/benchmarks/rollout.py
+++ b/benchmarks/rollout.py
@@ -45,9 +45,10 @@
     whole: float  # s of the roll-out
 
 
-def trouble(world: World, kind: str) -> None:
-    """Something that is no policy's fault, at the first site some seconds after its change, or everywhere."""
-    at = 70.0 + world.random.random() * 60
+def trouble(world: World, kind: str, bad: bool) -> None:
+    """Something that is no policy's fault, at the first site some seconds after its change, or everywhere;
+    beside a bad policy at about the moment of its change, which comes after a minute."""
+    at = 59.0 + world.random.random() * 6 if bad else 70.0 + world.random.random() * 60
     place = world.places["site-00"]
     if kind == "bad hour everywhere":
         world.outside = lambda _, now: {"late": 0.2, "vanished": 0.03} if at < now < at + 300 else {}
@@ -79,7 +80,7 @@
     if load:
         world.busy = model.surges
     if beside:
-        trouble(world, beside)
+        trouble(world, beside, name in BAD)
     return world
 
 
--- a/finchshelf/rollout/driver.py
+++ b/finchshelf/rollout/driver.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from copy import deepcopy
 from dataclasses import dataclass, field
@@ -21,7 +22,7 @@
 from finchshelf.rollout import plan as plans
 from finchshelf.rollout.evidence import AT, FIELDS, Sums, Totals
 from finchshelf.rollout.plan import Plan, Site
-from finchshelf.rollout.statistics import Growth, Verdict, lift
+from finchshelf.rollout.statistics import BACK_S, Growth, Verdict, lift
 
 ENDED = ("done", "halted", "aborted")
 SILENT = 30.0  # s without any word of a changed site: what happens there is not known, so it goes back
@@ -123,7 +124,8 @@
     at: float = 0.0  # when it was heard last
     news: bool = False
     last: dict[str, Totals] = field(default_factory=dict)
-    first: dict[str, Totals] = field(default_factory=dict)  # when this driver first heard it
+    past: dict[str, Totals] = field(default_factory=dict)  # before a change, without losses of machines
+    pen: deque[dict[str, Totals]] = field(default_factory=deque)  # too new to be past: a loss is known late
     deltas: deque[dict[str, Totals]] = field(default_factory=lambda: deque(maxlen=max(SPANS)))
     tests: dict[tuple[str, str], Growth] = field(default_factory=dict)
     since: float = 0.0  # when the watch began
@@ -144,6 +146,7 @@
         self.mind = {site.name: Watched(at=now, since=now) for site in plan.sites}
         self.began = self.polled = now
         self.paused = False
+        self.back = max(1, math.ceil(BACK_S / plan.poll))
         self.near: dict[str, list[float]] = {}  # of this interval, for each kind
         self.held: list[tuple[int, Adjust]] = []  # each waits for its revision to be written down
         self.out: list[Order] = []
@@ -268,6 +271,7 @@
         machines = int(event.answer["machines"])
         if machines < mind.machines:
             mind.disturbed = self.now
+            mind.pen.clear()
             for test in mind.tests.values():
                 test.take_back()
         mind.machines = machines
@@ -290,11 +294,17 @@
             mind.news = False
             now = self.totals(site)
             if not mind.heard:
-                mind.heard, mind.first = True, now
+                mind.heard = True
                 mind.last = row.get("at", now) if row["state"] == "watching" else now
             mind.deltas.append({route: [max(0, a - b) for a, b in zip(now[route], mind.last[route],
                                                                       strict=True)] for route in now})
             mind.last = now
+            if row["state"] == "waiting" and self.now - mind.disturbed > GRACE:
+                mind.pen.append(mind.deltas[-1])
+                if len(mind.pen) > self.back:
+                    for route, delta in mind.pen.popleft().items():
+                        before = mind.past.get(route, [0] * len(FIELDS))
+                        mind.past[route] = [a + b for a, b in zip(before, delta, strict=True)]
         under_way = {(one.system, self.row(one.name)["version"]) for one in self.plan.sites
                      if self.row(one.name)["state"] == "changing"}
         for site in self.plan.sites:
@@ -354,6 +364,9 @@
                     # Danger: an answer may fall into the interval after its request's, over its own number.
                     test.add(delta[route][AT[harm]], max(taken, delta[route][AT[harm]]),
                              self.grown(kind)[AT[harm]])
+                if test.undecided():
+                    return self.halt(site.name, f"{route}: after {test.calm} requests still not proven that "
+                                     f"{harm} has not grown", harm=harm)
                 if test.verdict() is Verdict.HALT:
                     rate, before = delta[route][AT[harm]] / max(1, taken), test.past_x / max(1, test.past_n)
                     return self.halt(site.name, f"{route}: {harm} {rate:.1%} of requests, {before:.1%} "
@@ -372,7 +385,8 @@
         for route, kind in self.plan.routes(self.sites[name]).items():
             past = row["past"][route]
             for harm in self.tested(kind, past):
-                mind.tests[route, harm] = Growth(past[AT[harm]], past[0], kind.tolerated.get(harm, REPEATS))
+                mind.tests[route, harm] = Growth(past[AT[harm]], past[0], kind.tolerated.get(harm, REPEATS),
+                                                   back=self.back)
 
     # ---- steps ----
 
@@ -396,12 +410,9 @@
             self.step()
 
     def past(self, site: Site) -> dict[str, Totals]:
-        """What this driver, and those before it, saw at a site that has not changed."""
-        mind = self.mind[site.name]
-        if not mind.heard:
-            return {route: [0] * len(FIELDS) for route in self.plan.routes(site)}
-        return {route: [a - b for a, b in zip(mind.last[route], mind.first[route], strict=True)]
-                for route in mind.last}
+        """What this driver saw at a site that has not changed, while no machine was lost there."""
+        past = self.mind[site.name].past
+        return {route: past.get(route, [0] * len(FIELDS)) for route in self.plan.routes(site)}
 
     def step(self) -> None:
         """Sites of the wave that still wait: each system one step at a time."""
--- a/finchshelf/rollout/statistics.py
+++ b/finchshelf/rollout/statistics.py
@@ -33,7 +33,10 @@
 DOUBT = 3.0  # log level from which a site is not passed on, whatever the whole says
 FURTHER = (1.0, 3.0, 10.0)  # times what is tolerated above the null, and
 LARGE = (0.3, 0.8)  # parts of what is left to 1: the rates that the halting test looks for
-BACK = 4  # intervals that a loss of machines takes back: it is known some seconds after its harm
+BACK_S = 4.0  # s that a loss of machines takes back: it is known some seconds after its harm
+# Times the requests that a proof usually takes, after which none will come: the harm, if any, is about as
+# large as what is tolerated, and a policy that can't be proven good does not stay.
+ENOUGH = 10.0
 
 
 class Verdict(Enum):
@@ -78,10 +81,13 @@
     tolerated: float
     levels: list[float] = field(default_factory=lambda: [0.0] * (len(FURTHER) + len(LARGE)))
     proof: float = 0.0
+    back: int = 4  # intervals that a loss of machines takes back
+    usual: float = 0.0  # what a request adds to the proof where nothing has grown
+    calm: int = 0  # requests of intervals in which nothing much grew beside
     former: list[tuple[list[float], float]] = field(default_factory=list)
 
     def add(self, x: int, n: int, grown: float) -> None:
-        self.former = [*self.former[-(BACK - 1):], (self.levels, self.proof)]
+        self.former = [*self.former[1 - self.back:], (self.levels, self.proof)]
         x = min(x, n)
         if n <= 0:
             return
@@ -94,6 +100,10 @@
                        for level, rate in zip(self.levels, rates, strict=True)]
         worst = min(0.99, (expected + high) / 2 + grown / 2 + self.tolerated)
         self.proof += min(CAP, ratio(x, n, worst - 0.75 * self.tolerated, worst))
+        if grown <= self.tolerated / 2:
+            self.calm += n
+            self.usual = expected * math.log((worst - 0.75 * self.tolerated) / worst) + (1 - expected) * (
+                math.log((1 - worst + 0.75 * self.tolerated) / (1 - worst)))
 
     def take_back(self) -> None:
         """The last intervals did not count: machines were lost in them."""
@@ -107,6 +117,11 @@
         most = max(self.levels)
         return most + math.log(sum(math.exp(one - most) for one in self.levels) / len(self.levels))
 
+    def undecided(self) -> bool:
+        """Were there many times the requests that a proof takes, and none came?"""
+        return self.usual > 0 and self.calm > ENOUGH * -math.log(PASS) / self.usual \
+            and self.verdict() is Verdict.WAIT
+
     def verdict(self) -> Verdict:
         if self.level >= -math.log(HALT):
             return Verdict.HALT
--- a/tests/stories/test_rollout.py
+++ b/tests/stories/test_rollout.py
@@ -12,11 +12,12 @@
 import orjson
 import pytest
 
+from benchmarks import rollout
 from benchmarks import rollout_world as model
 from benchmarks.rollout_world import BAD, GOOD, KEEPERS, KINDS, World
 from finchshelf.agreement import core
 from finchshelf.configuration import change as changes
-from finchshelf.rollout import duty, plan
+from finchshelf.rollout import driver, duty, plan
 from finchshelf.rollout.driver import Driver, begin
 from finchshelf.rollout.evidence import AT, EACH, Seen, Sums, Table, merge, watch_id
 from finchshelf.rollout.statistics import HALT, Growth, Verdict, lift
@@ -112,6 +113,20 @@
     assert one.run() == "done"
 
 
+@pytest.mark.parametrize("excused", [24.0, 0.0], ids=["excused", "mutant"])
+def test_given_a_zone_is_lost_then_only_what_its_loss_excuses_keeps_a_good_policy(
+        excused: float, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(driver, "EXCUSED", excused)
+    ends = {rollout.play(("longer time, zone lost", 5, seed)).end for seed in range(3)}
+    assert ends == ({"done"} if excused else {"halted"})  # the mutant is seen
+
+
+def test_given_a_zone_is_lost_at_the_moment_of_a_bad_change_then_it_is_no_past_to_hide_in() -> None:
+    for seed in range(6):
+        run = rollout.play(("bad for one kind alone, zone lost", 5, seed))
+        assert run.end == "halted" and run.changed == 1 and run.to_halt < 700
+
+
 def test_given_too_little_traffic_when_it_is_watched_then_it_waits_and_says_so() -> None:
     one = world(LONGER, scale=0.02)
     for _ in range(1500):
@@ -335,6 +350,17 @@
     assert test.verdict() is Verdict.WAIT
 
 
+def test_what_can_be_neither_proven_nor_denied_does_not_stay_for_good() -> None:
+    random, test = Random(1), Growth(15, 1500, 0.02)
+    while test.verdict() is Verdict.WAIT and not test.undecided():
+        test.add(sum(random.random() < 0.026 for _ in range(20)), 20, 0.0)
+    assert test.undecided() and test.calm < 20_000
+    test = Growth(15, 1500, 0.02)
+    for _ in range(5000):  # while something grew everywhere it is not counted
+        test.add(8, 20, 0.3)
+    assert not test.undecided()
+
+
 def test_what_grew_beside_is_the_median_so_one_sites_crash_hides_nothing() -> None:
     calm = (1.0, 100.0, 10.0, 1000.0)
     assert lift([calm, calm, (90.0, 100.0, 10.0, 1000.0)]) == 0.0
