Roll-out: sites within one system and the commands, played by tests

Need: that several sites may be parts of one system, and what a script gets from status, history and watch, was not played. Change: tests of both. Result: five sites in one system take their steps one version after the other; an abort takes back its wave alone.

--- a/benchmarks/rollout_world.py
+++ b/benchmarks/rollout_world.py
@@ -245,31 +245,34 @@
                 self.gone = True
                 return []
             return self.driver.take(drivers.Saved(order.revision))
-        place = world.places[order.site.name]
+        name = order.site.name
+        place = world.places[name]
         if isinstance(order, Ask):
-            return self.driver.take(drivers.Told(place.name, place.evidence() if place.up else None))
+            return self.driver.take(drivers.Told(name, place.evidence() if place.up else None))
         if isinstance(order, Observe):
-            return self.driver.take(drivers.Observed(place.name, place.version,
+            return self.driver.take(drivers.Observed(name, place.version,
                                                      orjson.dumps(place.document)))
         if self.me in world.slow:
             self.stalled.append(order)
-            return self.driver.take(drivers.Answered(place.name, order.version, 0))
+            return self.driver.take(drivers.Answered(name, order.version, 0))
         status = place.adjust(order.body, world.now)
         if world.lose_answers and world.random.random() < 0.5:
             status = 0
-        return self.driver.take(drivers.Answered(place.name, order.version, status))
+        return self.driver.take(drivers.Answered(name, order.version, status))
 
 
 class World:
     """Sites, keepers and time."""
 
     def __init__(self, sites: int, change: dict[str, Any], seed: int, waves: int = 0,
-                 scale: float = 1.0, least_busy: float = 0.0, **watch: Any) -> None:
+                 scale: float = 1.0, least_busy: float = 0.0, shared: bool = False, **watch: Any) -> None:
         self.random, self.now, self.logged = Random(seed), 0.0, list[tuple[float, str, str]]()
         self.maker: Callable[..., Driver] = Driver
         self.places = {f"site-{at:02}": Place(f"site-{at:02}", Random(seed * 1000 + at),
                                               scale * self.random.uniform(0.7, 1.3)) for at in range(sites)}
-        rows: list[dict[str, Any]] = [{"name": name, "controls": [f"10.{at}.0.1:8407"]}
+        if shared:  # sites within one system
+            self.places = dict.fromkeys(self.places, self.places["site-00"])
+        rows: list[dict[str, Any]] = [{"name": name, "controls": [f"10.{0 if shared else at}.0.1:8407"]}
                                       for at, name in enumerate(self.places)]
         for row, place in zip(rows if least_busy else (), self.places.values(), strict=False):
             row["least_rate"] = least_busy * place.scale * sum(KINDS.values())
@@ -327,7 +330,7 @@
             self.events.pop(0)[1](self)
         busy = self.busy(self.now)
         busy = round(busy, 1)
-        for name, place in self.places.items():
+        for name, place in {place.name: place for place in self.places.values()}.items():
             place.live(self.now, step, busy, self.outside(name, self.now))
         for me in KEEPERS:
             if me not in self.dead:
--- a/tests/stories/test_rollout.py
+++ b/tests/stories/test_rollout.py
@@ -220,6 +220,22 @@
     assert one.run() == "aborted" and one.state["sites"]["site-00"]["state"] == "left"
 
 
+@pytest.mark.parametrize("waves", [0, 3])
+def test_given_sites_within_one_system_then_its_version_counts_one_step_after_the_other(waves: int) -> None:
+    change = {"apply": {"elements": [model.route("{site}-read", cutoffMs=4000)]}}
+    one = World(5, change, 1, waves, shared=True)
+    place = one.places["site-00"]
+    assert one.run() == "done" and place.version == 6 and set(place.stepped.values()) == {1}
+    assert {label for _, label in by_name(place.document)} >= {f"{name}-read" for name in one.places}
+    one = World(5, change, 1, waves, shared=True)
+    until(one, "watching", "site-02")
+    one.keepers.change(KEEPERS[0], duty.ask("abort"))
+    assert one.run() == "aborted"
+    kept = {label for _, label in by_name(one.places["site-00"].document)}
+    passed = {name for name, row in one.state["sites"].items() if row["state"] == "passed"}
+    assert {f"{name}-read" for name in one.places} & kept == {f"{name}-read" for name in passed}
+
+
 # ---- drivers ----
 
 
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -91,15 +91,25 @@
             assert await keeper.say(left, {"word": "abort"}, 4.0) == {"ok": True}
             ended = await until(left, lambda document: document["state"]["phase"] == "aborted")
             assert words.text(ended).startswith("try: aborted")
+            asked = [word for one in left for word in ("--keeper", str(one))]
+            seen = {name: await trio.to_thread.run_sync(run, name, *asked, "--json")
+                    for name in ("status", "history", "watch", "pause")}
+            assert {name: found.exit_code for name, found in seen.items()} == {
+                "status": 0, "history": 0, "watch": 1, "pause": 1}
+            assert json.loads(seen["status"].output)["sites"][0]["state"] == "waiting"
+            assert [line["event"] for line in json.loads(seen["history"].output)[0]["history"]] == [
+                "rollout.halted", "rollout.ended"]
+            assert "no roll-out is under way" in seen["pause"].output
             nursery.cancel_scope.cancel()
 
     trio.run(story)
 
 
-def test_the_commands_say_what_is_wrong_and_who_does_not_answer(tmp_path: Path) -> None:
-    def run(*given: object) -> Any:
-        return CliRunner().invoke(main, ["rollout", *map(str, given)])
+def run(*given: object) -> Any:
+    return CliRunner().invoke(main, ["rollout", *map(str, given)])
+
 
+def test_the_commands_say_what_is_wrong_and_who_does_not_answer(tmp_path: Path) -> None:
     file = tmp_path / "plan.toml"
     file.write_text(PLAN)
     good = run("plan", file, "--json")
