state check, show, export, restore: a core's folder offline, a backup, a new core

Need: a control plane's folder could not be looked at without starting the program, and a core whose disks were lost could only be begun again empty.

The store's look at one generation is a function of its own; nothing in it differs.

--- a/finchshelf/agreement/store.py
+++ b/finchshelf/agreement/store.py
@@ -56,7 +56,7 @@
 
 
 @dataclass(frozen=True)
-class _Found:
+class Found:
     counter: int  # of the seal, -1 if none can be read
     state: State | None
     fault: str  # the step that didn't fit, "" if all did
@@ -76,7 +76,7 @@
 
     def load(self) -> tuple[State | None, list[Fault]]:
         """The newest state that is whole, None if there is none; and the generations that were left alone."""
-        found = {name: self._look(self._folder / name) for name in GENERATIONS}
+        found = {name: look(self._folder / name) for name in GENERATIONS}
         best, self._good = max(((found[name].counter, name) for name in GENERATIONS
                                 if found[name].state is not None), default=(-1, None))
         self._counter = max(0, *(each.counter for each in found.values()))
@@ -149,24 +149,26 @@
             _sync(self._folder)
             _sync(self._folder.parent)
 
-    def _look(self, folder: Path) -> _Found:
-        data, seal = folder / DATA, folder / SEAL
-        try:
-            sealed = _read(seal)
-            if sealed is None:
-                return _Found(-1, None, "unsealed" if data.exists() else "", str(data))
-            if _digest(sealed[DIGEST:]) != sealed[:DIGEST]:
-                return _Found(-1, None, "seal", str(seal))
-            counter, size, digest = msgpack.unpackb(sealed[DIGEST:])
-        except (OSError, ValueError, TypeError):
-            return _Found(-1, None, "seal", str(seal))
-        try:
-            content = _read(data)
-            if content is None or len(content) != size or _digest(content) != digest:
-                return _Found(counter, None, "data", str(data))
-            return _Found(counter, _open(folder, size), "", str(data))
-        except (OSError, ValueError, TypeError, lmdb.Error, zlib.error):
-            return _Found(counter, None, "record", str(data))
+
+def look(folder: Path) -> Found:
+    """What one generation holds; lmdb opens it only if its seal fits."""
+    data, seal = folder / DATA, folder / SEAL
+    try:
+        sealed = _read(seal)
+        if sealed is None:
+            return Found(-1, None, "unsealed" if data.exists() else "", str(data))
+        if _digest(sealed[DIGEST:]) != sealed[:DIGEST]:
+            return Found(-1, None, "seal", str(seal))
+        counter, size, digest = msgpack.unpackb(sealed[DIGEST:])
+    except (OSError, ValueError, TypeError):
+        return Found(-1, None, "seal", str(seal))
+    try:
+        content = _read(data)
+        if content is None or len(content) != size or _digest(content) != digest:
+            return Found(counter, None, "data", str(data))
+        return Found(counter, _open(folder, size), "", str(data))
+    except (OSError, ValueError, TypeError, lmdb.Error, zlib.error):
+        return Found(counter, None, "record", str(data))
 
 
 def _pack(state: State) -> bytes:
--- a/finchshelf/cli/__main__.py
+++ b/finchshelf/cli/__main__.py
@@ -20,6 +20,7 @@
 import orjson
 
 from finchshelf.cli import deploy, logs, operator, show
+from finchshelf.cli.state import state as state_commands
 from finchshelf.configuration import change
 from finchshelf.configuration.boot import SettingsError, check_boot, read_boot
 from finchshelf.transport.address import Address
@@ -162,6 +163,9 @@
     sys.exit(1 if found else 0)
 
 
+main.add_command(state_commands)
+
+
 # ---- a running system ----
 
 
