Settings: a changed file is taken without a signal, by both programs

Need: the settings file may change while a program runs, and nobody sends SIGHUP. Change: program.Settings, shared by data plane and control plane, looks at the file each 2 s (one os.stat) and takes it as at SIGHUP when it was the same at two looks: half of a file can be whole settings with a shorter list of seeds, so one that still changes is never read. What can't be used keeps the old and is told once, with step and place; settings equal to those in use are not told. The control plane reads the file too where it only noted the signal.

--- a/finchshelf/controlplane/__main__.py
+++ b/finchshelf/controlplane/__main__.py
@@ -65,6 +65,9 @@
         listener = await net.listen(Address(*boot.control))
         nursery.start_soon(clients.accept, listener)
         nursery.start_soon(clients.sweep)
+        settings = program.Settings(
+            boot, lambda _: {"state": "noted: seeds are only needed at a start"}, telemetry.log)
+        nursery.start_soon(settings.run)
         telemetry.log("start", address=address, disk=register.me.disk, seed=seed,
                       slot=register.decided.slot if register.decided else -1)
         gc.collect()
@@ -73,7 +76,7 @@
             async for number in signals:
                 if number != signal.SIGHUP:
                     break
-                telemetry.log("settings", state="noted: seeds are only needed at a start")
+                settings.read()
         clients.draining = True
         telemetry.log("ending")
         await trio.sleep(LAST)
--- a/finchshelf/dataplane/__main__.py
+++ b/finchshelf/dataplane/__main__.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import gc
-import os
 import signal
 import sys
 import time
@@ -15,7 +14,7 @@
 import trio
 
 from finchshelf import program
-from finchshelf.configuration.boot import Boot, SettingsError, read_boot
+from finchshelf.configuration.boot import Boot
 from finchshelf.dataplane.core import Core
 from finchshelf.dataplane.dialect import Reader, Words
 from finchshelf.dataplane.follower import Follower
@@ -63,7 +62,8 @@
         accepting = trio.CancelScope()
         sweeps = core.servers.sweep, clients.sweep, readiness.sweep
         nursery.start_soon(tally, telemetry)
-        for task in (core.run, core.wire.run, follower.run, *sweeps):
+        settings = program.Settings(boot, lambda new: reseed(follower, control, new), telemetry.log)
+        for task in (settings.run, core.run, core.wire.run, follower.run, *sweeps):
             nursery.start_soon(task)
         nursery.start_soon(readiness.accept, gate)
         nursery.start_soon(accept, clients, front, accepting)
@@ -74,7 +74,7 @@
         with trio.open_signal_receiver(*SIGNALS) as signals:
             async for number in signals:
                 if number == signal.SIGHUP:
-                    reload(follower, control, telemetry)
+                    settings.read()
                 elif number == signal.SIGUSR1:
                     telemetry.counters("asked", requests=len(core.live))
                 else:
@@ -98,17 +98,12 @@
         await clients.accept(listener)
 
 
-def reload(follower: Follower, control: int, telemetry: Telemetry) -> None:
+def reseed(follower: Follower, control: int, boot: Boot) -> dict[str, object]:
     """Seeds may have changed; whoever is followed already stays followed."""
-    try:
-        boot = read_boot(os.environ.get("FINCHSHELF_BOOT", ""))
-    except SettingsError as error:
-        telemetry.log("settings", state="kept the old", error=str(error))
-        return
     follower.seeds = [f"{peer.host}:{control}" for peer in boot.initial_peers]
     for address in follower.seeds:
         follower.meet(address, "")
-    telemetry.log("settings", state="taken", seeds=follower.seeds)
+    return {"state": "taken", "seeds": follower.seeds}
 
 
 async def end(clients: Clients, core: Core, listener: trio.socket.SocketType,
--- a/finchshelf/events.py
+++ b/finchshelf/events.py
@@ -38,9 +38,10 @@
           "If it does not come within seconds of `start`: ask a control plane with `finchshelf "
           "show`."),
     Event(103, "settings",
-          "SIGHUP came. `taken`: the seeds that count from now on; `kept the old`: the file can't "
-          "be used; `noted`: a control plane needs seeds only at its start.",
-          "`kept the old`: run `finchshelf check settings` on the file, mend it, send SIGHUP again."),
+          "SIGHUP came, or the settings file changed and has rested. `taken`: the seeds that count from "
+          "now on; `kept the old`: the file can't be used (`step`, `place`); `noted`: a control plane "
+          "needs seeds only at its start.",
+          "`kept the old`: run `finchshelf check settings` on the file and mend it."),
     Event(104, "ending",
           "SIGTERM or SIGINT came; what is here and what still comes is answered.",
           "Nothing; the end should follow within `toleranceS`."),
--- a/finchshelf/program.py
+++ b/finchshelf/program.py
@@ -20,9 +20,61 @@
 from finchshelf.transport.telemetry import Telemetry
 
 LONGEST = 500  # characters of an error's line
+LOOK = 2.0  # s between two looks at the settings file
+Stamp = tuple[int, int, int, int]
 Serve = Callable[[Boot, Telemetry, int], Awaitable[None]]
 
 
+class Settings:
+    """The settings file while its program runs: taken at SIGHUP, and when it was changed and rests.
+
+    A look is one `os.stat`. `take` does what new settings mean to the program and returns what to log."""
+
+    def __init__(self, boot: Boot, take: Callable[[Boot], dict[str, object]], log: Callable[..., None],
+                 path: str = "") -> None:
+        self.boot, self.take, self.log = boot, take, log
+        self.path = path or os.environ.get("FINCHSHELF_BOOT", "")
+        # Of the file as last read and as last seen. It may have changed since the start read it: so none yet.
+        self.known: Stamp | None = None
+        self.seen: Stamp | None = None
+        self.refused = ""
+
+    def stamp(self) -> Stamp:
+        try:
+            found = os.stat(self.path)
+        except OSError:
+            return 0, 0, 0, 0
+        return found.st_mtime_ns, found.st_size, found.st_ino, found.st_dev
+
+    def look(self) -> None:
+        stamp, before = self.stamp(), self.seen
+        self.seen = stamp
+        # Danger: half of a file may be whole settings with a shorter list of seeds. One that still changes
+        # is not read: only what was the same at two looks.
+        if stamp == before and stamp != self.known:
+            self.read(told=False)
+
+    def read(self, told: bool = True) -> None:
+        """Take the file; what can't be used changes nothing. `told`: someone asked, so log it in any case."""
+        self.known = self.stamp()  # before it is read: a change from now on is another stamp
+        try:
+            boot = read_boot(self.path)
+        except SettingsError as error:
+            if told or str(error) != self.refused:
+                self.log("settings", state="kept the old", error=str(error), **fields(error))
+            self.refused = str(error)
+            return
+        self.refused = ""
+        if told or boot != self.boot:
+            self.boot = boot
+            self.log("settings", **self.take(boot))
+
+    async def run(self) -> None:
+        while True:
+            await trio.sleep(LOOK)
+            self.look()
+
+
 def leaves(error: BaseException) -> Iterator[BaseException]:
     """The single errors of a group, however deep it is."""
     if isinstance(error, BaseExceptionGroup):
