--- a/tests/stories/world/fleet.py
+++ b/tests/stories/world/fleet.py
@@ -18,6 +18,7 @@
 import trio.testing
 from trio._core import _run as trio_run
 
+from finchshelf import program as settings
 from finchshelf.configuration import boot as boot_file
 from finchshelf.configuration.boot import Boot
 from finchshelf.controlplane import __main__ as control_plane
@@ -107,7 +108,7 @@
         stack.enter_context(mock.patch.object(trio.to_thread, "run_sync", run_sync))
         stack.enter_context(mock.patch.object(control_plane, "Store", lambda *_: current.get().store))
         stack.enter_context(mock.patch.object(register, "secrets", SimpleNamespace(token_hex=token_hex)))
-        stack.enter_context(mock.patch.object(data_plane, "read_boot", lambda _: current.get().boot))
+        stack.enter_context(mock.patch.object(settings, "read_boot", lambda _: current.get().boot))
         for program in (data_plane, control_plane):
             nothing = SimpleNamespace(collect=int, freeze=int, set_threshold=lambda *_: None)
             stack.enter_context(mock.patch.object(program, "gc", nothing))
