Bad input: read whole before any of it counts; nothing a peer sends ends a program

Need: beats, calls, frames, news, agreement, datagrams and disks that can't be read must be told with step and peer or place, change nothing and end nothing. Found and mended: a datagram or an answer with an endless number ended a data plane (OverflowError); NaN or negative units stayed in a tenant's count for good, and of a datagram half was taken; a record with NaN or 1e300 made every later answer with news fail; a limiter's number of news was noted though a later part could not be read, so that the rest was never told again, and a slot likewise; a member's or control plane's address without a port was followed for good, and asking such a member ended the program; a ballot too large to be packed made every later save fail; a question for news was noted before it was read; a state on disk in an unknown form ended each start; ids that no head can name, and a limiter's host that would be looked up, were taken; a call with too many fields was 500; heads of calls had no bound of their own. Peers' faults now name the peer.

--- a/finchshelf/agreement/core.py
+++ b/finchshelf/agreement/core.py
@@ -21,6 +21,7 @@
 REPLACE_S = 1.5  # silent this long, with a spare at hand: longer than a restart, well before a second loss
 REMOVE_S = 3.0  # silent this long, no spare: removing costs a spare later, so it waits longer
 FEWEST = 3  # below three members no single loss would be survived
+MOST_WHOLE, MOST_TEXT = 1 << 62, 256  # of what comes in a message
 MOST = 9  # more members make each decision slower and survive nothing that the task has
 
 Message = dict[str, Any]
@@ -55,9 +56,11 @@
     @staticmethod
     def unpack(packed: Message) -> Value:
         """The value; KeyError, TypeError or ValueError if this is none."""
-        return Value(int(packed["slot"]), tuple(_member(each) for each in packed["members"]),
-                     int(packed["version"]), _bytes(packed["document"]),
-                     tuple((int(version), _bytes(digest)) for version, digest in packed["taken"]))
+        members = tuple(_member(each) for each in packed["members"])
+        if not members:  # danger: nobody could decide anything after it
+            raise ValueError("no members")
+        return Value(_whole(packed["slot"]), members, _whole(packed["version"]), _bytes(packed["document"]),
+                     tuple((_whole(version), _bytes(digest)) for version, digest in packed["taken"]))
 
 
 def genesis(addresses: tuple[str, ...]) -> Value:
@@ -71,12 +74,28 @@
 
 def _member(packed: Any) -> Member:
     address, disk = packed
-    return Member(str(address), str(disk))
+    host, _, port = _text(address).rpartition(":")
+    if not host or not port.isascii() or not port.isdigit() or not 0 < int(port[:6]) < 65536:
+        raise ValueError("no address")  # danger: whoever asks the members would end at this one
+    return Member(address, _text(disk))
 
 
 def _ballot(packed: Any) -> Ballot:
     n, address = packed
-    return Ballot(int(n), str(address))
+    return Ballot(_whole(n), _text(address))
+
+
+def _whole(packed: Any) -> int:
+    """Danger: a number too large to be packed, once promised, would make every later save fail."""
+    if type(packed) is not int or not 0 <= packed <= MOST_WHOLE:
+        raise ValueError("no number")
+    return packed
+
+
+def _text(packed: Any) -> str:
+    if not isinstance(packed, str) or len(packed) > MOST_TEXT:
+        raise TypeError("no text")
+    return packed
 
 
 def _bytes(packed: Any) -> bytes:
@@ -148,7 +167,7 @@
             return {"kind": "state", "slot": self._slot(), "accepted": self.accepted is not None}
         if kind not in ("prepare", "accept"):
             raise ValueError(kind)
-        slot, ballot = int(message["slot"]), _ballot(message["ballot"])
+        slot, ballot = _whole(message["slot"]), _ballot(message["ballot"])
         about = {"slot": slot, "ballot": list(ballot)}
         if self.decided is None or slot > self.decided.slot + 1:
             return {"kind": "behind", **about, "decided": self._slot()}
--- a/finchshelf/agreement/store.py
+++ b/finchshelf/agreement/store.py
@@ -74,6 +74,10 @@
         self._unsure = False  # the last save failed: the other generation may be sealed and newer
         self._last: bytes | None = None
 
+    @property
+    def folder(self) -> str:
+        return str(self._folder)
+
     def load(self) -> tuple[State | None, list[Fault]]:
         """The newest state that is whole, None if there is none; and the generations that were left alone."""
         found = {name: self._look(self._folder / name) for name in GENERATIONS}
@@ -158,6 +162,8 @@
             if _digest(sealed[DIGEST:]) != sealed[:DIGEST]:
                 return _Found(-1, None, "seal", str(seal))
             counter, size, digest = msgpack.unpackb(sealed[DIGEST:])
+            if type(counter) is not int or type(size) is not int:
+                raise ValueError("no seal")
         except (OSError, ValueError, TypeError):
             return _Found(-1, None, "seal", str(seal))
         try:
--- a/finchshelf/controlplane/cells.py
+++ b/finchshelf/controlplane/cells.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from finchshelf.agreement.core import Member
-from finchshelf.membership.records import GONE, Limiter, Server, Servers, read_limiter, read_server
+from finchshelf.membership.records import GONE, Limiter, Server, Servers, read_server
 
 # beats missed, and s more, after which a server is lost to whoever heard it last
 LOST_BEATS, LOST_MORE = 3.0, 0.6
@@ -76,10 +76,12 @@
         return record
 
     def take(self, rows: list[Any], now: float) -> bool:
-        """Records of another control plane."""
+        """Records of another control plane: all of them can be read, or none is taken."""
+        return self.merge_records([read_server(row, now) for row in rows], now)
+
+    def merge_records(self, records: list[Server], now: float) -> bool:
         news = False
-        for row in rows:
-            record = read_server(row, now)
+        for record in records:
             known = self.servers.rows.get(record.id)
             if record.lost and known is not None and known.newer(record) and known.usable():
                 self.servers.tell(record.id)  # someone takes it for lost by an older number: tell all again
@@ -183,8 +185,8 @@
     def hear(self, control: Control, now: float) -> None:
         control.heard = now
 
-    def limiters_of(self, control: Control, rows: list[Any], own: int, now: float) -> bool:
-        control.limiters, control.own = tuple(read_limiter(row) for row in rows), own
+    def limiters_of(self, control: Control, limiters: tuple[Limiter, ...], own: int, now: float) -> bool:
+        control.limiters, control.own = limiters, own
         return self.merge(now)
 
     def silent(self, me: Member, now: float) -> dict[Member, float]:
--- a/finchshelf/controlplane/news.py
+++ b/finchshelf/controlplane/news.py
@@ -8,6 +8,7 @@
 
 import math
 from collections.abc import Callable
+from dataclasses import dataclass
 from random import Random
 from typing import Any
 
@@ -17,7 +18,16 @@
 from finchshelf.agreement.store import StoreError
 from finchshelf.controlplane.cells import Cells, Control
 from finchshelf.controlplane.register import Register
-from finchshelf.membership.records import Server, Unfit, read_limiter
+from finchshelf.membership.records import (
+    MOST_TEXT,
+    MOST_WHOLE,
+    Limiter,
+    Server,
+    Unfit,
+    is_address,
+    read_limiter,
+    read_server,
+)
 from finchshelf.transport.address import Address
 from finchshelf.transport.exchange import Clock
 from finchshelf.transport.frames import Link, Message, PeerError
@@ -37,6 +47,47 @@
     return Address(host, int(port))
 
 
+def place(row: Any) -> tuple[str, str]:
+    """A control plane's address and zone. Danger: one that can't be asked would be asked for good."""
+    address, zone = row
+    if not isinstance(address, str) or not isinstance(zone, str) or len(zone) > MOST_TEXT \
+            or not is_address(address):
+        why = f"expected HOST:PORT and zone: {row!r}"[:200]
+        raise Unfit("read a control plane's address", "controls", why)
+    return address, zone
+
+
+def number(value: Any) -> int:
+    if type(value) is not int or not -1 <= value <= MOST_WHOLE:
+        raise Unfit("read news", "number", f"expected a whole number: {value!r}"[:200])
+    return value
+
+
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """Another control plane's answer, read whole before any of it counts."""
+
+    life: int
+    none: bool
+    servers: tuple[int, list[Server]] | None
+    limiters: tuple[int, tuple[Limiter, ...]] | None
+    value: Value | None
+    named: int | None
+    controls: list[tuple[str, str]]
+
+
+def read_answer(answer: Message, now: float) -> Heard:
+    servers = limiters = None
+    if "servers" in answer:
+        servers = number(answer["rev"]), [read_server(row, now) for row in answer["servers"]]
+    if "limiters" in answer:
+        limiters = number(answer["own"]), tuple(read_limiter(row) for row in answer["limiters"])
+    return Heard(number(answer["life"]), bool(answer.get("none")), servers, limiters,
+                 Value.unpack(answer["value"]) if "value" in answer else None,
+                 number(answer["named"]) if "named" in answer else None,
+                 [place(row) for row in answer.get("controls", ())])
+
+
 class News:
     def __init__(self, cells: Cells, clock: Clock, nursery: trio.Nursery, counted: bool, random: Random,
                  log: Callable[..., None]) -> None:
@@ -72,10 +123,13 @@
         return {"error": f"no such question: {kind!r}"[:100]}
 
     async def answer_news(self, message: Message) -> Message:
-        now = self.clock.now()
-        self.note(message, now)
-        until = trio.current_time() + min(float(message.get("wait", 0.0)), MOST_WAIT)
-        have = message.get("have", {})
+        now, have = self.clock.now(), message.get("have", {})
+        wait = float(message.get("wait", 0.0))
+        if not isinstance(have, dict) or not math.isfinite(wait):
+            raise Unfit("read a question for news", "have, wait", "expected a table and a number")
+        number(have.get("rev", -1)), number(have.get("slot", -1))
+        self.note(message, now)  # after all else was read: who asks rubbish is not noted
+        until = trio.current_time() + min(wait, MOST_WAIT)
         while True:
             event, decided = self.event, self.register.decided_event
             answer = self.fresh(have, "limiter" in message)
@@ -93,9 +147,12 @@
                 self.wake()
         elif "control" in message:
             address, zone, disk, counted = message["control"]
-            control = self.cells.meet(str(address))
+            place((address, zone))
+            if not isinstance(disk, str) or len(disk) > MOST_TEXT:
+                raise Unfit("read a question for news", "control", "expected the name of a disk")
+            control = self.cells.meet(address)
             if control is not None:
-                control.zone, control.disk, control.counted = str(zone), str(disk), bool(counted)
+                control.zone, control.disk, control.counted = zone, disk, bool(counted)
                 self.cells.hear(control, now)
                 self.follow(control)
                 if self.cells.merge(now):
@@ -184,7 +241,7 @@
             while self.cells.controls.get(control.address) is control:
                 try:
                     await self.ask_once(control)
-                except (PeerError, Unfit, KeyError, TypeError, ValueError) as error:
+                except Exception as error:  # Danger: one peer's rubbish would end the program
                     if not isinstance(error, PeerError):
                         self.log("peer.unfit", peer=control.address, step="news", error=repr(error))
                     await trio.sleep(AFTER_FAILURE * (0.5 + self.random.random()))
@@ -199,25 +256,29 @@
             "news", {"op": "news", "have": have, "wait": BETWEEN,
                      "control": [cells.address, cells.zone, me.disk, self.counted]}, BETWEEN + 1.0)
         now = self.clock.now()
+        self.take(control, read_answer(answer, now), now)
+
+    def take(self, control: Control, heard: Heard, now: float) -> None:
+        cells = self.cells
         cells.hear(control, now)
         control.answered = now
-        if answer["life"] != control.life:
-            control.life, control.rev, control.own, control.named = int(answer["life"]), -1, -1, -1
-            if answer.get("none"):
+        if heard.life != control.life:
+            control.life, control.rev, control.own, control.named = heard.life, -1, -1, -1
+            if heard.none:
                 return
         news = False
-        if "servers" in answer:
-            news |= cells.take(answer["servers"], now)
-            control.rev = int(answer["rev"])
-        if "limiters" in answer:
-            news |= cells.limiters_of(control, answer["limiters"], int(answer["own"]), now)
-        if "value" in answer:
-            self.register.learn(Value.unpack(answer["value"]))
-        control.named = int(answer.get("named", control.named))
-        for address, zone in answer.get("controls", ()):
-            met = cells.meet(str(address))
+        if heard.servers is not None:
+            control.rev, records = heard.servers
+            news |= cells.merge_records(records, now)
+        if heard.limiters is not None:
+            news |= cells.limiters_of(control, heard.limiters[1], heard.limiters[0], now)
+        if heard.value is not None:
+            self.register.learn(heard.value)
+        control.named = control.named if heard.named is None else heard.named
+        for address, zone in heard.controls:
+            met = cells.meet(address)
             if met is not None:
-                met.zone = str(zone)
+                met.zone = zone
                 self.follow(met)
         if news | cells.merge(now):
             self.wake()
--- a/finchshelf/controlplane/register.py
+++ b/finchshelf/controlplane/register.py
@@ -56,7 +56,12 @@
         for fault in faults:
             self.log("disk.fault", step=fault.step, path=fault.path, lost=fault.lost)
         if state is not None and not any(fault.lost for fault in faults):
-            return Acceptor.restore(self.address, state)
+            try:
+                return Acceptor.restore(self.address, state)
+            except (KeyError, TypeError, ValueError, IndexError):
+                # Danger: whole on disk, but not in a form that is known here: what it promised can't be told,
+                # so it is taken for a wiped disk. The program must not end at each start.
+                self.log("disk.fault", step="restore", path=self.store.folder, lost=True)
         if first_start and state is None and self.address in seeds:
             acceptor = Acceptor(Member(self.address, core.FIRST), core.genesis(seeds))
         else:
--- a/finchshelf/controlplane/resources.py
+++ b/finchshelf/controlplane/resources.py
@@ -70,8 +70,8 @@
         self.cells, self.news, self.now = cells, news, now
 
     async def call(self, of: str, body: bytes) -> Answer:
-        if not 0 < len(of) <= 128:
-            return told(400, {"error": "of: expected the server's id"})
+        if not 0 < len(of) <= 128 or not of.isascii() or not of.isprintable():
+            return told(400, {"error": "read a departure: of: expected the server's id"})
         record = self.cells.depart(of, self.now())
         self.news.wake()
         if not await self.news.hold(record):
@@ -157,7 +157,10 @@
 
     async def handle(self, call: Call) -> Answer:
         path, _, query = call.target.decode("ascii", "replace").partition("?")
-        asked: dict[str, Any] = parse_qs(query, max_num_fields=8)
+        try:
+            asked: dict[str, Any] = parse_qs(query, max_num_fields=8)
+        except ValueError as error:  # the caller's fault, not one of ours
+            return told(400, {"error": f"read a call: query: {error}"})
         handler = self.handlers.get(asked.get("call", [""])[0])
         if path != "/v1/rpc" or handler is None:
             return told(404, {"error": "no such call"})
--- a/finchshelf/dataplane/follower.py
+++ b/finchshelf/dataplane/follower.py
@@ -17,7 +17,15 @@
 from finchshelf.configuration.document import read_configuration
 from finchshelf.dataplane.core import News
 from finchshelf.membership import rendezvous
-from finchshelf.membership.records import GONE, Limiter, Unfit, read_limiter, read_server
+from finchshelf.membership.records import (
+    GONE,
+    MOST_WHOLE,
+    Limiter,
+    Unfit,
+    is_address,
+    read_limiter,
+    read_server,
+)
 from finchshelf.transport.address import Address
 from finchshelf.transport.exchange import Clock
 from finchshelf.transport.frames import Link, Message, PeerError
@@ -31,6 +39,19 @@
 KNOWS = 8.0  # s that a control plane must have been up for its list of servers to be taken for whole
 
 
+def whole(value: Any) -> int:
+    if type(value) is not int or not -1 <= value <= MOST_WHOLE:
+        raise Unfit("read news", "number", f"expected a whole number: {value!r}"[:200])
+    return value
+
+
+def read_control(row: Any) -> tuple[str, str]:
+    address, zone = row
+    if not isinstance(address, str) or not isinstance(zone, str) or not is_address(address):
+        raise Unfit("read news", "controls", f"expected HOST:PORT and zone: {row!r}"[:200])
+    return address, zone
+
+
 class Source:
     """One control plane and what it told."""
 
@@ -102,7 +123,7 @@
             while address in self.wanted():
                 try:
                     await self.ask_once(address, source)
-                except (PeerError, Unfit, KeyError, TypeError, ValueError) as error:
+                except Exception as error:  # Danger: one control plane's rubbish would end the limiter
                     if not isinstance(error, PeerError):
                         self.log("peer.unfit", peer=address, step="news", error=repr(error))
                     source.down_until = self.clock.now() + DOWN * (0.75 + 0.5 * self.random.random())
@@ -115,45 +136,58 @@
         have: dict[str, Any] = {**source.have, "slot": self.slot, "core": source.core}
         answer = await source.link.ask("news", {"op": "news", "have": have, "wait": WAIT,
                                                 "limiter": self.me.pack()}, WAIT + MORE)
-        source.heard = self.clock.now()
+        self.take(source, answer)
         if not self.answered:
             self.first = source.heard
         self.answered.add(address)
-        self.take(source, answer)
 
     def take(self, source: Source, answer: Message) -> None:
-        now, have = self.clock.now(), source.have
-        if answer["life"] != have["life"]:
-            source.have = have = {"life": int(answer["life"]), "rev": -1, "named": -1, "list": -1}
-            source.core = False
-            if answer.get("none"):
-                return
-        source.core = bool(answer.get("core", source.core))
+        """Read all of an answer, and only then let it count.
+
+        Danger: its number noted with one part that can't be read, the rest would never be told again."""
+        now, life = self.clock.now(), whole(answer["life"])
+        have = dict(source.have)
+        if life != have["life"]:
+            have = {"life": life, "rev": -1, "named": -1, "list": -1}
+        none = life != source.have["life"] and bool(answer.get("none"))
         news = News([read_server(row, now) for row in answer.get("servers", ())])
         if "rev" in answer:
             if have["rev"] < 0 and float(answer.get("whole", 0.0)) > KNOWS:
                 news.whole = frozenset(one.id for one in news.servers if one.mode != GONE)
-            have["rev"] = int(answer["rev"])
+            have["rev"] = whole(answer["rev"])
+        limiters = None
         if "limiters" in answer:
-            rows = [read_limiter(row) for row in answer["limiters"]]
-            source.limiters, have["list"] = {one.node: one for one in rows}, int(answer["list"])
-        news.limiters = self.listed(now)
+            limiters = {one.node: one for one in map(read_limiter, answer["limiters"])}
+            have["list"] = whole(answer["list"])
+        named = None
         if "controls" in answer:
-            have["named"] = int(answer["named"])
-            named = {str(address): str(zone) for address, zone in answer["controls"]}
-            for address, zone in named.items():
-                self.meet(address, zone)
-            for address in [a for a, s in self.sources.items() if a not in named and not s.running]:
-                if address not in self.seeds:
-                    del self.sources[address]
-        if "value" in answer:
-            value = Value.unpack(answer["value"])
-            if value.slot > self.slot:
-                self.slot = value.slot
-                if value.document:
-                    news.configuration = read_configuration(orjson.loads(value.document))
+            named, have["named"] = dict(map(read_control, answer["controls"])), whole(answer["named"])
+        value = Value.unpack(answer["value"]) if "value" in answer else None
+        if value is not None and value.slot > self.slot and value.document:
+            news.configuration = read_configuration(orjson.loads(value.document))
+        # From here on nothing fails.
+        source.heard = now
+        source.core = bool(answer.get("core", source.core and life == source.have["life"])) and not none
+        if none:
+            source.have = have
+            return
+        source.have = have
+        if limiters is not None:
+            source.limiters = limiters
+        news.limiters = self.listed(now)
+        if named is not None:
+            self.name(named)
+        if value is not None:
+            self.slot = max(self.slot, value.slot)
         self.put(news)
 
+    def name(self, named: dict[str, str]) -> None:
+        for address, zone in named.items():
+            self.meet(address, zone)
+        for address in [a for a, s in self.sources.items() if a not in named and not s.running]:
+            if address not in self.seeds:
+                del self.sources[address]
+
     def listed(self, now: float) -> dict[str, Limiter]:
         found: dict[str, Limiter] = {}
         for source in self.sources.values():
--- a/finchshelf/dataplane/questions.py
+++ b/finchshelf/dataplane/questions.py
@@ -13,14 +13,41 @@
 import msgpack
 import trio
 
+from finchshelf.counts.holder import AWAY, BYE, NEAR
 from finchshelf.transport.address import Address
 from finchshelf.transport.exchange import Log
 
 MOST = 1400  # bytes of a datagram: more would be cut on its way
 ASK, TELL = 0, 1
+MOST_UNITS = 1e9
 BATCH = 64  # datagrams read before others have a turn
 
 
+def whole(value: Any) -> int:
+    if not isinstance(value, int) or not 0 <= value < 1 << 62:
+        raise ValueError("expected a number from 0 on")
+    return value
+
+
+def text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise ValueError("expected a tenant's name")
+    return value
+
+
+def amount(value: Any) -> float:
+    """Danger: NaN added to a count stays there for good, and units below 0 would make room."""
+    if not isinstance(value, int | float) or not 0 <= value <= MOST_UNITS:
+        raise ValueError("expected units or seconds from 0 on")
+    return float(value)
+
+
+def state_of(value: Any) -> int:
+    if value not in (BYE, AWAY, NEAR) or not isinstance(value, int):
+        raise ValueError("expected a limiter's state")
+    return value
+
+
 class Asked(Protocol):
     def asked(self, tenant: str, units: float, who: str, state: int) -> tuple[bool, float] | None: ...
     def told(self, number: int, fits: bool, after: float) -> None: ...
@@ -61,7 +88,7 @@
         self.out.clear()
 
     def send(self, message: object, to: tuple[str, int]) -> None:
-        with suppress(OSError):  # a datagram may be lost in any case: whoever waits has a time
+        with suppress(OSError, ValueError):  # a datagram may be lost in any case: whoever waits has a time
             self.sock.sendto(msgpack.packb(message), to)
 
     async def run(self) -> None:
@@ -74,7 +101,7 @@
                     break
                 try:
                     self.read(msgpack.unpackb(data), source)
-                except (ValueError, TypeError, msgpack.UnpackException) as error:
+                except Exception as error:  # Danger: one datagram of anyone would end the limiter
                     self.log.rare("count.unfit", peer=source[0], step="read a question", error=repr(error))
             await trio.lowlevel.checkpoint()
 
@@ -82,15 +109,17 @@
         kind, rows = message
         if kind == ASK:
             answers: list[tuple[int, int, float]] = []
-            for number, tenant, units, state in rows:
-                found = self.core.asked(str(tenant), float(units), source[0], int(state))
+            asked = [(whole(number), text(tenant), amount(units), state_of(state))
+                     for number, tenant, units, state in rows]
+            for number, tenant, units, state in asked:  # all can be read, or none counts
+                found = self.core.asked(tenant, units, source[0], state)
                 if found is not None and units > 0:
-                    answers.append((int(number), int(found[0]), round(found[1], 3)))
+                    answers.append((number, int(found[0]), round(found[1], 3)))
             if answers:
                 self.send([TELL, answers], source)
         elif kind == TELL:
-            for number, fits, after in rows:
-                self.core.told(int(number), bool(fits), float(after))
+            for told in [(whole(number), bool(whole(fits)), amount(after)) for number, fits, after in rows]:
+                self.core.told(*told)
         else:
             raise ValueError(f"kind {kind!r}")
 
--- a/finchshelf/events.py
+++ b/finchshelf/events.py
@@ -71,10 +71,11 @@
           "A call of a server or of the operator ended in a fault; its caller got 500.",
           REPORT, rare=True),
     Event(301, "peer.unfit",
-          "A peer's answer has not the form it should have. `peer`, `step`.",
+          "A peer's answer has not the form it should have; none of it counts. `peer`, `step`.",
           "See whether both run versions that know each other's words."),
     Event(302, "peer.broken",
-          "A connection from a peer was closed, as what came on it is no question.",
+          "What came from a peer is no question (its connection was closed), or a question that can't be "
+          "answered (it was told so). `error` names the peer.",
           "See who connects to the first port of `portRange`.", rare=True),
     Event(401, "core.members",
           "The members of the core changed; `members` are those from now on.",
@@ -85,7 +86,7 @@
           "Nothing after a wipe or replacement; else look at the disk."),
     Event(403, "disk.fault",
           "A generation of the state on disk was left alone. `lost`: it had been whole, so the disk"
-          " broke and is taken for a wiped one.",
+          " broke, or (`restore`) what it holds has no known form, and is taken for a wiped one.",
           "`lost`: replace the disk."),
     Event(404, "disk.refused",
           "The disk did not take the state at the start; this member has no vote until it does.",
--- a/finchshelf/membership/records.py
+++ b/finchshelf/membership/records.py
@@ -6,11 +6,15 @@
 
 from __future__ import annotations
 
+import math
+import socket
 from dataclasses import dataclass, replace
 from typing import Any
 
 STABLE, LOST, DECAYING, GONE = "stable", "lost", "decaying", "gone"
 MOST_TEXT = 128
+MOST_WHOLE = 1 << 62  # of a number told by another process: no larger one can be told on
+MOST_WARM = 1e12  # ms
 
 
 class Unfit(ValueError):
@@ -53,14 +57,35 @@
                 self.lost, max(0, round((self.warm_at - now) * 1000)), self.cell]
 
 
+def is_address(address: str) -> bool:
+    """HOST:PORT, in letters that a head and a socket take."""
+    host, _, port = address.rpartition(":")
+    return (bool(host) and host.isascii() and host.isprintable() and " " not in host and port.isascii()
+            and port.isdigit() and len(port) <= 5 and 0 < int(port) < 65536)
+
+
 def read_server(row: Any, now: float) -> Server:
-    """A row of another of our processes."""
-    try:
-        name, address, service, zone, capacity, count, mode, lost, warm, cell = row
-        return Server(str(name), str(address), str(service), str(zone), int(capacity), int(count), str(mode),
-                      bool(lost), now + float(warm) / 1000, str(cell))
-    except (TypeError, ValueError) as error:
-        raise Unfit("read a server's record", "row", repr(error)) from None
+    """A row of another of our processes.
+
+    Danger: what is taken here is told on. One number that can't be said again (NaN, 1e300) would spoil every
+    answer with news, and one address without a port ends whoever sends there."""
+    def fit(true: bool, place: str) -> None:
+        if not true:
+            raise Unfit("read a server's record", place, f"not as expected in {row!r}"[:200])
+
+    fit(isinstance(row, list | tuple) and len(row) == 10, "row")
+    name, address, service, zone, capacity, count, mode, lost, warm, cell = row
+    texts = {"id": name, "address": address, "service": service, "zone": zone, "cell": cell}
+    for place, value in texts.items():
+        fit(isinstance(value, str) and len(value) <= MOST_TEXT, place)
+    for place, value in {"capacity": capacity, "count": count}.items():
+        fit(type(value) is int and 0 <= value <= MOST_WHOLE, place)
+    fit(bool(name) and name.isascii() and name.isprintable(), "id")
+    fit(mode in (STABLE, DECAYING, GONE), "mode")
+    fit(is_address(address) or (mode == GONE and not address), "address")  # gone before its first beat: none
+    fit(isinstance(lost, bool), "lost")
+    fit(isinstance(warm, int | float) and math.isfinite(warm) and 0 <= warm <= MOST_WARM, "warm")
+    return Server(name, address, service, zone, capacity, count, mode, lost, now + warm / 1000, cell)
 
 
 def text(value: Any, place: str) -> str:
@@ -82,17 +107,18 @@
     if not isinstance(seen, dict) or not isinstance(state, dict):
         raise Unfit("read a beat", "body", "observation and stateEstimate are needed")
     address = text(body.get("address"), "address")
-    host, _, port = address.rpartition(":")
-    if not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+    if not is_address(address):
         raise Unfit("read a beat", "address", "expected HOST:PORT")
+    if not text(name, "of").isascii() or not name.isprintable():  # Danger: no head to the server can name it
+        raise Unfit("read a beat", "of", "expected printable ASCII")
     mode = state.get("mode", STABLE)
     if mode not in (STABLE, DECAYING):
         raise Unfit("read a beat", "stateEstimate.mode", "expected stable or decaying")
-    return Server(text(name, "of"), address, text(seen.get("subsystem"), "observation.subsystem"),
+    return Server(name, address, text(seen.get("subsystem"), "observation.subsystem"),
                   text(seen.get("zone"), "observation.zone"),
                   max(1, whole(seen.get("capacity", 1), "observation.capacity", 1 << 16)),
                   whole(state.get("callCount", 0), "stateEstimate.callCount"), mode, False,
-                  now + whole(state.get("warmupMs", 0), "stateEstimate.warmupMs") / 1000)
+                  now + whole(state.get("warmupMs", 0), "stateEstimate.warmupMs", int(MOST_WARM)) / 1000)
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,11 +135,17 @@
 
 
 def read_limiter(row: Any) -> Limiter:
+    """Danger: datagrams go to its host, and a name there would be looked up, with all else waiting."""
     try:
         node, life, host, zone = row
-        return Limiter(str(node), int(life), str(host), str(zone))
-    except (TypeError, ValueError) as error:
-        raise Unfit("read a limiter's record", "row", repr(error)) from None
+        if not all(isinstance(one, str) and 0 < len(one) <= MOST_TEXT for one in (node, host, zone)):
+            raise ValueError("expected short texts")
+        if type(life) is not int or not 0 <= life <= MOST_WHOLE:
+            raise ValueError("expected a life from 0 on")
+        socket.inet_aton(host)
+    except (TypeError, ValueError, OSError) as error:
+        raise Unfit("read a limiter's record", "row", f"{error!r} in {row!r}"[:200]) from None
+    return Limiter(node, life, host, zone)
 
 
 class Servers:
--- a/finchshelf/transport/calls.py
+++ b/finchshelf/transport/calls.py
@@ -16,7 +16,7 @@
 
 from finchshelf.admission import interface as i
 from finchshelf.transport.bodies import Body, Cut
-from finchshelf.transport.clients import BadRequest, Limits, headers_once
+from finchshelf.transport.clients import BadRequest, Limits, head_size, headers_once
 from finchshelf.transport.exchange import Answer, Arrived, Clock, Exchange, Headers, Log
 
 MOST_BODY = 8 << 20
@@ -52,6 +52,8 @@
         self.limits, self.health_target = LIMITS, health
 
     def head(self, event: h11.Request) -> dict[bytes, bytes]:
+        if head_size(event) > self.limits.most_head:
+            raise BadRequest("head", 431)
         return headers_once(event, ONCE)
 
     def call(self, event: h11.Request, body: bytes, number: int, came: float,
--- a/finchshelf/transport/frames.py
+++ b/finchshelf/transport/frames.py
@@ -59,6 +59,13 @@
         with suppress(OSError):
             stream.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_MS)
 
+    def peer(self) -> str:
+        try:
+            host, port = self.stream.sock.getpeername()[:2]
+        except (OSError, ValueError):
+            return "a peer that has gone"
+        return f"{host}:{port}"
+
     async def read(self) -> Any:
         """The next message; EOFError at the end, ValueError where it is none."""
         while True:
@@ -109,8 +116,8 @@
                 self.waiting[number] = event, answer
                 await frames.write([number, message])
                 await event.wait()
-            except (OSError, trio.ClosedResourceError, trio.TooSlowError) as error:
-                self.drop()
+            except (OSError, ValueError, trio.ClosedResourceError, trio.TooSlowError) as error:
+                self.drop()  # ValueError: a host that can't be one
                 raise PeerError(step, str(self.address), repr(error)) from None
             finally:
                 self.waiting.pop(number, None)
@@ -169,14 +176,14 @@
 
 
 async def answer_all(frames: Frames, handler: Handler, broken: Callable[[str], None]) -> None:
-    room = trio.CapacityLimiter(MOST_OPEN)
+    room, peer = trio.CapacityLimiter(MOST_OPEN), frames.peer()
 
     async def one(number: object, message: Message) -> None:
         async with room:
             try:
                 answer = await handler(message)
             except Exception as error:  # Danger: one bad question must not end the program
-                broken(repr(error))
+                broken(f"answer a question of {peer}: {error!r}"[:300])
                 answer = {"error": repr(error)[:300]}
             with suppress(OSError, trio.ClosedResourceError):
                 await frames.write([number, answer])
@@ -192,7 +199,7 @@
             except (OSError, EOFError, trio.ClosedResourceError):
                 pass
             except (ValueError, TypeError) as error:
-                broken(repr(error))
+                broken(f"read a question of {peer}: {error!r}"[:300])
             nursery.cancel_scope.cancel()
     finally:
         frames.stream.close()
--- a/tests/stories/world/network.py
+++ b/tests/stories/world/network.py
@@ -156,6 +156,9 @@
         if option == socket.TCP_USER_TIMEOUT:
             self.end.patience = value / 1000
 
+    def getpeername(self) -> tuple[str, int]:
+        return self.end.far.host, 0
+
     def fileno(self) -> int:
         return -1 if self.end.closed else 3
 
