--- /dev/null
+++ b/tests/stories/test_explore.py
@@ -0,0 +1,61 @@
+"""Stories of the exploration: seeds that break nothing pass, a planted break is found and cut down."""
+
+from __future__ import annotations
+
+import os
+import sys
+from pathlib import Path
+from typing import Any
+from unittest import mock
+
+import pytest
+from click.testing import CliRunner
+
+from finchshelf.cli import __main__ as command
+from finchshelf.controlplane.register import Register
+from tests.stories import explore
+from tests.stories.test_fleet_stories import unsaved
+
+SHORT = ["--jobs", "1", "--length", "9", "--calm", "5", "--traffic", "0.1"]
+
+
+def test_given_a_guard_dropped_when_seeds_are_explored_then_it_is_found_with_its_fewest_faults() -> None:
+    with mock.patch.object(Register, "save", unsaved):  # what is acknowledged is not on a disk
+        done = CliRunner().invoke(explore.main, [
+            "--seeds", "1-9", "--faults", "all_dark,change,signalled,resets", *SHORT])
+    assert done.exit_code == 1, done.output
+    assert "LOST" in done.stdout.splitlines()[0], done.stdout
+    left = [line.split()[1] for line in done.stdout.splitlines() if "(its chance:" in line]
+    assert left == ["all_dark"], done.stdout  # the first configuration of all is lost already
+    assert "ended" in done.stdout and "faults are left after" in done.stderr
+
+
+def test_given_sound_programs_when_seeds_are_explored_then_nothing_is_broken() -> None:
+    done = CliRunner().invoke(explore.main, ["--seeds", "1-2", *SHORT])
+    assert done.exit_code == 0 and "no rule broken" in done.stdout, done.output
+
+
+def test_given_one_fault_left_out_when_a_day_is_played_then_the_others_stay_as_they_are() -> None:
+    shape = explore.Shape(("kill", "frozen", "change"), 6.0, 3.0, 0.1)
+    faults = explore.plan(4, shape)
+    one, again = explore.day(4, faults[1:], shape, True), explore.day(4, faults[1:], shape, True)
+    assert one == again and [fault for _, fault in one.began] == list(faults[1:]) and one.events
+
+
+def test_given_words_that_fit_nothing_when_explored_then_they_are_refused() -> None:
+    for words in (["--seeds", "9-1"], ["--seeds", "1-2", "--faults", "flood"]):
+        assert CliRunner().invoke(explore.main, words).exit_code == 2
+
+
+def test_given_the_command_when_the_tests_are_there_or_not_then_it_becomes_them_or_says_so(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    became: list[Any] = []
+    monkeypatch.setattr(os, "execve", lambda *given: became.append(given))
+    CliRunner().invoke(command.main, ["explore", "--seeds", "1-2", "--jobs", "1"])
+    (program, words, env), = became
+    assert program == sys.executable and words[1:] == ["-m", "tests.stories.explore", "--seeds", "1-2",
+                                                       "--jobs", "1"]
+    assert (Path(env["PYTHONPATH"].split(os.pathsep)[0]) / "tests/stories/explore.py").is_file()
+    monkeypatch.setattr(command, "ROOT", tmp_path)
+    told = CliRunner().invoke(command.main, ["explore", "--seeds", "1-2"])
+    assert told.exit_code == 2 and "are not installed" in told.stderr and len(became) == 1
