A planned end of clients' connections stands once, for both programs

Cause: two programs had the same steps of leaving, with other figures. Change: Clients.leave and accept_within take the figures. Tests of planned ends and upgrades pass unchanged.

--- a/finchshelf/__main__.py
+++ b/finchshelf/__main__.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import gc
-import math
 import os
 import signal
 import sys
@@ -32,7 +31,6 @@
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP)
 LAST_CALLS = 0.5  # s after SIGTERM in which new connections are still taken
 LAST_WORD = 0.3  # s more for the first request on a connection taken late
-LOOK = 0.02  # s between two looks at what is still to be answered
 TALLY_EVERY = 1.0  # s between two lines of what the counters gained
 COLLECT_EVERY = 20_000  # new objects until the collector looks at the young ones: most die by count alone
 
@@ -84,7 +82,7 @@
                 parts.start_soon(task)
             parts.start_soon(tally, telemetry)
             accepting = trio.CancelScope()
-            parts.start_soon(accept, clients, listener, accepting)
+            parts.start_soon(clients.accept_within, listener, accepting)
             telemetry.log("start", listen=str(address))
             if config.messages:
                 telemetry.log("messages", state="not carried")
@@ -127,11 +125,6 @@
         telemetry.tally()
 
 
-async def accept(clients: Clients, listener: trio.socket.SocketType, scope: trio.CancelScope) -> None:
-    with scope:
-        await clients.accept(listener)
-
-
 def reload(node: Node, telemetry: Telemetry) -> None:
     """Take discovery's and the counter's address and the settings from the file as it is now."""
     try:
@@ -162,28 +155,10 @@
 
 async def finish(node: Node, listener: trio.socket.SocketType, accepting: trio.CancelScope,
                  parts: trio.CancelScope) -> None:
-    await end(node.clients, node.core, listener, accepting)
+    await node.clients.leave(listener, accepting, LAST_CALLS, LAST_WORD)
     parts.cancel()
 
 
-async def end(clients: Clients, core: Core, listener: trio.socket.SocketType,
-              accepting: trio.CancelScope) -> None:
-    """Answer what is here and what still comes, then leave.
-
-    Danger: a connection hung up on while idle may cross a request that its client has just sent, which is
-    then turned back unheard. So none is hung up at once: what comes on it is answered, with a close."""
-    await trio.sleep(LAST_CALLS)
-    accepting.cancel()
-    for stream in net.queued(listener):
-        clients.take(stream)
-    listener.close()
-    closed = core.clock.now()
-    while clients.connections:
-        await trio.sleep(LOOK)
-        now = core.clock.now()
-        clients.hang_up_idle(now - LAST_WORD if now < closed + LAST_WORD else math.inf)
-
-
 def main() -> int:
     # Danger: SIGHUP kills whoever does not listen yet, or no longer does while the interpreter ends.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
--- a/finchshelf/dataplane/__main__.py
+++ b/finchshelf/dataplane/__main__.py
@@ -36,7 +36,6 @@
 LEAVE = 0.4  # s before the platform's SIGKILL by which this process has ended
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1)
 TALLY = 5.0  # s between two lines of what the counters gained
-LOOK = 0.02  # s between two looks at what is still to be answered
 COLLECT_EVERY = 20_000  # new objects until the collector looks at the young ones: most die by count alone
 READY = b"/v1/readiness"
 
@@ -73,7 +72,7 @@
         if policy.on:
             nursery.start_soon(Teller(core.steering, follower, clock, nursery, telemetry.log).run)
         nursery.start_soon(readiness.accept, gate)
-        nursery.start_soon(accept, clients, front, accepting)
+        nursery.start_soon(clients.accept_within, front, accepting)
         telemetry.log("start", front=str(Address(*boot.front)), seed=seed)
         gc.collect()
         gc.freeze()
@@ -89,7 +88,7 @@
         readiness.draining = clients.draining = True
         telemetry.log("ending", unanswered=len(core.live), connections=len(clients.connections))
         with trio.move_on_after(max(1.0, boot.seconds("tolerance", 6.0) - LEAVE)):
-            await end(clients, core, front, accepting)
+            await clients.leave(front, accepting, TURNED_AWAY, LAST_WORD)
         nursery.cancel_scope.cancel()
     telemetry.counters("exit", unanswered=len(core.live))
 
@@ -100,11 +99,6 @@
         telemetry.tally()
 
 
-async def accept(clients: Clients, listener: trio.socket.SocketType, scope: trio.CancelScope) -> None:
-    with scope:
-        await clients.accept(listener)
-
-
 def reseed(follower: Follower, control: int, boot: Boot) -> dict[str, object]:
     """Seeds may have changed; whoever is followed already stays followed."""
     follower.seeds = [f"{peer.host}:{control}" for peer in boot.initial_peers]
@@ -113,24 +107,6 @@
     return {"state": "taken", "seeds": follower.seeds}
 
 
-async def end(clients: Clients, core: Core, listener: trio.socket.SocketType,
-              accepting: trio.CancelScope) -> None:
-    """Answer what is here and what still comes, then leave.
-
-    Danger: the platform sends new connections until it has seen two misses; who stops listening sooner
-    turns them back unheard."""
-    await trio.sleep(TURNED_AWAY)
-    accepting.cancel()
-    for stream in net.queued(listener):
-        clients.take(stream)
-    listener.close()
-    closed = core.clock.now()
-    while clients.connections:
-        await trio.sleep(LOOK)
-        now = core.clock.now()
-        clients.hang_up_idle(now - LAST_WORD if now < closed + LAST_WORD else float("inf"))
-
-
 def switched(words: list[str]) -> Policy | None:
     """The policy by the command's words: nothing, or `--experience on|off`; None where they are others."""
     if not words:
--- a/finchshelf/transport/clients.py
+++ b/finchshelf/transport/clients.py
@@ -30,6 +30,7 @@
 LINGER = 0.3  # s that a client has to end its side after the last answer on a connection
 LAST_READ = 1.5  # s that a client which still sends has to read why nothing of that is wanted
 LOOK = 0.25  # s between two looks for connections that are past one of these times
+LEAVING = 0.02  # s between two looks at who is still here, at a planned end
 PACE = 0.005  # s between two reads of what is thrown away
 MOST_AHEAD = 32768  # bytes read of what comes behind a request before that has its answer
 MOST_PARTS, LEAST_PART = 4096, 16  # chunks of a body, more of so many bytes on average: else to keep us busy
@@ -625,6 +626,29 @@
             if ending or (connection.idle and connection.since < older_than):
                 connection.give_up()
 
+    async def accept_within(self, listener: trio.socket.SocketType, scope: trio.CancelScope) -> None:
+        """Accept until the scope is cancelled, as `leave` does."""
+        with scope:
+            await self.accept(listener)
+
+    async def leave(self, listener: trio.socket.SocketType, accepting: trio.CancelScope, last_calls: float,
+                    last_word: float) -> None:
+        """Answer what is here and what still comes, then be left by all. `last_calls`: s in which new
+        connections are still taken; `last_word`: s more for the first request on one that was taken late.
+
+        Danger: a connection hung up on while idle may cross a request that its client has just sent, which is
+        then turned back unheard. So none is hung up at once: what comes on it is answered, with a close."""
+        await trio.sleep(last_calls)
+        accepting.cancel()
+        for stream in net.queued(listener):
+            self.take(stream)
+        listener.close()
+        closed = self.core.clock.now()
+        while self.connections:
+            await trio.sleep(LEAVING)
+            now = self.core.clock.now()
+            self.hang_up_idle(now - last_word if now < closed + last_word else math.inf)
+
     async def sweep(self) -> None:
         """Silence, requests that never get whole, clients that never close: none may hold descriptors."""
         while True:
