Precedence of tenant, then route: where room is short the lowest is refused first

Need: PROTOCOL ranks requests by their tenant and route; all were alike. Change: a request's rank among those of its configuration bounds the part of a server's queue that it may use, from all of it to half.

--- a/finchshelf/configuration/document.py
+++ b/finchshelf/configuration/document.py
@@ -71,7 +71,12 @@
     _hosts: dict[str, tuple[int, dict[str, Route]]] = field(init=False, repr=False, compare=False)
     _keys: dict[str, Tenant] = field(init=False, repr=False, compare=False)
 
+    _ranks: dict[tuple[int, int], float] = field(init=False, repr=False, compare=False)
+
     def __post_init__(self) -> None:
+        tenants = {one.precedence for one in self.tenants.values()} | {0}
+        pairs = sorted((first, second) for first in tenants for second in {r.precedence for r in self.routes})
+        object.__setattr__(self, "_ranks", {pair: n / max(1, len(pairs) - 1) for n, pair in enumerate(pairs)})
         hosts: dict[str, dict[str, Route]] = {}
         for route in self.routes:
             hosts.setdefault(route.host, {})[route.prefix] = route
@@ -96,6 +101,10 @@
             begin = begin[:end]
         return None
 
+    def rank(self, tenant: Tenant | None, route: Route) -> float:
+        """By precedence of the tenant, then of the route: 0 for the highest there is, 1 for the lowest."""
+        return self._ranks.get((tenant.precedence if tenant is not None else 0, route.precedence), 0.0)
+
     def tenant(self, key: str) -> Tenant | None:
         """The tenant that owns the key."""
         return self._keys.get(key)
--- a/finchshelf/dataplane/choice.py
+++ b/finchshelf/dataplane/choice.py
@@ -19,6 +19,8 @@
 OTHERS_SMOOTH = 0.1  # weight of one answer in what others hold there usually
 # of its slots that may wait at a server beside those that run: more would be late, or hang it
 QUEUE_PART = 1.0
+# the same for requests of the lowest precedence: where room is short they are refused first
+QUEUE_LEAST = 0.5
 # weight and bounds of one answer's time, as a multiple of usual
 TIME_SMOOTH, TIME_LEAST, TIME_MOST = 0.1, 0.5, 4.0
 ROUTE_SMOOTH = 0.03  # weight of one answer in a route's usual time
@@ -105,23 +107,25 @@
 
     # ---- the choice ----
 
-    def pick(self, service: str, now: float, tried: Iterable[str] = ()) -> Server | None:
-        """The server that should be done with one more soonest; None if none has room."""
+    def pick(self, service: str, now: float, tried: Iterable[str] = (), rank: float = 0.0) -> Server | None:
+        """The server that should be done with one more soonest; None if none has room for one of that rank
+        (0 the highest precedence, 1 the lowest)."""
+        queue = QUEUE_PART - (QUEUE_PART - QUEUE_LEAST) * rank
         tried, all_of = set(tried), self.services.get(service, ())
         usable = [known for known in all_of if known.record.usable()]
         # Danger: whoever calls all servers lost at once is mistaken more likely than right. They are used.
         usable = usable or [known for known in all_of if known.record.mode == STABLE]
-        best, spared, waits = self.best(usable, now, tried, True)
+        best, spared, waits = self.best(usable, now, tried, True, queue)
         if spared and (best is None or waits):
             # Danger: steering that makes requests wait, or refuses them, while there is room. A lowered
             # server is used before the rest has a queue, one that all left before a request is refused, and
             # one that nobody gets an answer out of only if all are such.
             rest = [k for k in usable if (k.share > 0.0 if best is not None else not k.dead)]
-            best = self.best(rest or usable, now, tried, False)[0] or best
+            best = self.best(rest or usable, now, tried, False, queue)[0] or best
         return best
 
     def best(self, usable: Iterable[Known], now: float, tried: Collection[str],
-             steer: bool) -> tuple[Server | None, bool, bool]:
+             steer: bool, queue: float) -> tuple[Server | None, bool, bool]:
         """The cheapest with room; whether any was passed over by its share (`steer`), and whether the one
         found has no slot free."""
         best, least, spared, waits = None, math.inf, False, False
@@ -135,9 +139,9 @@
                 if self.random.random() >= known.share:
                     continue
                 slots = max(1.0, slots * known.share)
-            if known.open and held + 1 > slots * (1 + QUEUE_PART):
+            if known.open and held + 1 > slots * (1 + queue):
                 continue
-            if not known.open and held > slots * (2 + QUEUE_PART):
+            if not known.open and held > slots * (2 + queue):
                 continue  # what others are said to hold may be wrong: one of ours finds out sooner
             cost = self.cost(known, held, now) * (1 + NOISE * (2 * self.random.random() - 1))
             if cost < least:
--- a/finchshelf/dataplane/core.py
+++ b/finchshelf/dataplane/core.py
@@ -305,7 +305,7 @@
     def attempt(self, request: Request, now: float) -> bool:
         left = request.until - now
         server = self.trial(request, now) if self.steering.duties and not request.tried and left > 0 else None
-        server = server or self.choice.pick(request.service, now, request.tried)
+        server = server or self.choice.pick(request.service, now, request.tried, request.rank)
         if server is None or left <= 0:
             return False
         address = self.addresses[server.id]
--- a/finchshelf/dataplane/dialect.py
+++ b/finchshelf/dataplane/dialect.py
@@ -39,6 +39,7 @@
     route: Route | None = None
     tenant: Tenant | None = None
     verdict: int = 0  # status of the answer that it gets at once: no such route, no such key
+    rank: float = 0.0  # by precedence of its tenant, then of its route: 0 the highest, 1 the lowest
     service: str = ""
     came: float = 0.0
     tried: list[str] = field(default_factory=list)
@@ -96,7 +97,8 @@
                    if plain not in NOT_PASSED and plain not in named]
         return Request(number, came + coming + wait, reply, event.method, event.target, headers, body,
                        trial if route is not None and not route.repeatable else b"", stream, wait,
-                       route=route, tenant=tenant, verdict=verdict, came=came)
+                       route=route, tenant=tenant, verdict=verdict, came=came,
+                       rank=where.rank(tenant, route) if route is not None else 0.0)
 
 
 class Words:
--- a/tests/stories/test_configuration.py
+++ b/tests/stories/test_configuration.py
@@ -5,13 +5,16 @@
 from collections.abc import Callable
 from copy import deepcopy
 from pathlib import Path
+from random import Random
 from typing import Any
 
 import orjson
 import pytest
 
 from finchshelf.configuration import boot, change
-from finchshelf.configuration.document import Configuration, Limits, Route
+from finchshelf.configuration.document import Configuration, Limits, Route, Tenant
+from finchshelf.dataplane.choice import Choice
+from finchshelf.membership.records import Server
 
 SETTINGS = """\
 node=edge-a-1
@@ -287,3 +290,22 @@
     path.write_text(text.replace("ip=10.1.0.5\n", ""))
     assert len(boot.check_boot(str(path))) == 3
     assert len(boot.check_boot(str(tmp_path / "none.conf"))) == 1
+
+
+def test_given_precedences_when_requests_are_ranked_then_the_tenants_comes_before_the_routes() -> None:
+    def route(label: str, precedence: int) -> Route:
+        return Route(label, "h", f"/{label}/", True, 1.0, 1.0, precedence, (("s", 1.0),), 1, False)
+
+    routes = (route("fast", 0), route("slow", 2))
+    gold, plain = Tenant("gold", ("g",), 0, 0.0, 0.0), Tenant("plain", ("p",), 1, 0.0, 0.0)
+    whole = Configuration(1, routes, {}, {"gold": gold, "plain": plain}, Limits())
+    ranks = [whole.rank(tenant, one) for tenant in (gold, plain) for one in routes]
+    assert ranks == sorted(ranks) and ranks[0] == 0.0 and ranks[-1] == 1.0 and len(set(ranks)) == 4
+
+
+def test_given_little_room_when_requests_are_placed_then_the_lowest_precedence_is_refused_first() -> None:
+    choice = Choice("z", Random(1))
+    choice.put(Server("i-1", "10.0.0.1:80", "s", "z", 4))
+    for _ in range(6):
+        choice.sent("i-1")
+    assert choice.pick("s", 0.0, rank=1.0) is None and choice.pick("s", 0.0, rank=0.0) is not None
