--- a/finchshelf/controlplane/cells.py
+++ b/finchshelf/controlplane/cells.py
@@ -11,7 +11,8 @@
 from typing import Any
 
 from finchshelf.agreement.core import Member
-from finchshelf.membership.records import GONE, Limiter, Server, Servers, read_limiter, read_server
+from finchshelf.experience.board import Board
+from finchshelf.membership.records import GONE, Limiter, Server, Servers, read_server
 
 # beats missed, and s more, after which a server is lost to whoever heard it last
 LOST_BEATS, LOST_MORE = 3.0, 0.6
@@ -20,6 +21,7 @@
 CLOSED_GRACE = 0.7
 CONTROL_SILENT = 2.0  # s after which another control plane is not named to data planes
 CONTROL_FORGET = 20.0  # s after which it is forgotten, unless it is a seed or a member
+JUDGES = 2.0  # s that a control plane must have been up: unheard of others, it takes all servers for its own
 GONE_KEPT = 60.0  # s that the record of a server that left is kept: late beats must find it
 
 
@@ -37,6 +39,7 @@
     rev: int = -1
     own: int = -1
     named: int = -1
+    verdicts: int = -1
     limiters: tuple[Limiter, ...] = ()
 
 
@@ -44,6 +47,7 @@
     def __init__(self, address: str, zone: str, pulse: float, life: int, now: float) -> None:
         self.address, self.zone, self.pulse, self.life, self.began = address, zone, pulse, life, now
         self.servers = Servers()
+        self.board = Board(address)
         self.heard: dict[str, float] = {}  # servers that beat here last: when
         self.left: dict[str, float] = {}  # servers that left: when
         # limiters that ask here: until when they are listed
@@ -76,10 +80,12 @@
         return record
 
     def take(self, rows: list[Any], now: float) -> bool:
-        """Records of another control plane."""
+        """Records of another control plane: all of them can be read, or none is taken."""
+        return self.merge_records([read_server(row, now) for row in rows], now)
+
+    def merge_records(self, records: list[Server], now: float) -> bool:
         news = False
-        for row in rows:
-            record = read_server(row, now)
+        for record in records:
             known = self.servers.rows.get(record.id)
             if record.lost and known is not None and known.newer(record) and known.usable():
                 self.servers.tell(record.id)  # someone takes it for lost by an older number: tell all again
@@ -94,6 +100,14 @@
                     self.left.setdefault(record.id, now)
         return news
 
+    def recall(self, rows: list[Any], now: float) -> int:
+        """Servers that this control plane knew before it started again; any beat is newer."""
+        for row in rows:
+            record = replace(read_server(row, now), cell=self.address)
+            if record.usable() and self.servers.put(record):
+                self.heard[record.id] = now
+        return len(self.heard)
+
     def silent_servers(self, now: float, in_touch: bool) -> bool:
         """Those that beat here last and no longer do are lost; True if there are such. `in_touch`: with more
         than half of the core."""
@@ -165,6 +179,15 @@
             self.named, self.named_rev, news = named, self.named_rev + 1, True
         return news
 
+    # ---- experience ----
+
+    def judge(self, now: float) -> bool:
+        """Look anew at what limiters say of servers; True if others must hear of it."""
+        if now - self.began < JUDGES:
+            return False
+        named = [address for address, _ in self.named]
+        return self.board.look(self.servers.rows.values(), named, len(self.merged), now)
+
     # ---- control planes ----
 
     def meet(self, address: str) -> Control | None:
@@ -183,8 +206,8 @@
     def hear(self, control: Control, now: float) -> None:
         control.heard = now
 
-    def limiters_of(self, control: Control, rows: list[Any], own: int, now: float) -> bool:
-        control.limiters, control.own = tuple(read_limiter(row) for row in rows), own
+    def limiters_of(self, control: Control, limiters: tuple[Limiter, ...], own: int, now: float) -> bool:
+        control.limiters, control.own = limiters, own
         return self.merge(now)
 
     def silent(self, me: Member, now: float) -> dict[Member, float]:
--- a/finchshelf/controlplane/news.py
+++ b/finchshelf/controlplane/news.py
@@ -8,6 +8,8 @@
 
 import math
 from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass
 from random import Random
 from typing import Any
 
@@ -17,7 +19,18 @@
 from finchshelf.agreement.store import StoreError
 from finchshelf.controlplane.cells import Cells, Control
 from finchshelf.controlplane.register import Register
-from finchshelf.membership.records import Server, Unfit, read_limiter
+from finchshelf.experience.board import Verdict, owner, read_verdict
+from finchshelf.membership.records import (
+    MOST_TEXT,
+    MOST_WHOLE,
+    Limiter,
+    Server,
+    Unfit,
+    is_address,
+    read_limiter,
+    read_server,
+)
+from finchshelf.rollout.evidence import Table
 from finchshelf.transport.address import Address
 from finchshelf.transport.exchange import Clock
 from finchshelf.transport.frames import Link, Message, PeerError
@@ -29,6 +42,7 @@
 HOLD = 0.6  # s for other control planes to hold a record: a server waits a second for its acknowledgement
 JOINED = 1.1  # s, less than `CONTROL_SILENT`: who is cut off knows it before the others do without it
 SWEEP = 0.25  # s between two looks for silence
+RELAY = 0.3  # s for another cell to take what a limiter could not tell it itself
 MEND = 0.5  # s between two looks at the members
 
 
@@ -37,6 +51,50 @@
     return Address(host, int(port))
 
 
+def place(row: Any) -> tuple[str, str]:
+    """A control plane's address and zone. Danger: one that can't be asked would be asked for good."""
+    address, zone = row
+    if not isinstance(address, str) or not isinstance(zone, str) or len(zone) > MOST_TEXT \
+            or not is_address(address):
+        why = f"expected HOST:PORT and zone: {row!r}"[:200]
+        raise Unfit("read a control plane's address", "controls", why)
+    return address, zone
+
+
+def number(value: Any) -> int:
+    if type(value) is not int or not -1 <= value <= MOST_WHOLE:
+        raise Unfit("read news", "number", f"expected a whole number: {value!r}"[:200])
+    return value
+
+
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """Another control plane's answer, read whole before any of it counts."""
+
+    life: int
+    none: bool
+    servers: tuple[int, list[Server]] | None
+    limiters: tuple[int, tuple[Limiter, ...]] | None
+    value: Value | None
+    named: int | None
+    controls: list[tuple[str, str]]
+    verdicts: tuple[int, list[Verdict]] | None = None
+
+
+def read_answer(answer: Message, now: float) -> Heard:
+    servers = limiters = verdicts = None
+    if "verdicts" in answer:
+        verdicts = number(answer["verdictsRev"]), [read_verdict(row) for row in answer["verdicts"]]
+    if "servers" in answer:
+        servers = number(answer["rev"]), [read_server(row, now) for row in answer["servers"]]
+    if "limiters" in answer:
+        limiters = number(answer["own"]), tuple(read_limiter(row) for row in answer["limiters"])
+    return Heard(number(answer["life"]), bool(answer.get("none")), servers, limiters,
+                 Value.unpack(answer["value"]) if "value" in answer else None,
+                 number(answer["named"]) if "named" in answer else None,
+                 [place(row) for row in answer.get("controls", ())], verdicts)
+
+
 class News:
     def __init__(self, cells: Cells, clock: Clock, nursery: trio.Nursery, counted: bool, random: Random,
                  log: Callable[..., None]) -> None:
@@ -46,6 +104,7 @@
         self.links: dict[str, Link] = {}
         self.event = trio.Event()
         self.steady: set[str] = set()
+        self.table = Table()  # what data planes count while a roll-out watches
 
     def wake(self) -> None:
         event, self.event = self.event, trio.Event()
@@ -67,35 +126,77 @@
             if self.cells.take(message["rows"], self.clock.now()):
                 self.wake()
             return {"ok": True}
+        if kind == "experience":
+            return await self.experience(message)
         if kind == "show":
             return self.show()
+        if kind == "evidence":
+            return self.evidence(message)
         return {"error": f"no such question: {kind!r}"[:100]}
 
     async def answer_news(self, message: Message) -> Message:
-        now = self.clock.now()
-        self.note(message, now)
-        until = trio.current_time() + min(float(message.get("wait", 0.0)), MOST_WAIT)
-        have = message.get("have", {})
+        now, have = self.clock.now(), message.get("have", {})
+        wait = float(message.get("wait", 0.0))
+        if not isinstance(have, dict) or not math.isfinite(wait):
+            raise Unfit("read a question for news", "have, wait", "expected a table and a number")
+        number(have.get("rev", -1)), number(have.get("slot", -1))
+        self.note(message, now)  # after all else was read: who asks rubbish is not noted
+        until = trio.current_time() + min(wait, MOST_WAIT)
         while True:
             event, decided = self.event, self.register.decided_event
             answer = self.fresh(have, "limiter" in message)
             if answer is not None or trio.current_time() >= until:
-                return answer or {"life": self.cells.life, "none": True}
+                answer = answer or {"life": self.cells.life, "none": True}
+                word = self.table.word(have.get("watch"), self.clock.now()) if "limiter" in message else None
+                return answer if word is None else {**answer, "watch": word}
             with trio.move_on_at(until):
                 await either(event, decided)
                 await trio.sleep(GATHER)
 
+    async def experience(self, message: Message) -> Message:
+        """What a limiter saw, the trials it asks for and how those went. What is another cell's goes on to it
+        once: the limiter may not reach that cell."""
+        cells, now, limiter = self.cells, self.clock.now(), str(message["limiter"])
+        board, granted = cells.board, list[list[Any]]()
+        board.tell(limiter, message.get("rows", ()), now)
+        for server, number, well in message.get("results", ()):
+            board.tried(str(server), limiter, int(number), bool(well), now)
+        for server, number in message.get("bids", ()):
+            if board.bid(str(server), limiter, int(number), now):
+                granted.append([server, number])
+        if cells.judge(now):
+            self.wake()
+        if not message.get("relayed"):
+            named, onward = [address for address, _ in cells.named], dict[str, Message]()
+            for what in ("rows", "bids", "results"):
+                for row in message.get(what, ()):
+                    record = cells.servers.rows.get(str(row[0]))
+                    to = owner(record.service, named) if record is not None else cells.address
+                    if to != cells.address:
+                        onward.setdefault(to, {}).setdefault(what, []).append(row)
+            for to, part in onward.items():
+                with suppress(PeerError):
+                    answer = await self.link(to).ask("experience", {
+                        "op": "experience", "limiter": limiter, "relayed": True, **part}, RELAY)
+                    granted += answer.get("granted", ())
+        return {"granted": granted}
+
     def note(self, message: Message, now: float) -> None:
         """Who asks is there."""
         if "limiter" in message:
             limiter = read_limiter(message["limiter"])
             if self.cells.ask(limiter, now):
                 self.wake()
+            if "seen" in message:
+                self.table.take(limiter.node, limiter.life, message["seen"])
         elif "control" in message:
             address, zone, disk, counted = message["control"]
-            control = self.cells.meet(str(address))
+            place((address, zone))
+            if not isinstance(disk, str) or len(disk) > MOST_TEXT:
+                raise Unfit("read a question for news", "control", "expected the name of a disk")
+            control = self.cells.meet(address)
             if control is not None:
-                control.zone, control.disk, control.counted = str(zone), str(disk), bool(counted)
+                control.zone, control.disk, control.counted = zone, disk, bool(counted)
                 self.cells.hear(control, now)
                 self.follow(control)
                 if self.cells.merge(now):
@@ -122,6 +223,11 @@
         if not limiter and (not same or have.get("own") != cells.own):
             answer["limiters"] = [one.pack() for one, _ in cells.asked.values()]
             answer["own"] = cells.own
+        if "verdicts" in have:  # Danger: one that does not know the word would be told of them for ever
+            seen = max(0, int(have["verdicts"])) if same else 0
+            if cells.board.rev > seen:
+                answer["verdicts"] = cells.board.since(seen, not limiter)
+                answer["verdictsRev"] = cells.board.rev
         decided = self.register.decided
         if decided is not None and decided.slot > int(have.get("slot", -1)):
             answer["value"] = decided.pack()
@@ -156,8 +262,18 @@
                          for one in self.cells.controls.values()],
             "limiters": [one.pack() for one in self.cells.merged],
             "servers": [record.pack(now) for record in self.cells.servers.rows.values()],
+            "experience": self.cells.board.since(0, True),
         }
 
+    def evidence(self, message: Message) -> Message:
+        """What a roll-out asks: what the data planes that ask here saw. While it is asked, they count."""
+        now, cells, decided = self.clock.now(), self.cells, self.register.decided
+        if self.table.ask(message.get("aims", {}), now):
+            self.wake()
+        usable = sum(record.usable() for record in cells.servers.rows.values())
+        return {"rows": self.table.rows(), "version": decided.version if decided else 0,
+                "machines": usable + len(cells.merged)}
+
     # ---- questions that go out ----
 
     def link(self, address: str) -> Link:
@@ -184,7 +300,7 @@
             while self.cells.controls.get(control.address) is control:
                 try:
                     await self.ask_once(control)
-                except (PeerError, Unfit, KeyError, TypeError, ValueError) as error:
+                except Exception as error:  # Danger: one peer's rubbish would end the program
                     if not isinstance(error, PeerError):
                         self.log("peer.unfit", peer=control.address, step="news", error=repr(error))
                     await trio.sleep(AFTER_FAILURE * (0.5 + self.random.random()))
@@ -194,30 +310,40 @@
     async def ask_once(self, control: Control) -> None:
         cells, me, decided = self.cells, self.register.me, self.register.decided
         have = {"life": control.life, "rev": control.rev, "own": control.own, "named": control.named,
+                "verdicts": control.verdicts,
                 "slot": decided.slot if decided else -1}
         answer = await self.link(control.address).ask(
             "news", {"op": "news", "have": have, "wait": BETWEEN,
                      "control": [cells.address, cells.zone, me.disk, self.counted]}, BETWEEN + 1.0)
         now = self.clock.now()
+        self.take(control, read_answer(answer, now), now)
+
+    def take(self, control: Control, heard: Heard, now: float) -> None:
+        cells = self.cells
         cells.hear(control, now)
         control.answered = now
-        if answer["life"] != control.life:
-            control.life, control.rev, control.own, control.named = int(answer["life"]), -1, -1, -1
-            if answer.get("none"):
+        if heard.life != control.life:
+            control.life, control.rev, control.own, control.named = heard.life, -1, -1, -1
+            control.verdicts = -1
+            if heard.none:
                 return
         news = False
-        if "servers" in answer:
-            news |= cells.take(answer["servers"], now)
-            control.rev = int(answer["rev"])
-        if "limiters" in answer:
-            news |= cells.limiters_of(control, answer["limiters"], int(answer["own"]), now)
-        if "value" in answer:
-            self.register.learn(Value.unpack(answer["value"]))
-        control.named = int(answer.get("named", control.named))
-        for address, zone in answer.get("controls", ()):
-            met = cells.meet(str(address))
+        if heard.servers is not None:
+            control.rev, records = heard.servers
+            news |= cells.merge_records(records, now)
+        if heard.limiters is not None:
+            news |= cells.limiters_of(control, heard.limiters[1], heard.limiters[0], now)
+        if heard.verdicts is not None:
+            control.verdicts, verdicts = heard.verdicts
+            for verdict in verdicts:
+                news |= cells.board.put(verdict)
+        if heard.value is not None:
+            self.register.learn(heard.value)
+        control.named = control.named if heard.named is None else heard.named
+        for address, zone in heard.controls:
+            met = cells.meet(address)
             if met is not None:
-                met.zone = str(zone)
+                met.zone = zone
                 self.follow(met)
         if news | cells.merge(now):
             self.wake()
@@ -263,7 +389,7 @@
             now = self.clock.now()
             before, joined = joined, self.joined()
             news = self.cells.silent_servers(now, self.in_touch()) | self.cells.silent_limiters(now)
-            if news or joined != before:
+            if news | self.cells.judge(now) or joined != before:
                 self.wake()
 
     async def mend(self, seeds: tuple[str, ...]) -> None:
--- a/finchshelf/dataplane/__main__.py
+++ b/finchshelf/dataplane/__main__.py
@@ -6,20 +6,23 @@
 from __future__ import annotations
 
 import gc
-import os
 import signal
 import sys
 import time
+from dataclasses import replace
+from functools import partial
 from random import Random
 
 import trio
 
 from finchshelf import program
-from finchshelf.configuration.boot import Boot, SettingsError, read_boot
+from finchshelf.configuration.boot import Boot
 from finchshelf.dataplane.core import Core
 from finchshelf.dataplane.dialect import Reader, Words
 from finchshelf.dataplane.follower import Follower
 from finchshelf.dataplane.questions import Questions
+from finchshelf.dataplane.teller import Teller
+from finchshelf.experience.policy import DEFAULT, Policy
 from finchshelf.membership.records import Limiter
 from finchshelf.transport import calls, net
 from finchshelf.transport.address import Address
@@ -38,14 +41,14 @@
 READY = b"/v1/readiness"
 
 
-async def serve(boot: Boot, telemetry: Telemetry, seed: int) -> None:
+async def serve(boot: Boot, telemetry: Telemetry, seed: int, policy: Policy = DEFAULT) -> None:
     clock, random = Clock(), Random(seed)
     control, counts = boot.port_range[0], boot.port_range[0] + 1
     me = Limiter(boot.node, int(time.time() * 1000), boot.ip, boot.zone)
     assert boot.front is not None and boot.readiness is not None
     margins = boot.margins
     core = Core(boot.node, boot.zone, clock, telemetry, random, float(margins.get("retryRatio", 0.2)),
-                float(margins.get("retrySlack", 0.0)))
+                float(margins.get("retrySlack", 0.0)), policy)
     async with trio.open_nursery() as nursery:
         core.wire = Questions(Address(boot.ip, counts), core, telemetry)
         core.servers = Servers(core, Words(), nursery, boot.descriptors)
@@ -53,7 +56,8 @@
         core.clients = clients = Clients(core, Reader(core.configuration), nursery, lambda: True,
                                          boot.descriptors, memory)
         seeds = [f"{peer.host}:{control}" for peer in boot.initial_peers]
-        follower = Follower(me, seeds, control, clock, core.put, random, telemetry.log, nursery)
+        follower = Follower(me, seeds, control, clock, core.put, random, telemetry.log, nursery,
+                            core.seen, policy.on)
         core.in_touch = follower.in_touch
         looked_at = calls.Calls(clock, telemetry, nursery, None)
         readiness = Clients(looked_at, calls.Reader(READY), nursery,
@@ -63,8 +67,11 @@
         accepting = trio.CancelScope()
         sweeps = core.servers.sweep, clients.sweep, readiness.sweep
         nursery.start_soon(tally, telemetry)
-        for task in (core.run, core.wire.run, follower.run, *sweeps):
+        settings = program.Settings(boot, lambda new: reseed(follower, control, new), telemetry.log)
+        for task in (settings.run, core.run, core.wire.run, follower.run, *sweeps):
             nursery.start_soon(task)
+        if policy.on:
+            nursery.start_soon(Teller(core.steering, follower, clock, nursery, telemetry.log).run)
         nursery.start_soon(readiness.accept, gate)
         nursery.start_soon(accept, clients, front, accepting)
         telemetry.log("start", front=str(Address(*boot.front)), seed=seed)
@@ -74,7 +81,7 @@
         with trio.open_signal_receiver(*SIGNALS) as signals:
             async for number in signals:
                 if number == signal.SIGHUP:
-                    reload(follower, control, telemetry)
+                    settings.read()
                 elif number == signal.SIGUSR1:
                     telemetry.counters("asked", requests=len(core.live))
                 else:
@@ -98,17 +105,12 @@
         await clients.accept(listener)
 
 
-def reload(follower: Follower, control: int, telemetry: Telemetry) -> None:
+def reseed(follower: Follower, control: int, boot: Boot) -> dict[str, object]:
     """Seeds may have changed; whoever is followed already stays followed."""
-    try:
-        boot = read_boot(os.environ.get("FINCHSHELF_BOOT", ""))
-    except SettingsError as error:
-        telemetry.log("settings", state="kept the old", error=str(error))
-        return
     follower.seeds = [f"{peer.host}:{control}" for peer in boot.initial_peers]
     for address in follower.seeds:
         follower.meet(address, "")
-    telemetry.log("settings", state="taken", seeds=follower.seeds)
+    return {"state": "taken", "seeds": follower.seeds}
 
 
 async def end(clients: Clients, core: Core, listener: trio.socket.SocketType,
@@ -129,8 +131,20 @@
         clients.hang_up_idle(now - LAST_WORD if now < closed + LAST_WORD else float("inf"))
 
 
+def switched(words: list[str]) -> Policy | None:
+    """The policy by the command's words: nothing, or `--experience on|off`; None where they are others."""
+    if not words:
+        return DEFAULT
+    known = len(words) == 2 and words[0] == "--experience" and words[1] in ("on", "off")
+    return replace(DEFAULT, on=words[1] == "on") if known else None
+
+
 def main() -> int:
-    return program.main(serve)
+    policy = switched(sys.argv[1:])
+    if policy is None:
+        print("finchshelf: expected no argument, or --experience on|off", file=sys.stderr)
+        return 2
+    return program.main(partial(serve, policy=policy))
 
 
 if __name__ == "__main__":
--- a/finchshelf/dataplane/core.py
+++ b/finchshelf/dataplane/core.py
@@ -11,23 +11,26 @@
 import math
 import traceback
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
 from typing import Any, Protocol
 
 import trio
 
-from finchshelf.admission.interface import ClientGone, Status
+from finchshelf.admission.outcome import ClientGone, Status
 from finchshelf.configuration.document import Configuration, Limits, Route
-from finchshelf.counts.caller import BEAT, BUDGET, Caller
+from finchshelf.counts.caller import BUDGET, Caller
 from finchshelf.counts.holder import NEAR, Holder
 from finchshelf.dataplane import tries
 from finchshelf.dataplane.budget import Budget
 from finchshelf.dataplane.choice import Choice
 from finchshelf.dataplane.dialect import MISDIRECTED, Reader, Request
 from finchshelf.dataplane.questions import Questions
+from finchshelf.dataplane.steering import Steering
 from finchshelf.dataplane.tries import Next, Tried
+from finchshelf.experience.policy import DEFAULT, Policy
 from finchshelf.membership.records import Limiter, Server
+from finchshelf.rollout.evidence import SAFE, Seen
 from finchshelf.transport.address import Address
 from finchshelf.transport.clients import Clients
 from finchshelf.transport.exchange import Answer, Arrived, Attempt, Clock, Ended, Headers
@@ -58,6 +61,7 @@
     limiters: dict[str, Limiter] | None = None
     configuration: Configuration | None = None
     whole: frozenset[str] | None = None
+    verdicts: list[Any] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -85,11 +89,12 @@
 
 class Core:
     def __init__(self, me: str, zone: str, clock: Clock, telemetry: Telemetry, random: Random,
-                 ratio: float, slack: float) -> None:
+                 ratio: float, slack: float, policy: Policy = DEFAULT) -> None:
         self.me, self.clock, self.telemetry, self.count = me, clock, telemetry, telemetry.count
         self.random = random
         self.configuration = Configuration(0, (), {}, {}, Limits())
         self.choice, self.budget = Choice(zone, random), Budget(ratio, slack)
+        self.steering = Steering(me, policy, self.choice)
         self.caller, self.holder = Caller(me, clock.now()), Holder()
         self.limiters: dict[str, Limiter] = {}
         self.hosts: dict[str, str] = {}  # of limiters listed of late: those just left must hear of it
@@ -98,6 +103,7 @@
         self.live: dict[int, Request] = {}
         self.questions: dict[int, Question] = {}
         self.timers: list[tuple[float, int, str, int]] = []
+        self.seen = Seen()
         self.last = self.ticks = 0
         self.in_touch: Callable[[], bool] = lambda: True
         self.touched = -math.inf
@@ -142,7 +148,7 @@
     # ---- the task itself ----
 
     async def run(self) -> None:
-        self.timer(self.clock.now() + BEAT, "beat", 0)
+        self.timer(self.clock.now() + self.caller.pace(), "beat", 0)
         while True:
             wait = max(0.0, self.timers[0][0] - self.clock.now()) if self.timers else math.inf
             until = trio.current_time() + wait
@@ -186,7 +192,7 @@
                     self.asked(tenant, 0.0, self.me, state)
                 elif holder in self.hosts:
                     self.wire.ask(self.hosts[holder], tenant, 0.0, state)
-            self.timer(now + BEAT, "beat", 0)
+            self.timer(now + self.caller.pace(), "beat", 0)
         elif kind == "hedge":
             request = self.live.get(number)
             if request is not None:
@@ -213,6 +219,8 @@
             request = self.live.pop(item.id, None)
             if request is not None:
                 self.count["in.gone"] += 1
+                if self.seen.on and request.route is not None:
+                    self.seen.add(request.route.label, "broken")
                 self.cancel(request)
 
     # ---- a request ----
@@ -220,6 +228,8 @@
     def arrived(self, request: Request, now: float) -> None:
         self.count["in.requests"] += 1
         self.live[request.id] = request
+        if self.seen.on:
+            self.seen.add(request.route.label if request.route is not None else "", "taken")
         if self.configuration.version == 0:
             return self.answer(request, refusal(503, 0.2), "refused.starting")
         if request.route is None or request.verdict:
@@ -293,12 +303,16 @@
             self.timer(now + tries.hedge_after(request.route.target, usual), "hedge", request.id)
 
     def attempt(self, request: Request, now: float) -> bool:
-        server = self.choice.pick(request.service, now, request.tried)
         left = request.until - now
+        server = self.trial(request, now) if self.steering.duties and not request.tried and left > 0 else None
+        server = server or self.choice.pick(request.service, now, request.tried)
         if server is None or left <= 0:
             return False
         address = self.addresses[server.id]
         number = len(request.tried)
+        if self.seen.on and (request.out or request.may_have_run) and request.method not in SAFE:
+            assert request.route is not None  # it may run a second time, whatever the route says of it
+            self.seen.add(request.route.label, "repeated")
         request.tried.append(server.id)
         attempt = Attempt(request, number, server.id, address, left, now, request.until)
         request.out[number] = attempt
@@ -308,6 +322,15 @@
         self.servers.start(attempt)
         return True
 
+    def trial(self, request: Request, now: float) -> Server | None:
+        """The server that this limiter is to try, if this request may go to another one after it."""
+        assert request.route is not None
+        if not request.route.repeatable or request.route.trials < 2 or request.stream is not None:
+            return None
+        name = self.steering.trial(request.service, now)
+        self.count["tries.trial"] += name is not None
+        return self.choice.table[name].record if name is not None else None
+
     def hedge(self, request: Request, now: float) -> None:
         """A repeatable request that takes long goes to a second server as well."""
         assert request.route is not None
@@ -325,10 +348,17 @@
         load = None
         if item.load:
             load = (int(item.load["running"]), int(item.load["waiting"]), int(item.load["slots"]))
+        if self.steering.on:
+            # The time of a streamed body is its client's.
+            usual = self.choice.usual.get(request.route.label, 0.0) if request.stream is None else 0.0
+            took = now - attempt.issued
+            self.steering.ended(attempt.server, item.status, item.used, took, usual, load, now)
         self.choice.ended(attempt.server, request.route.label, item.status, now - attempt.issued, load, now)
         self.count[f"tries.{item.status.value}"] += 1
         if item.used == MISDIRECTED:
             self.gone(attempt.server)
+        if self.seen.on and item.status is Status.OK and request.method not in SAFE:
+            self.seen.ran(request.route.label, request.named())
         if request.id not in self.live:
             if item.answer is not None and item.answer.more is not None:
                 item.answer.more.close()  # Danger: nobody takes the rest, and its server would wait for good
@@ -369,6 +399,10 @@
         if self.live.pop(request.id, None) is None:
             return
         self.count[counted] += 1
+        if self.seen.on:
+            route = request.route
+            self.seen.ended(route.label if route else "", route.target if route else 0.0, counted,
+                            answer.status, self.clock.now() - request.came)
         request.reply(answer)
 
     def cancel(self, request: Request) -> None:
@@ -393,6 +427,7 @@
                 self.addresses.pop(record.id, None)
             if must_go:
                 self.servers.forget(record.id)
+            self.steering.apply(record.id)  # a verdict may have been here before its server
         if item.whole is not None:
             self.choice.keep(item.whole)
             self.addresses = {name: at for name, at in self.addresses.items() if name in self.choice.table}
@@ -402,11 +437,17 @@
             self.hosts.update((name, one.host) for name, one in item.limiters.items())
             self.hosts = {name: host for name, host in self.hosts.items() if name in self.caller.known}
             self.budget.limiters = len(self.caller.limiters)
+            self.steering.limiters = sorted({self.me, *item.limiters})
         new = item.configuration
         if new is not None and new.version > self.configuration.version:
             self.configuration = new
             self.clients.renew(Reader(new), 0.0)
             self.telemetry.log("configuration", version=new.version, routes=len(new.routes))
+        # Danger: verdicts come last, so that one which can't be read costs no configuration.
+        if item.verdicts:
+            self.steering.news(item.verdicts, now)
+        if item.servers:
+            self.steering.keep()
 
     def ready(self) -> bool:
         return self.configuration.version > 0 and any(
--- a/finchshelf/dataplane/dialect.py
+++ b/finchshelf/dataplane/dialect.py
@@ -11,7 +11,7 @@
 
 import h11
 
-from finchshelf.admission.interface import Status
+from finchshelf.admission.outcome import Status
 from finchshelf.configuration.document import Configuration, Route, Tenant
 from finchshelf.transport.address import Address
 from finchshelf.transport.bodies import Body
@@ -47,6 +47,10 @@
     last: Answer | None = None  # of a server that failed: passed on where no other does better
     hedged: bool = False
 
+    def named(self) -> bytes:
+        """Its client's name for it, the same each time the client sends it."""
+        return next((value for name, value in self.headers if name.lower() == b"trial-id"), b"")
+
 
 class Reader:
     """Reads requests by the configuration in force."""
@@ -115,10 +119,10 @@
         told = dict(reply.headers)
         request = attempt.exchange
         mine = next((value for name, value in request.headers if name.lower() == b"trial-id"), b"")
+        ended.used = reply.status
         # Danger: an answer left over from another request, in the place of ours.
         if told.get(b"trial-id", b"") != mine and reply.status != MISDIRECTED:
             raise Broken("another request's answer")
-        ended.used = reply.status
         load = told.get(b"server-load", b"").split(b",")
         if len(load) == 3 and all(part.strip().isdigit() and len(part) < 7 for part in load):
             ended.load = dict(zip(("running", "waiting", "slots"), map(float, load), strict=True))
--- a/finchshelf/events.py
+++ b/finchshelf/events.py
@@ -27,7 +27,8 @@
 REPORT = "Report it with the line."
 
 # 1xx a program's life, 2xx clients, servers and calls, 3xx between our processes, 4xx the core and its
-# disks, 5xx configuration, 6xx counts of tenants, 7xx faults of ours, 9xx the command line.
+# disks, 5xx configuration, 6xx counts of tenants, 70x faults of ours, 75x shared experience, 8xx roll-outs
+# (the head office's keepers), 9xx the command line.
 CATALOGUE = (
     Event(101, "start",
           "The program listens. `disk`: the name of this life of the disk, none without a disk; "
@@ -38,9 +39,10 @@
           "If it does not come within seconds of `start`: ask a control plane with `finchshelf "
           "show`."),
     Event(103, "settings",
-          "SIGHUP came. `taken`: the seeds that count from now on; `kept the old`: the file can't "
-          "be used; `noted`: a control plane needs seeds only at its start.",
-          "`kept the old`: run `finchshelf check settings` on the file, mend it, send SIGHUP again."),
+          "SIGHUP came, or the settings file changed and has rested. `taken`: the seeds that count from "
+          "now on; `kept the old`: the file can't be used (`step`, `place`); `noted`: a control plane "
+          "needs seeds only at its start.",
+          "`kept the old`: run `finchshelf check settings` on the file and mend it."),
     Event(104, "ending",
           "SIGTERM or SIGINT came; what is here and what still comes is answered.",
           "Nothing; the end should follow within `toleranceS`."),
@@ -70,10 +72,11 @@
           "A call of a server or of the operator ended in a fault; its caller got 500.",
           REPORT, rare=True),
     Event(301, "peer.unfit",
-          "A peer's answer has not the form it should have. `peer`, `step`.",
+          "A peer's answer has not the form it should have; none of it counts. `peer`, `step`.",
           "See whether both run versions that know each other's words."),
     Event(302, "peer.broken",
-          "A connection from a peer was closed, as what came on it is no question.",
+          "What came from a peer is no question (its connection was closed), or a question that can't be "
+          "answered (it was told so). `error` names the peer.",
           "See who connects to the first port of `portRange`.", rare=True),
     Event(401, "core.members",
           "The members of the core changed; `members` are those from now on.",
@@ -84,7 +87,7 @@
           "Nothing after a wipe or replacement; else look at the disk."),
     Event(403, "disk.fault",
           "A generation of the state on disk was left alone. `lost`: it had been whole, so the disk"
-          " broke and is taken for a wiped one.",
+          " broke, or (`restore`) what it holds has no known form, and is taken for a wiped one.",
           "`lost`: replace the disk."),
     Event(404, "disk.refused",
           "The disk did not take the state at the start; this member has no vote until it does.",
@@ -103,6 +106,57 @@
     Event(701, "core.error",
           "One event could not be taken; its request was answered as failed.",
           REPORT, rare=True),
+    Event(751, "server.steered",
+          "Limiters agree that a server is bad: all leave it. `share`: what the floor keeps in use there; "
+          "`falls`: how often lately; `why`: who said what.",
+          "See `finchshelf show servers`, then the server. It comes back by itself once it does well."),
+    Event(752, "server.back",
+          "A server that was left is at full share again.",
+          "Nothing; if it keeps falling (`falls`), take it out."),
+    Event(753, "witness.ignored",
+          "A limiter calls most servers of a `service` bad, and most other limiters do not: it is not "
+          "heard for a while.",
+          "Look at that limiter: cut off, overloaded or halted."),
+    Event(801, "rollout.began",
+          "Every site's version is known; the past of all is gathered from here on.",
+          NOTHING),
+    Event(802, "rollout.step",
+          "A site's change is written down in the register and about to be sent. `version`: the one it "
+          "gets.",
+          NOTHING),
+    Event(803, "rollout.changed",
+          "A site took the change; its watch begins.",
+          NOTHING),
+    Event(804, "rollout.passed",
+          "It is proven that no harm has grown at the site; `requests` were watched.",
+          NOTHING),
+    Event(805, "rollout.halted",
+          "No further site gets the change; `why`, and `harm` where one has grown.",
+          "Read `why` in `finchshelf rollout status`; mend the policy, begin a new roll-out."),
+    Event(806, "rollout.returned",
+          "The site has its last good policy back, under the new `version`.",
+          NOTHING),
+    Event(807, "rollout.left",
+          "Another operator's version is in place at the site: the roll-out leaves it alone.",
+          "Ask who changed it and whether that builds on the change that was rolled out."),
+    Event(808, "rollout.paused",
+          "An operator paused: what has changed is still watched, nothing more changes.",
+          "`finchshelf rollout resume` when it may go on."),
+    Event(809, "rollout.resumed",
+          "An operator let it go on.",
+          NOTHING),
+    Event(810, "rollout.done",
+          "Every site has the change, and each has passed.",
+          NOTHING),
+    Event(811, "rollout.ended",
+          "A roll-out that was halted or aborted has nothing more to take back.",
+          NOTHING),
+    Event(812, "rollout.duty",
+          "This keeper drives from here on; `epoch`.",
+          "Nothing, if the former driver was ended or lost; if it repeats, see what cuts keepers off."),
+    Event(813, "rollout.fenced",
+          "This keeper no longer drives: another has a later epoch, or no majority of keepers answers.",
+          "See whether the other keepers are up; nothing else: it can do no harm."),
     Event(901, "call.again",
           "The command line's call got no clear answer and goes to the next control plane.",
           "If it repeats: see which control planes are up."),
