--- a/finchshelf/cli/__main__.py
+++ b/finchshelf/cli/__main__.py
@@ -256,11 +256,14 @@
     send("setpoint.adjust", called(controls, settings, False), file, within)
 
 
+<<<<<<< HEAD
 # ---- many sites ----
 
 main.add_command(rollout)
 
 
+=======
+>>>>>>> state
 # ---- tests beside the package ----
 
 
@@ -277,6 +280,14 @@
     sys.stdout.flush()
     os.execve(sys.executable, [sys.executable, "-m", "tests.stories.explore", *ctx.args],
               {**os.environ, "PYTHONPATH": path})
+<<<<<<< HEAD
+=======
+
+
+# ---- many sites ----
+
+main.add_command(rollout)
+>>>>>>> state
 
 
 # ---- the demo ----
