--- a/finchshelf/controlplane/news.py
+++ b/finchshelf/controlplane/news.py
@@ -15,7 +15,7 @@
 
 import trio
 
-from finchshelf.agreement.core import Member, Value
+from finchshelf.agreement.core import Value
 from finchshelf.agreement.store import StoreError
 from finchshelf.controlplane.cells import Cells, Control
 from finchshelf.controlplane.register import Register
@@ -422,5 +422,3 @@
         nursery.start_soon(one, first)
         nursery.start_soon(one, second)
 
-
-__all__ = ["Member", "News"]
--- a/finchshelf/dataplane/core.py
+++ b/finchshelf/dataplane/core.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
-from typing import Any, Protocol
+from typing import Any
 
 import trio
 
@@ -75,10 +75,6 @@
 Item = Request | Ended | Arrived | ClientGone | Told | News
 
 
-class Ports(Protocol):
-    clients: Clients
-
-
 def plain(status: int, headers: Headers | None = None) -> Answer:
     return Answer(status, [*NOTHING, *(headers or [])])
 
--- a/finchshelf/dataplane/questions.py
+++ b/finchshelf/dataplane/questions.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import Callable
 from contextlib import suppress
 from typing import Any, Protocol
 
@@ -123,5 +122,3 @@
         else:
             raise ValueError(f"kind {kind!r}")
 
-
-Factory = Callable[[Address, Asked, Log], Questions]
--- a/finchshelf/transport/calls.py
+++ b/finchshelf/transport/calls.py
@@ -71,7 +71,6 @@
                  handler: CallHandler | None) -> None:
         self.clock, self.telemetry, self.nursery, self.handler = clock, telemetry, nursery, handler
         self.last = 0
-        self.scopes: dict[int, trio.CancelScope] = {}
 
     def next_id(self) -> int:
         self.last += 1
@@ -83,10 +82,8 @@
     def put(self, item: Any) -> None:
         if isinstance(item, Exchange):
             self.nursery.start_soon(self.run, item)
-        elif isinstance(item, i.ClientGone) and item.id in self.scopes:
-            # Danger: what its caller no longer waits for may be half done: it goes on to its end, unheard.
-            self.scopes.pop(item.id, None)
         else:
+            # Danger: what its caller no longer waits for may be half done: it goes on to its end, unheard.
             assert isinstance(item, Arrived | i.ClientGone)
 
     async def run(self, exchange: Exchange) -> None:
