A disk in doubt answers no read until those that can be reached have vouched for it

Change: a read waits until every member to which a connection has come up has said what it heard of this disk; a member that can't be reached within 10 ms holds up no read. Votes wait as before.

--- a/finchshelf/controlplane/members.py
+++ b/finchshelf/controlplane/members.py
@@ -38,6 +38,11 @@
         self.links.pop(address, None)
         self.sent.pop(address, None)
 
+    def reaches(self, address: str) -> bool:
+        """Is there a connection to that peer, so that its answer may be on the way?"""
+        link = self.links.get(address)
+        return link is not None and link.frames is not None
+
     async def agree(self, address: str, message: Message, limit: float) -> Message:
         """A member's reply; PeerError where there is none within `limit` s."""
         before = set(self.sent.get(address, ()))
--- a/finchshelf/controlplane/register.py
+++ b/finchshelf/controlplane/register.py
@@ -46,6 +46,8 @@
 
     async def agree(self, address: str, message: Message, limit: float) -> Message: ...
 
+    def reaches(self, address: str) -> bool: ...
+
     def takes(self, document: bytes) -> float: ...
 
     async def document(self, name: bytes, address: str) -> bytes | None: ...
@@ -271,6 +273,10 @@
     async def handle(self, message: Message) -> Message:
         """A member's or proposer's message; StoreError where the disk did not take what the reply leans
         on."""
+        # Danger: a disk that was put back, told as proof beside one that was down, would prove an old value.
+        if (message.get("kind") == "read" and "me" not in message
+                and not await self.witnessing.allow_read(ASK)):
+            raise StoreError("witness", self.address, "not yet known whether the disk is an older one")
         before = self.acceptor.decided
         if message.get("kind") == "learn":
             self.witnessing.told(message)
--- a/tests/stories/test_disk_words.py
+++ b/tests/stories/test_disk_words.py
@@ -29,6 +29,9 @@
                  word: dict[str, Any] | None = None) -> None:
         self.nursery, self.me, self.others, self.slow, self.word = nursery, me, others, slow, word
 
+    def reaches(self, address: str) -> bool:
+        return True
+
     async def agree(self, address: str, message: dict[str, Any], limit: float) -> dict[str, Any]:
         await trio.sleep(0.05 if self.slow in (address, self.me) else 0.001)
         if self.word is not None:
--- a/tests/stories/test_power_back.py
+++ b/tests/stories/test_power_back.py
@@ -54,6 +54,9 @@
     class Wiped:
         nursery: trio.Nursery
 
+        def reaches(self, address: str) -> bool:
+            return True
+
         async def agree(self, address: str, message: dict[str, Any], limit: float) -> dict[str, Any]:
             await trio.sleep(0.001)
             if message["kind"] == "read" and "me" not in message:
--- a/tests/stories/test_state.py
+++ b/tests/stories/test_state.py
@@ -33,6 +33,9 @@
             address: Register(address, ADDRESSES, first, Store(str(folder), 64), self, Random(1),
                               lambda *_, **__: None) for address, folder in folders.items()}
 
+    def reaches(self, address: str) -> bool:
+        return True
+
     async def agree(self, address: str, message: dict[str, Any], limit: float) -> dict[str, Any]:
         return await self.registers[address].handle(message)
 
