--- a/finchshelf/agreement/core.py
+++ b/finchshelf/agreement/core.py
@@ -115,6 +115,7 @@
         self.accepted = accepted
         self.revision = 1  # a new acceptor isn't on disk: the first reply that leans on it saves it
         self.on_disk = 0
+        self.contradiction: Value | None = None  # heard as decided for a slot that holds another value here
 
     @staticmethod
     def restore(address: str, state: Message) -> Acceptor:
@@ -142,6 +143,8 @@
     def learn(self, value: Value) -> bool:
         """Moves to a decided value; False if it is known already. Never back: that would undo promises."""
         if self.decided is not None and value.slot <= self.decided.slot:
+            if value.slot == self.decided.slot and value != self.decided:
+                self.contradiction = value
             return False
         self.decided, self.promised, self.accepted = value, NO_BALLOT, None
         self.revision += 1
--- a/finchshelf/cli/__main__.py
+++ b/finchshelf/cli/__main__.py
@@ -300,5 +300,12 @@
     sys.exit(0 if well else 1)
 
 
+@main.command("soak", context_settings={"ignore_unknown_options": True}, add_help_option=False)
+@click.argument("words", nargs=-1, type=click.UNPROCESSED)
+def soak_command(words: tuple[str, ...]) -> None:
+    """Play the whole system under troubles drawn from seeds, on loopback (`finchshelf soak --help`)."""
+    os.execv(sys.executable, [sys.executable, "-m", "finchshelf.soak", *words])
+
+
 if __name__ == "__main__":
     main(prog_name="finchshelf")
--- a/finchshelf/cli/deploy.py
+++ b/finchshelf/cli/deploy.py
@@ -24,6 +24,7 @@
         "share": {"type": "number", "exclusiveMinimum": 0, "maximum": 1},
         "count": {"type": "integer", "minimum": 1},
         "apart": {"type": "boolean"},
+        "metrics": {"type": "string", "pattern": "^[1-9][0-9]{0,4}/[!-~]+$"},
         "serves": {"type": "array", "items": {"enum": list(SERVES)}, "uniqueItems": True},
     },
     "additionalProperties": False,
--- a/finchshelf/cli/system.py
+++ b/finchshelf/cli/system.py
@@ -60,10 +60,17 @@
 
 @dataclass
 class System:
-    """Machines 1 to `machines`, each in a zone of its own, seeds of each other."""
+    """Machines 1 to `machines`, in zones by turns; the first `core` of them are seeds and have a disk.
+
+    `core`: all of them where it is 0. `extra`: further lines of the settings files, by role. `launcher`: a
+    module that starts the program named to it, in place of the program itself."""
 
     folder: Path
     machines: int = 3
+    core: int = 0
+    extra: dict[str, dict[str, str]] = field(default_factory=dict)
+    launcher: str = ""
+    env: dict[str, str] = field(default_factory=dict)
     net: str = field(default_factory=network)
     children: dict[str, Child] = field(default_factory=dict)
 
@@ -73,12 +80,16 @@
     def each(self, port: int) -> list[Address]:
         return [Address(self.ip(machine), port) for machine in range(1, self.machines + 1)]
 
+    def seeds(self) -> list[Address]:
+        return self.each(CONTROL)[:self.core or self.machines]
+
     def settings(self, role: str, machine: int, first: bool = True) -> Path:
         """The settings file of one program, written anew; `first`: the whole system has never run."""
         ip, zone = self.ip(machine), ZONES[(machine - 1) % len(ZONES)]
         disk = self.folder / f"disk-{machine}"
         disk.mkdir(exist_ok=True)
         edge = role == "data-plane"
+        diskless = edge or machine > (self.core or self.machines)
         inlets = {"front": FRONT, "readiness": READINESS} if edge else {"control": CONTROL}
         lines = {
             "node": f"edge-{zone}-{machine}", "function": role, "machineClass": "edge",
@@ -86,13 +97,13 @@
             **{f"zones.{name}": "demo" for name in ZONES},
             **{f"inlets.{name}": f"{ip}:{port}" for name, port in inlets.items()},
             "portRange": f"{INNER},{INNER + 15}",
-            "initialPeers": ",".join(map(str, self.each(CONTROL))),
-            "initialCondition": str(first).lower(), "lossCounted": "true",
+            "initialPeers": ",".join(map(str, self.seeds())),
+            "initialCondition": str(first).lower(), "lossCounted": str(edge or not diskless).lower(),
             "saturations.cpuFraction": "1", "saturations.cores": "1", "saturations.memoryMb": "300",
             "saturations.descriptors": "1000", "saturations.bandwidthMbps": "1000",
-            "saturations.storageMb": "0" if edge else "64", "pulseMs": str(PULSE_MS),
+            "saturations.storageMb": "0" if diskless else "64", "pulseMs": str(PULSE_MS),
             "disturbances.machines": "1", "disturbances.zones": "0", "disturbances.regions": "0",
-            "margins": MARGINS, **({} if edge else {"stateDir": str(disk)})}
+            "margins": MARGINS, **({} if diskless else {"stateDir": str(disk)}), **self.extra.get(role, {})}
         path = self.folder / f"{role}-{machine}.conf"
         path.write_text("".join(f"{name}={value}\n" for name, value in lines.items()))
         return path
@@ -103,11 +114,14 @@
         name = f"{role}-{machine}"
         path = self.folder / f"{name}.log"
         paths = [PACKAGE, *filter(None, [os.environ.get("PYTHONPATH")])]
-        env = {**os.environ, "FINCHSHELF_BOOT": str(self.settings(role, machine, first)),
+        program = f"finchshelf.{role.replace('-', '')}"
+        started = (self.launcher, role.replace("-", "")) if self.launcher else (program,)
+        own = {key: value.format(machine=machine) for key, value in self.env.items()}
+        env = {**os.environ, **own, "FINCHSHELF_BOOT": str(self.settings(role, machine, first)),
                "PYTHONPATH": os.pathsep.join(paths)}
         with path.open("ab") as sink:
             process = subprocess.Popen(
-                [sys.executable, *options, "-m", f"finchshelf.{role.replace('-', '')}", *words],
+                [sys.executable, *options, "-m", *started, *words],
                 env=env, stdin=subprocess.DEVNULL, stdout=sink, stderr=sink)
         log("child.started", child=name, pid=process.pid)
         self.children[name] = Child(name, process, path)
--- a/finchshelf/configuration/boot.py
+++ b/finchshelf/configuration/boot.py
@@ -39,7 +39,11 @@
     "disturbances.machines": "count",
     "disturbances.zones": "count",
     "disturbances.regions": "count",
+    "metrics": "place",
 }
+# What a field that is missing counts as, by kind; 0 for numbers.
+EMPTY: dict[str, Any] = {
+    "text": "", "texts": (), "addresses": (), "flag": False, "address": None, "place": None}
 REQUIRED = (
     *("node", "function", "machineClass", "serves", "ip", "zone", "region", "portRange", "pulseMs"),
     *("saturations.cpuFraction", "saturations.cores", "saturations.memoryMb"),
@@ -68,6 +72,13 @@
         return f"{self.host}:{self.port}"
 
 
+class MetricsPlace(NamedTuple):
+    """Where a program tells its figures: a port of its own machine and a path that begins with a slash."""
+
+    port: int
+    path: str
+
+
 @dataclass(frozen=True, slots=True)
 class Boot:
     """What this process is told about itself; `state_dir` is empty on a machine without a disk."""
@@ -99,6 +110,7 @@
     lost_regions: int
     cores: float
     cpu_fraction: float
+    metrics: MetricsPlace | None = None
 
     def seconds(self, name: str, default: float) -> float:
         """A margin of time in seconds, by its name without the unit: `settling`, `peerDelay`."""
@@ -141,7 +153,7 @@
         if field not in self.fields:
             if field in REQUIRED:
                 raise self.fault(field, "this field is missing")
-            return {"text": "", "texts": (), "addresses": (), "flag": False, "address": None}.get(kind, 0)
+            return EMPTY.get(kind, 0)
         text = self.fields[field][1]
         value = _parse(kind, text)
         if value is None or (kind == "text" and not value):
@@ -158,6 +170,7 @@
     "flag": "true or false",
     "number": "a number, 0 or more",
     "count": "a whole number, 0 or more",
+    "place": "PORT/PATH",
 }
 
 
@@ -174,6 +187,13 @@
     return int(text) if digits and 0 < int(text) < 65536 else None
 
 
+def _metrics_place(text: str) -> MetricsPlace | None:
+    digits, slash, path = text.strip('"').partition("/")
+    port = _port(digits)
+    fine = slash and path and path.isascii() and path.isprintable() and not set(path) & set(" ?#")
+    return MetricsPlace(port, f"/{path}") if port is not None and fine else None
+
+
 def _parse(kind: str, text: str) -> Any:
     """The text in its kind, or None if it is not of that kind."""
     if kind == "texts":
@@ -182,6 +202,8 @@
         host, _, digits = text.rpartition(":")
         port = _port(digits)
         return Address(host, port) if host and ":" not in host and port is not None else None
+    if kind == "place":
+        return _metrics_place(text)
     if kind == "addresses":
         peers = tuple(_parse("address", part) for part in _parse("texts", text))
         return None if None in peers else peers
@@ -253,6 +275,7 @@
         lost_regions=value("disturbances.regions"),
         cores=value("saturations.cores"),
         cpu_fraction=value("saturations.cpuFraction"),
+        metrics=value("metrics"),
     )
 
 
--- a/finchshelf/controlplane/__main__.py
+++ b/finchshelf/controlplane/__main__.py
@@ -10,6 +10,7 @@
 import signal
 import sys
 import time
+from functools import partial
 from random import Random
 
 import trio
@@ -26,6 +27,9 @@
 from finchshelf.controlplane.resources import Change, Departure, Observe, Pulse, Resource, Resources
 from finchshelf.controlplane.sweeps import Sweeps
 from finchshelf.controlplane.turns import Turns
+from finchshelf.controlplane.watch import CallWatch
+from finchshelf.metrics import endpoint
+from finchshelf.metrics.figures import Figures
 from finchshelf.transport import frames, net
 from finchshelf.transport.address import Address
 from finchshelf.transport.calls import Calls, Reader
@@ -54,7 +58,7 @@
         nursery.start_soon(turns.run)
         news = News(cells, clock, nursery, counted, random, telemetry.log, turns)
         register = Register(address, seeds, boot.initial_condition, store, news.members, random,
-                            telemetry.log)
+                            telemetry.log, telemetry.monitor)
         news.register = register
         await register.begin()
         nursery.start_soon(register.keep)
@@ -84,7 +88,8 @@
             to = news.standing.elsewhere(clock.now()) if news.apart() else None
             return f"{to.rpartition(':')[0]}:{control_port}" if to else "" if news.apart() else None
 
-        calls = Calls(clock, telemetry, nursery, Resources(handlers, turns, beyond).handle)
+        resources = Resources(handlers, turns, beyond, CallWatch(telemetry))
+        calls = Calls(clock, telemetry, nursery, resources.handle)
         clients = Clients(calls, Reader(), nursery, lambda: True, boot.descriptors, int(boot.memory_mb * 1e6))
         listener = await net.listen(Address(*boot.control))
         nursery.start_soon(clients.accept, listener)
@@ -92,6 +97,8 @@
         settings = program.Settings(
             boot, lambda _: {"state": "noted: seeds are only needed at a start"}, telemetry.log)
         nursery.start_soon(settings.run)
+        figures = Figures(telemetry, partial(gauges, register, cells, news))
+        await endpoint.serve(boot, figures, clock, nursery)
         telemetry.log("start", address=address, disk=register.me.disk, seed=seed, recalled=recalled,
                       slot=register.decided.slot if register.decided else -1)
         gc.collect()
@@ -111,6 +118,16 @@
     telemetry.log("exit", handed=handed)
 
 
+def gauges(register: Register, cells: Cells, news: News) -> dict[str, float]:
+    """Present values for whoever fetches the figures."""
+    decided = register.decided
+    return {"decided_slot": decided.slot if decided else -1, "configuration_version":
+            decided.version if decided else -1, "core_members": len(decided.members) if decided else 0,
+            "is_member": float(decided is not None and register.me in decided.members),
+            "in_contact": float(news.joined()), "proved_newest": float(register.standing.proved),
+            "disk_in_doubt": float(register.witness.doubted), "servers_known": len(cells.servers.rows)}
+
+
 def main() -> int:
     return program.main(serve)
 
--- a/finchshelf/controlplane/asking.py
+++ b/finchshelf/controlplane/asking.py
@@ -95,7 +95,7 @@
             if heard.document:
                 self.nursery.start_soon(register.fetch, heard.value, heard.document, control.address)
             else:
-                register.heard(heard.value)
+                register.learn(heard.value)
         control.named = control.named if heard.named is None else heard.named
         for address, zone in heard.controls:
             met = cells.meet(address)
--- a/finchshelf/controlplane/register.py
+++ b/finchshelf/controlplane/register.py
@@ -22,8 +22,10 @@
 from finchshelf.agreement.membership import Leavers
 from finchshelf.agreement.standing import Standing, Witness
 from finchshelf.agreement.store import Store, StoreError
+from finchshelf.controlplane.chain import ChainChecks
 from finchshelf.controlplane.rounds import READ, Rounds, slots_of
 from finchshelf.controlplane.witnessing import Witnessing
+from finchshelf.invariants import Monitor
 from finchshelf.transport.frames import Message, PeerError
 
 ASK = 0.4  # s for one answer of a member; a commit takes 5 to 10 ms, a disk in trouble has no vote
@@ -63,7 +65,10 @@
 
 class Register:
     def __init__(self, address: str, seeds: tuple[str, ...], first_start: bool, store: Store | None,
-                 peers: Peers, random: Random, log: Callable[..., None]) -> None:
+                 peers: Peers, random: Random, log: Callable[..., None],
+                 monitor: Monitor | None = None) -> None:
+        """`monitor`: counts violations of invariants; without one they are only logged."""
+        self.monitor = monitor or Monitor(log)
         self.address, self.store, self.peers, self.random, self.log = address, store, peers, random, log
         self.writing: Writing | None = None
         self.decided_event = trio.Event()
@@ -74,6 +79,7 @@
         self.members = self.decided.members if self.decided else ()
         self.renewed = self.decided is not None and self.decided.taken.renewed()
         self.coming = -1  # the newest slot whose document is on its way
+        self.checks = ChainChecks(self.monitor, address)
         self.leavers, self.rounds = Leavers(), Rounds(self)
         self.standing, self.held = Standing(), self.known  # the slot that the disk held
         self.n = 1
@@ -117,9 +123,14 @@
         return self.acceptor.decided
 
     def learn(self, value: Value) -> None:
-        """A decided value, by an attempt."""
-        if self.acceptor.learn(value):
+        """A decided value, by an attempt or with the news; `keep` brings it to the disk.
+
+        Danger: in memory alone, a machine that is no member, or missed all votes, would be further behind at
+        its next start with each change."""
+        acceptor, before = self.acceptor, self.decided
+        if acceptor.learn(value):
             self.told()
+        self.checks.learned(before, acceptor.decided, acceptor.contradiction)
 
     @property
     def known(self) -> int:
@@ -162,12 +173,6 @@
             self.log("core.current", slot=self.known, held=self.held)
             self.told()
 
-    def heard(self, value: Value) -> None:
-        """A decided value with the news. `keep` brings it to the disk: in memory alone, a machine that is no
-        member, or missed all votes, would be further behind at its next start with each change."""
-        if self.acceptor.learn(value):
-            self.told()
-
     async def fetch(self, value: Value, name: bytes, address: str) -> None:
         """A decided value that someone told, but for its document: it comes piece by piece."""
         if value.slot <= self.known:
@@ -176,7 +181,7 @@
         try:
             document = await self.peers.document(name, address)
             if document is not None:
-                self.heard(replace(value, document=document))
+                self.learn(replace(value, document=document))
             else:
                 await trio.sleep(AGAIN)
         finally:
@@ -277,12 +282,14 @@
         if (message.get("kind") == "read" and "me" not in message
                 and not await self.witnessing.allow_read(ASK)):
             raise StoreError("witness", self.address, "not yet known whether the disk is an older one")
-        before = self.acceptor.decided
+        acceptor, before, promised = self.acceptor, self.acceptor.decided, self.acceptor.promised
         if message.get("kind") == "learn":
             self.witnessing.told(message)
         if "leaves" in message:
             self.leavers.hear(message["leaves"], trio.current_time())
-        reply, dirty = self.acceptor.handle(message)
+        reply, dirty = acceptor.handle(message)
+        self.checks.promised(before, acceptor.decided, promised, acceptor.promised)
+        self.checks.learned(before, acceptor.decided, acceptor.contradiction)
         if reply["kind"] == "state" and "me" in message:
             reply["saw"] = self.witness.saw(message["me"])
         if self.witness.doubted and reply["kind"] in ("promise", "accepted"):
@@ -292,7 +299,9 @@
         if dirty:
             if self.store is None and reply["kind"] == "learned":
                 return reply
+            wanted = acceptor.revision
             await self.save()
+            self.checks.voting(reply["kind"], acceptor.on_disk, wanted)
         return {**reply, "saved": self.saved()} if reply["kind"] in ("promise", "accepted") else reply
 
     def saved(self) -> int:
--- a/finchshelf/controlplane/resources.py
+++ b/finchshelf/controlplane/resources.py
@@ -15,6 +15,7 @@
 import orjson
 import trio
 
+from finchshelf import invariants
 from finchshelf.agreement import orders
 from finchshelf.agreement.core import Refusal, Value
 from finchshelf.agreement.orders import Order, Ruling
@@ -26,6 +27,7 @@
 from finchshelf.controlplane.ranks import of_call
 from finchshelf.controlplane.register import Register, Unsettled
 from finchshelf.controlplane.turns import Busy, Turns
+from finchshelf.controlplane.watch import CallWatch
 from finchshelf.membership import rendezvous
 from finchshelf.membership.records import DECAYING, STABLE, Unfit, read_beat
 from finchshelf.transport.calls import Call, told
@@ -67,6 +69,9 @@
             if not await self.news.hold(row):
                 return told(503, {"error": "not held by more than half of the core"})
             self.cells.held.add(of, self.now())
+        if record.mode == DECAYING:
+            self.news.register.monitor.check(self.cells.held.known(of, self.now()), invariants.DRAIN_HELD,
+                                             server=of, count=record.count)
         return told(200, self.target(of, record.zone))
 
     def target(self, of: str, zone: str) -> dict[str, str]:
@@ -163,6 +168,9 @@
 
     def answer(self, ruling: Ruling, order: Order) -> Answer:
         if ruling is Ruling.TAKEN:
+            if (decided := self.register.decided) is not None:
+                fate = decided.taken.fate(order.version, order.digest)
+                self.register.checks.acknowledging(decided.slot, order.version, fate)
             self.log("configuration", version=order.version, kind=self.kind)
             return told(200, {"setpointSeq": f"{order.version:08x}"})
         if ruling is Ruling.REFUSED:
@@ -186,10 +194,13 @@
         self.register = register
 
     async def call(self, of: str, body: bytes) -> Answer:
+        checks = self.register.checks
+        floor = checks.read_slot
         try:
             current = await self.register.read(READ)
         except Unsettled as error:
             return told(503, {"error": str(error)})
+        checks.answering(current.slot, floor)
         if not current.document:
             return told(404, {"error": "no configuration was taken yet"})
         headers = [(b"Content-Type", b"application/json"), (b"Content-Length", b"%d" % len(current.document))]
@@ -203,18 +214,26 @@
     or nothing where there is none."""
 
     def __init__(self, handlers: dict[str, Resource], turns: Turns,
-                 beyond: Callable[[], str | None] = lambda: None) -> None:
-        self.handlers, self.turns, self.beyond = handlers, turns, beyond
+                 beyond: Callable[[], str | None] = lambda: None, watch: CallWatch | None = None) -> None:
+        self.handlers, self.turns, self.beyond, self.watch = handlers, turns, beyond, watch
 
     async def handle(self, call: Call) -> Answer:
+        began = trio.current_time()
         path, _, query = call.target.decode("ascii", "replace").partition("?")
         try:
             asked: dict[str, Any] = parse_qs(query, max_num_fields=8)
         except ValueError as error:  # the caller's fault, not one of ours
             return told(400, {"error": f"read a call: query: {error}"})
-        name = asked.get("call", [""])[0]
+        name, of = asked.get("call", [""])[0], asked.get("of", [""])[0]
+        answer = await self.answer(call, name if path == "/v1/rpc" else "", of)
+        if self.watch is not None:
+            known = name if name in self.handlers else ""
+            self.watch.ended(known, of, answer, trio.current_time() - began)
+        return answer
+
+    async def answer(self, call: Call, name: str, of: str) -> Answer:
         handler = self.handlers.get(name)
-        if path != "/v1/rpc" or handler is None:
+        if handler is None:
             return told(404, {"error": "no such call"})
         if call.method != b"POST":
             return told(405, {"error": "expected POST"})
@@ -225,7 +244,7 @@
         # Danger: an order that can't be decided here would cost its operator a second each time.
         if name in ASK_THE_CORE and (to := self.beyond()) is not None:
             return elsewhere(to, call.target)
-        answer = await handler.call(asked.get("of", [""])[0], call.body)
+        answer = await handler.call(of, call.body)
         if answer.status == 503 and (to := self.beyond()) is not None:
             return elsewhere(to, call.target)
         return answer
--- a/finchshelf/dataplane/__main__.py
+++ b/finchshelf/dataplane/__main__.py
@@ -17,6 +17,7 @@
 
 from finchshelf import program
 from finchshelf.configuration.boot import Boot
+from finchshelf.dataplane.checks import QuotaMargins
 from finchshelf.dataplane.core import Core
 from finchshelf.dataplane.dialect import Reader, Words
 from finchshelf.dataplane.follower import Follower
@@ -24,6 +25,8 @@
 from finchshelf.dataplane.teller import Teller
 from finchshelf.experience.policy import DEFAULT, Policy
 from finchshelf.membership.records import Limiter
+from finchshelf.metrics import endpoint
+from finchshelf.metrics.figures import Figures
 from finchshelf.transport import calls, net
 from finchshelf.transport.address import Address
 from finchshelf.transport.clients import Clients
@@ -48,7 +51,9 @@
     assert boot.front is not None and boot.readiness is not None
     margins = boot.margins
     core = Core(boot.node, boot.zone, clock, telemetry, random, float(margins.get("retryRatio", 0.2)),
-                float(margins.get("retrySlack", 0.0)), policy)
+                float(margins.get("retrySlack", 0.0)), policy, QuotaMargins(
+                    boot.seconds("quotaWindow", 5.0), float(margins.get("quotaOvershoot", 0.1)),
+                    float(margins.get("quotaSlack", 20.0))))
     async with trio.open_nursery() as nursery:
         core.counting.wire = wire = Questions(Address(boot.ip, counts), core.counting, telemetry, me.life)
         core.servers = Servers(core, Words(core.probe_path), nursery, boot.descriptors)
@@ -74,6 +79,8 @@
             nursery.start_soon(Teller(core.steering, follower, clock, nursery, telemetry.log).run)
         nursery.start_soon(readiness.accept, gate)
         nursery.start_soon(clients.accept_within, front, accepting)
+        figures = Figures(telemetry, partial(gauges, core, clients, follower))
+        await endpoint.serve(boot, figures, clock, nursery)
         telemetry.log("start", front=str(Address(*boot.front)), seed=seed)
         gc.collect()
         gc.freeze()
@@ -84,6 +91,7 @@
                     settings.read()
                 elif number == signal.SIGUSR1:
                     telemetry.counters("asked", requests=len(core.live))
+                    core.failures.tell()
                 else:
                     break
             # Danger: with the receiver closed, a second SIGTERM would end this process at once, with
@@ -100,6 +108,14 @@
     telemetry.counters("exit", unanswered=len(core.live))
 
 
+def gauges(core: Core, clients: Clients, follower: Follower) -> dict[str, float]:
+    """Present values for whoever fetches the figures."""
+    return {"requests_open": len(core.live), "connections": len(clients.connections),
+            "configuration_version": core.configuration.version, "configuration_slot": follower.slot,
+            "servers_known": len(core.choice.table), "limiters_known": len(core.counting.limiters),
+            "ready": float(core.ready() and follower.settled())}
+
+
 async def tally(telemetry: Telemetry) -> None:
     while True:
         await trio.sleep(TALLY)
--- a/finchshelf/dataplane/core.py
+++ b/finchshelf/dataplane/core.py
@@ -20,9 +20,11 @@
 from finchshelf.configuration.document import Configuration, Limits, Route
 from finchshelf.dataplane import idling, tries
 from finchshelf.dataplane.budget import Budget
+from finchshelf.dataplane.checks import CHECK_EVERY_S, QuotaMargins, RequestChecks
 from finchshelf.dataplane.choice import Choice
 from finchshelf.dataplane.counting import Counting, Told
 from finchshelf.dataplane.dialect import MISDIRECTED, Reader, Request
+from finchshelf.dataplane.failures import Failures
 from finchshelf.dataplane.steering import Steering
 from finchshelf.dataplane.tries import Next, Tried
 from finchshelf.experience.policy import DEFAULT, Policy
@@ -49,6 +51,7 @@
     whole: frozenset[str] | None = None
     verdicts: list[Any] = field(default_factory=list)
     usual: dict[str, float] = field(default_factory=dict)  # s that routes take, as others know it
+    slot: int = 0  # of the decided value that the configuration is from
 
 
 Item = Request | Ended | Arrived | ClientGone | Told | News | Probed
@@ -64,7 +67,8 @@
 
 class Core:
     def __init__(self, me: str, zone: str, clock: Clock, telemetry: Telemetry, random: Random,
-                 ratio: float, slack: float, policy: Policy = DEFAULT) -> None:
+                 ratio: float, slack: float, policy: Policy = DEFAULT,
+                 quota: QuotaMargins | None = None) -> None:
         self.me, self.clock, self.telemetry, self.count = me, clock, telemetry, telemetry.count
         self.random = random
         self.configuration = Configuration(0, (), {}, {}, Limits())
@@ -72,7 +76,8 @@
         self.idling = idling.Idling()
         self.steering = Steering(me, policy, self.choice)
         self.steering.probe = self.probe
-        self.counting = Counting(me, self)
+        self.failures, self.checks = Failures(telemetry), RequestChecks(telemetry.monitor)
+        self.counting = Counting(me, self, quota or QuotaMargins())
         self.addresses: dict[str, Address] = {}
         self.mailbox: Mailbox[Any] = Mailbox()
         self.live: dict[int, Request] = {}
@@ -99,6 +104,7 @@
 
     async def run(self) -> None:
         self.timer(self.clock.now() + self.counting.caller.pace(), "beat", 0)
+        self.timer(self.clock.now() + CHECK_EVERY_S, "check", 0)
         while True:
             wait = max(0.0, self.timers[0][0] - self.clock.now()) if self.timers else math.inf
             until = trio.current_time() + wait
@@ -140,6 +146,9 @@
             self.counting.overdue(number, now)
         elif kind == "beat":
             self.counting.beat(now)
+        elif kind == "check":
+            self.checks.overdue(self.live.values(), now)
+            self.timer(now + CHECK_EVERY_S, "check", 0)
         elif kind == "hedge":
             request = self.live.get(number)
             if request is not None:
@@ -169,6 +178,7 @@
             request = self.live.pop(item.id, None)
             if request is not None:
                 self.count["in.gone"] += 1
+                self.failures.ended(request, "in.gone", 0, now)
                 if self.seen.on and request.route is not None:
                     self.seen.add(request.route.label, "broken")
                 self.cancel(request)
@@ -227,6 +237,8 @@
         if self.seen.on and (request.out or request.may_have_run) and request.method not in SAFE:
             assert request.route is not None  # it may run a second time, whatever the route says of it
             self.seen.add(request.route.label, "repeated")
+        known = self.choice.table.get(server)
+        self.checks.trying(request, known.record if known is not None else None, server)
         attempt = Attempt(request, request.attempts, server, self.addresses[server], request.until - now, now,
                           request.until, most_idle)
         request.out[attempt.number] = attempt
@@ -269,6 +281,7 @@
         request = attempt.exchange
         assert isinstance(request, Request) and request.route is not None
         request.out.pop(attempt.number, None)
+        self.failures.tried(request, attempt, item.status, now)
         load, status = None, item.status
         lost = status is Status.RESET and not item.heard
         if item.idle is not None and (item.heard or lost):
@@ -339,6 +352,8 @@
         if self.live.pop(request.id, None) is None:
             return
         self.count[counted] += 1
+        self.checks.answering(request, answer.status, counted)
+        self.failures.ended(request, counted, answer.status, self.clock.now())
         if self.seen.on:
             route = request.route
             self.seen.ended(route.label if route else "", route.target if route else 0.0, counted,
@@ -377,6 +392,7 @@
         new = item.configuration
         # The follower tells of newer slots alone. A restored core's newest may have a lower version.
         if new is not None:
+            self.checks.configured(new.version, item.slot)
             self.configuration = new
             self.clients.renew(Reader(new), 0.0)
             self.telemetry.log("configuration", version=new.version, routes=len(new.routes))
--- a/finchshelf/dataplane/counting.py
+++ b/finchshelf/dataplane/counting.py
@@ -16,6 +16,7 @@
 from finchshelf.counts.caller import BUDGET, LATER, Caller
 from finchshelf.counts.ends import Ends
 from finchshelf.counts.holder import NEAR, Holder
+from finchshelf.dataplane.checks import GrantChecks, QuotaMargins
 from finchshelf.dataplane.dialect import Request
 from finchshelf.dataplane.questions import Questions
 from finchshelf.membership.records import Limiter
@@ -56,13 +57,14 @@
 
 
 class Counting:
-    def __init__(self, me: str, owner: Owner) -> None:
+    def __init__(self, me: str, owner: Owner, margins: QuotaMargins | None = None) -> None:
         self.me, self.owner, self.clock = me, owner, owner.clock
         self.telemetry, self.count = owner.telemetry, owner.telemetry.count
         self.caller, self.holder, self.ends = Caller(me, self.clock.now()), Holder(), Ends()
         self.limiters: dict[str, Limiter] = {}
         self.hosts: dict[str, str] = {}  # of limiters listed of late: those just left must hear of it
         self.questions: dict[int, Question] = {}
+        self.grants = GrantChecks(owner.telemetry.monitor, margins or QuotaMargins())
         self.in_touch: Callable[[], bool] = lambda: True
         self.wire: Questions
 
@@ -93,6 +95,8 @@
             return None  # Danger: on the other side of a cut another holder grants the whole rate
         fits = self.holder.add(tenant, units, known.rate, max(1.0, known.surge), now, who, state,
                                self.caller.sole(tenant), self.caller.there(), self.caller.left())
+        if fits and units > 0:
+            self.grants.granted(tenant, units, known.rate, max(1.0, known.surge), now)
         return fits, 0.0 if fits else self.holder.after(tenant, units, now)
 
     def may_hold(self, now: float) -> bool:
@@ -137,6 +141,7 @@
                 self.caller.credit(question.request.tenant, 1.0, now)
             return
         self.caller.answered(question.holder, now - question.sent, now)
+        self.telemetry.observe("count_question", "answered", now - question.sent)
         if question.request.id in self.owner.live:
             self.decide(question.request, item.fits, item.after, now)
 
@@ -149,6 +154,7 @@
             question.late = True
             self.owner.timer(now + LATER, "count", number)
             self.count["count.late"] += 1
+            self.telemetry.observe("count_question", "late", now - question.sent)
             if self.caller.failed(question.holder, now):
                 self.telemetry.log("breaker", state="open", holder=question.holder)
             if question.request.id in self.owner.live:
--- a/finchshelf/dataplane/dialect.py
+++ b/finchshelf/dataplane/dialect.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Any
 
 import h11
 
@@ -45,6 +46,7 @@
     came: float = 0.0
     tried: list[str] = field(default_factory=list)
     out: dict[int, Attempt] = field(default_factory=dict)
+    ends: list[Any] = field(default_factory=list)  # of its tries, as `failures.TryEnd`
     may_have_run: bool = False
     last: Answer | None = None  # of a server that failed: passed on where no other does better
     hedged: bool = False
--- a/finchshelf/dataplane/follower.py
+++ b/finchshelf/dataplane/follower.py
@@ -286,6 +286,7 @@
                 event.set()
         name = parcel.digest(value.document) if value is not None and news.configuration is not None else b""
         news.configuration = self.adopt(value, news.configuration, name, source.core)
+        news.slot = self.slot
         self.put(news)
         if not source.core:
             self.follow()
@@ -309,7 +310,7 @@
     def begin(self) -> None:
         """Serve by what was kept aside, where enough have answered by now or nobody in contact is found."""
         if self.aside is not None and self.settled():
-            self.put(News([], configuration=self.release()))
+            self.put(News([], configuration=self.release(), slot=self.slot))
 
     def release(self) -> Configuration | None:
         found, self.aside = self.aside, None
@@ -322,7 +323,8 @@
             if document is not None and value.slot > self.slot:
                 configuration = read_configuration(orjson.loads(document))
                 joined = any(one.core for one in self.sources.values() if str(one.link.address) == address)
-                self.put(News([], configuration=self.adopt(value, configuration, name, joined)))
+                adopted = self.adopt(value, configuration, name, joined)
+                self.put(News([], configuration=adopted, slot=self.slot))
             elif document is None:
                 await trio.sleep(AGAIN)
         except Exception as error:  # Danger: one document that can't be read would end the limiter
--- a/finchshelf/events.py
+++ b/finchshelf/events.py
@@ -64,6 +64,16 @@
           "A data plane stood still for so many `seconds` beyond a beat: frozen, starved, or swamped. "
           "Requests that came meanwhile are taken by their true age.",
           "Where it comes often: look at that machine's load and memory.", rare=True),
+    Event(110, "invariant.violated",
+          "Something that must always hold did not (`docs/invariants.md`): `invariant`, and what explains "
+          "it. The program goes on; the metric `finchshelf_invariant_violations_total` counts all.",
+          "Report it with the line, and with the other machines' lines of the same seconds.", rare=True),
+    Event(111, "metrics.open",
+          "The program's figures are told at this `port` and `path` (`metrics` in the settings).",
+          NOTHING),
+    Event(112, "metrics.refused",
+          "The port for figures can't be listened on; all else goes on.",
+          "Name a free port in the settings and start the program anew."),
     Event(201, "clients.error",
           "A fault that cost one client's connection.",
           REPORT, rare=True),
@@ -82,6 +92,18 @@
     Event(206, "calls.full",
           "A large body was turned away with 503: as much of such bodies as may be held is here already.",
           "Nothing where many operators change at once over thin links; else see who sends.", rare=True),
+    Event(207, "calls.failed",
+          "A call of a server or of the operator was refused or failed: `call`, `status`, `why`, and how "
+          "many ms it `took`. One line a second; `finchshelf_call_seconds` counts all by call and status.",
+          "`why` names the step. Many 503 in a row: see `core.*` and who is cut off.", rare=True),
+    Event(208, "request.failed",
+          "A request was not served: `trial` (its client's name for it), `route`, `service`, `tenant`, "
+          "`why`, `status`, `held_ms`, and its tries (server, how each ended, ms). One line a second; at "
+          "SIGUSR1 the last ones are logged whole.",
+          "`why` and `tries` name the cause; the counter of that name tells how many.", rare=True),
+    Event(209, "requests.failed",
+          "The last requests that were not served, told at SIGUSR1; each as `request.failed` has it.",
+          NOTHING),
     Event(301, "peer.unfit",
           "A peer's answer has not the form it should have; none of it counts. `peer`, `step`.",
           "See whether both run versions that know each other's words."),
--- a/finchshelf/transport/exchange.py
+++ b/finchshelf/transport/exchange.py
@@ -15,6 +15,7 @@
 import trio
 
 from finchshelf.admission import outcome as i
+from finchshelf.invariants import Monitor
 from finchshelf.transport.address import Address
 from finchshelf.transport.bodies import Body
 
@@ -40,6 +41,9 @@
     def count(self) -> MutableMapping[str, int]: ...
     def log(self, event: str, **fields: Any) -> None: ...
     def rare(self, event: str, **fields: Any) -> None: ...
+    @property
+    def monitor(self) -> Monitor: ...
+    def observe(self, name: str, label: str, seconds: float) -> None: ...
 
 
 class Port(Protocol):
--- a/finchshelf/transport/telemetry.py
+++ b/finchshelf/transport/telemetry.py
@@ -15,6 +15,9 @@
 
 import orjson
 
+from finchshelf.invariants import Monitor
+from finchshelf.transport.histogram import Histogram
+
 LOG_TO = 2
 LONGEST = 1500  # characters of a text in a line; of a longer one the end is kept
 RARE = 1.0  # s between two lines of the same event where a fault repeats itself
@@ -27,6 +30,12 @@
         self.count: defaultdict[str, int] = defaultdict(int)
         self.last: dict[str, float] = {}
         self.told: dict[str, int] = {}  # the counters as the last `tally` line left them
+        self.durations: defaultdict[tuple[str, str], Histogram] = defaultdict(Histogram)
+        self.monitor = Monitor(self.rare)
+
+    def observe(self, name: str, label: str, seconds: float) -> None:
+        """One duration, in the histogram of that name and label. `label`: one of a small, fixed set."""
+        self.durations[name, label].observe(seconds)
 
     def log(self, event: str, **fields: Any) -> None:
         cut = {key: value[-LONGEST:] if isinstance(value, str) else value for key, value in fields.items()}
@@ -46,11 +55,13 @@
         self.count["log.lost"] += 1
 
     def rare(self, event: str, **fields: Any) -> None:
-        """Log an event that may come in masses: at most one line a second, all are counted."""
+        """Log an event that may come in masses: at most one line a second, all are counted.
+
+        Danger: one invariant that is violated all the time would hide the first violation of another."""
         self.count[event] += 1
-        now = time.monotonic()
-        if now - self.last.get(event, -RARE) >= RARE:
-            self.last[event] = now
+        key, now = f"{event} {fields.get('invariant', '')}", time.monotonic()
+        if now - self.last.get(key, -RARE) >= RARE:
+            self.last[key] = now
             self.log(event, so_far=self.count[event], **fields)
 
     def holds(self, condition: bool, name: str) -> bool:
--- a/tests/stories/test_answers.py
+++ b/tests/stories/test_answers.py
@@ -76,6 +76,7 @@
         assert day.record.seen["answered"] > 5 and day.record.seen["unanswered"] > 5
 
 
+@pytest.mark.usefixtures("invariants_may_break")
 @pytest.mark.parametrize("guard", [one for one in GUARDS if one not in ALONE])
 def test_given_one_guard_is_dropped_then_the_break_is_found(guard: str) -> None:
     with without(guard):
--- a/tests/stories/test_core_losses.py
+++ b/tests/stories/test_core_losses.py
@@ -141,7 +141,8 @@
 def test_given_a_value_heard_with_the_news_when_the_power_goes_then_the_disk_has_it() -> None:
     """Whoever misses the one message of its proposer holds it no less."""
     seeds = ("10.0.0.1:7660", "10.0.0.2:7660", "10.0.0.3:7660")
-    decided = Value(1, (Member(seeds[0], core.FIRST), Member("10.0.0.9:7660", "new")), 1, b"a document")
+    decided = Value(1, (*(Member(seed, core.FIRST) for seed in seeds[:2]), Member("10.0.0.9:7660", "new")), 1,
+                    b"a document")
 
     async def story(world: World) -> None:
         disk = Disk(Random(1))
--- a/tests/stories/test_core_moves.py
+++ b/tests/stories/test_core_moves.py
@@ -30,6 +30,7 @@
 from finchshelf.controlplane.news import News
 from finchshelf.controlplane.register import Peers, Register
 from finchshelf.controlplane.resources import Pulse
+from finchshelf.invariants import Monitor
 from finchshelf.membership.records import DECAYING, GONE
 from finchshelf.membership.records import Server as Record
 from finchshelf.transport.address import Address
@@ -282,7 +283,8 @@
         asked.append(record.id)
         return most[0]
 
-    pulse = Pulse(cells, cast(News, SimpleNamespace(hold=hold, wake=int, apart=bool)), lambda: at[0], 8407)
+    news = SimpleNamespace(hold=hold, wake=int, apart=bool, register=SimpleNamespace(monitor=Monitor(print)))
+    pulse = Pulse(cells, cast(News, news), lambda: at[0], 8407)
 
     def status(name: str, count: int) -> int:
         return trio.run(pulse.call, name, beat(count, "decaying")).status
--- a/tests/stories/test_disk_words.py
+++ b/tests/stories/test_disk_words.py
@@ -62,7 +62,7 @@
         peers = Peers(nursery, me, {})
         first = made(tmp_path / "disk", peers, SEEDS)
         if me not in SEEDS:
-            first.heard(Value(1, tuple(Member(one, "first") for one in SEEDS[1:])))
+            first.learn(Value(1, tuple(Member(one, "first") for one in SEEDS[1:])))
         assert first.decided is not None
         for member in first.decided.members:
             first.witness.heard(member.address, member.disk, 5)
@@ -101,7 +101,7 @@
             core[address] = made(tmp_path / address, peers, SEEDS[:3])
             await core[address].save()
         newest, put_back, behind = core.values()
-        newest.heard(Value(1, newest.members, 1, b"{}"))
+        newest.learn(Value(1, newest.members, 1, b"{}"))
         newest.witness.heard(SEEDS[1], "first", 99)
         # When both start, and the second's word is there before the first's
         await put_back.begin()
--- a/tests/stories/test_ended_limiters.py
+++ b/tests/stories/test_ended_limiters.py
@@ -14,6 +14,7 @@
 from finchshelf.counts.holder import NEAR, Holder
 from finchshelf.dataplane import questions
 from finchshelf.dataplane.counting import Counting, Told
+from finchshelf.invariants import Monitor
 from finchshelf.membership.records import Limiter
 from finchshelf.transport.address import Address
 from tests.stories.world.fleet import World, play
@@ -49,7 +50,9 @@
 
 def test_given_a_limiter_that_said_its_end_then_neither_share_nor_late_answer_lets_in() -> None:
     let, refused, tenant = list[Any](), list[str](), Tenant("t", (), 1, 60.0, 60.0)
-    owner: Any = mock.Mock(telemetry=SimpleNamespace(count=mock.MagicMock(), log=None), live={1: 1, 2: 2},
+    telemetry = SimpleNamespace(count=mock.MagicMock(), log=None, monitor=Monitor(mock.Mock()),
+                                observe=mock.Mock())
+    owner: Any = mock.Mock(telemetry=telemetry, live={1: 1, 2: 2},
                            configuration=SimpleNamespace(tenants={"t": tenant}),
                            clock=SimpleNamespace(now=lambda: 9.0), send=lambda *row: let.append(row),
                            refuse=lambda request, after, why: refused.append(why))
--- a/tests/stories/test_fleet_stories.py
+++ b/tests/stories/test_fleet_stories.py
@@ -673,6 +673,7 @@
 ]
 
 
+@pytest.mark.usefixtures("invariants_may_break")
 @pytest.mark.parametrize(("rule", "guard", "owner", "name", "mutant", "story"), GUARDS,
                          ids=[f"{rule}: {guard}" for rule, guard, *_ in GUARDS])
 def test_given_a_guard_dropped_when_the_day_is_judged_then_it_is_seen(
--- a/tests/stories/test_many_changes.py
+++ b/tests/stories/test_many_changes.py
@@ -327,7 +327,7 @@
             register.witness.trust()
             assert (await register.handle({**prepare, "ballot": [2, "b:1"]}))["saved"] == register.saved() > 0
             nursery.start_soon(register.keep)
-            register.heard(replace(core.genesis(("a:1", "b:1", "c:1")), slot=7, version=7))
+            register.learn(replace(core.genesis(("a:1", "b:1", "c:1")), slot=7, version=7))
             with trio.fail_after(10):
                 while register.acceptor.on_disk < register.acceptor.revision:
                     await trio.lowlevel.checkpoint()
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -15,8 +15,8 @@
 from finchshelf.transport.telemetry import Telemetry
 
 ROOT = Path(__file__).parent.parent
-PACKAGES = "transport", "controlplane", "dataplane", "experience", "rollout", "cli"
-FILES = [ROOT / "finchshelf" / "program.py",
+PACKAGES = "transport", "metrics", "controlplane", "dataplane", "experience", "rollout", "cli"
+FILES = [ROOT / "finchshelf" / "program.py", ROOT / "finchshelf" / "invariants.py",
          *(path for package in PACKAGES for path in (ROOT / "finchshelf" / package).glob("*.py"))]
 
 
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,230 @@
+"""The soak: its plans, its judge against planted breaks, its cuts, and its short form on real processes."""
+
+from __future__ import annotations
+
+import socket
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import replace
+from itertools import combinations
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from finchshelf.soak import seed as seeds
+from finchshelf.soak.cuts import Cuts, both_ways
+from finchshelf.soak.gate import Gate, GatedDatagrams
+from finchshelf.soak.judge import Judge
+from finchshelf.soak.ledger import End, Leaving, Ledger, Order, Ran, Read, Sent, Struck
+from finchshelf.soak.plan import DISK_REST_S, TAIL_S, Kind, draw
+
+LENGTH_S = 40.0
+
+
+# ---- plans ----
+
+
+def test_a_seed_is_one_plan_and_all_kinds_come_and_overlap() -> None:
+    plans = [draw(seed, LENGTH_S) for seed in range(1, 61)]
+    assert plans[6] == draw(7, LENGTH_S) and plans[6] != plans[7]
+    assert {one.kind for plan in plans for one in plan.troubles} == set(Kind)
+    overlapping = Counter(len(plan.at(one.at_s)) > 1 for plan in plans for one in plan.troubles)
+    assert overlapping[True] > 60
+    for plan in plans:
+        assert all(one.until_s < LENGTH_S - TAIL_S + 10 for one in plan.troubles)
+        wipes = [one.at_s for one in plan.troubles if one.kind is Kind.CONTROL_WIPE]
+        assert all(second - first >= DISK_REST_S for first, second in combinations(wipes, 2))
+
+
+# ---- the judge: each rule with its planted break ----
+
+
+def sent(trial: str, **more: object) -> Sent:
+    row = Sent(
+        trial, "read", "GET", "/pages/1", "acme", 1, False, 5.0, 7.0, 5.0, 5.1, End.ANSWERED, 200, "s-1"
+    )
+    for name, value in more.items():
+        setattr(row, name, value)
+    return row
+
+
+def ran(trial: str, **more: object) -> Ran:
+    row = Ran(
+        trial, "s-1", "pages", 5.05, True, "GET", "/pages/1", "acme", "127.0.0.1", "s-1", False, True, 200
+    )
+    return replace(row, **more)  # type: ignore[arg-type]
+
+
+def order(version: int, prior: int, *statuses: int, **more: object) -> Order:
+    row = Order(
+        version,
+        prior,
+        f"r{version}",
+        True,
+        4.0,
+        [(4.1, one, "c") for one in statuses],
+        4.1 if 200 in statuses else 0.0,
+        "pages",
+    )
+    for name, value in more.items():
+        setattr(row, name, value)
+    return row
+
+
+def read(version: int, **more: object) -> Read:
+    row = Read(39.5, 39.6, "c", 200, version, tuple(f"r{one}" for one in range(1, version + 1)))
+    return replace(row, **more)  # type: ignore[arg-type]
+
+
+def calm() -> Ledger:
+    """A ledger that breaks nothing."""
+    return Ledger(
+        sent=[sent("a"), sent("b", method="POST", route="buy", path="/orders/1", answered_by="s-2")],
+        ran=[
+            ran("a"),
+            ran("b", server="s-2", target="s-2", service="orders", method="POST", path="/orders/1"),
+        ],
+        orders=[order(1, 0, 200), order(2, 1, 0, 200), order(3, 1, 412)],
+        reads=[read(2)],
+    )
+
+
+def plant(change: Callable[[Ledger], Any]) -> set[str]:
+    ledger = calm()
+    change(ledger)
+    return {one.rule for one in Judge(ledger, LENGTH_S).breaches()}
+
+
+def post(trial: str, **more: object) -> Sent:
+    return sent(trial, method="POST", route="buy", path="/orders/1", **more)
+
+
+def too_many(ledger: Ledger) -> None:
+    ledger.sent.extend(sent(f"q{n}", tenant="corner-shop") for n in range(160))
+    ledger.ran.extend(ran(f"q{n}", tenant="corner-shop") for n in range(160))
+
+
+def lost_at_sigterm(ledger: Ledger) -> None:
+    ledger.struck.append(Struck("edge-term", 4.9, 7.0, (1,), ()))
+    ledger.sent[0].end = End.CLOSED
+
+
+PLANTED: list[tuple[str, Callable[[Ledger], Any]]] = [
+    ("TWICE", lambda one: one.ran.append(replace(one.ran[1], at=5.07))),
+    ("REFUSED", lambda one: setattr(one.sent[1], "status", 503)),
+    ("MIXED", lambda one: setattr(one.sent[0], "body_fits", False)),
+    ("MIXED", lambda one: setattr(one.sent[0], "answered_by", "s-9")),
+    ("MIXED", lambda one: setattr(one.sent[0], "end", End.WRONG)),
+    ("UNASKED", lambda one: one.ran.append(ran("nobody's"))),
+    ("UNASKED", lambda one: one.ran.append(ran("a", path="/pages/2"))),
+    ("UNASKED", lambda one: one.ran.append(ran("a", key_passed=True))),
+    ("UNASKED", lambda one: one.ran.append(ran("a", tenant="somebody-else"))),
+    ("ROUTE", lambda one: one.ran.append(ran("a", target="s-7"))),
+    ("BUDGET", lambda one: one.ran.extend(ran("a", server=f"s-{n}", target=f"s-{n}") for n in (2, 3))),
+    ("BUDGET", lambda one: one.ran.extend(ran("a", status=503, ran=False) for _ in range(80))),
+    ("DRAIN", lambda one: one.leavings.append(Leaving("s-1", 3.0, 3.5, 9.0))),
+    ("QUOTA", lambda one: too_many(one)),
+    ("LOST", lambda one: lost_at_sigterm(one)),
+    ("LOST", lambda one: one.sent.append(sent("c", end=End.CLOSED, status=0))),
+    ("LATE", lambda one: one.sent.append(sent("c", end=End.TIMEOUT, status=0, ended=7.9))),
+    ("CONFIG", lambda one: one.orders.append(order(4, 2, 200, valid=False))),
+    ("CONFIG", lambda one: one.orders.append(order(4, 1, 200))),
+    ("CONFIG", lambda one: one.orders.append(order(4, 2, 200, 412))),
+    ("CONFIG", lambda one: one.orders.append(order(4, 2, 400))),
+    ("CONFIG", lambda one: one.reads.append(read(1, sent=6.0))),
+    ("LOST", lambda one: one.reads.append(read(2, sent=6.0, labels=("r1",)))),
+    ("LOST", lambda one: one.reads.clear()),
+    ("ACKS", lambda one: one.orders.append(order(4, 2, 0, 503))),
+    ("ACKS", lambda one: one.orders.append(order(4, 2, 200, acknowledged=9.5))),
+    ("CONFIG", lambda one: one.sent.append(sent("c", route="r2", status=404, at=8.0))),
+    ("DENIED", lambda one: one.sent.append(sent("c", status=401))),
+    (
+        "RECOVER",
+        lambda one: one.sent.extend(sent(f"c{n}", at=30.0, status=503, ended=30.1) for n in range(30)),
+    ),
+    ("INVARIANT", lambda one: one.violations.update({"single-run": 1})),
+    ("FAULT", lambda one: one.faults.append("a line")),
+    ("FAULT", lambda one: one.own_ends.append("data-plane-1")),
+]
+
+
+def test_a_ledger_that_breaks_nothing_is_fine() -> None:
+    assert plant(lambda _: None) == set()
+
+
+@pytest.mark.parametrize(
+    ("rule", "change"), PLANTED, ids=[f"{at}-{rule}" for at, (rule, _) in enumerate(PLANTED)]
+)
+def test_each_rule_finds_its_planted_break(rule: str, change: Callable[[Ledger], Any]) -> None:
+    assert rule in plant(change)
+
+
+@pytest.mark.parametrize(
+    ("rule", "change"),
+    [
+        ("LATE", lambda one: one.sent.append(sent("c", end=End.TIMEOUT, status=0, ended=7.9))),
+        ("DRAIN", lambda one: one.leavings.append(Leaving("s-1", 3.0, 3.5, 9.0))),
+    ],
+)
+def test_a_rule_with_a_time_bound_does_not_hold_for_a_machine_in_trouble(
+    rule: str, change: Callable[[Ledger], Any]
+) -> None:
+    def struck(ledger: Ledger) -> None:
+        change(ledger)
+        ledger.struck.append(Struck("edge-pause", 2.0, 3.0, (1,), ()))
+
+    assert rule not in plant(struck)
+
+
+# ---- cuts ----
+
+
+def test_cuts_overlap_and_an_address_is_reached_once_the_last_has_ended(tmp_path: Path) -> None:
+    cuts, ip = Cuts(tmp_path), {machine: f"127.0.0.{machine}" for machine in (1, 2, 3)}
+    first, second = both_ways([1], [2, 3], ip), both_ways([1, 2], [3], ip)
+
+    def reached(machine: int, other: int) -> bool:
+        return not Gate(str(cuts.path(machine)), ip[machine]).closed(ip[other])
+
+    cuts.begin(first)
+    cuts.begin(second)
+    assert not reached(1, 3) and not reached(3, 1) and not reached(1, 2) and not reached(2, 3)
+    cuts.end(first)
+    assert reached(1, 2) and not reached(1, 3) and not reached(3, 2)
+    cuts.end(second)
+    assert all(reached(one, other) for one in ip for other in ip)
+
+
+def test_datagrams_behind_a_cut_are_lost_both_ways(tmp_path: Path) -> None:
+    path = tmp_path / "gate"
+    GatedDatagrams.gate = Gate(str(path), "127.0.0.1")
+    with (
+        GatedDatagrams(socket.AF_INET, socket.SOCK_DGRAM) as gated,
+        socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as other,
+    ):
+        gated.bind(("127.0.0.1", 0))
+        other.bind(("127.0.0.1", 0))
+        gated.setblocking(False)
+        other.settimeout(2.0)
+        path.write_text("127.0.0.1\n")
+        assert gated.sendto(b"lost", other.getsockname()) == 4
+        other.sendto(b"lost", gated.getsockname())
+        with pytest.raises(BlockingIOError):
+            gated.recvfrom(99)
+        path.write_text("")
+        GatedDatagrams.gate.looked = 0.0
+        gated.sendto(b"heard", other.getsockname())
+        assert other.recvfrom(99)[0] == b"heard"
+
+
+# ---- real processes ----
+
+
+def test_the_short_form_breaks_nothing(tmp_path: Path) -> None:
+    verdict = seeds.play(SHORT_SEED, SHORT_S, tmp_path)
+    assert verdict.fine, [str(one) for one in verdict.breaches]
+    assert verdict.served > 100 and verdict.orders > 3 and verdict.struck, verdict
+
+
+SHORT_SEED, SHORT_S = 5, 18.0
