--- a/benchmarks/agreement_states.py
+++ b/benchmarks/agreement_states.py
@@ -46,8 +46,11 @@
         for lacks, bounds, rule, _ in MUTANTS:
             began = time.perf_counter()
             found = explore(bounds, frozenset(lacks), args.limit, only=rule)
-            print(f"| {', '.join(lacks)} | {found.broken or 'none'} | {found.path} | {found.states:,} | "
-                  f"{time.perf_counter() - began:.1f} |", flush=True)
+            print(
+                f"| {', '.join(lacks)} | {found.broken or 'none'} | {found.path} | {found.states:,} | "
+                f"{time.perf_counter() - began:.1f} |",
+                flush=True,
+            )
         return 0
     print("| attempts | swaps | spare for | wipes | restarts | of | sent again | states | depth | all | s |")
     print("|" + " --- |" * 11)
@@ -56,10 +59,13 @@
         bounds, began = ROWS[row], time.perf_counter()
         found = explore(bounds, limit=args.limit)
         broken |= bool(found.broken)
-        print(f"| {bounds.starts} | {bounds.swaps} | {bounds.out[0]} | {bounds.wipes} | {bounds.restarts} | "
-              f"{''.join('abc'[at] for at in bounds.harmed)} | {'yes' if bounds.resent else 'no'} | "
-              f"{found.states:,} | {found.depth} | {found.broken or ('yes' if found.ended else 'no')} | "
-              f"{time.perf_counter() - began:.0f} |", flush=True)
+        print(
+            f"| {bounds.starts} | {bounds.swaps} | {bounds.out[0]} | {bounds.wipes} | {bounds.restarts} | "
+            f"{''.join('abc'[at] for at in bounds.harmed)} | {'yes' if bounds.resent else 'no'} | "
+            f"{found.states:,} | {found.depth} | {found.broken or ('yes' if found.ended else 'no')} | "
+            f"{time.perf_counter() - began:.0f} |",
+            flush=True,
+        )
     return int(broken)
 
 
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -64,15 +64,27 @@
 
 
 def servers(site: Site) -> list[Server]:
-    return [Server(f"i-{n:08x}", f"10.{n // 62500}.{n // 250 % 250}.{n % 250 + 1}:8080",
-                   f"service-{n % site.services:03d}", f"zone-{n % 4}", 32, 7,
-                   cell=f"10.0.0.{n % 5 + 1}:7660")
-            for n in range(site.servers)]
+    return [
+        Server(
+            f"i-{n:08x}",
+            f"10.{n // 62500}.{n // 250 % 250}.{n % 250 + 1}:8080",
+            f"service-{n % site.services:03d}",
+            f"zone-{n % 4}",
+            32,
+            7,
+            cell=f"10.0.0.{n % 5 + 1}:7660",
+        )
+        for n in range(site.servers)
+    ]
 
 
 def limiters(site: Site) -> dict[str, Limiter]:
-    return {f"edge-{n:04d}": Limiter(f"edge-{n:04d}", 1_800_000_000_000 + n, f"10.9.{n // 250}.{n % 250 + 1}",
-                                     f"zone-{n % 4}") for n in range(site.limiters)}
+    return {
+        f"edge-{n:04d}": Limiter(
+            f"edge-{n:04d}", 1_800_000_000_000 + n, f"10.9.{n // 250}.{n % 250 + 1}", f"zone-{n % 4}"
+        )
+        for n in range(site.limiters)
+    }
 
 
 # ---- a whole configuration ----
@@ -86,8 +98,9 @@
     for n in range(1, KEPT + 1):
         taken = taken.add(n, bytes(16))
     value = core.Value(2, core.genesis((ADDRESS,)).members, 2, body, taken)
-    acceptor = core.Acceptor(core.Member(ADDRESS, core.FIRST), value,
-                             accepted=(core.Ballot(1, ADDRESS), value))
+    acceptor = core.Acceptor(
+        core.Member(ADDRESS, core.FIRST), value, accepted=(core.Ballot(1, ADDRESS), value)
+    )
     with TemporaryDirectory() as folder:
         store = Store(folder, 64.0)
         began = time.perf_counter()
@@ -99,7 +112,8 @@
         "read a change (a thread)|ms": timed(lambda: change.read_change("replace", body)),
         "check it (a thread)|ms": timed(lambda: change.check(wanted.document, 1), 0.0),
         "check it on top of one in force (a thread)|ms": timed(
-            lambda: change.check(wanted.document, 1, base), 0.0),
+            lambda: change.check(wanted.document, 1, base), 0.0
+        ),
         "make small (the loop)|ms": timed(lambda: zlib.compress(body, parcel.LEVEL)),
         "read small back (the loop)|ms": timed(lambda: zlib.decompress(small)),
         "save decided and accepted (a thread, wall)|ms": saved,
@@ -137,7 +151,8 @@
     return {
         "a limiter: all servers told|kB": len(packed) / 1e3,
         "a limiter: all servers read (the loop)|ms": timed(
-            lambda: [read_server(each, 0.0) for each in msgpack.unpackb(packed)]),
+            lambda: [read_server(each, 0.0) for each in msgpack.unpackb(packed)]
+        ),
         "a limiter: servers in memory|MB": size,
         "a limiter: all limiters told|kB": len(told) / 1e3,
         "a limiter: limiters in memory, a control plane asked|MB": more,
@@ -154,7 +169,7 @@
     began = time.thread_time_ns()
     first = caller.beats(1.0, tenants)
     start = (time.thread_time_ns() - began) / 1e6
-    used = tenants[:site.part(1100)]  # 110 requests a second for 5 s and their tenants, twice over
+    used = tenants[: site.part(1100)]  # 110 requests a second for 5 s and their tenants, twice over
     for tenant in used:
         caller.ask(tenant, 9.0)
     round_ = timed(lambda: caller.beats(9.1, tenants))
@@ -172,8 +187,12 @@
     _, size, _ = grown(hear)
     asked = mine[0] if mine else tenants[0]
     later = iter(range(10**9))
-    one = timed(lambda: [holder.add(asked, 1.0, 20.0, 20.0, 12.0 + next(later), names[1], NEAR, 0.0,
-                                    len(names), 0) for _ in range(100)])
+    one = timed(
+        lambda: [
+            holder.add(asked, 1.0, 20.0, 20.0, 12.0 + next(later), names[1], NEAR, 0.0, len(names), 0)
+            for _ in range(100)
+        ]
+    )
     return {
         f"a limiter starts: who holds each tenant's count (the loop){SQUARE}|ms": start,
         "a question about a count, payload|bytes": len(msgpack.packb([0, [(9999, tenants[-1], 1.0, NEAR)]])),
@@ -200,9 +219,13 @@
     for n, one in enumerate(table.values()):
         if n % 5 < 2:
             cells.ask(one, 1.0)
-    body = orjson.dumps({"address": rows[0].address, "observation": {
-        "subsystem": rows[0].service, "zone": "zone-0", "capacity": 32}, "stateEstimate": {
-        "mode": "stable", "callCount": 9, "warmupMs": 0}})
+    body = orjson.dumps(
+        {
+            "address": rows[0].address,
+            "observation": {"subsystem": rows[0].service, "zone": "zone-0", "capacity": 32},
+            "stateEstimate": {"mode": "stable", "callCount": 9, "warmupMs": 0},
+        }
+    )
     later = iter(range(100, 10**9))
 
     def beat() -> None:
@@ -226,7 +249,8 @@
         "a look for silent limiters (4 a second)|ms": timed(lambda: cells.silent_limiters(1.0)),
         "a limiter comes: its list anew|ms": timed(come),
         "all servers told to one that lacks them (the loop)|ms": timed(
-            lambda: msgpack.packb([one.pack(1.0) for one in cells.servers.since(-1, True)])),
+            lambda: msgpack.packb([one.pack(1.0) for one in cells.servers.since(-1, True)])
+        ),
         "nothing new to tell|us": timed(lambda: [cells.servers.since(revs, True) for _ in range(100)]) * 10,
         "servers in memory|MB": size,
     }
@@ -243,15 +267,24 @@
     table.put(servers(site)[0])
     return {
         "a request: route and tenant|us": timed(
-            lambda: [(read.route("site-01.example", path), read.tenant(key)) for _ in range(100)]) * 10,
+            lambda: [(read.route("site-01.example", path), read.tenant(key)) for _ in range(100)]
+        )
+        * 10,
         "a request: choice among its service's servers|us": timed(
-            lambda: [choice.pick("service-000", 1.0) for _ in range(100)]) * 10,
+            lambda: [choice.pick("service-000", 1.0) for _ in range(100)]
+        )
+        * 10,
     }
 
 
 PARTS: dict[str, Callable[[Site], Figures]] = {
-    "A whole configuration": configuration, "A configuration in memory": held,
-    "Servers and limiters known": known, "Counts": counts, "A control plane": cell, "A request": steps}
+    "A whole configuration": configuration,
+    "A configuration in memory": held,
+    "Servers and limiters known": known,
+    "Counts": counts,
+    "A control plane": cell,
+    "A request": steps,
+}
 
 
 def alone(part: str, limiters_: int) -> Figures:
@@ -269,8 +302,10 @@
     with ProcessPoolExecutor(1, mp_context=get_context("spawn"), max_tasks_per_child=1) as pool:
         for part in PARTS:
             found = [pool.submit(alone, part, size).result() for size in [*sizes, given.at]]
-            print(f"| {part}, n limiters | unit | {' | '.join(map(str, sizes))} | line | residual | "
-                  f"at {given.at} by the line | measured |\n|{' --- |' * (len(sizes) + 6)}")
+            print(
+                f"| {part}, n limiters | unit | {' | '.join(map(str, sizes))} | line | residual | "
+                f"at {given.at} by the line | measured |\n|{' --- |' * (len(sizes) + 6)}"
+            )
             for key in found[0]:
                 name, unit = key.split("|")
                 power = 2 if SQUARE in name else 1
--- a/benchmarks/changes.py
+++ b/benchmarks/changes.py
@@ -76,8 +76,9 @@
                 self.parts[part] += len(msgpack.packb(value[part]))
 
 
-def measured(limiters: int, routes: int, changes: int, controls: int,
-             before: int = BEFORE) -> tuple[Count, float, int]:
+def measured(
+    limiters: int, routes: int, changes: int, controls: int, before: int = BEFORE
+) -> tuple[Count, float, int]:
     """Counts of that many changes, kB between zones for one beyond what calm costs, the document's size."""
     count, found = Count(), list[float]()
     size = growth.Size(3, controls, limiters // 3, 2, 12)
@@ -129,19 +130,29 @@
         for long in routes:
             count, cost, document = measured(many, long, given.changes, given.controls)
             points.append((many if len(limiters) > 1 else document / 1e3, cost))
-            print(f"\n{many} limiters, {3 * given.controls} control planes, {document} bytes of document: "
-                  f"{cost:.1f} kB a change between zones\n")
+            print(
+                f"\n{many} limiters, {3 * given.controls} control planes, {document} bytes of document: "
+                f"{cost:.1f} kB a change between zones\n"
+            )
             print("| from | to | kind | between zones | messages a change | kB a change |\n|" + " --- |" * 6)
             for key, size in count.bytes.most_common(12):
                 near, far, kind, apart = key
-                print(f"| {near} | {far} | {kind} | {'yes' if apart else 'no'} | "
-                      f"{shown(count.messages[key] / given.changes)} | {size / given.changes / 1e3:.2f} |")
-            print("\nof values between zones, kB a change: " + ", ".join(
-                f"{part} {size / given.changes / 1e3:.1f}" for part, size in count.parts.most_common()))
+                print(
+                    f"| {near} | {far} | {kind} | {'yes' if apart else 'no'} | "
+                    f"{shown(count.messages[key] / given.changes)} | {size / given.changes / 1e3:.2f} |"
+                )
+            print(
+                "\nof values between zones, kB a change: "
+                + ", ".join(
+                    f"{part} {size / given.changes / 1e3:.1f}" for part, size in count.parts.most_common()
+                )
+            )
     if len(points) > 2:
         line = fit(points)
-        print(f"\nkB a change between zones: {line.base:.2f} + {line.slope:.3f} n, n the "
-              f"{'limiters' if len(limiters) > 1 else 'kB of document'}; residual {100 * line.residual:.0f}%")
+        print(
+            f"\nkB a change between zones: {line.base:.2f} + {line.slope:.3f} n, n the "
+            f"{'limiters' if len(limiters) > 1 else 'kB of document'}; residual {100 * line.residual:.0f}%"
+        )
 
 
 if __name__ == "__main__":
--- a/benchmarks/contact_search.py
+++ b/benchmarks/contact_search.py
@@ -28,9 +28,11 @@
         events, begins = events + model.events, begins + model.begins
         oldest, decided = max(oldest, model.oldest), decided + len(model.decided)
         alone += model.long_alone
-    print(f"{count} members, seeds {seeds.start}-{seeds.stop - 1} of {seconds:.0f} s: {events:,} events, "
-          f"{decided:,} values, {begins:,} limiters began, {alone} by what was left behind; "
-          f"the oldest that acted as current {oldest:.3f} s, allowed {BOUND} s")
+    print(
+        f"{count} members, seeds {seeds.start}-{seeds.stop - 1} of {seconds:.0f} s: {events:,} events, "
+        f"{decided:,} values, {begins:,} limiters began, {alone} by what was left behind; "
+        f"the oldest that acted as current {oldest:.3f} s, allowed {BOUND} s"
+    )
 
 
 def mutants(seeds: range, seconds: float) -> None:
--- a/benchmarks/control_planes.py
+++ b/benchmarks/control_planes.py
@@ -43,9 +43,16 @@
         for seed in seeds:
             with mock.patch.object(Turns, "worked", overload.worked), mock.patch.object(turns, "Line", line):
                 seen.append(overload.crowded(seed, played)[1])
-        parts = [[value for one in seen for value in values(one)] for values in (
-            lambda one: one.changes, lambda one: one.drains, lambda one: one.shed, lambda one: one.served,
-            lambda one: [one.after])]
+        parts = [
+            [value for one in seen for value in values(one)]
+            for values in (
+                lambda one: one.changes,
+                lambda one: one.drains,
+                lambda one: one.shed,
+                lambda one: one.served,
+                lambda one: [one.after],
+            )
+        ]
         print(name, *map(of, parts), sep=" | ", flush=True)
 
 
--- a/benchmarks/experience.py
+++ b/benchmarks/experience.py
@@ -95,15 +95,25 @@
 
 
 class World:
-    def __init__(self, limiters: int, seed: int, on: bool = True, servers: int = 0, rate: float = 10.0,
-                 policy: Policy | None = None, witness: Callable[[Policy], Witness] = Witness) -> None:
+    def __init__(
+        self,
+        limiters: int,
+        seed: int,
+        on: bool = True,
+        servers: int = 0,
+        rate: float = 10.0,
+        policy: Policy | None = None,
+        witness: Callable[[Policy], Witness] = Witness,
+    ) -> None:
         self.policy = replace(policy or Policy(), on=on)
         self.random, self.now, self.rate = Random(seed), 0.0, rate
         self.heap: list[tuple[float, int, Callable[[], None]]] = []
         self.ticks = 0
         zones = ["a", "b", "c"]
-        self.cells = {f"cell-{z}": Cell(z, Board(f"cell-{z}", self.policy, self.log, witness(self.policy)))
-                      for z in zones}
+        self.cells = {
+            f"cell-{z}": Cell(z, Board(f"cell-{z}", self.policy, self.log, witness(self.policy)))
+            for z in zones
+        }
         self.events: list[tuple[float, str, dict[str, Any]]] = []
         self.records: dict[str, Server] = {}
         self.open: Counter[str] = Counter()
@@ -155,8 +165,9 @@
     # ---- servers ----
 
     def add(self, name: str, zone: str, address: str = "") -> None:
-        self.records[name] = Server(name, address or f"{name}:1", SERVICE, zone, SLOTS, 1,
-                                    cell=f"cell-{zone}")
+        self.records[name] = Server(
+            name, address or f"{name}:1", SERVICE, zone, SLOTS, 1, cell=f"cell-{zone}"
+        )
         for one in self.limiters:
             one.choice.put(self.records[name])
             one.steering.apply(name)
@@ -267,8 +278,9 @@
             return self.finish(one, ask, "late" if self.now - ask.born > AIM else "served")
         ask.may_have_run |= tries.ran(status)
         left = ask.born + LIMIT - self.now
-        tried = Tried(ask.repeatable, ask.may_have_run, len(ask.out), len(ask.tried), TRIALS, True, left,
-                      usual, False)
+        tried = Tried(
+            ask.repeatable, ask.may_have_run, len(ask.out), len(ask.tried), TRIALS, True, left, usual, False
+        )
         again = tries.after(tried, status, True) is Next.AGAIN and one.budget.spend(SERVICE)
         if again and self.send(one, ask):
             return
@@ -308,8 +320,7 @@
         for address, message in one.steering.take(self.named(one.zone), self.now).items():
             cell = self.cells[address]
             packed = {"op": "experience", "limiter": one.name, **message}
-            self.carry(one.zone, cell.zone, packed,
-                       lambda m=message, a=address: self.hear(a, one, m))  # type: ignore[misc]
+            self.carry(one.zone, cell.zone, packed, lambda m=message, a=address: self.hear(a, one, m))  # type: ignore[misc]
         at = one.steering.next_at(self.now)
         if at < self.now + 60:
             self.after(max(0.0, at - self.now), lambda: self.wake(one))
@@ -321,8 +332,12 @@
             cell.board.tried(server, one.name, number, well, self.now)
         for server, number in message["bids"]:
             if cell.board.bid(server, one.name, number, self.now):
-                self.carry(cell.zone, one.zone, [server, number],
-                           lambda s=server, n=number: one.steering.granted(s, n))  # type: ignore[misc]
+                self.carry(
+                    cell.zone,
+                    one.zone,
+                    [server, number],
+                    lambda s=server, n=number: one.steering.granted(s, n),
+                )  # type: ignore[misc]
         if not cell.look_due:
             cell.look_due = True
             self.after(max(0.0, cell.looked + LOOKS - self.now), lambda: self.look(address))
@@ -425,8 +440,15 @@
     good, ended = (now - then for now, then in zip(world.served(), before, strict=True))
     del world.fault[server]
     world.run(LAST)
-    return Outcome(bad, trials, ended - good, away[0] if away else None, back[0] if back else None,
-                   world.bytes_far, time.process_time() - began)
+    return Outcome(
+        bad,
+        trials,
+        ended - good,
+        away[0] if away else None,
+        back[0] if back else None,
+        world.bytes_far,
+        time.process_time() - began,
+    )
 
 
 def span(values: list[float | None], digits: int = 2) -> str:
@@ -438,25 +460,34 @@
 
 
 def table(pool: Any, sizes: list[int], seeds: int, kinds: tuple[str, ...]) -> None:
-    print("| limiters, servers | fault | bad tries off | on | of them trials | bad answers off | on | "
-          "all steer away, s | all back, s | B/s between zones | processor time, times off |")
+    print(
+        "| limiters, servers | fault | bad tries off | on | of them trials | bad answers off | on | "
+        "all steer away, s | all back, s | B/s between zones | processor time, times off |"
+    )
     print("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
     for size in sizes:
         for kind in kinds:
-            plays = [(size, seed, on, kind, RATE * SIZES[size] / size)
-                     for on in (False, True) for seed in range(seeds)]
+            plays = [
+                (size, seed, on, kind, RATE * SIZES[size] / size)
+                for on in (False, True)
+                for seed in range(seeds)
+            ]
             found = pool.starmap(play, plays, chunksize=1)
             off, on = found[:seeds], found[seeds:]
-            print(f"| {size}, {SIZES[size]} | {kind} | {span([one.bad for one in off], 0)} | "
-                  f"{span([one.bad for one in on], 0)} | {span([one.trials for one in on], 0)} | "
-                  f"{span([one.seen for one in off], 0)} | {span([one.seen for one in on], 0)} | "
-                  f"{span([one.away for one in on])} | {span([one.back for one in on], 1)} | "
-                  f"{median(one.bytes_far for one in on) / LAST:.0f} | "
-                  f"{sum(one.seconds for one in on) / sum(one.seconds for one in off):.2f} |", flush=True)
-
-
-def poisoned(size: int, seed: int, on: bool, status: Status | None, fault: str = "",
-             load: float = RATE * USUAL / SLOTS) -> tuple[float, int, float]:
+            print(
+                f"| {size}, {SIZES[size]} | {kind} | {span([one.bad for one in off], 0)} | "
+                f"{span([one.bad for one in on], 0)} | {span([one.trials for one in on], 0)} | "
+                f"{span([one.seen for one in off], 0)} | {span([one.seen for one in on], 0)} | "
+                f"{span([one.away for one in on])} | {span([one.back for one in on], 1)} | "
+                f"{median(one.bytes_far for one in on) / LAST:.0f} | "
+                f"{sum(one.seconds for one in on) / sum(one.seconds for one in off):.2f} |",
+                flush=True,
+            )
+
+
+def poisoned(
+    size: int, seed: int, on: bool, status: Status | None, fault: str = "", load: float = RATE * USUAL / SLOTS
+) -> tuple[float, int, float]:
     """The others' share of requests served in time, servers steered, and their lowest mean share.
 
     `load`: of what all servers can do."""
@@ -468,8 +499,9 @@
     least = [1.0]
 
     def watch() -> None:
-        least.append(sum(sum(world.shares(name)) for name in world.records)
-                     / len(world.records) / len(world.limiters))
+        least.append(
+            sum(sum(world.shares(name)) for name in world.records) / len(world.records) / len(world.limiters)
+        )
 
     world.watch = watch
     before = world.served("edge-0")
@@ -503,8 +535,10 @@
     parser.add_argument("--quick", action="store_true")
     given = parser.parse_args()
     sizes = [int(one) for one in given.sizes.split(",")]
-    print(f"One server of a service, fault for {END - BEGIN:.0f} s; median (least to most) over "
-          f"{given.seeds} seeds; {RATE:.0f} requests a second for each server.\n")
+    print(
+        f"One server of a service, fault for {END - BEGIN:.0f} s; median (least to most) over "
+        f"{given.seeds} seeds; {RATE:.0f} requests a second for each server.\n"
+    )
     with Pool(given.workers) as pool:
         everything(pool, sizes, given)
 
@@ -516,31 +550,49 @@
         table(pool, [12], max(2, given.seeds // 2), KINDS)
         print("\n| one limiter of 12 | others in time off | on | servers steered, most | least mean share |")
         print("| --- | --- | --- | --- | --- |")
-        for label, status in (("well", None), ("cut off from servers", Status.UNREACHABLE),
-                              ("frozen", Status.TIMEOUT), ("spoils answers", Status.RESET)):
+        for label, status in (
+            ("well", None),
+            ("cut off from servers", Status.UNREACHABLE),
+            ("frozen", Status.TIMEOUT),
+            ("spoils answers", Status.RESET),
+        ):
             plays = [(12, seed, on, status) for on in (False, True) for seed in range(given.seeds)]
             found = pool.starmap(poisoned, plays, chunksize=1)
-            off, on = found[:given.seeds], found[given.seeds:]
-            print(f"| {label} | {median(one[0] for one in off):.4f} | {median(one[0] for one in on):.4f} | "
-                  f"{max(one[1] for one in on)} | {min(one[2] for one in on):.2f} |", flush=True)
-        print("\n| load | what is wrong | served in time off | on | servers steered, most | "
-              "least mean share |\n| --- | --- | --- | --- | --- | --- |")
+            off, on = found[: given.seeds], found[given.seeds :]
+            print(
+                f"| {label} | {median(one[0] for one in off):.4f} | {median(one[0] for one in on):.4f} | "
+                f"{max(one[1] for one in on)} | {min(one[2] for one in on):.2f} |",
+                flush=True,
+            )
+        print(
+            "\n| load | what is wrong | served in time off | on | servers steered, most | "
+            "least mean share |\n| --- | --- | --- | --- | --- | --- |"
+        )
         for load in (0.8, 1.1, 1.3):
-            for label, status, fault in (("nothing", None, ""), ("one server fails", None, "failing"),
-                                         ("one limiter spoils answers", Status.RESET, ""),
-                                         ("servers reset when full", None, "all resets when full")):
+            for label, status, fault in (
+                ("nothing", None, ""),
+                ("one server fails", None, "failing"),
+                ("one limiter spoils answers", Status.RESET, ""),
+                ("servers reset when full", None, "all resets when full"),
+            ):
                 # Danger: plays with a spoilt limiter differ by 0.02: few seeds show what is not.
                 number = given.seeds * (4 if status is not None and load < 1 else 1)
                 some = [(12, seed, on, status, fault, load) for on in (False, True) for seed in range(number)]
                 found = pool.starmap(poisoned, some, chunksize=1)
                 off, on = found[:number], found[number:]
-                print(f"| {load} | {label} | {error(off)} | {error(on)} | {max(one[1] for one in on)} | "
-                      f"{min(one[2] for one in on):.2f} |", flush=True)
-        print("\n| stray failures of servers that do well | requests | servers steered | messages | "
-              "processor time, s |\n| --- | --- | --- | --- | --- |")
+                print(
+                    f"| {load} | {label} | {error(off)} | {error(on)} | {max(one[1] for one in on)} | "
+                    f"{min(one[2] for one in on):.2f} |",
+                    flush=True,
+                )
+        print(
+            "\n| stray failures of servers that do well | requests | servers steered | messages | "
+            "processor time, s |\n| --- | --- | --- | --- | --- |"
+        )
         part = given.requests // 4
-        for row in pool.starmap(well, [(1, 0.0, part), (2, 0.0, part), (3, 0.001, part), (4, 0.001, part)],
-                                chunksize=1):
+        for row in pool.starmap(
+            well, [(1, 0.0, part), (2, 0.0, part), (3, 0.001, part), (4, 0.001, part)], chunksize=1
+        ):
             print("| {:.1%} | {} | {} | {} | {:.0f} |".format(*row), flush=True)
 
 
--- a/benchmarks/fleet_log.py
+++ b/benchmarks/fleet_log.py
@@ -60,8 +60,13 @@
             seen += 1
             kind, at, what = event["event"], float(event["at"]), Counter[str]()
             if kind == "tally":
-                what.update({key: n for key, n in event.items()
-                             if key not in ("at", "node", "event") and isinstance(n, int)})
+                what.update(
+                    {
+                        key: n
+                        for key, n in event.items()
+                        if key not in ("at", "node", "event") and isinstance(n, int)
+                    }
+                )
             elif kind == "start":
                 what["starts"], shut = 1, True
             elif kind == "breaker" and (event.get("state") == "open") is shut:
@@ -80,8 +85,11 @@
 
 def group(counts: Counter[str], prefix: str) -> str:
     """`ok 12, timeout 3` of the counters that begin alike, the largest first."""
-    parts = [(key.removeprefix(prefix), n) for key, n in counts.most_common()
-             if key.startswith(prefix) and n > 0 and key not in LEFT_OUT]
+    parts = [
+        (key.removeprefix(prefix), n)
+        for key, n in counts.most_common()
+        if key.startswith(prefix) and n > 0 and key not in LEFT_OUT
+    ]
     return ", ".join(f"{name} {n}" for name, n in parts) or "-"
 
 
@@ -96,9 +104,11 @@
         counts = fleet.seconds[second]
         open_now += counts["breakers"]
         groups = "; ".join(f"{name}: {group(counts, prefix)}" for name, prefix in GROUPS.items())
-        yield (f"{second:4d} s  tries {counts[TRIES]}, served {counts[SERVED]}, refused {counts[REFUSED]}, "
-               f"new connections {counts[OPENED]} (reused {share(counts[REUSED], counts[OPENED])}), "
-               f"probes {counts['probes']}, breakers open {open_now}, starts {counts['starts']}; {groups}")
+        yield (
+            f"{second:4d} s  tries {counts[TRIES]}, served {counts[SERVED]}, refused {counts[REFUSED]}, "
+            f"new connections {counts[OPENED]} (reused {share(counts[REUSED], counts[OPENED])}), "
+            f"probes {counts['probes']}, breakers open {open_now}, starts {counts['starts']}; {groups}"
+        )
     names = sorted({key for counts in fleet.nodes.values() for key in counts} - {"breakers"})
     if names:
         yield f"{len(fleet.nodes)} nodes, each: median, most, all"
--- a/benchmarks/fuzz_readers.py
+++ b/benchmarks/fuzz_readers.py
@@ -40,7 +40,9 @@
 
 
 PLAYS: dict[str, Callable[[int], list[str]]] = {
-    **PLAYED, **dict.fromkeys(CALLS, lambda seed: calls(seed).broken)}
+    **PLAYED,
+    **dict.fromkeys(CALLS, lambda seed: calls(seed).broken),
+}
 
 
 def one(kind: str, seed: int, seen: Counter[str]) -> list[str]:
@@ -88,14 +90,20 @@
             with without(guard):
                 found = {seed: broken for seed in seeds if (broken := PLAYS[guard](seed))}
             by = sorted({broken[0].partition(":")[0] for broken in found.values()})
-            print(f"| {meaning} | {min(found, default='none')} | {len(found)} of {len(seeds)} | "
-                  f"{', '.join(by) if guard not in ('life', 'source') else 'another answer'} |", flush=True)
+            print(
+                f"| {meaning} | {min(found, default='none')} | {len(found)} of {len(seeds)} | "
+                f"{', '.join(by) if guard not in ('life', 'source') else 'another answer'} |",
+                flush=True,
+            )
         for guard, (meaning, day) in DROPPED.items():
             with dropped(guard):
                 found = {seed: broken for seed in seeds if (broken := day(seed).broken)}
             by = sorted({broken[0].partition(":")[0] for broken in found.values()})
-            print(f"| {meaning} | {min(found, default='none')} | {len(found)} of {len(seeds)} | "
-                  f"{', '.join(by)} |", flush=True)
+            print(
+                f"| {meaning} | {min(found, default='none')} | {len(found)} of {len(seeds)} | "
+                f"{', '.join(by)} |",
+                flush=True,
+            )
         return 0
     wrong = False
     for kind in args.kinds.split(","):
--- a/benchmarks/growth.py
+++ b/benchmarks/growth.py
@@ -60,8 +60,13 @@
 
 
 # The sites of two sizes, 30 between them, and one that nobody has yet.
-SIZES = {12: Size(3, 1, 4, 4, 16), 30: Size(3, 1, 10, 8, 32), 68: Size(4, 2, 17, 14, 74),
-         96: Size(3, 2, 32, 22, 88), 300: Size(3, 3, 100, 60, 270, 1.0, 2.0, 0.25)}
+SIZES = {
+    12: Size(3, 1, 4, 4, 16),
+    30: Size(3, 1, 10, 8, 32),
+    68: Size(4, 2, 17, 14, 74),
+    96: Size(3, 2, 32, 22, 88),
+    300: Size(3, 3, 100, 60, 270, 1.0, 2.0, 0.25),
+}
 
 
 class Fleet(World):
@@ -70,8 +75,9 @@
     def boot(self, process: Process) -> Boot:
         core = process.machine.host in self.core
         process.machine.speed = THICK if core else THIN
-        return replace(super().boot(process), descriptors=DESCRIPTORS,
-                       bandwidth_mbps=process.machine.speed * 8 / 1e6)
+        return replace(
+            super().boot(process), descriptors=DESCRIPTORS, bandwidth_mbps=process.machine.speed * 8 / 1e6
+        )
 
 
 @dataclass
@@ -120,10 +126,12 @@
 @contextmanager
 def owned(*kinds: type) -> Iterator[None]:
     """Each new object of these kinds notes whose it is."""
+
     def marked(before: Any) -> Any:
         def init(self: Any, *given: Any, **named: Any) -> None:
             before(self, *given, **named)
             self.life_of = current.get()
+
         return init
 
     with ExitStack() as stack:
@@ -143,16 +151,33 @@
         total["servers known"] += weigh([choice.table, choice.services, core.addresses], ())
         known = [counting.limiters, counting.hosts, caller.known, caller.breakers]
         total["limiters known"] += weigh(known, ())
-        total["tenants"] += weigh([counting.holder.counts, caller.uses, caller.buckets, caller.holders,
-                                   caller.named, core.configuration], ())
+        total["tenants"] += weigh(
+            [
+                counting.holder.counts,
+                caller.uses,
+                caller.buckets,
+                caller.holders,
+                caller.named,
+                core.configuration,
+            ],
+            (),
+        )
         stacks = core.servers.idle.values()
         total["connections"] += weigh([[one.http for one in stack] for stack in stacks], ())
     for follower in alive(Follower, fleet):
         total["news"] += weigh([[source.limiters, source.have] for source in follower.sources.values()], ())
     found.memory = {name: size / 1000 / max(1, len(cores)) for name, size in total.items()}
     cells = alive(Cells, fleet)
-    tables = [[one.servers, one.asked, one.merged, one.heard, [
-        control.limiters for control in one.controls.values()]] for one in cells]
+    tables = [
+        [
+            one.servers,
+            one.asked,
+            one.merged,
+            one.heard,
+            [control.limiters for control in one.controls.values()],
+        ]
+        for one in cells
+    ]
     found.memory["control"] = sum(weigh(one, ()) for one in tables) / 1000 / max(1, len(cells))
 
 
@@ -171,22 +196,27 @@
 async def load(fleet: World, rate: float, seconds: float) -> None:
     """`rate` requests a second for each limiter; a tenth of the tenants bring half of them."""
     names, random = list(fleet.tenants), Random(fleet.seed)
-    large = names[:max(1, len(names) // 10)]
+    large = names[: max(1, len(names) // 10)]
     until = now() + seconds
     async with trio.open_nursery() as nursery:
         while now() < until:
             name = random.choice(large if random.random() < 0.5 else names)
             path = random.choices(("/read/", "/write/", "/other/"), (5, 2, 4))[0]
             zone = random.choice(fleet.zones)
-            nursery.start_soon(lambda z, p, k, m: fleet.ask(z, p, k, mutating=m), zone, path, f"key-{name}",
-                               path == "/write/")
+            nursery.start_soon(
+                lambda z, p, k, m: fleet.ask(z, p, k, mutating=m),
+                zone,
+                path,
+                f"key-{name}",
+                path == "/write/",
+            )
             await trio.sleep(random.expovariate(rate * len(fleet.edges)))
 
 
 async def release(fleet: Fleet, seconds: float) -> int:
     """Servers end as planned and others take their places, one after the other."""
     old = [one for one in fleet.servers.values() if one.life.alive]
-    old = old[:max(2, round(len(old) * seconds / WHOLE))]
+    old = old[: max(2, round(len(old) * seconds / WHOLE))]
     async with trio.open_nursery() as nursery:
         for place, one in enumerate(old):
             nursery.start_soon(one.leave)
@@ -197,10 +227,19 @@
 
 
 def thousand(fleet: Fleet, count: int) -> dict[str, tuple[str, str, str]]:
-    usual = {"read": ("/read/", "nullipotent", "alpha"), "write": ("/write/", "mutating", "alpha"),
-             "other": ("/other/", "nullipotent", "beta")}
-    more = {f"route-{n:04d}": (f"/agency-{n * 7919 % 99991:05d}/builds/", "nullipotent",
-                               "alpha" if n % 3 else "beta") for n in range(count - len(usual))}
+    usual = {
+        "read": ("/read/", "nullipotent", "alpha"),
+        "write": ("/write/", "mutating", "alpha"),
+        "other": ("/other/", "nullipotent", "beta"),
+    }
+    more = {
+        f"route-{n:04d}": (
+            f"/agency-{n * 7919 % 99991:05d}/builds/",
+            "nullipotent",
+            "alpha" if n % 3 else "beta",
+        )
+        for n in range(count - len(usual))
+    }
     return {**usual, **more}
 
 
@@ -211,8 +250,11 @@
     assert await fleet.replace(document) == 200
     with trio.move_on_after(12.0):
         while True:
-            had = {line[1]: line[0] - began for line in fleet.told("configuration")
-                   if line[3].get("version") == 2 and line[1].endswith("-data")}
+            had = {
+                line[1]: line[0] - began
+                for line in fleet.told("configuration")
+                if line[3].get("version") == 2 and line[1].endswith("-data")
+            }
             if len(had) == len(fleet.edges):
                 break
             await trio.sleep(0.02)
@@ -222,8 +264,16 @@
 def played(story: Story, size: Size, seed: int, make: type[World] = Fleet) -> World:
     """A day of a fleet of that size."""
     tenants = {f"tenant-{n:03d}": (400.0, 400.0) for n in range(size.tenants)}  # no quota binds
-    return play(story, seed, make=make, zones=size.zones, limiters=size.limiters, servers=size.servers,
-                controls=size.core, tenants=tenants)
+    return play(
+        story,
+        seed,
+        make=make,
+        zones=size.zones,
+        limiters=size.limiters,
+        servers=size.servers,
+        controls=size.core,
+        tenants=tenants,
+    )
 
 
 def measure(size: Size, seed: int, rate: float, routes: int) -> Found:
@@ -279,10 +329,12 @@
 
 def limiter(span: str, what: str, *kinds: str, way: str = "s") -> Any:
     """Of a span, for each limiter: a second, or for each event of the span."""
+
     def read(found: Found) -> float:
         one = found.spans[span]
         total = sum(one.tally.total(what, kind, "data") for kind in kinds)
         return total / found.size.all / (one.seconds if way == "s" else one.events)
+
     return read
 
 
@@ -291,15 +343,18 @@
         one = found.spans[span]
         total = sum(one.tally.total(what, kind, "control") for kind in kinds)
         return total / (found.size.zones * found.size.core) / (one.seconds if way == "s" else one.events)
+
     return read
 
 
 def spent(span: str, who: str) -> Any:
     """ms of processor time a second, a process."""
+
     def read(found: Found) -> float:
         one, size = found.spans[span], found.size
         count = size.all if who == "data" else size.zones * size.core
         return one.tally.spent[who] / 1e6 / one.seconds / count
+
     return read
 
 
@@ -309,8 +364,11 @@
     "A limiter, calm": [
         ("news asked and answered", "messages/s", limiter("calm", "messages", *NEWS)),
         ("news asked and answered", "bytes/s", limiter("calm", "bytes", *NEWS)),
-        ("count questions and answers", "datagrams/s",
-         limiter("calm", "messages", "count question", "count answer")),
+        (
+            "count questions and answers",
+            "datagrams/s",
+            limiter("calm", "messages", "count question", "count answer"),
+        ),
         ("count words (NEAR, AWAY, BYE)", "datagrams/s", limiter("calm", "messages", "count word")),
         ("the same", "words/s", limiter("calm", "messages", "word")),
         ("all count datagrams", "bytes/s", limiter("calm", "bytes", "count")),
@@ -336,37 +394,58 @@
         ("memory of tables", "kB", lambda f: f.memory["control"]),
     ],
     "The start, all machines at once": [
-        ("lists of limiters to a limiter", "kB",
-         lambda f: limiter("start", "bytes", "part limiters", "part gone", way="event")(f) / 1000),
+        (
+            "lists of limiters to a limiter",
+            "kB",
+            lambda f: limiter("start", "bytes", "part limiters", "part gone", way="event")(f) / 1000,
+        ),
         ("news to a limiter", "kB", lambda f: limiter("start", "bytes", "news", way="event")(f) / 1000),
-        ("frames at a control plane", "kB", lambda f: control("start", "bytes", "question", "answer", "news",
-                                                             way="event")(f) / 1000),
+        (
+            "frames at a control plane",
+            "kB",
+            lambda f: control("start", "bytes", "question", "answer", "news", way="event")(f) / 1000,
+        ),
         ("until all are ready", "s", lambda f: f.spans["start"].seconds),
     ],
     "For each server replaced in a release": [
         ("news to a limiter", "messages", limiter("release", "messages", "news", way="event")),
         ("servers' rows to a limiter", "rows", limiter("release", "rows", "part servers", way="event")),
         ("news to a limiter", "bytes", limiter("release", "bytes", "news", way="event")),
-        ("news and holds at a control plane", "bytes",
-         control("release", "bytes", "question", "answer", "news", way="event")),
+        (
+            "news and holds at a control plane",
+            "bytes",
+            control("release", "bytes", "question", "answer", "news", way="event"),
+        ),
         ("connections opened by a limiter", "", limiter("release", "opened", "to servers", way="event")),
         ("processor time of a limiter", "ms/s", spent("release", "data")),
         ("processor time of a control plane", "ms/s", spent("release", "control")),
     ],
     "For each limiter killed and started again": [
-        ("lists of limiters to a limiter", "bytes", limiter("kills", "bytes", "part limiters", "part gone",
-                                                            way="event")),
-        ("lists of limiters at a control plane", "bytes",
-         control("kills", "bytes", "part limiters", "part gone", way="event")),
+        (
+            "lists of limiters to a limiter",
+            "bytes",
+            limiter("kills", "bytes", "part limiters", "part gone", way="event"),
+        ),
+        (
+            "lists of limiters at a control plane",
+            "bytes",
+            control("kills", "bytes", "part limiters", "part gone", way="event"),
+        ),
         ("processor time of a limiter", "ms/s", spent("kills", "data")),
         ("processor time of a control plane", "ms/s", spent("kills", "control")),
     ],
     "A whole configuration of {routes} routes": [
         ("document", "kB", lambda f: f.document / 1000),
-        ("values to a limiter", "kB", lambda f: limiter("setpoint", "bytes", "part value")(f)
-         * f.spans["setpoint"].seconds / 1000),
-        ("values at a control plane", "kB", lambda f: control("setpoint", "bytes", "part value")(f)
-         * f.spans["setpoint"].seconds / 1000),
+        (
+            "values to a limiter",
+            "kB",
+            lambda f: limiter("setpoint", "bytes", "part value")(f) * f.spans["setpoint"].seconds / 1000,
+        ),
+        (
+            "values at a control plane",
+            "kB",
+            lambda f: control("setpoint", "bytes", "part value")(f) * f.spans["setpoint"].seconds / 1000,
+        ),
         ("half of the limiters have it", "s", lambda f: f.setpoint[len(f.setpoint) // 2]),
         ("the last limiter has it", "s", lambda f: f.setpoint[-1] if len(f.setpoint) == f.size.all else -1.0),
         ("processor time of a limiter", "ms/s", spent("setpoint", "data")),
--- a/benchmarks/idle_connections.py
+++ b/benchmarks/idle_connections.py
@@ -23,12 +23,14 @@
 WAYS: dict[str, dict[str, Any]] = {
     "any": {"most": lambda self, service, once: math.inf, "dropped": lambda *_: False},
     "new": {"most": lambda self, service, once: 0.0 if once else math.inf},
-    "learnt": {}}
+    "learnt": {},
+}
 COUNTED = ("tries.again", "tries.renewed", "servers.opened", "servers.reused")
 
 
 def measure(way: str, seeds: int, drop: float, told: int, rate: float) -> Counter[str]:
     """Sums over the seeds; `drop`: s after which servers drop, `told`: their Keep-Alive, 0: none."""
+
     async def day(world: World) -> None:
         for server in world.servers.values():
             server.idle_drop, server.keep_alive = drop, told or None
--- a/benchmarks/many_changes.py
+++ b/benchmarks/many_changes.py
@@ -42,10 +42,18 @@
 def routes(count: int, seed: int) -> dict[str, tuple[str, str, str]]:
     """The usual three, and others that change with the seed and don't pack well."""
     random = Random(seed)
-    usual = {"read": ("/read/", "nullipotent", "alpha"), "write": ("/write/", "mutating", "alpha"),
-             "other": ("/other/", "nullipotent", "beta")}
-    return {**usual, **{f"r-{random.randbytes(5).hex()}": (f"/{random.randbytes(6).hex()}/", "nullipotent",
-                                                           "alpha") for _ in range(count)}}
+    usual = {
+        "read": ("/read/", "nullipotent", "alpha"),
+        "write": ("/write/", "mutating", "alpha"),
+        "other": ("/other/", "nullipotent", "beta"),
+    }
+    return {
+        **usual,
+        **{
+            f"r-{random.randbytes(5).hex()}": (f"/{random.randbytes(6).hex()}/", "nullipotent", "alpha")
+            for _ in range(count)
+        },
+    }
 
 
 def current(small: int) -> float:
@@ -67,8 +75,13 @@
         random = Random(7)
         names = [f"t-{random.randbytes(4).hex()}" for _ in range(tenants)]
         keys = {name: [random.randbytes(12).hex()] for name in names}
-        found = self.configuration(number, prior, routes=routes(count, number), keys=keys,
-                                   tenants={**self.tenants, **dict.fromkeys(names, (100.0, 100.0))})
+        found = self.configuration(
+            number,
+            prior,
+            routes=routes(count, number),
+            keys=keys,
+            tenants={**self.tenants, **dict.fromkeys(names, (100.0, 100.0))},
+        )
         packed = orjson.dumps(found)
         self.small, self.operator.reading = len(zlib.compress(packed, 6)), 1.0 + len(packed) / SPEED
         return found
@@ -77,9 +90,13 @@
         """s until that machine's control plane and data plane hold the version; `limit` if not."""
         began = now()
         with trio.move_on_after(limit):
-            while not (any(line[0] >= began for line in self.told("core.current", f"{host}-control"))
-                       and any(line[0] >= began and line[3]["version"] >= version
-                               for line in self.told("configuration", f"{host}-data"))):
+            while not (
+                any(line[0] >= began for line in self.told("core.current", f"{host}-control"))
+                and any(
+                    line[0] >= began and line[3]["version"] >= version
+                    for line in self.told("configuration", f"{host}-data")
+                )
+            ):
                 await trio.sleep(0.02)
         return now() - began
 
@@ -110,6 +127,7 @@
 
 def slot(address: Address) -> tuple[int, int]:
     """Slot and version that a control plane holds."""
+
     async def ask() -> tuple[int, int]:
         async with trio.open_nursery() as nursery:
             told = await Link(address, nursery).ask("show", {"op": "show"}, 1.0)
@@ -156,9 +174,17 @@
                 back = time.monotonic() - began
                 files = (system.folder / "disk-1").rglob("*")
                 disk = sum(one.stat().st_size for one in files if one.is_file())
-                found.append(Mark(mark, median(calls), used / (mark - first),
-                                  resident(system.children["control-plane-1"].process.pid),
-                                  resident(system.children["data-plane-1"].process.pid), disk / 1000, back))
+                found.append(
+                    Mark(
+                        mark,
+                        median(calls),
+                        used / (mark - first),
+                        resident(system.children["control-plane-1"].process.pid),
+                        resident(system.children["data-plane-1"].process.pid),
+                        disk / 1000,
+                        back,
+                    )
+                )
                 print(found[-1], file=sys.stderr, flush=True)
         finally:
             system.end()
@@ -171,10 +197,14 @@
     return world.configuration(number, prior, routes=routes(count, number))
 
 
-ROWS = [("a change, median", "ms", "call"), ("processor time of a control plane, a change", "ms", "spent"),
-        ("memory of a control plane", "MB", "memory"), ("memory of a data plane", "MB", "data"),
-        ("disk of a control plane", "kB", "disk"), ("a member down since the mark before: current after", "s",
-                                                    "back")]
+ROWS = [
+    ("a change, median", "ms", "call"),
+    ("processor time of a control plane, a change", "ms", "spent"),
+    ("memory of a control plane", "MB", "memory"),
+    ("memory of a data plane", "MB", "data"),
+    ("disk of a control plane", "kB", "disk"),
+    ("a member down since the mark before: current after", "s", "back"),
+]
 
 
 # ---- days in memory ----
@@ -257,14 +287,21 @@
     given = parser.parse_args()
     if given.search:
         calm, put_back = (2, 2, 2, 1, 0), (2, 0, 0, 0, 1)
-        for mutant, rest in (("", calm), *((one, calm) for one in catching.MUTANTS),
-                             *((one, calm) for one in catching.HELD_BY_ANOTHER),
-                             ("", put_back), *((one, put_back) for one in catching.MUTANTS_PUT_BACK)):
+        for mutant, rest in (
+            ("", calm),
+            *((one, calm) for one in catching.MUTANTS),
+            *((one, calm) for one in catching.HELD_BY_ANOTHER),
+            ("", put_back),
+            *((one, put_back) for one in catching.MUTANTS_PUT_BACK),
+        ):
             try:
                 states, depth, messages = catching.search(mutant, rest)
-                print(f"{mutant or 'no guard dropped'} {rest}: nothing breaks, {states} states, "
-                      f"depth {depth}, "
-                      f"current after {messages} messages at the most", flush=True)
+                print(
+                    f"{mutant or 'no guard dropped'} {rest}: nothing breaks, {states} states, "
+                    f"depth {depth}, "
+                    f"current after {messages} messages at the most",
+                    flush=True,
+                )
             except catching.Broken as error:
                 print(f"{mutant} {rest}: {error}", flush=True)
     elif given.days:
@@ -274,15 +311,20 @@
             began = time.perf_counter()
             broken, taken, back = day(seed, given.changes, given.routes)
             failed = failed or bool(broken)
-            print(f"seed {seed}: {len(taken)} changes, median {median(taken):.2f} s, "
-                  f"most {max(taken):.2f} s; {len(back)} starts, current after {median(back):.2f} s, most "
-                  f"{max(back):.2f} s, the last {back[-1]:.2f} s; {broken or 'nothing broken'}; "
-                  f"{time.perf_counter() - began:.0f} s", flush=True)
+            print(
+                f"seed {seed}: {len(taken)} changes, median {median(taken):.2f} s, "
+                f"most {max(taken):.2f} s; {len(back)} starts, current after {median(back):.2f} s, most "
+                f"{max(back):.2f} s, the last {back[-1]:.2f} s; {broken or 'nothing broken'}; "
+                f"{time.perf_counter() - began:.0f} s",
+                flush=True,
+            )
         sys.exit(int(failed))
     else:
         marks = real(sorted(map(int, given.marks.split(","))), given.routes)
-        print(f"| after so many changes of {given.routes} routes | unit | "
-              f"{' | '.join(str(one.changes) for one in marks)} |")
+        print(
+            f"| after so many changes of {given.routes} routes | unit | "
+            f"{' | '.join(str(one.changes) for one in marks)} |"
+        )
         print("|" + " --- |" * (len(marks) + 2))
         for name, unit, key in ROWS:
             print(f"| {name} | {unit} | {' | '.join(f'{getattr(one, key):.4g}' for one in marks)} |")
--- a/benchmarks/order_states.py
+++ b/benchmarks/order_states.py
@@ -42,12 +42,18 @@
 ALIKE = tuple(Order(2, 0, b"like %d" % at) for at in range(8))  # on one version, by one number
 STEPS = (*order_chain.CHAIN, Order(4, 3, b"three"), Order(5, 4, b"four"))  # each on the one before
 CALLS: list[tuple[str, order_chain.Case, int]] = [
-    ("two changes by one number", order_chain.RACE, 4), ("one on the other", order_chain.CHAIN, 3),
-    ("two on one that may come", order_chain.AHEAD, 2), ("five on one version", RACES[:5], 1),
-    ("four, each on the one before", STEPS, 1)]
+    ("two changes by one number", order_chain.RACE, 4),
+    ("one on the other", order_chain.CHAIN, 3),
+    ("two on one that may come", order_chain.AHEAD, 2),
+    ("five on one version", RACES[:5], 1),
+    ("four, each on the one before", STEPS, 1),
+]
 LIKE: list[tuple[str, order_chain.Case, int]] = [  # which of like orders is which makes no other state here
-    ("five on one version", RACES[:5], 1), ("eight on one version", RACES, 1),
-    ("eight changes by one number", ALIKE, 1), ("four on one version", RACES[:4], 2)]
+    ("five on one version", RACES[:5], 1),
+    ("eight on one version", RACES, 1),
+    ("eight changes by one number", ALIKE, 1),
+    ("four on one version", RACES[:4], 2),
+]
 ACCEPTORS: list[tuple[str, order_states.Case, Bounds]] = [
     ("two changes by one number", order_states.RACE, Bounds()),
     ("one on the other", order_states.CHAIN, Bounds()),
@@ -56,15 +62,18 @@
     ("one on the other", order_states.CHAIN, Bounds(restarts=1, harmed=(1,))),
     ("two changes by one number", order_states.RACE, Bounds(restarts=1)),
     ("two changes by one number", order_states.RACE, Bounds(swaps=1)),
-    ("two changes by one number", order_states.RACE, Bounds(wipes=1, harmed=(1,)))]
+    ("two changes by one number", order_states.RACE, Bounds(wipes=1, harmed=(1,))),
+]
 
 
 def timed(search: Callable[[], Found], words: str) -> bool:
     began = time.perf_counter()
     found = search()
     all_of = found.broken or ("yes" if found.ended else "no")
-    print(f"| {words} | {found.states:,} | {found.depth} | {all_of} | {time.perf_counter() - began:.1f} |",
-          flush=True)
+    print(
+        f"| {words} | {found.states:,} | {found.depth} | {all_of} | {time.perf_counter() - began:.1f} |",
+        flush=True,
+    )
     return bool(found.broken)
 
 
@@ -75,8 +84,10 @@
     for name, case, copies in CALLS:
         broken |= timed(partial(order_chain.search, case, copies, limit=limit), f"{name} | {copies}")
     for name, case, copies in LIKE:
-        broken |= timed(partial(order_chain.search, case, copies, limit=limit, like=True),
-                        f"{name}, like ones alike | {copies}")
+        broken |= timed(
+            partial(order_chain.search, case, copies, limit=limit, like=True),
+            f"{name}, like ones alike | {copies}",
+        )
     for name, keyed, b in ACCEPTORS:
         words = f"{name} | {b.starts}, {b.restarts} restarts, {b.swaps} swaps, {b.wipes} wipes"
         broken |= timed(partial(order_states.search, keyed, b, limit=limit), words)
@@ -99,9 +110,11 @@
         most = max(most, changes)
         for at, one in enumerate((changes, len(life.known), life.again, life.unsure, life.attempts)):
             sums[at] += one
-    print(f"\nlives {first}-{last}, {steps:,} steps each: {sums[0]:,} changes (at most {most} in one), "
-          f"{sums[1]:,} orders, {sums[2]:,} answers told again, {sums[3]:,} unsure, {sums[4]:,} attempts, "
-          f"{time.perf_counter() - began:.1f} s")
+    print(
+        f"\nlives {first}-{last}, {steps:,} steps each: {sums[0]:,} changes (at most {most} in one), "
+        f"{sums[1]:,} orders, {sums[2]:,} answers told again, {sums[3]:,} unsure, {sums[4]:,} attempts, "
+        f"{time.perf_counter() - began:.1f} s"
+    )
     return broken
 
 
@@ -114,9 +127,11 @@
         broken |= bool(faults)
         for line in faults:
             print(f"seed {seed}: {line}")
-    print(f"days {first}-{last}, {rounds} rounds each, {kept:,} orders and {barred} bars kept, refused after "
-          f"{patience} s: {dict(sums)}, "
-          f"{time.perf_counter() - began:.1f} s")
+    print(
+        f"days {first}-{last}, {rounds} rounds each, {kept:,} orders and {barred} bars kept, refused after "
+        f"{patience} s: {dict(sums)}, "
+        f"{time.perf_counter() - began:.1f} s"
+    )
     return broken
 
 
@@ -134,6 +149,7 @@
 
 def cost() -> None:
     """Of a value with so many orders in its memory: bytes, and ms of what is done with it."""
+
     def ms(work: Callable[[], Any]) -> float:
         spans = []
         for _ in range(25):
@@ -156,9 +172,12 @@
             memory = memory.add(n, digests[n])
         value = replace(empty, taken=memory)
         size = len(msgpack.packb(value.pack())) - len(msgpack.packb(empty.pack()))
-        print(f"| {count:,} | {size:,} | {ms(partial(there, value)):.3f} | "
-              f"{ms(partial(memory.fate, 7, digests[7])):.4f} | "
-              f"{ms(partial(memory.add, count + 1, digests[0])):.4f} |", flush=True)
+        print(
+            f"| {count:,} | {size:,} | {ms(partial(there, value)):.3f} | "
+            f"{ms(partial(memory.fate, 7, digests[7])):.4f} | "
+            f"{ms(partial(memory.add, count + 1, digests[0])):.4f} |",
+            flush=True,
+        )
 
 
 def main() -> int:
@@ -170,8 +189,12 @@
     parser.add_argument("--rounds", type=int, default=20, help="of a day, up to eight orders each")
     parser.add_argument("--kept", type=int, default=taken.KEPT, help="orders remembered on these days")
     parser.add_argument("--barred", type=int, default=taken.BARRED, help="and orders barred")
-    parser.add_argument("--patience", type=float, default=early.PATIENCE,
-                        help="s until an early one is refused; 0: nor does it wait")
+    parser.add_argument(
+        "--patience",
+        type=float,
+        default=early.PATIENCE,
+        help="s until an early one is refused; 0: nor does it wait",
+    )
     parser.add_argument("--mutants", action="store_true")
     parser.add_argument("--cost", action="store_true")
     args = parser.parse_args()
@@ -183,8 +206,7 @@
         if args.mutants:
             dropped_days(int(first), int(last or first), args.rounds)
             return 0
-        return int(days(int(first), int(last or first), args.rounds, args.kept, args.barred,
-                        args.patience))
+        return int(days(int(first), int(last or first), args.rounds, args.kept, args.barred, args.patience))
     first, _, last = args.seeds.partition("-")
     broken = searches(args.limit)
     return int(lives(int(first), int(last or first), args.steps) or broken)
--- a/benchmarks/power_back.py
+++ b/benchmarks/power_back.py
@@ -83,15 +83,17 @@
             proved = first("core.current", f"{host}-control")
             found["its value proved"].append(proved - back)
             found["proved, after it and half of the core"].append(
-                proved - max(half, first("start", f"{host}-control")))
+                proved - max(half, first("start", f"{host}-control"))
+            )
         for host in edges:
             began = first("start", f"{host}-data")
             found["limiter up"].append(began - back)
             found["configuration"].append(first("configuration", f"{host}-data") - back)
             found["ready"].append(ready[host] - back)
             found["ready, after it and half of the core"].append(ready[host] - max(began, half))
-        served = [one.answered for one in world.judge.asked.values()
-                  if one.status == 200 and one.answered > back]
+        served = [
+            one.answered for one in world.judge.asked.values() if one.status == 200 and one.answered > back
+        ]
         found["first request served"].append(min(served) - back)
         found["the same, after the loss"].append(min(served) - off)
 
@@ -116,8 +118,10 @@
             print(f"seed {seed}: {broken}")
         for name, some in times.items():
             found[name] += some
-    print(f"seeds {given.seeds}, {3 * given.controls} control planes, starts spread over {given.spread} s, "
-          f"{given.gone} stay dark")
+    print(
+        f"seeds {given.seeds}, {3 * given.controls} control planes, starts spread over {given.spread} s, "
+        f"{given.gone} stay dark"
+    )
     for name, some in found.items():
         print(f"| {name} | {min(some):.3f} | {median(some):.3f} | {max(some):.3f} |")
 
--- a/benchmarks/repair_span.py
+++ b/benchmarks/repair_span.py
@@ -80,8 +80,14 @@
     return now() + 1.0
 
 
-KINDS: dict[str, Harm] = {"kill": kill, "away": away, "wipe": wipe, "replaced": replaced, "told": told,
-                          "power": power}
+KINDS: dict[str, Harm] = {
+    "kill": kill,
+    "away": away,
+    "wipe": wipe,
+    "replaced": replaced,
+    "told": told,
+    "power": power,
+}
 
 
 async def bring_in(world: World, count: int, after: float) -> None:
@@ -128,8 +134,16 @@
     for members in map(int, chosen.members.split(",")):
         for losses, kind in product(range(1, min(2, (members - 1) // 2) + 1), chosen.kinds.split(",")):
             seen = [span(members, losses, kind, seed) for seed in range(first, last + 1)]
-            print(members, losses, kind, of([one[0] for one in seen]), of([one[1] for one in seen]),
-                  sum(one[2] for one in seen), sep=" | ", flush=True)
+            print(
+                members,
+                losses,
+                kind,
+                of([one[0] for one in seen]),
+                of([one[1] for one in seen]),
+                sum(one[2] for one in seen),
+                sep=" | ",
+                flush=True,
+            )
 
 
 if __name__ == "__main__":
--- a/benchmarks/request_cost.py
+++ b/benchmarks/request_cost.py
@@ -146,14 +146,25 @@
     document = copy.deepcopy(demo.first_configuration())
     # Limiters are named as their settings do: the tenant is one whose count another than the first holds.
     names = [f"edge-{zone}-{at}" for at, zone in ((1, "north"), (2, "middle"))]
-    label = next(name for name in (f"tenant-{at}" for at in range(100))
-                 if rendezvous.first(name, tuple(sorted(names))) == names[1])
+    label = next(
+        name
+        for name in (f"tenant-{at}" for at in range(100))
+        if rendezvous.first(name, tuple(sorted(names))) == names[1]
+    )
     elements = document["elements"]
     assert isinstance(elements, list)
-    elements.append({"elementKind": "loads", "header": {"label": label}, "reference": {
-        "credentials": ["cost"], "rateS": PLENTY, "surge": PLENTY}})
-    wait("configuration", lambda: operator.call(
-        controls, "setpoint.replace", json.dumps(document).encode(), LIMIT).status == 200)
+    elements.append(
+        {
+            "elementKind": "loads",
+            "header": {"label": label},
+            "reference": {"credentials": ["cost"], "rateS": PLENTY, "surge": PLENTY},
+        }
+    )
+    wait(
+        "configuration",
+        lambda: operator.call(controls, "setpoint.replace", json.dumps(document).encode(), LIMIT).status
+        == 200,
+    )
     for address in addresses:
         servers.append(Beating("pages", "north", system.ip(10), controls, 0.4))
         servers[-1].slots, servers[-1].address = SLOTS, str(address)
@@ -168,24 +179,34 @@
 
 
 def request(number: int) -> bytes:
-    return (b"GET /pages/1 HTTP/1.1\r\nHost: %s\r\nTrial-Id: cost%012x\r\nRemaining-Ms: 4000\r\n"
-            b"Authorization: Token cost\r\n\r\n" % (demo.HOST.encode(), number))
+    return (
+        b"GET /pages/1 HTTP/1.1\r\nHost: %s\r\nTrial-Id: cost%012x\r\nRemaining-Ms: 4000\r\n"
+        b"Authorization: Token cost\r\n\r\n" % (demo.HOST.encode(), number)
+    )
 
 
 def node_request(number: int) -> bytes:
-    return (b"GET /look/00000000b4d65521 HTTP/1.1\r\nHost: service.internal\r\nX-Call-Id: %016x\r\n"
-            b"X-Call-Class: look\r\nX-Contract: team\r\nX-Budget-Ms: 4000\r\n"
-            b"X-Metering: units=1,spread=1,first=0\r\n\r\n" % number)
+    return (
+        b"GET /look/00000000b4d65521 HTTP/1.1\r\nHost: service.internal\r\nX-Call-Id: %016x\r\n"
+        b"X-Call-Class: look\r\nX-Contract: team\r\nX-Budget-Ms: 4000\r\n"
+        b"X-Metering: units=1,spread=1,first=0\r\n\r\n" % number
+    )
 
 
 def started(words: list[str], path: Path, env: dict[str, str]) -> subprocess.Popen[bytes]:
     with path.open("wb") as sink:
-        return subprocess.Popen([sys.executable, "-O", "-m", *words], env={**os.environ, **env},
-                                stdin=subprocess.DEVNULL, stdout=sink, stderr=sink)
-
-
-def play_all(folder: Path, plays: int, requests: int, env: dict[str, str],
-             addresses: list[Address]) -> list[Program]:
+        return subprocess.Popen(
+            [sys.executable, "-O", "-m", *words],
+            env={**os.environ, **env},
+            stdin=subprocess.DEVNULL,
+            stdout=sink,
+            stderr=sink,
+        )
+
+
+def play_all(
+    folder: Path, plays: int, requests: int, env: dict[str, str], addresses: list[Address]
+) -> list[Program]:
     system, servers = System(folder), list[Beating]()
     processes, programs = list[subprocess.Popen[bytes]](), list[Program]()
     try:
@@ -195,12 +216,18 @@
         line = first_line(processes[-1], node_log)
         wait("node", lambda: node_ready(line))
         host, _, port = str(json.loads(line)["listen"]).rpartition(":")
-        programs.append(Program("present node, with its counter", processes[-1].pid,
-                                Asking(Address(host, int(port)), node_request)))
+        programs.append(
+            Program(
+                "present node, with its counter",
+                processes[-1].pid,
+                Asking(Address(host, int(port)), node_request),
+            )
+        )
         processes.append(started(["benchmarks.echo"], echo_log, {}))
         port = first_line(processes[-1], echo_log).decode()
-        programs.append(Program("h11 echo on trio", processes[-1].pid,
-                                Asking(Address("127.0.0.1", int(port)), request)))
+        programs.append(
+            Program("h11 echo on trio", processes[-1].pid, Asking(Address("127.0.0.1", int(port)), request))
+        )
         time.sleep(IDLE)
         for one in programs:
             one.idle = one.memory()
@@ -261,8 +288,13 @@
         path = folder / "node.json"
         path.write_text(json.dumps(settings))
         found = await trio.to_thread.run_sync(
-            play_all, folder, plays, requests, {"BALANCER_CONFIG": str(path), "TMPDIR": str(folder)},
-            [one.address for one in servers])
+            play_all,
+            folder,
+            plays,
+            requests,
+            {"BALANCER_CONFIG": str(path), "TMPDIR": str(folder)},
+            [one.address for one in servers],
+        )
         calls = sum(text != "ping" for text in counter.calls)
         nursery.cancel_scope.cancel()
     return found, calls
@@ -279,20 +311,24 @@
     print(f"Python {platform.python_version()}, {os.cpu_count()} processors, {TOGETHER} connections")
     random.seed(given.seed)
     with tempfile.TemporaryDirectory(prefix="finchshelf-cost-") as name:
-        found, calls = trio.run(measure, Path(name), plays, requests, given.seed & 0xff)
+        found, calls = trio.run(measure, Path(name), plays, requests, given.seed & 0xFF)
     least = found[-1].costs
     print(f"present node: calls to the counter {calls}, requests {found[1].asking.number}\n")
     print("| program | plays | processor us a request | times the echo | MB idle | MB after |")
     print("| --- | --- | --- | --- | --- | --- |")
     for one in found:
         times = [mine / other for mine, other in zip(one.costs, least, strict=True) if other]
-        print(f"| {one.name} | {len(one.costs)} | {cell(one.costs, '.0f')} | {cell(times, '.1f')} | "
-              f"{one.idle:.1f} | {one.after:.1f} |")
+        print(
+            f"| {one.name} | {len(one.costs)} | {cell(one.costs, '.0f')} | {cell(times, '.1f')} | "
+            f"{one.idle:.1f} | {one.after:.1f} |"
+        )
         if one.holding:  # nothing here would mean that it did not ask
             print(f"| the holder that it asks | {len(one.holding)} | {cell(one.holding, '.0f')} | | | |")
     pairs = [mine / other for mine, other in zip(found[0].costs, found[1].costs, strict=True)]
-    print(f"\ndata plane over present node, in pairs: {cell(pairs, '.2f')}, "
-          f"more in {sum(pair > 1 for pair in pairs)} of {len(pairs)}")
+    print(
+        f"\ndata plane over present node, in pairs: {cell(pairs, '.2f')}, "
+        f"more in {sum(pair > 1 for pair in pairs)} of {len(pairs)}"
+    )
 
 
 if __name__ == "__main__":
--- a/benchmarks/rollout.py
+++ b/benchmarks/rollout.py
@@ -28,8 +28,16 @@
 WAVES = 4  # of many sites: one, a few, more, all others
 TROUBLES = ("server crash", "limiter killed", "zone lost", "bad hour everywhere", "uneven traffic")
 MASKS = ("zone lost", "bad hour everywhere")  # under which a bad policy might pass for something else
-STATES = {"waiting": ".", "changing": "c", "watching": "w", "passed": "P", "returning": "r", "returned": "R",
-          "left": "L", "refused": "x"}
+STATES = {
+    "waiting": ".",
+    "changing": "c",
+    "watching": "w",
+    "passed": "P",
+    "returning": "r",
+    "returned": "R",
+    "left": "L",
+    "refused": "x",
+}
 
 
 @dataclass(frozen=True)
@@ -75,8 +83,9 @@
 def made(policy: str, sites: int, seed: int) -> World:
     name, _, beside = policy.partition(", ")
     load = name == "bad only under load"
-    world = World(sites, (GOOD | BAD)[name], seed, WAVES if sites > 10 else 0,
-                  least_busy=1.4 if load else 0.0)
+    world = World(
+        sites, (GOOD | BAD)[name], seed, WAVES if sites > 10 else 0, least_busy=1.4 if load else 0.0
+    )
     if load:
         world.busy = model.surges
     if beside:
@@ -91,13 +100,25 @@
     first = next((at for at, event, _ in world.logged if event == "rollout.changed"), world.now)
     halted = next((at for at, event, _ in world.logged if event == "rollout.halted"), world.now)
     others = sum(place.harmed for name, place in world.places.items() if name != "site-00")
-    return Run(policy, sites, seed, end, world.places["site-00"].harmed, others, len(world.changed()),
-               halted - first, world.now)
+    return Run(
+        policy,
+        sites,
+        seed,
+        end,
+        world.places["site-00"].harmed,
+        others,
+        len(world.changed()),
+        halted - first,
+        world.now,
+    )
 
 
 def cases(sites: list[int], seeds: int, kind: str) -> Iterator[tuple[str, int, int]]:
-    names = {"bad": list(BAD), "both": [f"{name}, {beside}" for name in BAD for beside in MASKS],
-             "good": [*GOOD, *(f"longer time, {beside}" for beside in TROUBLES)]}[kind]
+    names = {
+        "bad": list(BAD),
+        "both": [f"{name}, {beside}" for name in BAD for beside in MASKS],
+        "good": [*GOOD, *(f"longer time, {beside}" for beside in TROUBLES)],
+    }[kind]
     for number in sites:
         for name in names:
             for seed in range(seeds):
@@ -109,25 +130,33 @@
     for run in runs:
         groups.setdefault((run.sites, run.policy), []).append(run)
     if good:
-        lines = ["| good policy | sites | runs | halted | not ended | s over all sites, median (worst) |",
-                 "| --- | --- | --- | --- | --- | --- |"]
+        lines = [
+            "| good policy | sites | runs | halted | not ended | s over all sites, median (worst) |",
+            "| --- | --- | --- | --- | --- | --- |",
+        ]
     else:
-        lines = ["| bad policy | sites | runs | passed | harmed at the first site, median (worst) "
-                 "| harmed elsewhere | s to the halt, median (worst) |",
-                 "| --- | --- | --- | --- | --- | --- | --- |"]
+        lines = [
+            "| bad policy | sites | runs | passed | harmed at the first site, median (worst) "
+            "| harmed elsewhere | s to the halt, median (worst) |",
+            "| --- | --- | --- | --- | --- | --- | --- |",
+        ]
     for (sites, policy), group in groups.items():
         if good:
             whole = [run.whole for run in group if run.end == "done"] or [float("nan")]
             halted = sum(run.end == "halted" for run in group)
             still = sum(run.end not in ("done", "halted") for run in group)
-            lines.append(f"| {policy} | {sites} | {len(group)} | {halted} | {still} | "
-                         f"{statistics.median(whole):.0f} ({max(whole):.0f}) |")
+            lines.append(
+                f"| {policy} | {sites} | {len(group)} | {halted} | {still} | "
+                f"{statistics.median(whole):.0f} ({max(whole):.0f}) |"
+            )
         else:
             passed = sum(run.end != "halted" or run.changed > 1 for run in group)
             harmed, took = [run.harmed for run in group], [run.to_halt for run in group]
-            lines.append(f"| {policy} | {sites} | {len(group)} | {passed} | {statistics.median(harmed):.0f} "
-                         f"({max(harmed):.0f}) | {sum(run.elsewhere for run in group):.0f} | "
-                         f"{statistics.median(took):.0f} ({max(took):.0f}) |")
+            lines.append(
+                f"| {policy} | {sites} | {len(group)} | {passed} | {statistics.median(harmed):.0f} "
+                f"({max(harmed):.0f}) | {sum(run.elsewhere for run in group):.0f} | "
+                f"{statistics.median(took):.0f} ({max(took):.0f}) |"
+            )
     return "\n".join(lines)
 
 
@@ -176,11 +205,17 @@
     def draw(path: Path, stories: Any) -> None:
         figure, axes = pyplot.subplots(len(stories), 1, figsize=(10, 2 * len(stories)))
         for axis, (policy, rows) in zip(axes, stories, strict=True):
-            axis.imshow([[colours[letter] for letter in row] for row in rows.values()], aspect="auto",
-                        vmin=0, vmax=7, cmap="tab10")
+            axis.imshow(
+                [[colours[letter] for letter in row] for row in rows.values()],
+                aspect="auto",
+                vmin=0,
+                vmax=7,
+                cmap="tab10",
+            )
             axis.set_title(policy)
         figure.tight_layout()
         figure.savefig(path)
+
     return draw
 
 
@@ -189,8 +224,11 @@
     parser.add_argument("--seeds", type=int, default=20)
     parser.add_argument("--sites", type=int, nargs="+", default=[5, 40])
     parser.add_argument("--processes", type=int, default=2)
-    parser.add_argument("--only", choices=("bad", "both", "good"),
-                        help="bad policies, bad ones with a trouble beside, or good ones")
+    parser.add_argument(
+        "--only",
+        choices=("bad", "both", "good"),
+        help="bad policies, bad ones with a trouble beside, or good ones",
+    )
     parser.add_argument("--plot", type=Path)
     given = parser.parse_args()
     began = time.monotonic()
--- a/benchmarks/rollout_world.py
+++ b/benchmarks/rollout_world.py
@@ -33,25 +33,49 @@
 
 def route(label: str, **more: Any) -> dict[str, Any]:
     variant = "mutating" if label in ONCE else "nullipotent"
-    return {"elementKind": "trajectories", "header": {"label": label}, "reference": {
-        "plant": "booking", "pathPrefix": f"/{label}/", "cutoffMs": CUTOFF, "targetMs": 500,
-        "variant": variant, "subsystem": label, "trials": 1 if label in ONCE else 2, **more}}
+    return {
+        "elementKind": "trajectories",
+        "header": {"label": label},
+        "reference": {
+            "plant": "booking",
+            "pathPrefix": f"/{label}/",
+            "cutoffMs": CUTOFF,
+            "targetMs": 500,
+            "variant": variant,
+            "subsystem": label,
+            "trials": 1 if label in ONCE else 2,
+            **more,
+        },
+    }
 
 
 def service(label: str, **more: Any) -> dict[str, Any]:
-    return {"elementKind": "subsystems", "header": {"label": label}, "reference": {
-        "connectionCeiling": 100, **more}}
+    return {
+        "elementKind": "subsystems",
+        "header": {"label": label},
+        "reference": {"connectionCeiling": 100, **more},
+    }
 
 
 def load(**more: Any) -> dict[str, Any]:
-    return {"elementKind": "loads", "header": {"label": "desk"}, "reference": {
-        "credentials": ["desk-1", "desk-2"], "rateS": 200, "surge": 50, **more}}
+    return {
+        "elementKind": "loads",
+        "header": {"label": "desk"},
+        "reference": {"credentials": ["desk-1", "desk-2"], "rateS": 200, "surge": 50, **more},
+    }
 
 
 def first_document() -> dict[str, Any]:
-    return {"setpointSeq": "00000001", "priorVersion": 0, "elements": [
-        *map(route, KINDS), *map(service, (*KINDS, "small")), load(),
-        {"elementKind": "saturations", "header": {}, "reference": {"quiescentMs": 15000}}]}
+    return {
+        "setpointSeq": "00000001",
+        "priorVersion": 0,
+        "elements": [
+            *map(route, KINDS),
+            *map(service, (*KINDS, "small")),
+            load(),
+            {"elementKind": "saturations", "header": {}, "reference": {"quiescentMs": 15000}},
+        ],
+    }
 
 
 def split(gain: float) -> list[dict[str, Any]]:
@@ -78,8 +102,13 @@
     "a key taken away": {"apply": {"elements": [load(credentials=["desk-1"])]}},
     "bad only under load": {"apply": {"elements": [service("confirm", connectionCeiling=3)]}},
     "bad for one kind alone": {"apply": {"elements": [route("release", cutoffMs=450)]}},
-    "harm after a minute": {"apply": {"elements": [{"elementKind": "saturations", "header": {},
-                                                    "reference": {"quiescentMs": 3_600_000}}]}},
+    "harm after a minute": {
+        "apply": {
+            "elements": [
+                {"elementKind": "saturations", "header": {}, "reference": {"quiescentMs": 3_600_000}}
+            ]
+        }
+    },
 }
 
 
@@ -178,22 +207,28 @@
                 self.harmed += seen
 
     def evidence(self) -> dict[str, Any]:
-        return {"version": self.version, "machines": self.machines,
-                "rows": [["edge", self.life, [[kind, *row] for kind, row in self.totals.items()]]]}
+        return {
+            "version": self.version,
+            "machines": self.machines,
+            "rows": [["edge", self.life, [[kind, *row] for kind, row in self.totals.items()]]],
+        }
 
 
 class Keepers:
     """The head office's register: the product's acceptors, and messages that arrive unless cut off."""
 
     def __init__(self) -> None:
-        self.acceptors = {each: core.Acceptor(core.Member(each, core.FIRST), core.genesis(KEEPERS))
-                          for each in KEEPERS}
+        self.acceptors = {
+            each: core.Acceptor(core.Member(each, core.FIRST), core.genesis(KEEPERS)) for each in KEEPERS
+        }
         self.cut: set[str] = set()
         self.n = 1
 
     def newest(self) -> core.Value:
-        return max((one.decided for one in self.acceptors.values() if one.decided is not None),
-                   key=lambda value: value.slot)
+        return max(
+            (one.decided for one in self.acceptors.values() if one.decided is not None),
+            key=lambda value: value.slot,
+        )
 
     def change(self, me: str, make: duty.Make) -> core.Value | str | None:
         """The decided value, why it was refused, or None where no majority answers."""
@@ -250,8 +285,7 @@
         if isinstance(order, Ask):
             return self.driver.take(drivers.Told(name, place.evidence() if place.up else None))
         if isinstance(order, Observe):
-            return self.driver.take(drivers.Observed(name, place.version,
-                                                     orjson.dumps(place.document)))
+            return self.driver.take(drivers.Observed(name, place.version, orjson.dumps(place.document)))
         if self.me in world.slow:
             self.stalled.append(order)
             return self.driver.take(drivers.Answered(name, order.version, 0))
@@ -264,23 +298,42 @@
 class World:
     """Sites, keepers and time."""
 
-    def __init__(self, sites: int, change: dict[str, Any], seed: int, waves: int = 0,
-                 scale: float = 1.0, least_busy: float = 0.0, shared: bool = False, **watch: Any) -> None:
+    def __init__(
+        self,
+        sites: int,
+        change: dict[str, Any],
+        seed: int,
+        waves: int = 0,
+        scale: float = 1.0,
+        least_busy: float = 0.0,
+        shared: bool = False,
+        **watch: Any,
+    ) -> None:
         self.random, self.now, self.logged = Random(seed), 0.0, list[tuple[float, str, str]]()
         self.maker: Callable[..., Driver] = Driver
-        self.places = {f"site-{at:02}": Place(f"site-{at:02}", Random(seed * 1000 + at),
-                                              scale * self.random.uniform(0.7, 1.3)) for at in range(sites)}
+        self.places = {
+            f"site-{at:02}": Place(
+                f"site-{at:02}", Random(seed * 1000 + at), scale * self.random.uniform(0.7, 1.3)
+            )
+            for at in range(sites)
+        }
         if shared:  # sites within one system
             self.places = dict.fromkeys(self.places, self.places["site-00"])
-        rows: list[dict[str, Any]] = [{"name": name, "controls": [f"10.{0 if shared else at}.0.1:8407"]}
-                                      for at, name in enumerate(self.places)]
+        rows: list[dict[str, Any]] = [
+            {"name": name, "controls": [f"10.{0 if shared else at}.0.1:8407"]}
+            for at, name in enumerate(self.places)
+        ]
         for row, place in zip(rows if least_busy else (), self.places.values(), strict=False):
             row["least_rate"] = least_busy * place.scale * sum(KINDS.values())
         for at, row in enumerate(rows if waves else ()):  # one, then few, then each wave three times as many
             row["wave"] = 1 if at == 0 else 2 + min(waves - 2, int(math.log(at, 3)))
-        given = {"name": "try", "change": deepcopy(change), "sites": rows,
-                 "watch": {"before_s": 60, "window_s": 100, "least": 400, "poll_s": 1, **watch},
-                 "kinds": [{"route": kind, "once": kind in ONCE} for kind in KINDS]}
+        given = {
+            "name": "try",
+            "change": deepcopy(change),
+            "sites": rows,
+            "watch": {"before_s": 60, "window_s": 100, "least": 400, "poll_s": 1, **watch},
+            "kinds": [{"route": kind, "once": kind in ONCE} for kind in KINDS],
+        }
         self.plan = plan.read(given)
         self.keepers, self.hands = Keepers(), dict[str, Hand]()
         self.heard: dict[str, tuple[int, float]] = dict.fromkeys(KEEPERS, (-1, 0.0))
@@ -310,8 +363,9 @@
                 hand.gone = True
                 return
             document = duty.read(self.keepers.acceptors[me].decided)
-            hand.feed(drivers.Tick(self.now, self.now, document["paused"], document["abort"],
-                                   document["leave"]))
+            hand.feed(
+                drivers.Tick(self.now, self.now, document["paused"], document["abort"], document["leave"])
+            )
             return
         document = duty.read(self.keepers.acceptors[me].decided)
         beat, at = self.heard[me]
@@ -355,10 +409,12 @@
 def crash(site: str, at: float, part: float) -> Callable[[str, float], dict[str, float]]:
     """What a loss of machines costs at one site, whatever its policy: a burst until it is known, then too
     little room until all have settled."""
+
     def outside(name: str, now: float) -> dict[str, float]:
         if name != site or not at <= now < at + 9.0:
             return {}
         if now >= at + 2.5:
             return {"late": 0.2 * part, "refused": 0.1 * part}
         return {"vanished": 0.3 * part, "broken": 0.3 * part, "late": 0.5 * part, "refused": 0.2 * part}
+
     return outside
--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -83,8 +83,9 @@
 
 
 class Fleet:
-    def __init__(self, site: Site, folder: Path, cores: set[int], configuration: Site,
-                 ramp: float = PULSE) -> None:
+    def __init__(
+        self, site: Site, folder: Path, cores: set[int], configuration: Site, ramp: float = PULSE
+    ) -> None:
         self.site, self.folder, self.cores, self.configuration = site, folder, cores, configuration
         self.ramp = ramp
         self.net = f"127.{64 + os.getpid() % 64}"
@@ -96,8 +97,12 @@
         log = self.folder / f"{name}.log"
         with open(log, "wb") as out:
             popen = subprocess.Popen(
-                [sys.executable, "-m", *words], stdout=out, stderr=out, env={**os.environ, **more},
-                preexec_fn=lambda: os.sched_setaffinity(0, self.cores))
+                [sys.executable, "-m", *words],
+                stdout=out,
+                stderr=out,
+                env={**os.environ, **more},
+                preexec_fn=lambda: os.sched_setaffinity(0, self.cores),
+            )
         self.processes.append(Process(name, role, popen, log))
         return self.processes[-1]
 
@@ -106,14 +111,27 @@
         if control:
             (self.folder / name).mkdir()
         fields = {
-            "node": name, "function": "scale", "machineClass": "edge", "serves": serves, "ip": host,
-            "zone": zone, "region": f"region-{int(zone[-1]) // 2}", "portRange": f"{FRAMES},{FRAMES + 15}",
+            "node": name,
+            "function": "scale",
+            "machineClass": "edge",
+            "serves": serves,
+            "ip": host,
+            "zone": zone,
+            "region": f"region-{int(zone[-1]) // 2}",
+            "portRange": f"{FRAMES},{FRAMES + 15}",
             "initialPeers": ",".join(f"{one}:{CONTROL}" for one, _ in self.controls[:3]),
-            "initialCondition": "true", "lossCounted": str(control).lower(), "pulseMs": str(PULSE * 1000),
-            "saturations.cpuFraction": "1.0", "saturations.cores": "1", "saturations.memoryMb": "512",
-            "saturations.descriptors": "4100", "saturations.bandwidthMbps": "1000",
-            "saturations.storageMb": "64", "margins": "contactMs=3000,setpointMs=15000",
-            **{f"zones.{each}": f"region-{int(each[-1]) // 2}" for each in self.zones}}
+            "initialCondition": "true",
+            "lossCounted": str(control).lower(),
+            "pulseMs": str(PULSE * 1000),
+            "saturations.cpuFraction": "1.0",
+            "saturations.cores": "1",
+            "saturations.memoryMb": "512",
+            "saturations.descriptors": "4100",
+            "saturations.bandwidthMbps": "1000",
+            "saturations.storageMb": "64",
+            "margins": "contactMs=3000,setpointMs=15000",
+            **{f"zones.{each}": f"region-{int(each[-1]) // 2}" for each in self.zones},
+        }
         if control:
             fields |= {"stateDir": str(self.folder / name), "inlets.control": f"{host}:{CONTROL}"}
         else:
@@ -132,10 +150,16 @@
         self.hollow("limiters", self.site.limiters - REAL)
 
     def hollow(self, kind: str, count: int) -> None:
-        given = {"net": self.net, "zones": self.zones, "services": self.site.services, "pulse": PULSE,
-                 "ramp": self.ramp, "seconds": BOUND,
-                 "controls": [(f"{host}:{FRAMES}", zone) for host, zone in self.controls],
-                 "calls": [f"{host}:{CONTROL}" for host, _ in self.controls]}
+        given = {
+            "net": self.net,
+            "zones": self.zones,
+            "services": self.site.services,
+            "pulse": PULSE,
+            "ramp": self.ramp,
+            "seconds": BOUND,
+            "controls": [(f"{host}:{FRAMES}", zone) for host, zone in self.controls],
+            "calls": [f"{host}:{CONTROL}" for host, _ in self.controls],
+        }
         for n in range(WORKERS):
             first, after = count * n // WORKERS, count * (n + 1) // WORKERS
             part = orjson.dumps({**given, "first": first, "count": after - first}).decode()
@@ -184,11 +208,19 @@
 
 def arrived(fleet: Fleet, version: int, began: float) -> list[float]:
     """s until each limiter had it, hollow ones by their news and real ones by their log."""
-    found = [line["at"] - began for one in fleet.of("limiters") for line in one.lines()
-             if line.get("kind") == "version" and line["version"] == version]
+    found = [
+        line["at"] - began
+        for one in fleet.of("limiters")
+        for line in one.lines()
+        if line.get("kind") == "version" and line["version"] == version
+    ]
     ahead = time.time() - time.monotonic()
-    found += [line["at"] - ahead - began for one in fleet.of("data") for line in one.lines()
-              if line.get("event") == "configuration" and line["version"] == version]
+    found += [
+        line["at"] - ahead - began
+        for one in fleet.of("data")
+        for line in one.lines()
+        if line.get("event") == "configuration" and line["version"] == version
+    ]
     return sorted(found)
 
 
@@ -237,8 +269,11 @@
     took = until - began
 
     def cores(role: str, which: int = 0) -> list[float]:
-        return [(after[one.name][which] - before.get(one.name, (0.0, 0.0))[which]) / took
-                for one in fleet.of(role) if one.name in after]
+        return [
+            (after[one.name][which] - before.get(one.name, (0.0, 0.0))[which]) / took
+            for one in fleet.of(role)
+            if one.name in after
+        ]
 
     asked, _ = over(fleet, "limiters", began, until)
     beats, late = over(fleet, "servers", began, until)
@@ -250,18 +285,22 @@
         f"{name}: a real limiter, % of a core": 100 * sum(cores("data")) / REAL,
         f"{name}: a control plane, % of a core": 100 * sum(cores("control")) / CONTROLS,
         f"{name}: the busiest, % of a core": 100 * max(cores("control")),
-        f"{name}: a control plane waited for a core, % of the time":
-            100 * sum(cores("control", 1)) / CONTROLS,
+        f"{name}: a control plane waited for a core, % of the time": 100
+        * sum(cores("control", 1))
+        / CONTROLS,
         f"{name}: the busiest hollow process, % of a core": 100 * max(cores("limiters") + cores("servers")),
-        f"{name}: a hollow process waited for a core at most, % of the time":
-            100 * max(cores("limiters", 1) + cores("servers", 1)),
+        f"{name}: a hollow process waited for a core at most, % of the time": 100
+        * max(cores("limiters", 1) + cores("servers", 1)),
         f"{name}: cores that all of them used": sum(
-            sum(cores(role)) for role in ("control", "data", "limiters", "servers")),
+            sum(cores(role)) for role in ("control", "data", "limiters", "servers")
+        ),
         f"{name}: beats/s": beats.get("beats", 0) / took,
-        f"{name}: beats not acknowledged, %":
-            100 * beats.get("beats not acknowledged", 0) / max(1, beats.get("beats", 0)),
+        f"{name}: beats not acknowledged, %": 100
+        * beats.get("beats not acknowledged", 0)
+        / max(1, beats.get("beats", 0)),
         f"{name}: acknowledged, median ms": 1e3 * of_all(late, 0.5),
-        f"{name}: acknowledged, 99 in 100 ms": 1e3 * of_all(late, 0.99)}
+        f"{name}: acknowledged, 99 in 100 ms": 1e3 * of_all(late, 0.99),
+    }
 
 
 async def run(fleet: Fleet, calm: float, changes: int) -> Found:
@@ -328,15 +367,18 @@
         await trio.sleep(2.0)
     if acknowledged:
         note(fleet, found, "changes", before, began)
-        found.figures |= {"changes acknowledged after at most, s": max(acknowledged),
-                          "calls for one change at most": most_calls,
-                          "changes in force everywhere after at most, s": max(last),
-                          "limiters that lacked one": lacking,
-                          "seconds of that span": time.monotonic() - began}
+        found.figures |= {
+            "changes acknowledged after at most, s": max(acknowledged),
+            "calls for one change at most": most_calls,
+            "changes in force everywhere after at most, s": max(last),
+            "limiters that lacked one": lacking,
+            "seconds of that span": time.monotonic() - began,
+        }
 
 
 def idle(count: int) -> set[int]:
     """The cores that did least in the last second, of those that this process may use."""
+
     def busy() -> dict[int, int]:
         with open("/proc/stat") as file:
             rows = [line.split() for line in file if line.startswith("cpu") and line[3] != " "]
@@ -356,15 +398,24 @@
     parser.add_argument("--calm", type=float, default=20.0, help="s of the calm span")
     parser.add_argument("--changes", type=int, default=3)
     parser.add_argument("--ramp", type=float, default=PULSE, help="s over which the servers start")
-    parser.add_argument("--configuration", type=int, default=0,
-                        help="limiters of the site whose routes and tenants there are; 0: its own")
+    parser.add_argument(
+        "--configuration",
+        type=int,
+        default=0,
+        help="limiters of the site whose routes and tenants there are; 0: its own",
+    )
     given = parser.parse_args()
     all_of = []
     for size in map(int, given.sizes.split(",")):
         began = time.monotonic()
         with TemporaryDirectory() as folder:
-            fleet = Fleet(Site(size), Path(folder), idle(given.cores or 1 << 16),
-                          Site(given.configuration or size), given.ramp)
+            fleet = Fleet(
+                Site(size),
+                Path(folder),
+                idle(given.cores or 1 << 16),
+                Site(given.configuration or size),
+                given.ramp,
+            )
             all_of.append(trio.run(run, fleet, given.calm, given.changes))
         print(f"{size} limiters: {time.monotonic() - began:.0f} s", file=sys.stderr)
     print(f"bound to {given.cores or 'no'} cores; load of the machine {os.getloadavg()}\n")
--- a/benchmarks/scale_hollow.py
+++ b/benchmarks/scale_hollow.py
@@ -66,8 +66,12 @@
 class HollowLimiter:
     def __init__(self, given: dict[str, Any], number: int, nursery: trio.Nursery) -> None:
         zone = given["zones"][number % len(given["zones"])]
-        self.row = [f"edge-{number:04d}", int(time.time() * 1000), f"{given['net']}.{20 + number // 200}."
-                    f"{number % 200 + 1}", zone]
+        self.row = [
+            f"edge-{number:04d}",
+            int(time.time() * 1000),
+            f"{given['net']}.{20 + number // 200}." f"{number % 200 + 1}",
+            zone,
+        ]
         self.nursery, self.slot, self.document, self.random = nursery, -1, b"", Random(number)
         order = rendezvous.order(self.row[0], [one[0] for one in given["controls"]])
         own = [name for name, at in given["controls"] if at == zone]
@@ -78,9 +82,16 @@
         await trio.sleep(self.random.random())
         while True:
             try:
-                answer = await link.ask("news", {
-                    "op": "news", "wait": WAIT, "limiter": self.row, "have": {
-                        **have, "slot": self.slot, "document": self.document, "zip": True}}, WAIT + MORE)
+                answer = await link.ask(
+                    "news",
+                    {
+                        "op": "news",
+                        "wait": WAIT,
+                        "limiter": self.row,
+                        "have": {**have, "slot": self.slot, "document": self.document, "zip": True},
+                    },
+                    WAIT + MORE,
+                )
             except PeerError as error:
                 seen["busy" if "busy" in error.why else "unanswered"] += 1
                 await trio.sleep(DOWN * (0.75 + 0.5 * self.random.random()))
@@ -88,8 +99,13 @@
             seen["answers"] += 1
             if answer["life"] != have["life"]:
                 have = self.none(answer["life"])
-            for mine, theirs in (("rev", "rev"), ("list", "list"), ("named", "named"), ("core", "core"),
-                                 ("verdicts", "verdictsRev")):
+            for mine, theirs in (
+                ("rev", "rev"),
+                ("list", "list"),
+                ("named", "named"),
+                ("core", "core"),
+                ("verdicts", "verdictsRev"),
+            ):
                 have[mine] = answer.get(theirs, have.get(mine, -1))
             if "value" in answer:
                 self.value(answer["value"])
@@ -129,9 +145,13 @@
         self.every, self.known = given["pulse"], [address_of(one) for one in given["calls"]]
         self.target = self.random.choice(self.known)
         self.head = {
-            "address": f"{given['net']}.{100 + number // 200}.{number % 200 + 1}:8080", "observation": {
-                "subsystem": f"service-{number % given['services']:03d}", "capacity": 32,
-                "zone": given["zones"][number % len(given["zones"])]}}
+            "address": f"{given['net']}.{100 + number // 200}.{number % 200 + 1}:8080",
+            "observation": {
+                "subsystem": f"service-{number % given['services']:03d}",
+                "capacity": 32,
+                "zone": given["zones"][number % len(given["zones"])],
+            },
+        }
         self.stream: net.Stream | None = None
 
     async def run(self, ramp: float) -> None:
@@ -155,8 +175,9 @@
 
     async def beat(self) -> dict[str, Any] | None:
         self.count += 1
-        body = orjson.dumps({**self.head, "stateEstimate": {
-            "mode": "stable", "callCount": self.count, "warmupMs": 0}})
+        body = orjson.dumps(
+            {**self.head, "stateEstimate": {"mode": "stable", "callCount": self.count, "warmupMs": 0}}
+        )
         try:
             if self.stream is None:
                 self.stream = await net.connect(self.target)
@@ -173,8 +194,10 @@
 
 async def posted(stream: net.Stream, to: Address, call: str, body: bytes) -> tuple[int, bytes]:
     """Status and body of a call's answer; ValueError where there is none."""
-    await stream.send(b"POST /v1/rpc?call=%s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n\r\n%s" % (
-        call.encode(), str(to).encode(), len(body), body))
+    await stream.send(
+        b"POST /v1/rpc?call=%s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n\r\n%s"
+        % (call.encode(), str(to).encode(), len(body), body)
+    )
     data = b""
     while True:
         more = await stream.receive()
@@ -184,8 +207,9 @@
         head, end, rest = data.partition(b"\r\n\r\n")
         if end:
             lines = head.split(b"\r\n")
-            length = next((int(line.split(b":")[1]) for line in lines
-                           if line.lower().startswith(b"content-length:")), 0)
+            length = next(
+                (int(line.split(b":")[1]) for line in lines if line.lower().startswith(b"content-length:")), 0
+            )
             if len(rest) >= length:
                 return int(lines[0].split()[1]), rest
 
--- a/benchmarks/start_cost.py
+++ b/benchmarks/start_cost.py
@@ -39,9 +39,19 @@
 LINES = 2000  # log lines of one play
 LOOK = 0.002  # s between two looks whether it is ready
 IDLE = 0.5  # s after which memory is read
-LOADED = ("trio", "h11", "orjson", "msgpack", "lmdb", "finchshelf.dataplane.__main__",
-          "finchshelf.controlplane.__main__", "finchshelf.__main__", "click", "pythonjsonlogger.json",
-          "jsonschema")
+LOADED = (
+    "trio",
+    "h11",
+    "orjson",
+    "msgpack",
+    "lmdb",
+    "finchshelf.dataplane.__main__",
+    "finchshelf.controlplane.__main__",
+    "finchshelf.__main__",
+    "click",
+    "pythonjsonlogger.json",
+    "jsonschema",
+)
 MEASURE = "import time; a = time.perf_counter(); import {}; print(time.perf_counter() - a)"
 
 
@@ -56,8 +66,13 @@
 def play(module: str, env: dict[str, str], ready: Callable[[bytes], bool]) -> Start:
     """One start, ended by its process id once it was measured."""
     began = time.monotonic()
-    process = subprocess.Popen([sys.executable, "-O", "-m", module], env={**os.environ, **env},
-                               stdin=subprocess.DEVNULL, stdout=subprocess.DEVNULL, stderr=subprocess.PIPE)
+    process = subprocess.Popen(
+        [sys.executable, "-O", "-m", module],
+        env={**os.environ, **env},
+        stdin=subprocess.DEVNULL,
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.PIPE,
+    )
     try:
         assert process.stderr is not None
         if not select.select([process.stderr], [], [], LIMIT)[0]:
@@ -97,20 +112,27 @@
         body = json.dumps(demo.first_configuration()).encode()
         if operator.call(controls, "setpoint.replace", body, LIMIT).status != 200:
             raise TimeoutError("no configuration was taken")
-        servers = [Beating(service, "north", system.ip(10), controls, 0.4)
-                   for service in ("pages", "orders")]
+        servers = [Beating(service, "north", system.ip(10), controls, 0.4) for service in ("pages", "orders")]
         if not all([server.beat() for server in servers]):
             raise TimeoutError("no beat was acknowledged")
         gate, third = system.each(READINESS)[0], controls[2]
         data, control = system.settings("data-plane", 1), system.settings("control-plane", 3, first=False)
         system.kill("control-plane-3")
         for _ in range(plays):
-            found["data plane"].append(play(
-                "finchshelf.dataplane", {"FINCHSHELF_BOOT": str(data)},
-                lambda _: demo.status_of(gate, "/v1/readiness") == 200))
-            found["control plane"].append(play(
-                "finchshelf.controlplane", {"FINCHSHELF_BOOT": str(control)},
-                lambda _: operator.once(third, "/v1/rpc?call=setpoint.observe", b"", 1.0)[0] == 200))
+            found["data plane"].append(
+                play(
+                    "finchshelf.dataplane",
+                    {"FINCHSHELF_BOOT": str(data)},
+                    lambda _: demo.status_of(gate, "/v1/readiness") == 200,
+                )
+            )
+            found["control plane"].append(
+                play(
+                    "finchshelf.controlplane",
+                    {"FINCHSHELF_BOOT": str(control)},
+                    lambda _: operator.once(third, "/v1/rpc?call=setpoint.observe", b"", 1.0)[0] == 200,
+                )
+            )
             found["present node"].append(node())
     finally:
         for server in servers:
@@ -134,7 +156,8 @@
             path.write_text(json.dumps(config_object(discovery.address, counter.address, sockets=256)))
             env = {"BALANCER_CONFIG": str(path), "TMPDIR": name}
             found = await trio.to_thread.run_sync(
-                measure_system, Path(name), plays, lambda: play("finchshelf", env, node_ready))
+                measure_system, Path(name), plays, lambda: play("finchshelf", env, node_ready)
+            )
         nursery.cancel_scope.cancel()
     return found
 
@@ -142,8 +165,9 @@
 def loading(module: str, after: str) -> float:
     """Seconds that a fresh process takes to load it, after another."""
     code = (f"import {after}; " if after else "") + MEASURE.format(module)
-    done = subprocess.run([sys.executable, "-O", "-c", code], capture_output=True, text=True, check=True,
-                          timeout=LIMIT)
+    done = subprocess.run(
+        [sys.executable, "-O", "-c", code], capture_output=True, text=True, check=True, timeout=LIMIT
+    )
     return float(done.stdout)
 
 
@@ -179,8 +203,10 @@
     for name, starts in found.items():
         line, ready = [one.line for one in starts], [one.ready for one in starts]
         cpu, memory = [one.cpu for one in starts], [one.memory for one in starts]
-        print(f"| {name} | {cell(line, '.3f')} | {cell(ready, '.3f')} | {cell(cpu, '.2f')} | "
-              f"{cell(memory, '.1f')} |")
+        print(
+            f"| {name} | {cell(line, '.3f')} | {cell(ready, '.3f')} | {cell(cpu, '.2f')} | "
+            f"{cell(memory, '.1f')} |"
+        )
     print("\n| loading | alone s | after the data plane s |\n| --- | --- | --- |")
     for module in LOADED:
         alone = [loading(module, "") for _ in range(plays)]
--- a/benchmarks/target.py
+++ b/benchmarks/target.py
@@ -54,19 +54,51 @@
         return {"elementKind": kind, "header": {"label": label}, "reference": reference}
 
     return [
-        *(one("trajectories", f"route-{n:05d}", {
-            "plant": f"site-{n % 97:02d}.example", "pathPrefix": f"/agency-{n * 7919 % 99991:05d}/builds/",
-            "variant": "mutating" if n % 3 == 0 else "nullipotent", "cutoffMs": 1500, "targetMs": 400,
-            "precedence": n % 3, "subsystem": f"service-{n % site.services:03d}", "trials": 2,
-            "unguarded": False}) for n in range(max(1, int(site.routes * part)))),
-        *(one("subsystems", f"service-{n:03d}", {
-            "probe": "/probe", "connectionCeiling": 700, "protocol": "h1", "encryption": False})
-          for n in range(site.services)),
-        *(one("loads", f"tenant-{n:05d}", {
-            "credentials": [random.randbytes(16).hex()], "precedence": n % 4, "rateS": 5.0 + n % 40,
-            "surge": 20.0}) for n in range(int(site.tenants * part))),
-        {"elementKind": "saturations", "header": {}, "reference": {
-            "headBytes": 16384, "payloadBytes": 1 << 20, "headMs": 3000, "quiescentMs": 15000}}]
+        *(
+            one(
+                "trajectories",
+                f"route-{n:05d}",
+                {
+                    "plant": f"site-{n % 97:02d}.example",
+                    "pathPrefix": f"/agency-{n * 7919 % 99991:05d}/builds/",
+                    "variant": "mutating" if n % 3 == 0 else "nullipotent",
+                    "cutoffMs": 1500,
+                    "targetMs": 400,
+                    "precedence": n % 3,
+                    "subsystem": f"service-{n % site.services:03d}",
+                    "trials": 2,
+                    "unguarded": False,
+                },
+            )
+            for n in range(max(1, int(site.routes * part)))
+        ),
+        *(
+            one(
+                "subsystems",
+                f"service-{n:03d}",
+                {"probe": "/probe", "connectionCeiling": 700, "protocol": "h1", "encryption": False},
+            )
+            for n in range(site.services)
+        ),
+        *(
+            one(
+                "loads",
+                f"tenant-{n:05d}",
+                {
+                    "credentials": [random.randbytes(16).hex()],
+                    "precedence": n % 4,
+                    "rateS": 5.0 + n % 40,
+                    "surge": 20.0,
+                },
+            )
+            for n in range(int(site.tenants * part))
+        ),
+        {
+            "elementKind": "saturations",
+            "header": {},
+            "reference": {"headBytes": 16384, "payloadBytes": 1 << 20, "headMs": 3000, "quiescentMs": 15000},
+        },
+    ]
 
 
 def document(site: Site, version: int, prior: int, part: float = 1.0) -> dict[str, Any]:
@@ -93,8 +125,7 @@
         raise ValueError(f"expected three sizes at least: {points}")
     count = len(points)
     mean_x, mean_y = sum(x for x, _ in points) / count, sum(y for _, y in points) / count
-    slope = (sum((x - mean_x) * (y - mean_y) for x, y in points)
-             / sum((x - mean_x) ** 2 for x, _ in points))
+    slope = sum((x - mean_x) * (y - mean_y) for x, y in points) / sum((x - mean_x) ** 2 for x, _ in points)
     base = mean_y - slope * mean_x
     most = max(abs(y) for _, y in points)
     return Line(base, slope, max(abs(y - base - slope * x) for x, y in points) / most if most else 0.0)
@@ -108,5 +139,7 @@
     """Of a table: the sizes measured, the line and what it says at `at`."""
     line = fit(points)
     seen = " | ".join(shown(y) for _, y in points)
-    return (f"| {name} | {unit} | {seen} | {shown(line.base)} + {shown(line.slope)} n | "
-            f"{100 * line.residual:.0f}% | {shown(line.at(at))} |")
+    return (
+        f"| {name} | {unit} | {seen} | {shown(line.base)} + {shown(line.slope)} n | "
+        f"{100 * line.residual:.0f}% | {shown(line.at(at))} |"
+    )
--- a/benchmarks/uploads.py
+++ b/benchmarks/uploads.py
@@ -71,8 +71,10 @@
     waits.sort()
     sent = done.count(200) * len(body) / 1e6
     per = used / sent * 1000 if sent else 0.0
-    return (f"{at_once:8d} {done.count(200):8d} {sent / took:9.1f} {per:9.2f} {peak:9.1f} "
-            f"{waits[len(waits) // 2]:9.2f} {waits[len(waits) * 99 // 100]:9.2f}")
+    return (
+        f"{at_once:8d} {done.count(200):8d} {sent / took:9.1f} {per:9.2f} {peak:9.1f} "
+        f"{waits[len(waits) // 2]:9.2f} {waits[len(waits) * 99 // 100]:9.2f}"
+    )
 
 
 def main() -> None:
--- a/finchshelf/__main__.py
+++ b/finchshelf/__main__.py
@@ -50,20 +50,31 @@
 
     def now(self) -> dict[str, int]:
         """What is held at this moment, to stand beside the counters."""
-        return {"now.requests": len(self.core.live), "now.attempts": len(self.core.out),
-                "now.former": len(self.core.former),
-                "now.clients": len(self.clients.connections), "now.servers": self.servers.open}
-
-
-async def serve(config: Config, telemetry: Telemetry,
-                task_status: trio.TaskStatus[Node] = trio.TASK_STATUS_IGNORED) -> None:
+        return {
+            "now.requests": len(self.core.live),
+            "now.attempts": len(self.core.out),
+            "now.former": len(self.core.former),
+            "now.clients": len(self.clients.connections),
+            "now.servers": self.servers.open,
+        }
+
+
+async def serve(
+    config: Config, telemetry: Telemetry, task_status: trio.TaskStatus[Node] = trio.TASK_STATUS_IGNORED
+) -> None:
     core = Core(config, Clock(), telemetry, beside=another(config.state))
     async with trio.open_nursery() as parts:
         core.servers = servers = Servers(core, Words(config), parts, config.descriptors)
         core.counter = counter = Counter(core, config, config.counter, parts) if config.counter else None
         discovery = Discovery(core, config)
-        clients = Clients(core, Reader(config), parts, lambda: core.listed and discovery.asked,
-                          config.descriptors, config.memory)
+        clients = Clients(
+            core,
+            Reader(config),
+            parts,
+            lambda: core.listed and discovery.asked,
+            config.descriptors,
+            config.memory,
+        )
         operator = Operator(core, config, clients.takes)
         operator.restore()
         # Danger: in an upgrade a second process of this limiter listens beside this one on the same address.
@@ -153,8 +164,9 @@
         node.counter.move(config.counter)
 
 
-async def finish(node: Node, listener: trio.socket.SocketType, accepting: trio.CancelScope,
-                 parts: trio.CancelScope) -> None:
+async def finish(
+    node: Node, listener: trio.socket.SocketType, accepting: trio.CancelScope, parts: trio.CancelScope
+) -> None:
     await node.clients.leave(listener, accepting, LAST_CALLS, LAST_WORD)
     parts.cancel()
 
--- a/finchshelf/agreement/backup.py
+++ b/finchshelf/agreement/backup.py
@@ -110,8 +110,10 @@
     past = (time.time() if now is None else now) - max(times, default=0.0)
     if past >= RECENT_S:
         return ""
-    return (f"written to {max(past, 0.0):.0f} s ago: a control plane may be running on it (it keeps no "
-            "lock file that would tell); what is read here may be half written or old")
+    return (
+        f"written to {max(past, 0.0):.0f} s ago: a control plane may be running on it (it keeps no "
+        "lock file that would tell); what is read here may be half written or old"
+    )
 
 
 # ---- a backup file ----
@@ -156,9 +158,9 @@
     body = whole[head:]
     if len(whole) < head or not whole.startswith(MAGIC):
         raise StoreError("form", file, "no backup of a state")
-    if int.from_bytes(whole[len(MAGIC):len(MAGIC) + SIZE], "big") != len(body):
+    if int.from_bytes(whole[len(MAGIC) : len(MAGIC) + SIZE], "big") != len(body):
         raise StoreError("length", file, f"{len(body)} bytes: cut off or added to")
-    if _digest(body, DIGEST) != whole[head - DIGEST:head]:
+    if _digest(body, DIGEST) != whole[head - DIGEST : head]:
         raise StoreError("digest", file, "its bytes were changed")
     try:
         acceptor = Acceptor.restore("", msgpack.unpackb(body)["state"])
@@ -190,8 +192,12 @@
         raise StoreError("start", file, f"{start!r} is no name of a start") from None
     if abs(time.time() - seconds) > START_S:
         # Danger: a folder restored under a start whose core is up has forgotten what it promised.
-        raise StoreError("start", file, "this start is over an hour old: its core counts on its disks by "
-                         "now. A member that lost its disk starts with an empty folder instead")
+        raise StoreError(
+            "start",
+            file,
+            "this start is over an hour old: its core counts on its disks by "
+            "now. A member that lost its disk starts with an empty folder instead",
+        )
     if rest.partition("-")[0] != _mark(digest, members, accepted):
         # Danger: two values in one slot under the same members would be two truths.
         raise StoreError("start", file, "this start is of another file, other members or another value")
@@ -233,5 +239,9 @@
     """A value for a person: never its document, which holds tenants' keys."""
     if value is None:
         return None
-    return {"slot": value.slot, "version": value.version, "bytes": len(value.document),
-            "members": [list(member) for member in value.members]}
+    return {
+        "slot": value.slot,
+        "version": value.version,
+        "bytes": len(value.document),
+        "members": [list(member) for member in value.members],
+    }
--- a/finchshelf/agreement/core.py
+++ b/finchshelf/agreement/core.py
@@ -45,9 +45,13 @@
     taken: Taken = NOTHING
 
     def pack(self) -> Message:
-        return {"slot": self.slot, "members": [list(member) for member in self.members],
-                "version": self.version, "document": self.document,
-                "taken": self.taken.pack()}
+        return {
+            "slot": self.slot,
+            "members": [list(member) for member in self.members],
+            "version": self.version,
+            "document": self.document,
+            "taken": self.taken.pack(),
+        }
 
     @staticmethod
     def unpack(packed: Message) -> Value:
@@ -55,8 +59,13 @@
         members = tuple(_member(each) for each in packed["members"])
         if not members:  # danger: nobody could decide anything after it
             raise ValueError("no members")
-        return Value(_whole(packed["slot"]), members, _whole(packed["version"]), _bytes(packed["document"]),
-                     Taken.unpack(packed["taken"]))
+        return Value(
+            _whole(packed["slot"]),
+            members,
+            _whole(packed["version"]),
+            _bytes(packed["document"]),
+            Taken.unpack(packed["taken"]),
+        )
 
 
 def genesis(addresses: tuple[str, ...]) -> Value:
@@ -107,8 +116,13 @@
     takes `revision` and `state()` together, saves, calls `saved(revision)`, only then sends the reply.
     """
 
-    def __init__(self, me: Member, decided: Value | None = None, promised: Ballot = NO_BALLOT,
-                 accepted: tuple[Ballot, Value] | None = None) -> None:
+    def __init__(
+        self,
+        me: Member,
+        decided: Value | None = None,
+        promised: Ballot = NO_BALLOT,
+        accepted: tuple[Ballot, Value] | None = None,
+    ) -> None:
         self.me = me
         self.decided = decided
         self.promised = promised
@@ -120,9 +134,12 @@
     @staticmethod
     def restore(address: str, state: Message) -> Acceptor:
         decided, accepted = state["decided"], state["accepted"]
-        acceptor = Acceptor(Member(address, str(state["disk"])),
-                            None if decided is None else Value.unpack(decided), _ballot(state["promised"]),
-                            None if accepted is None else (_ballot(accepted[0]), Value.unpack(accepted[1])))
+        acceptor = Acceptor(
+            Member(address, str(state["disk"])),
+            None if decided is None else Value.unpack(decided),
+            _ballot(state["promised"]),
+            None if accepted is None else (_ballot(accepted[0]), Value.unpack(accepted[1])),
+        )
         # It goes on from life to life, so that a disk which was put back to an older state can be told:
         # others have heard a higher number. A state of an older text has none.
         acceptor.revision = max(1, _whole(state.get("revision", 1)))
@@ -131,11 +148,13 @@
 
     def state(self) -> Message:
         """What must last, as the store takes it."""
-        return {"disk": self.me.disk, "revision": self.revision,
-                "decided": None if self.decided is None else self.decided.pack(),
-                "promised": list(self.promised),
-                "accepted": None if self.accepted is None else [list(self.accepted[0]),
-                                                                self.accepted[1].pack()]}
+        return {
+            "disk": self.me.disk,
+            "revision": self.revision,
+            "decided": None if self.decided is None else self.decided.pack(),
+            "promised": list(self.promised),
+            "accepted": None if self.accepted is None else [list(self.accepted[0]), self.accepted[1].pack()],
+        }
 
     def saved(self, revision: int) -> None:
         self.on_disk = max(self.on_disk, revision)
@@ -289,8 +308,9 @@
             return self._teach(member)
         if kind == "promise" and self._value is None:
             accepted = reply["accepted"]
-            self._promises[member] = None if accepted is None else (_ballot(accepted[0]),
-                                                                    Value.unpack(accepted[1]))
+            self._promises[member] = (
+                None if accepted is None else (_ballot(accepted[0]), Value.unpack(accepted[1]))
+            )
             if len(self._promises) >= self._needed():
                 return self._propose()
         elif kind == "accepted" and self._value is not None:
@@ -368,8 +388,12 @@
 
 def is_state(reply: Message) -> bool:
     """Can this answer to `read` be read?"""
-    return (type(reply.get("slot")) is int and type(reply.get("accepted")) is bool
-            and isinstance(reply.get("from"), list | tuple) and type(reply.get("saw", -1)) is int)
+    return (
+        type(reply.get("slot")) is int
+        and type(reply.get("accepted")) is bool
+        and isinstance(reply.get("from"), list | tuple)
+        and type(reply.get("saw", -1)) is int
+    )
 
 
 def fresh(decided: Value, states: Mapping[Member, Message]) -> bool:
--- a/finchshelf/agreement/membership.py
+++ b/finchshelf/agreement/membership.py
@@ -23,14 +23,19 @@
 MOST_LEAVERS = 64  # that are remembered: more than a core and its spares ever are
 
 
-def next_members(current: tuple[Member, ...], silent: Mapping[Member, float], candidates: tuple[Member, ...],
-                 leaving: frozenset[Member] = frozenset()) -> tuple[Member, ...] | None:
+def next_members(
+    current: tuple[Member, ...],
+    silent: Mapping[Member, float],
+    candidates: tuple[Member, ...],
+    leaving: frozenset[Member] = frozenset(),
+) -> tuple[Member, ...] | None:
     """The members that should follow `current`, one change away, or None if they are right as they are.
 
     `silent`: seconds since each disk was heard; one that isn't named was never heard. `leaving`: those that
     still vote and are about to go: they are as good as silent, and needn't be waited for.
     Danger: two changes at once could leave old and new majorities without a common member that is up.
     """
+
     def quiet(member: Member) -> float:
         return silent.get(member, float("inf"))
 
@@ -39,9 +44,14 @@
 
     if sum(quiet(member) <= HEARD_S for member in current) < majority(len(current)):
         return None  # it couldn't be decided, and an attempt would only get in the way of others
-    spares = sorted((each for each in candidates
-                     if each not in current and each not in leaving and quiet(each) <= HEARD_S),
-                    key=lambda each: (quiet(each), each))
+    spares = sorted(
+        (
+            each
+            for each in candidates
+            if each not in current and each not in leaving and quiet(each) <= HEARD_S
+        ),
+        key=lambda each: (quiet(each), each),
+    )
     at = {member.address: member for member in current}
     for spare in spares:
         wiped = at.get(spare.address)
@@ -94,8 +104,12 @@
         if not isinstance(word, list | tuple) or len(word) != 3:
             return False
         address, disk, life = word
-        if not (isinstance(address, str) and isinstance(disk, str) and len(address) + len(disk) <= MOST_TEXT
-                and type(life) is int):
+        if not (
+            isinstance(address, str)
+            and isinstance(disk, str)
+            and len(address) + len(disk) <= MOST_TEXT
+            and type(life) is int
+        ):
             return False
         self.said.pop(Member(address, disk), None)
         self.said[Member(address, disk)] = life, now
@@ -108,12 +122,16 @@
 
         Danger: a life is named by a wall clock that may have been put back. Were the word kept for ever, that
         member would be no candidate again."""
-        return frozenset(member for member, (life, at) in self.said.items()
-                         if lives.get(member.address, life) <= life and now - at <= LEAVER_S)
+        return frozenset(
+            member
+            for member, (life, at) in self.said.items()
+            if lives.get(member.address, life) <= life and now - at <= LEAVER_S
+        )
 
 
-def anyone_stays(members: tuple[Member, ...], silent: Mapping[Member, float],
-                 leaving: frozenset[Member]) -> bool:
+def anyone_stays(
+    members: tuple[Member, ...], silent: Mapping[Member, float], leaving: frozenset[Member]
+) -> bool:
     """Is a member heard that doesn't go? Where all are told to end, there is nobody to wait for."""
     return any(silent.get(each, float("inf")) <= HEARD_S for each in members if each not in leaving)
 
@@ -153,8 +171,13 @@
 def holds(member: Member, slot: int, reply: Any) -> bool:
     """Does this answer prove that the disk of `member` has what was decided up to that slot? A learner that
     doesn't can't vote: its disk is full, hangs, or it has yet to hear."""
-    return (isinstance(reply, dict) and reply.get("kind") == "learned" and type(reply.get("slot")) is int
-            and reply["slot"] >= slot and reply.get("from") in (list(member), tuple(member)))
+    return (
+        isinstance(reply, dict)
+        and reply.get("kind") == "learned"
+        and type(reply.get("slot")) is int
+        and reply["slot"] >= slot
+        and reply.get("from") in (list(member), tuple(member))
+    )
 
 
 def _ordered(current: tuple[Member, ...], out: Member | None, add: Member | None) -> tuple[Member, ...]:
--- a/finchshelf/agreement/orders.py
+++ b/finchshelf/agreement/orders.py
@@ -57,8 +57,13 @@
         return Refusal(ruling)
     if value.version != base.version or value.document != base.document or order.version <= value.version:
         return Refusal(Ruling.UNSURE)  # a restored core has that version with another document
-    return replace(value, slot=value.slot + 1, version=order.version, document=document,
-                   taken=value.taken.add(order.version, order.digest, newer))
+    return replace(
+        value,
+        slot=value.slot + 1,
+        version=order.version,
+        document=document,
+        taken=value.taken.add(order.version, order.digest, newer),
+    )
 
 
 def bar(value: Value, order: Order, newer: bool = True) -> Value | Refusal:
--- a/finchshelf/agreement/parcel.py
+++ b/finchshelf/agreement/parcel.py
@@ -83,7 +83,7 @@
         if self.find(name) is None:
             return {"lacking": True}
         small = self.small(name)
-        return {"form": digest(small), "size": len(small), "bytes": small[at:at + PIECE]}
+        return {"form": digest(small), "size": len(small), "bytes": small[at : at + PIECE]}
 
     # ---- news ----
 
@@ -129,6 +129,7 @@
 
     def fat(self, message: Message, fetched: dict[bytes, bytes]) -> Message:
         """The message with its documents; `fetched`: those that were not on the shelf."""
+
         def whole(packed: Message) -> Message:
             name = elsewhere(packed)
             if not name:
@@ -156,8 +157,12 @@
         if answer.get("lacking"):
             raise Lacking(self.name.hex())
         form, size, data = answer["form"], answer["size"], answer["bytes"]
-        if not isinstance(form, bytes) or type(size) is not int or not 0 < size <= MOST \
-                or not isinstance(data, bytes):
+        if (
+            not isinstance(form, bytes)
+            or type(size) is not int
+            or not 0 < size <= MOST
+            or not isinstance(data, bytes)
+        ):
             raise ValueError("no piece")
         if form != self.form:
             # Danger: another peer may pack tighter or less so; pieces of two forms make none.
--- a/finchshelf/agreement/standing.py
+++ b/finchshelf/agreement/standing.py
@@ -66,8 +66,9 @@
 
     def saw(self, member: Any) -> int:
         """The highest number heard of that disk, given with its address as it was asked; -1 if none."""
-        return next((number for address, (disk, number) in self.known.items()
-                     if [address, disk] == member), -1)
+        return next(
+            (number for address, (disk, number) in self.known.items() if [address, disk] == member), -1
+        )
 
     def rows(self, addresses: Iterable[str], own: list[Any]) -> list[list[Any]]:
         """What is known of the disks of these members, and of one's own, to be kept or told on."""
--- a/finchshelf/agreement/store.py
+++ b/finchshelf/agreement/store.py
@@ -81,13 +81,18 @@
     def load(self) -> tuple[State | None, list[Fault]]:
         """The newest state that is whole, None if there is none; and the generations that were left alone."""
         found = {name: look(self._folder / name) for name in GENERATIONS}
-        best, self._good = max(((found[name].counter, name) for name in GENERATIONS
-                                if found[name].state is not None), default=(-1, None))
+        best, self._good = max(
+            ((found[name].counter, name) for name in GENERATIONS if found[name].state is not None),
+            default=(-1, None),
+        )
         self._counter = max(0, *(each.counter for each in found.values()))
         # The seal is written last: one that can be read, and is newer, was of a whole generation.
         # One that can't be read was whole too, since it is synced before it gets its name.
-        faults = [Fault(each.fault, each.path, each.counter > best or each.fault == "seal")
-                  for each in found.values() if each.fault]
+        faults = [
+            Fault(each.fault, each.path, each.counter > best or each.fault == "seal")
+            for each in found.values()
+            if each.fault
+        ]
         state = None if self._good is None else found[self._good].state
         self._known, self._proved, self._unsure = True, False, bool(faults)
         self._last = None
@@ -209,8 +214,8 @@
         env.close()
     if not record or _digest(record[DIGEST:]) != record[:DIGEST]:
         raise ValueError("the record's checksum")
-    body = record[DIGEST + 1:]
-    state: State = msgpack.unpackb(zlib.decompress(body) if record[DIGEST:DIGEST + 1] == b"z" else body)
+    body = record[DIGEST + 1 :]
+    state: State = msgpack.unpackb(zlib.decompress(body) if record[DIGEST : DIGEST + 1] == b"z" else body)
     return state
 
 
--- a/finchshelf/agreement/taken.py
+++ b/finchshelf/agreement/taken.py
@@ -55,7 +55,7 @@
                 low = middle + 1
             else:
                 high = middle
-        if self.kept[low * ENTRY:(low + 1) * ENTRY] == _entry(version, digest):
+        if self.kept[low * ENTRY : (low + 1) * ENTRY] == _entry(version, digest):
             return "taken"
         return "forgotten" if version <= self.forgotten else "not taken"
 
@@ -71,7 +71,7 @@
             return _older([*self.older, (version, digest)][-OLDER_KEPT:])
         kept = self.kept + _entry(version, digest)
         out = max(0, len(kept) - KEPT * ENTRY)
-        forgotten = int.from_bytes(kept[out - ENTRY:out - DIGEST], "big") if out else self.forgotten
+        forgotten = int.from_bytes(kept[out - ENTRY : out - DIGEST], "big") if out else self.forgotten
         # What builds on a version that is past needs no bar: it is refused by its base.
         barred = b"".join(one for one in _split(self.barred) if one[:NUMBER] >= kept[-ENTRY:-DIGEST])
         return Taken(forgotten, kept[out:], barred)
@@ -91,7 +91,7 @@
         return _entry(prior, digest) in _split(self.barred)
 
     def _version(self, at: int) -> int:
-        return int.from_bytes(self.kept[at * ENTRY:at * ENTRY + NUMBER], "big")
+        return int.from_bytes(self.kept[at * ENTRY : at * ENTRY + NUMBER], "big")
 
     def pack(self) -> list[Any]:
         if not self.renewed():
@@ -114,7 +114,7 @@
             if not isinstance(part, bytes) or len(part) % ENTRY or len(part) > most * ENTRY:
                 raise ValueError("no entries")
         # Danger: looked up by halves, entries out of order would hide an order that was taken.
-        versions = [forgotten, *(version for version, in VERSIONS.iter_unpack(kept))]
+        versions = [forgotten, *(version for (version,) in VERSIONS.iter_unpack(kept))]
         if any(after <= before for before, after in pairwise(versions)):
             raise ValueError("entries out of order")
         return Taken(forgotten, kept, barred)
@@ -141,4 +141,4 @@
 
 
 def _split(entries: bytes) -> list[bytes]:
-    return [entries[at:at + ENTRY] for at in range(0, len(entries), ENTRY)]
+    return [entries[at : at + ENTRY] for at in range(0, len(entries), ENTRY)]
--- a/finchshelf/cli/__main__.py
+++ b/finchshelf/cli/__main__.py
@@ -38,8 +38,7 @@
 
     name = "HOST:PORT"
 
-    def convert(self, value: Any, param: click.Parameter | None,
-                ctx: click.Context | None) -> Address:
+    def convert(self, value: Any, param: click.Parameter | None, ctx: click.Context | None) -> Address:
         if isinstance(value, Address):
             return value
         host, _, port = str(value).rpartition(":")
@@ -52,8 +51,13 @@
         return Address(plain, int(port))
 
 
-CONTROLS = click.option("--control", "controls", type=HostPort(), multiple=True,
-                        help="A control plane; of several the next is called where one says nothing.")
+CONTROLS = click.option(
+    "--control",
+    "controls",
+    type=HostPort(),
+    multiple=True,
+    help="A control plane; of several the next is called where one says nothing.",
+)
 SETTINGS = click.option("--settings", type=FILE, help="A settings file whose initialPeers are called.")
 
 
@@ -99,8 +103,11 @@
 
 @main.command("data-plane")
 @click.option("--settings", type=FILE, help="The settings file; else FINCHSHELF_BOOT names it.")
-@click.option("--experience", type=click.Choice(["on", "off"]),
-              help="Steer by what all limiters know of servers; else as this version has it.")
+@click.option(
+    "--experience",
+    type=click.Choice(["on", "off"]),
+    help="Steer by what all limiters know of servers; else as this version has it.",
+)
 def data_plane(settings: str | None, experience: str | None) -> None:
     """Start a data plane: carries the traffic of one limiter."""
     become("finchshelf.dataplane", settings, *(("--experience", experience) if experience else ()))
@@ -193,8 +200,13 @@
     """The configuration of a running system, by way of its control planes' own addresses."""
 
 
-WITHIN = click.option("--within", type=click.FloatRange(0.1, 600.0), default=15.0, show_default=True,
-                      help="Seconds in which a clear answer is sought.")
+WITHIN = click.option(
+    "--within",
+    type=click.FloatRange(0.1, 600.0),
+    default=15.0,
+    show_default=True,
+    help="Seconds in which a clear answer is sought.",
+)
 
 
 def operate(name: str, controls: list[Address], body: bytes, within: float) -> bytes:
@@ -208,10 +220,11 @@
         unreachable(f"{name}: no clear answer from {asked} in {told.tries} tries: {words}")
     with suppress(ValueError, KeyError, TypeError):
         words = str(orjson.loads(told.body)["error"])
-    meaning = {412: "another version is in place, nothing was changed",
-               400: "the configuration is invalid"}
-    click.echo(f"finchshelf: {name} at {told.by}: {told.status}: "
-               f"{meaning.get(told.status, 'refused')}: {words}", err=True)
+    meaning = {412: "another version is in place, nothing was changed", 400: "the configuration is invalid"}
+    click.echo(
+        f"finchshelf: {name} at {told.by}: {told.status}: " f"{meaning.get(told.status, 'refused')}: {words}",
+        err=True,
+    )
     sys.exit(1)
 
 
@@ -264,19 +277,28 @@
 # ---- tests beside the package ----
 
 
-@main.command("explore", add_help_option=False,
-              context_settings={"ignore_unknown_options": True, "allow_extra_args": True})
+@main.command(
+    "explore",
+    add_help_option=False,
+    context_settings={"ignore_unknown_options": True, "allow_extra_args": True},
+)
 @click.pass_context
 def explore(ctx: click.Context) -> None:
     """Play storms of an in-memory fleet over seeds (needs a checkout with its tests)."""
     if not (ROOT / "tests/stories/explore.py").is_file() or find_spec("pytest") is None:
-        click.echo("finchshelf: explore: the tests are not installed (tests/stories beside the package, "
-                   "and pytest): run it in a checkout with requirements-dev.txt", err=True)
+        click.echo(
+            "finchshelf: explore: the tests are not installed (tests/stories beside the package, "
+            "and pytest): run it in a checkout with requirements-dev.txt",
+            err=True,
+        )
         sys.exit(2)
     path = os.pathsep.join(filter(None, [str(ROOT), os.environ.get("PYTHONPATH", "")]))
     sys.stdout.flush()
-    os.execve(sys.executable, [sys.executable, "-m", "tests.stories.explore", *ctx.args],
-              {**os.environ, "PYTHONPATH": path})
+    os.execve(
+        sys.executable,
+        [sys.executable, "-m", "tests.stories.explore", *ctx.args],
+        {**os.environ, "PYTHONPATH": path},
+    )
 
 
 # ---- the demo ----
--- a/finchshelf/cli/demo.py
+++ b/finchshelf/cli/demo.py
@@ -37,26 +37,54 @@
 
 
 def route(label: str, prefix: str, service: str, variant: str) -> dict[str, object]:
-    return {"elementKind": "trajectories", "header": {"label": label}, "reference": {
-        "plant": HOST, "pathPrefix": prefix, "variant": variant, "cutoffMs": 3000, "targetMs": 500,
-        "subsystem": service, "trials": 2}}
+    return {
+        "elementKind": "trajectories",
+        "header": {"label": label},
+        "reference": {
+            "plant": HOST,
+            "pathPrefix": prefix,
+            "variant": variant,
+            "cutoffMs": 3000,
+            "targetMs": 500,
+            "subsystem": service,
+            "trials": 2,
+        },
+    }
 
 
 def first_configuration() -> dict[str, object]:
-    services = [{"elementKind": "subsystems", "header": {"label": name},
-                 "reference": {"connectionCeiling": 100}} for name in ("pages", "orders")]
+    services = [
+        {"elementKind": "subsystems", "header": {"label": name}, "reference": {"connectionCeiling": 100}}
+        for name in ("pages", "orders")
+    ]
     tenants = [
         {"elementKind": "loads", "header": {"label": "acme"}, "reference": {"credentials": [KEY]}},
-        {"elementKind": "loads", "header": {"label": "corner-shop"},
-         "reference": {"credentials": [SMALL_KEY], "rateS": RATE, "surge": RATE}}]
-    return {"setpointSeq": "00000001", "priorVersion": 0, "elements": [
-        route("read", "/pages/", "pages", "nullipotent"), route("buy", "/orders/", "orders", "mutating"),
-        *services, *tenants]}
+        {
+            "elementKind": "loads",
+            "header": {"label": "corner-shop"},
+            "reference": {"credentials": [SMALL_KEY], "rateS": RATE, "surge": RATE},
+        },
+    ]
+    return {
+        "setpointSeq": "00000001",
+        "priorVersion": 0,
+        "elements": [
+            route("read", "/pages/", "pages", "nullipotent"),
+            route("buy", "/orders/", "orders", "mutating"),
+            *services,
+            *tenants,
+        ],
+    }
 
 
 def changed(version: int, label: str, prior: int) -> bytes:
-    return json.dumps({"setpointSeq": f"{version:08x}", "priorVersion": f"{prior:08x}", "apply": {
-        "elements": [route(label, f"/{label}/", "pages", "nullipotent")]}}).encode()
+    return json.dumps(
+        {
+            "setpointSeq": f"{version:08x}",
+            "priorVersion": f"{prior:08x}",
+            "apply": {"elements": [route(label, f"/{label}/", "pages", "nullipotent")]},
+        }
+    ).encode()
 
 
 class Demo:
@@ -71,8 +99,12 @@
     def request(self, front: Address, method: str, path: str, key: str = KEY) -> tuple[int, str]:
         """One request on a connection of its own: status, and `Retry-After` of a refusal."""
         connection = http.client.HTTPConnection(front.host, front.port, timeout=4.0)
-        headers = {"Host": HOST, "Trial-Id": next(self.trials), "Remaining-Ms": "3000",
-                   "Authorization": f"Token {key}"}
+        headers = {
+            "Host": HOST,
+            "Trial-Id": next(self.trials),
+            "Remaining-Ms": "3000",
+            "Authorization": f"Token {key}",
+        }
         try:
             connection.request(method, path, b"one" if method == "POST" else None, headers)
             answer = connection.getresponse()
@@ -86,9 +118,15 @@
     def many(self, number: int, key: str = KEY) -> list[tuple[int, str]]:
         """Reads and orders in turn, over all limiters."""
         fronts = self.system.each(FRONT)
-        made = [self.pool.submit(self.request, fronts[at % len(fronts)],
-                                 *(("GET", "/pages/1") if at % 2 else ("POST", "/orders/1")), key)
-                for at in range(number)]
+        made = [
+            self.pool.submit(
+                self.request,
+                fronts[at % len(fronts)],
+                *(("GET", "/pages/1") if at % 2 else ("POST", "/orders/1")),
+                key,
+            )
+            for at in range(number)
+        ]
         return [one.result() for one in made]
 
     def wait(self, what: str, true: Callable[[], bool], limit: float) -> float:
@@ -109,8 +147,11 @@
         return told
 
     def alive(self) -> list[Address]:
-        return [address for machine, address in enumerate(self.system.each(CONTROL), 1)
-                if not self.system.children[f"control-plane-{machine}"].killed]
+        return [
+            address
+            for machine, address in enumerate(self.system.each(CONTROL), 1)
+            if not self.system.children[f"control-plane-{machine}"].killed
+        ]
 
     def served(self, path: str) -> bool:
         return all(self.request(front, "GET", path)[0] == 200 for front in self.system.each(FRONT))
@@ -135,22 +176,35 @@
             for machine in range(1, self.system.machines + 1):
                 self.system.start(role, machine)
         controls = self.system.each(CONTROL)
-        took = self.wait("control planes answer", lambda: all(
-            operator.once(one, "/v1/rpc?call=setpoint.observe", b"", 1.0)[0] for one in controls), 8.0)
+        took = self.wait(
+            "control planes answer",
+            lambda: all(operator.once(one, "/v1/rpc?call=setpoint.observe", b"", 1.0)[0] for one in controls),
+            8.0,
+        )
         for at in range(6):
             service = ("pages", "orders")[at % 2]
-            self.servers.append(Server(service, ZONES[at // 2], f"{self.system.net}.{10 + at}",
-                                       controls[at % 3:] + controls[:at % 3], PULSE_MS / 1000))
+            self.servers.append(
+                Server(
+                    service,
+                    ZONES[at // 2],
+                    f"{self.system.net}.{10 + at}",
+                    controls[at % 3 :] + controls[: at % 3],
+                    PULSE_MS / 1000,
+                )
+            )
         if not all([server.beat() for server in self.servers]):
             raise Failed("a server's beat was not acknowledged")
-        return (f"3 control planes and 3 limiters on {self.system.net}.1-3 after {took:.1f} s; "
-                "beats of 6 stand-in servers acknowledged")
+        return (
+            f"3 control planes and 3 limiters on {self.system.net}.1-3 after {took:.1f} s; "
+            "beats of 6 stand-in servers acknowledged"
+        )
 
     def configure(self) -> str:
         told = self.call("setpoint.replace", json.dumps(first_configuration()).encode())
         took = self.wait("limiters are ready", lambda: self.ready() and self.served("/pages/1"), 8.0)
-        return (f"version 00000001 taken by {told.by}; in force on 3 of 3 limiters "
-                f"{took * 1000:.0f} ms later")
+        return (
+            f"version 00000001 taken by {told.by}; in force on 3 of 3 limiters " f"{took * 1000:.0f} ms later"
+        )
 
     def requests(self) -> str:
         seen = Counter(status for status, _ in self.many(REQUESTS))
@@ -164,8 +218,10 @@
         wrong = self.request(self.system.each(FRONT)[0], "GET", "/pages/1", "no-such-key")[0]
         if wrong != 401:
             raise Failed(f"an unknown key: expected 401, got {wrong}")
-        return (f"{REQUESTS} of {REQUESTS} served, each of {REQUESTS // 2} orders ran once; "
-                "an unknown key gets 401")
+        return (
+            f"{REQUESTS} of {REQUESTS} served, each of {REQUESTS // 2} orders ran once; "
+            "an unknown key gets 401"
+        )
 
     def quota(self) -> str:
         self.many(1, SMALL_KEY)
@@ -192,16 +248,20 @@
         after = sum(leaving.ran.values()) - before
         if seen != {200: AFTER_DRAIN} or after or not leaving.depart():
             raise Failed(f"{dict(seen)}, {after} went to the server that drains")
-        return (f"{leaving.identity} drains, acknowledged in {took * 1000:.0f} ms; {AFTER_DRAIN} of "
-                f"{AFTER_DRAIN} served without it; it departed")
+        return (
+            f"{leaving.identity} drains, acknowledged in {took * 1000:.0f} ms; {AFTER_DRAIN} of "
+            f"{AFTER_DRAIN} served without it; it departed"
+        )
 
     def change(self) -> str:
         self.call("setpoint.adjust", changed(2, "news", 1))
         took = self.wait("the new route", lambda: self.served("/news/1"), 4.0)
         self.call("setpoint.adjust", changed(2, "news", 1))  # the very same once more is no second change
         self.call("setpoint.adjust", changed(3, "late", 1), 412)
-        return (f"version 00000002 in force on 3 of 3 limiters after {took * 1000:.0f} ms; sent again: "
-                "still 200; another one on top of version 1: 412")
+        return (
+            f"version 00000002 in force on 3 of 3 limiters after {took * 1000:.0f} ms; sent again: "
+            "still 200; another one on top of version 1: 412"
+        )
 
     def loss(self) -> str:
         self.system.kill("control-plane-1")
@@ -210,8 +270,10 @@
         seen = Counter(status for status, _ in self.many(AFTER_DRAIN))
         if seen != {200: AFTER_DRAIN}:
             raise Failed(f"{dict(seen)} of {AFTER_DRAIN}")
-        return (f"one control plane killed: version 00000004 taken by the others, in force "
-                f"{took * 1000:.0f} ms later; {AFTER_DRAIN} of {AFTER_DRAIN} served")
+        return (
+            f"one control plane killed: version 00000004 taken by the others, in force "
+            f"{took * 1000:.0f} ms later; {AFTER_DRAIN} of {AFTER_DRAIN} served"
+        )
 
     def empty_disk(self) -> str:
         """The killed one comes back without its disk: another member, once the others have said so."""
@@ -232,12 +294,18 @@
             core = {row["member"]: row for row in told("members")}
             mine = core.get(str(inner[0]))
             versions = [row["version"] for row in told("versions")]
-            return (mine is not None and mine["disk"] not in former and len(core) == len(inner)
-                    and versions == ["00000004"] * len(inner))
+            return (
+                mine is not None
+                and mine["disk"] not in former
+                and len(core) == len(inner)
+                and versions == ["00000004"] * len(inner)
+            )
 
         self.wait("the new member", counts_again, 8.0)
-        return (f"the killed one is back with an empty disk: a member again, with version 00000004, "
-                f"{time.monotonic() - began:.1f} s later")
+        return (
+            f"the killed one is back with an empty disk: a member again, with version 00000004, "
+            f"{time.monotonic() - began:.1f} s later"
+        )
 
     def end(self) -> str:
         began = time.monotonic()
--- a/finchshelf/cli/deploy.py
+++ b/finchshelf/cli/deploy.py
@@ -32,8 +32,10 @@
 SCHEMA = {
     "type": "object",
     "required": ["build", "roles"],
-    "properties": {"build": TEXT,
-                   "roles": {"type": "object", "minProperties": 1, "additionalProperties": ROLE}},
+    "properties": {
+        "build": TEXT,
+        "roles": {"type": "object", "minProperties": 1, "additionalProperties": ROLE},
+    },
     "additionalProperties": False,
 }
 
@@ -54,8 +56,10 @@
         return [f"deploy: {path}: expected TOML: {error}"]
     errors = list(Draft202012Validator(SCHEMA).iter_errors(document))
     if errors:
-        return [f"deploy: {path}: {'.'.join(map(str, one.absolute_path)) or 'file'}: {one.message[:300]}"
-                for one in errors]
+        return [
+            f"deploy: {path}: {'.'.join(map(str, one.absolute_path)) or 'file'}: {one.message[:300]}"
+            for one in errors
+        ]
     return [f"deploy: {path}: {fault}" for fault in _rules(document["roles"])]
 
 
@@ -79,8 +83,12 @@
     for place in CLASSES:
         # From the start of the fixed order, or from its end: roles of one side meet on its first machine.
         for side in (False, True):
-            there = [name for name, role in roles.items() if role["on"] == place and (
-                role.get("apart", False) is side or role.get("share") == 1.0 or "edge" in role["serves"])]
+            there = [
+                name
+                for name, role in roles.items()
+                if role["on"] == place
+                and (role.get("apart", False) is side or role.get("share") == 1.0 or "edge" in role["serves"])
+            ]
             if len(there) > MOST_ROLES:
                 found.append(f"roles: {', '.join(there)} share a machine; expected at most {MOST_ROLES}")
     return found
--- a/finchshelf/cli/drill.py
+++ b/finchshelf/cli/drill.py
@@ -55,8 +55,12 @@
             if self.ending.wait(EACH):
                 break
             method, path = ("POST", "/orders/1") if at % 2 else ("GET", "/pages/1")
-            headers = {"Host": demo.HOST, "Trial-Id": next(self.trials), "Remaining-Ms": "3000",
-                       "Authorization": f"Token {demo.KEY}"}
+            headers = {
+                "Host": demo.HOST,
+                "Trial-Id": next(self.trials),
+                "Remaining-Ms": "3000",
+                "Authorization": f"Token {demo.KEY}",
+            }
             try:
                 connection.request(method, path, b"one" if method == "POST" else None, headers)
                 answer = connection.getresponse()
@@ -86,8 +90,9 @@
     def begin(self) -> None:
         controls = self.system.each(CONTROL)
         for at, service in enumerate(("pages", "orders")):
-            self.servers.append(Server(service, "north", f"{self.system.net}.{10 + at}", controls,
-                                       PULSE_MS / 1000))
+            self.servers.append(
+                Server(service, "north", f"{self.system.net}.{10 + at}", controls, PULSE_MS / 1000)
+            )
             self.servers[-1].takes = TAKES if service == "orders" else 0.0
         body = json.dumps(demo.first_configuration()).encode()
         told = operator.call(controls, "setpoint.replace", body, 15.0)
@@ -137,10 +142,25 @@
         paths = [PACKAGE, *filter(None, [os.environ.get("PYTHONPATH")])]
         with (self.folder / f"keeper-{address}.log").open("ab") as sink:
             process = subprocess.Popen(
-                [sys.executable, "-O", "-m", "finchshelf.cli", "rollout", "keep", "--listen", address, *seeds,
-                 "--folder", str(self.folder / f"keeper-{address}"), *(["--first"] if first else [])],
+                [
+                    sys.executable,
+                    "-O",
+                    "-m",
+                    "finchshelf.cli",
+                    "rollout",
+                    "keep",
+                    "--listen",
+                    address,
+                    *seeds,
+                    "--folder",
+                    str(self.folder / f"keeper-{address}"),
+                    *(["--first"] if first else []),
+                ],
                 env={**os.environ, "PYTHONPATH": os.pathsep.join(paths)},
-                stdin=subprocess.DEVNULL, stdout=sink, stderr=sink)
+                stdin=subprocess.DEVNULL,
+                stdout=sink,
+                stderr=sink,
+            )
         log("child.started", child=f"keeper {address}", pid=process.pid)
         self.children[address] = process
 
@@ -164,11 +184,16 @@
 
     def plan(self, name: str, change: dict[str, Any]) -> bytes:
         part = {"late": 0.2, "vanished": 0.2, "refused": 0.2, "denied": 0.2, "wrong": 0.2, "broken": 0.2}
-        given = {"name": name, "change": change,
-                 "watch": {"before_s": 8, "window_s": 10, "least": 80, "poll_s": 0.5},
-                 "kinds": [{"route": "read", **part}, {"route": "buy", "once": True, **part}],
-                 "sites": [{"name": site.name, "controls": [str(site.system.each(CONTROL)[0])],
-                            "inner": INNER} for site in self.sites]}
+        given = {
+            "name": name,
+            "change": change,
+            "watch": {"before_s": 8, "window_s": 10, "least": 80, "poll_s": 0.5},
+            "kinds": [{"route": "read", **part}, {"route": "buy", "once": True, **part}],
+            "sites": [
+                {"name": site.name, "controls": [str(site.system.each(CONTROL)[0])], "inner": INNER}
+                for site in self.sites
+            ],
+        }
         return orjson.dumps(plans.read(given).given)
 
     def begin(self, name: str, change: dict[str, Any]) -> None:
@@ -204,9 +229,17 @@
         return f"{SITES} systems and {KEEPERS} keepers are up, ready {took:.1f} s after their configuration"
 
     def good(self) -> str:
-        self.begin("longer", {"apply": {"elements": [
-            {**demo.route("read", "/pages/", "pages", "nullipotent")},
-            demo.route("news", "/news/", "pages", "nullipotent")]}})
+        self.begin(
+            "longer",
+            {
+                "apply": {
+                    "elements": [
+                        {**demo.route("read", "/pages/", "pages", "nullipotent")},
+                        demo.route("news", "/news/", "pages", "nullipotent"),
+                    ]
+                }
+            },
+        )
         took = self.wait("the roll-out's end", self.ended, 150.0)
         state = self.document()["state"]
         versions = [site.document()["setpointSeq"] for site in self.sites]
@@ -222,9 +255,14 @@
 
     def lost(self) -> str:
         """Its driver is killed as soon as the first site has changed; another goes on."""
+
         def kill() -> None:
-            self.wait("the first step", lambda: self.document()["state"]["sites"]["site-0"]["state"] in (
-                "changing", "watching", "returning", "returned"), 60.0)
+            self.wait(
+                "the first step",
+                lambda: self.document()["state"]["sites"]["site-0"]["state"]
+                in ("changing", "watching", "returning", "returned"),
+                60.0,
+            )
             driver = self.document()["driver"]
             self.children[driver].kill()
             self.children[driver].wait()
@@ -250,8 +288,10 @@
             raise demo.Failed("the first site does not have its last good policy")
         if self.doubled():
             raise demo.Failed(f"{self.doubled()} orders ran twice")
-        return (f"halted {took:.0f} s after its beginning ({state['why']}); {harmed[0]} requests harmed at "
-                f"the first site, 0 elsewhere; it is back, under version {now[0]}")
+        return (
+            f"halted {took:.0f} s after its beginning ({state['why']}); {harmed[0]} requests harmed at "
+            f"the first site, 0 elsewhere; it is back, under version {now[0]}"
+        )
 
     def versions(self) -> list[str]:
         return [site.document()["setpointSeq"] for site in self.sites]
--- a/finchshelf/cli/keeper.py
+++ b/finchshelf/cli/keeper.py
@@ -52,8 +52,13 @@
         self.gone = False
 
     async def turn(self, document: duty.Document) -> None:
-        tick = drivers.Tick(trio.current_time(), round(time.time(), 3), document["paused"],
-                            document["abort"], document["leave"])
+        tick = drivers.Tick(
+            trio.current_time(),
+            round(time.time(), 3),
+            document["paused"],
+            document["abort"],
+            document["leave"],
+        )
         happened: list[drivers.Event] = [tick]
         for _ in range(ROUNDS):
             if self.gone or not happened:
@@ -104,7 +109,8 @@
             if trio.current_time() > until:
                 break  # Danger: a turn that lasts as long as a lease is another driver's beginning
             status, data, _ = await trio.to_thread.run_sync(
-                operator.once, address_of(control), f"/v1/rpc?call={name}", body, operator.SILENT)
+                operator.once, address_of(control), f"/v1/rpc?call={name}", body, operator.SILENT
+            )
             if status == 200 or status in operator.AT_ONCE or status == 404:
                 return status, data
         return 0, b""
@@ -125,14 +131,23 @@
                 nursery.start_soon(ask, control)
         if not heard:
             return None
-        return {"rows": [row for answer in heard for row in answer["rows"]],
-                "version": max(int(answer["version"]) for answer in heard),
-                "machines": max(int(answer["machines"]) for answer in heard)}
+        return {
+            "rows": [row for answer in heard for row in answer["rows"]],
+            "version": max(int(answer["version"]) for answer in heard),
+            "machines": max(int(answer["machines"]) for answer in heard),
+        }
 
 
 class Keeper:
-    def __init__(self, me: str, seeds: tuple[str, ...], folder: Path, first: bool, nursery: trio.Nursery,
-                 telemetry: Telemetry) -> None:
+    def __init__(
+        self,
+        me: str,
+        seeds: tuple[str, ...],
+        folder: Path,
+        first: bool,
+        nursery: trio.Nursery,
+        telemetry: Telemetry,
+    ) -> None:
         self.me, self.seeds, self.nursery, self.log = me, seeds, nursery, telemetry.log
         self.random = Random(secrets.randbits(32))
         self.members = Members(nursery)
@@ -219,6 +234,7 @@
 
     async def meet(self) -> None:
         """Who is there, with which disk; a wiped or replaced one is named a member again."""
+
         async def ask(address: str) -> None:
             try:
                 reply = await self.members.agree(address, {"kind": "read"}, SITE / 2)
@@ -244,8 +260,13 @@
     async with trio.open_nursery() as nursery:
         keeper = Keeper(listen, seeds, folder, first, nursery, telemetry)
         listener = await net.listen(address_of(listen))
-        nursery.start_soon(frames.serve, listener, keeper.handle, nursery,
-                           lambda why: telemetry.rare("peer.broken", error=why))
+        nursery.start_soon(
+            frames.serve,
+            listener,
+            keeper.handle,
+            nursery,
+            lambda why: telemetry.rare("peer.broken", error=why),
+        )
         nursery.start_soon(keeper.run)
         telemetry.log("start", address=listen, disk=keeper.register.me.disk)
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
--- a/finchshelf/cli/operator.py
+++ b/finchshelf/cli/operator.py
@@ -49,9 +49,10 @@
             connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, PIECE)
             # Danger: a socket's time is that of a whole write. One of some MiB over a thin link is given up
             # half way, and again by each next control plane.
-            pieces = (body[at:at + PIECE] for at in range(0, len(body), PIECE))
-            connection.request("POST", path, pieces, {
-                "Content-Type": "application/json", "Content-Length": str(len(body))})
+            pieces = (body[at : at + PIECE] for at in range(0, len(body), PIECE))
+            connection.request(
+                "POST", path, pieces, {"Content-Type": "application/json", "Content-Length": str(len(body))}
+            )
             connection.sock.settimeout(limit)
             answer = connection.getresponse()
             data = answer.read(MOST_ANSWER)
@@ -67,8 +68,14 @@
     return 0, b"redirected too often", by
 
 
-def call(controls: list[Address], name: str, body: bytes, within: float,
-         sleep: Callable[[float], None] = time.sleep, now: Callable[[], float] = time.monotonic) -> Told:
+def call(
+    controls: list[Address],
+    name: str,
+    body: bytes,
+    within: float,
+    sleep: Callable[[float], None] = time.sleep,
+    now: Callable[[], float] = time.monotonic,
+) -> Told:
     """Call one control plane after the other until the answer is clear or `within` s are up."""
     until, pause, refused, tries = now() + within, PAUSE, 0, 0
     status, data, by = 0, b"no control plane given", ""
--- a/finchshelf/cli/rollout.py
+++ b/finchshelf/cli/rollout.py
@@ -26,8 +26,14 @@
 LIMIT = 5.0  # s for a keeper's answer: a change has two for its decision
 AGAIN = 1.0  # s between two looks of `watch`
 AS_JSON = click.option("--json", "as_json", is_flag=True, help="JSON, for a script.")
-KEEPERS = click.option("--keeper", "keepers", multiple=True, required=True, metavar="HOST:PORT",
-                       help="A keeper; of several the next is asked where one says nothing.")
+KEEPERS = click.option(
+    "--keeper",
+    "keepers",
+    multiple=True,
+    required=True,
+    metavar="HOST:PORT",
+    help="A keeper; of several the next is asked where one says nothing.",
+)
 
 
 @click.group()
@@ -39,8 +45,9 @@
     try:
         return plan.read_file(file)
     except plan.PlanError as error:
-        click.echo(orjson.dumps({"file": file, "faults": error.faults}) if as_json else str(error),
-                   err=not as_json)
+        click.echo(
+            orjson.dumps({"file": file, "faults": error.faults}) if as_json else str(error), err=not as_json
+        )
         sys.exit(1)
 
 
@@ -87,11 +94,22 @@
     made = load(file, as_json)
     waves = [[site.name for site in wave] for wave in made.waves]
     if as_json:
-        click.echo(orjson.dumps({"file": file, "faults": [], "name": made.name, "waves": waves,
-                                 "kinds": [kind.route for kind in made.kinds]}))
+        click.echo(
+            orjson.dumps(
+                {
+                    "file": file,
+                    "faults": [],
+                    "name": made.name,
+                    "waves": waves,
+                    "kinds": [kind.route for kind in made.kinds],
+                }
+            )
+        )
         return
-    click.echo(f"{made.name}: no fault found; {len(made.sites)} sites in {len(waves)} waves, each watched "
-               f"for {made.window:g} s and {made.least} requests of each kind at least")
+    click.echo(
+        f"{made.name}: no fault found; {len(made.sites)} sites in {len(waves)} waves, each watched "
+        f"for {made.window:g} s and {made.least} requests of each kind at least"
+    )
     for number, names in enumerate(waves, 1):
         click.echo(f"wave {number}: {', '.join(names)}")
     for kind in made.kinds:
@@ -102,8 +120,14 @@
 
 @rollout.command("keep")
 @click.option("--listen", required=True, metavar="HOST:PORT", help="This keeper's address.")
-@click.option("--seed", "seeds", multiple=True, required=True, metavar="HOST:PORT",
-              help="A keeper of the first start; all of them, this one too.")
+@click.option(
+    "--seed",
+    "seeds",
+    multiple=True,
+    required=True,
+    metavar="HOST:PORT",
+    help="A keeper of the first start; all of them, this one too.",
+)
 @click.option("--folder", required=True, type=click.Path(file_okay=False), help="Its disk.")
 @click.option("--first", is_flag=True, help="The very first start of all keepers. Never again.")
 def keep_command(listen: str, seeds: tuple[str, ...], folder: str, first: bool) -> None:
@@ -148,10 +172,17 @@
         seen = view.get(name, {})
         version = row.get("back_version", row.get("version"))
         harms = [f"{kind} {part:.1%}" for kind, part in seen.get("harms", {}).items() if part >= 0.001]
-        listed.append({"site": name, "wave": waves[name], "state": row["state"],
-                       "version": f"{version:08x}" if version else None,
-                       "a_second": seen.get("rate"), "watched": seen.get("taken"),
-                       "seen": ", ".join(harms) or None})
+        listed.append(
+            {
+                "site": name,
+                "wave": waves[name],
+                "state": row["state"],
+                "version": f"{version:08x}" if version else None,
+                "a_second": seen.get("rate"),
+                "watched": seen.get("taken"),
+                "seen": ", ".join(harms) or None,
+            }
+        )
     return listed
 
 
@@ -172,10 +203,20 @@
     found = document(keepers)
     if as_json:
         state = found["state"] or {}
-        click.echo(orjson.dumps({"name": state.get("name"), "phase": state.get("phase"),
-                                 "why": state.get("why"), "says": state.get("says"),
-                                 "paused": found["paused"], "driver": found["driver"],
-                                 "epoch": found["epoch"], "sites": rows(found) if state else []}))
+        click.echo(
+            orjson.dumps(
+                {
+                    "name": state.get("name"),
+                    "phase": state.get("phase"),
+                    "why": state.get("why"),
+                    "says": state.get("says"),
+                    "paused": found["paused"],
+                    "driver": found["driver"],
+                    "epoch": found["epoch"],
+                    "sites": rows(found) if state else [],
+                }
+            )
+        )
     else:
         click.echo(text(found))
 
@@ -191,8 +232,9 @@
         state = found["state"]
         if as_json and state:
             sites = {name: row["state"] for name, row in state["sites"].items()}
-            now = orjson.dumps({"phase": state["phase"], "says": state["says"], "why": state["why"],
-                                "sites": sites}).decode()
+            now = orjson.dumps(
+                {"phase": state["phase"], "says": state["says"], "why": state["why"], "sites": sites}
+            ).decode()
         else:
             now = text(found)
         if sys.stdout.isatty() and not as_json:
@@ -222,8 +264,11 @@
         click.echo(f"{one['name']}: {one['phase']} {one['why']}".rstrip())
         for line in one["history"]:
             when = time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(line["at"]))
-            more = " ".join(f"{key}={value}" for key, value in line.items()
-                            if key not in ("at", "event", "site") and value != "")
+            more = " ".join(
+                f"{key}={value}"
+                for key, value in line.items()
+                if key not in ("at", "event", "site") and value != ""
+            )
             click.echo(f"  {when}  {line['event']:18} {line['site']:16} {more}".rstrip())
 
 
--- a/finchshelf/cli/show.py
+++ b/finchshelf/cli/show.py
@@ -76,8 +76,12 @@
             if isinstance(told, PeerError):
                 row["state"] = f"silent: {told}"
             else:
-                row |= {"zone": told["zone"], "version": f"{int(told['version']):08x}",
-                        "slot": told["slot"], "state": "up"}
+                row |= {
+                    "zone": told["zone"],
+                    "version": f"{int(told['version']):08x}",
+                    "slot": told["slot"],
+                    "state": "up",
+                }
         except (KeyError, TypeError, ValueError):
             row["state"] = "not understood"
         rows.append(row)
@@ -100,9 +104,16 @@
     for member in named:
         zone, silent = zones.get(member.address, ("", float("inf")))
         # Whoever was never heard has been silent since long before the start.
-        rows.append({"member": member.address, "zone": zone, "disk": member.disk,
-                     "silent_s": round(silent, 3) if silent < 1e6 else None, "state": states[member],
-                     "may_go": member in free})
+        rows.append(
+            {
+                "member": member.address,
+                "zone": zone,
+                "disk": member.disk,
+                "silent_s": round(silent, 3) if silent < 1e6 else None,
+                "state": states[member],
+                "may_go": member in free,
+            }
+        )
     return rows
 
 
@@ -120,8 +131,9 @@
 
 async def servers(addresses: list[Address]) -> list[Row]:
     seen = await first(addresses, {"op": "show"})
-    records = sorted((read_server(row, 0.0) for row in seen["servers"]),
-                     key=lambda one: (one.service, one.id))
+    records = sorted(
+        (read_server(row, 0.0) for row in seen["servers"]), key=lambda one: (one.service, one.id)
+    )
     # A control plane from before shared experience says nothing of it.
     verdicts = {one.server: one for one in map(read_verdict, seen.get("experience", ()))}
 
@@ -133,15 +145,28 @@
         state = f"{one.state}, tried by {one.holder}" if one.holder else one.state
         return {"share": one.share, "stands": state, "since": at, "by": one.cell, "why": one.why or None}
 
-    return [{"server": one.id, "service": one.service, "zone": one.zone, "address": one.address,
-             "slots": one.capacity, "state": "lost" if one.lost else one.mode, "beats": one.count,
-             "cell": one.cell, **stands(one.id)} for one in records]
+    return [
+        {
+            "server": one.id,
+            "service": one.service,
+            "zone": one.zone,
+            "address": one.address,
+            "slots": one.capacity,
+            "state": "lost" if one.lost else one.mode,
+            "beats": one.count,
+            "cell": one.cell,
+            **stands(one.id),
+        }
+        for one in records
+    ]
 
 
 async def limiters(addresses: list[Address]) -> list[Row]:
     seen = await first(addresses, {"op": "show"})
-    return [{"limiter": one.node, "zone": one.zone, "host": one.host, "life": one.life}
-            for one in map(read_limiter, seen["limiters"])]
+    return [
+        {"limiter": one.node, "zone": one.zone, "host": one.host, "life": one.life}
+        for one in map(read_limiter, seen["limiters"])
+    ]
 
 
 async def holders(addresses: list[Address]) -> list[Row]:
@@ -153,9 +178,17 @@
         return []
     caller = Caller(names[0], 0.0)
     caller.listed(names, 0.0)
-    return [{"tenant": one.label, "holder": caller.holder(one.label), "rate_s": one.rate,
-             "surge": one.surge, "share_s": round(one.rate / len(names), 3)}
-            for one in sorted(configuration.tenants.values(), key=lambda one: one.label) if one.rate > 0]
+    return [
+        {
+            "tenant": one.label,
+            "holder": caller.holder(one.label),
+            "rate_s": one.rate,
+            "surge": one.surge,
+            "share_s": round(one.rate / len(names), 3),
+        }
+        for one in sorted(configuration.tenants.values(), key=lambda one: one.label)
+        if one.rate > 0
+    ]
 
 
 async def current(addresses: list[Address]) -> Configuration | None:
@@ -168,8 +201,13 @@
     return read_configuration(orjson.loads(value.document))
 
 
-VIEWS = {"versions": versions, "members": members, "servers": servers, "limiters": limiters,
-         "holders": holders}
+VIEWS = {
+    "versions": versions,
+    "members": members,
+    "servers": servers,
+    "limiters": limiters,
+    "holders": holders,
+}
 
 
 def rows(view: str, addresses: list[Address]) -> list[Row]:
--- a/finchshelf/cli/stand_ins.py
+++ b/finchshelf/cli/stand_ins.py
@@ -44,8 +44,12 @@
         text = f"{owner.identity} {self.command} {self.path} {len(body)}\n".encode()
         self.send_response((500 if owner.failing else 200) if mine else 421)
         trial, length = self.headers.get("Trial-Id", ""), str(len(text))
-        for name, value in (("Trial-Id", trial), ("Content-Length", length),
-                            ("Server-Load", f"1,0,{owner.slots}"), ("Server-Seal", "demo")):
+        for name, value in (
+            ("Trial-Id", trial),
+            ("Content-Length", length),
+            ("Server-Load", f"1,0,{owner.slots}"),
+            ("Server-Seal", "demo"),
+        ):
             self.send_header(name, value)
         if not mine:
             self.send_header("Not-Executed", "1")
@@ -71,8 +75,10 @@
         self.web = Web((ip, 0), Handler)
         self.web.owner = self
         self.address = f"{ip}:{self.web.server_address[1]}"
-        self.threads = [threading.Thread(target=self.web.serve_forever, kwargs={"poll_interval": 0.05}),
-                        threading.Thread(target=self.beats)]
+        self.threads = [
+            threading.Thread(target=self.web.serve_forever, kwargs={"poll_interval": 0.05}),
+            threading.Thread(target=self.beats),
+        ]
         for thread in self.threads:
             thread.daemon = True
             thread.start()
@@ -85,16 +91,23 @@
         """Say that it is here, and how; True if a control plane acknowledged it."""
         with self.saying:
             self.calls += 1
-            body = {"address": self.address,
-                    "observation": {"subsystem": self.service, "setpointSeq": "v1", "zone": self.zone,
-                                    "capacity": self.slots},
-                    "stateEstimate": {"mode": self.mode, "callCount": self.calls, "warmupMs": 0}}
+            body = {
+                "address": self.address,
+                "observation": {
+                    "subsystem": self.service,
+                    "setpointSeq": "v1",
+                    "zone": self.zone,
+                    "capacity": self.slots,
+                },
+                "stateEstimate": {"mode": self.mode, "callCount": self.calls, "warmupMs": 0},
+            }
             return self.say("pulse", json.dumps(body).encode())
 
     def say(self, what: str, body: bytes = b"") -> bool:
         for _ in range(len(self.controls)):
             status, answer, _ = operator.once(
-                self.controls[0], f"/v1/rpc?call=servers.{what}&of={self.identity}", body, LIMIT)
+                self.controls[0], f"/v1/rpc?call=servers.{what}&of={self.identity}", body, LIMIT
+            )
             if 200 <= status < 300:
                 self.turn_to(answer)
                 return True
--- a/finchshelf/cli/state.py
+++ b/finchshelf/cli/state.py
@@ -20,9 +20,13 @@
 from finchshelf.agreement.store import StoreError
 
 FOLDER = click.Path()
-FAULTS = {"unsealed": "it has no seal: its first save was cut off",
-          "seal": "its seal can't be read", "data": "its seal does not fit its file",
-          "record": "its record does not prove itself", "state": "of a form that this version does not know"}
+FAULTS = {
+    "unsealed": "it has no seal: its first save was cut off",
+    "seal": "its seal can't be read",
+    "data": "its seal does not fit its file",
+    "record": "its record does not prove itself",
+    "state": "of a form that this version does not know",
+}
 
 
 @click.group()
@@ -52,19 +56,32 @@
 
 def tell_lost(found: list[Generation]) -> None:
     for each in backup.lost(found):
-        warn(f"{each.path}: {FAULTS[each.fault]}; it was whole and newer than what is left here. Compare "
-             "with the other members' folders: they may hold a newer version")
+        warn(
+            f"{each.path}: {FAULTS[each.fault]}; it was whole and newer than what is left here. Compare "
+            "with the other members' folders: they may hold a newer version"
+        )
 
 
 def row(each: Generation) -> dict[str, Any]:
     acceptor = each.acceptor
-    found: dict[str, Any] = {"generation": each.name, "fault": each.fault, "path": each.path,
-                             "size": each.size, "counter": each.counter, "decided": None, "accepted": None}
+    found: dict[str, Any] = {
+        "generation": each.name,
+        "fault": each.fault,
+        "path": each.path,
+        "size": each.size,
+        "counter": each.counter,
+        "decided": None,
+        "accepted": None,
+    }
     if acceptor is not None:
-        found |= {"disk": acceptor.me.disk, "decided": backup.told(acceptor.decided),
-                  "promised": list(acceptor.promised),
-                  "accepted": None if acceptor.accepted is None else {
-                      "ballot": list(acceptor.accepted[0]), **(backup.told(acceptor.accepted[1]) or {})}}
+        found |= {
+            "disk": acceptor.me.disk,
+            "decided": backup.told(acceptor.decided),
+            "promised": list(acceptor.promised),
+            "accepted": None
+            if acceptor.accepted is None
+            else {"ballot": list(acceptor.accepted[0]), **(backup.told(acceptor.accepted[1]) or {})},
+        }
     return found
 
 
@@ -79,18 +96,25 @@
     if each.empty:
         return [f"{each.name}: nothing was ever saved here"]
     if each.acceptor is None:
-        return [f"{each.name}: FAULT: {each.path}: {FAULTS[each.fault]}; counter {each.counter}, "
-                f"{each.size} bytes"]
-    return [f"{each.name}: the seal fits; counter {each.counter}, {each.size} bytes",
-            *(f"   {line}" for line in inside(each.acceptor))]
+        return [
+            f"{each.name}: FAULT: {each.path}: {FAULTS[each.fault]}; counter {each.counter}, "
+            f"{each.size} bytes"
+        ]
+    return [
+        f"{each.name}: the seal fits; counter {each.counter}, {each.size} bytes",
+        *(f"   {line}" for line in inside(each.acceptor)),
+    ]
 
 
 def inside(acceptor: Acceptor) -> list[str]:
     accepted = "none"
     if acceptor.accepted is not None:
         accepted = f"{words(acceptor.accepted[1])}, ballot {acceptor.accepted[0].n}"
-    return [f"disk {acceptor.me.disk}", f"decided: {words(acceptor.decided)}",
-            f"accepted, not known to be decided: {accepted}"]
+    return [
+        f"disk {acceptor.me.disk}",
+        f"decided: {words(acceptor.decided)}",
+        f"accepted, not known to be decided: {accepted}",
+    ]
 
 
 @state.command()
@@ -149,8 +173,9 @@
 
     name = "HOST:PORT,..."
 
-    def convert(self, value: Any, param: click.Parameter | None,
-                ctx: click.Context | None) -> tuple[str, ...]:
+    def convert(
+        self, value: Any, param: click.Parameter | None, ctx: click.Context | None
+    ) -> tuple[str, ...]:
         from finchshelf.cli.__main__ import HostPort
 
         if isinstance(value, tuple):
@@ -164,14 +189,24 @@
 @state.command()
 @click.argument("file", type=click.Path())
 @click.argument("folder", type=FOLDER)
-@click.option("--members", type=Members(), required=True,
-              help="All machines of the new core, at the first port of their portRange.")
+@click.option(
+    "--members",
+    type=Members(),
+    required=True,
+    help="All machines of the new core, at the first port of their portRange.",
+)
 @click.option("--start", help="What the first machine's restore printed; left out on that first one only.")
 @click.option("--accepted", is_flag=True, help="Take the accepted value, not known to be decided.")
-@click.option("--storage-mb", type=click.FloatRange(1.0), default=64.0, show_default=True,
-              help="saturations.storageMb of the machine.")
-def restore(file: str, folder: str, members: tuple[str, ...], start: str | None, accepted: bool,
-            storage_mb: float) -> None:
+@click.option(
+    "--storage-mb",
+    type=click.FloatRange(1.0),
+    default=64.0,
+    show_default=True,
+    help="saturations.storageMb of the machine.",
+)
+def restore(
+    file: str, folder: str, members: tuple[str, ...], start: str | None, accepted: bool, storage_mb: float
+) -> None:
     """Begin a new core from the backup FILE, in the empty FOLDER of one of its members.
 
     Only when the old core is gone: stop what is left of it first.
@@ -183,8 +218,10 @@
     except StoreError as error:
         ended(error, 1)
     if held is not None and not accepted:
-        warn(f"{file}: it also holds {words(held[1])}, accepted and not known to be decided: it may have "
-             "been acknowledged. Compare the other members' folders; --accepted takes it")
+        warn(
+            f"{file}: it also holds {words(held[1])}, accepted and not known to be decided: it may have "
+            "been acknowledged. Compare the other members' folders; --accepted takes it"
+        )
     click.echo(f"{folder}: restored")
     if start is None:
         click.echo(f"on each other member within the hour, once: add --start {begun}")
--- a/finchshelf/cli/system.py
+++ b/finchshelf/cli/system.py
@@ -26,8 +26,10 @@
 PULSE_MS = 400  # of the stand-in servers' beats: a person watches
 PLANNED = 8.0  # s that a child has to end by itself
 PACKAGE = str(Path(__file__).parent.parent.parent)
-MARGINS = "contactMs=3000,acknowledgeMs=5000,convergenceS=4,settlingMs=500,toleranceS=6,retryRatio=0.2," \
-          "retryWindowS=10,retrySlack=64,quotaWindowS=5"
+MARGINS = (
+    "contactMs=3000,acknowledgeMs=5000,convergenceS=4,settlingMs=500,toleranceS=6,retryRatio=0.2,"
+    "retryWindowS=10,retrySlack=64,quotaWindowS=5"
+)
 
 
 def network() -> str:
@@ -81,7 +83,7 @@
         return [Address(self.ip(machine), port) for machine in range(1, self.machines + 1)]
 
     def seeds(self) -> list[Address]:
-        return self.each(CONTROL)[:self.core or self.machines]
+        return self.each(CONTROL)[: self.core or self.machines]
 
     def settings(self, role: str, machine: int, first: bool = True) -> Path:
         """The settings file of one program, written anew; `first`: the whole system has never run."""
@@ -92,24 +94,45 @@
         diskless = edge or machine > (self.core or self.machines)
         inlets = {"front": FRONT, "readiness": READINESS} if edge else {"control": CONTROL}
         lines = {
-            "node": f"edge-{zone}-{machine}", "function": role, "machineClass": "edge",
-            "serves": "edge" if edge else "supervisor", "ip": ip, "zone": zone, "region": "demo",
+            "node": f"edge-{zone}-{machine}",
+            "function": role,
+            "machineClass": "edge",
+            "serves": "edge" if edge else "supervisor",
+            "ip": ip,
+            "zone": zone,
+            "region": "demo",
             **{f"zones.{name}": "demo" for name in ZONES},
             **{f"inlets.{name}": f"{ip}:{port}" for name, port in inlets.items()},
             "portRange": f"{INNER},{INNER + 15}",
             "initialPeers": ",".join(map(str, self.seeds())),
-            "initialCondition": str(first).lower(), "lossCounted": str(edge or not diskless).lower(),
-            "saturations.cpuFraction": "1", "saturations.cores": "1", "saturations.memoryMb": "300",
-            "saturations.descriptors": "1000", "saturations.bandwidthMbps": "1000",
-            "saturations.storageMb": "0" if diskless else "64", "pulseMs": str(PULSE_MS),
-            "disturbances.machines": "1", "disturbances.zones": "0", "disturbances.regions": "0",
-            "margins": MARGINS, **({} if diskless else {"stateDir": str(disk)}), **self.extra.get(role, {})}
+            "initialCondition": str(first).lower(),
+            "lossCounted": str(edge or not diskless).lower(),
+            "saturations.cpuFraction": "1",
+            "saturations.cores": "1",
+            "saturations.memoryMb": "300",
+            "saturations.descriptors": "1000",
+            "saturations.bandwidthMbps": "1000",
+            "saturations.storageMb": "0" if diskless else "64",
+            "pulseMs": str(PULSE_MS),
+            "disturbances.machines": "1",
+            "disturbances.zones": "0",
+            "disturbances.regions": "0",
+            "margins": MARGINS,
+            **({} if diskless else {"stateDir": str(disk)}),
+            **self.extra.get(role, {}),
+        }
         path = self.folder / f"{role}-{machine}.conf"
         path.write_text("".join(f"{name}={value}\n" for name, value in lines.items()))
         return path
 
-    def start(self, role: str, machine: int, options: tuple[str, ...] = (), first: bool = True,
-              words: tuple[str, ...] = ()) -> Child:
+    def start(
+        self,
+        role: str,
+        machine: int,
+        options: tuple[str, ...] = (),
+        first: bool = True,
+        words: tuple[str, ...] = (),
+    ) -> Child:
         """`options` are the interpreter's, `words` the program's."""
         name = f"{role}-{machine}"
         path = self.folder / f"{name}.log"
@@ -117,12 +140,20 @@
         program = f"finchshelf.{role.replace('-', '')}"
         started = (self.launcher, role.replace("-", "")) if self.launcher else (program,)
         own = {key: value.format(machine=machine) for key, value in self.env.items()}
-        env = {**os.environ, **own, "FINCHSHELF_BOOT": str(self.settings(role, machine, first)),
-               "PYTHONPATH": os.pathsep.join(paths)}
+        env = {
+            **os.environ,
+            **own,
+            "FINCHSHELF_BOOT": str(self.settings(role, machine, first)),
+            "PYTHONPATH": os.pathsep.join(paths),
+        }
         with path.open("ab") as sink:
             process = subprocess.Popen(
                 [sys.executable, *options, "-m", *started, *words],
-                env=env, stdin=subprocess.DEVNULL, stdout=sink, stderr=sink)
+                env=env,
+                stdin=subprocess.DEVNULL,
+                stdout=sink,
+                stderr=sink,
+            )
         log("child.started", child=name, pid=process.pid)
         self.children[name] = Child(name, process, path)
         return self.children[name]
@@ -151,5 +182,4 @@
                 child.process.kill()
                 child.process.wait()
             log("child.ended", child=child.name, status=child.process.returncode)
-        return {name: child.process.returncode
-                for name, child in self.children.items() if not child.killed}
+        return {name: child.process.returncode for name, child in self.children.items() if not child.killed}
--- a/finchshelf/configuration/boot.py
+++ b/finchshelf/configuration/boot.py
@@ -43,7 +43,13 @@
 }
 # What a field that is missing counts as, by kind; 0 for numbers.
 EMPTY: dict[str, Any] = {
-    "text": "", "texts": (), "addresses": (), "flag": False, "address": None, "place": None}
+    "text": "",
+    "texts": (),
+    "addresses": (),
+    "flag": False,
+    "address": None,
+    "place": None,
+}
 REQUIRED = (
     *("node", "function", "machineClass", "serves", "ip", "zone", "region", "portRange", "pulseMs"),
     *("saturations.cpuFraction", "saturations.cores", "saturations.memoryMb"),
--- a/finchshelf/configuration/change.py
+++ b/finchshelf/configuration/change.py
@@ -285,8 +285,9 @@
     return bool(given == before) and orjson.dumps(given) == orjson.dumps(before)
 
 
-def faults(document: dict[str, Any], current_version: int,
-           base: dict[str, Any] | None = None) -> Iterator[Invalid]:
+def faults(
+    document: dict[str, Any], current_version: int, base: dict[str, Any] | None = None
+) -> Iterator[Invalid]:
     """Each fault of the whole document with its place, as far as those before it leave it readable. `base`:
     the document in force; the shape of what it holds too was checked when it was stored."""
     try:
@@ -342,8 +343,9 @@
                     yield Invalid("check", f"{place}.credentials[{number}]", why)
 
 
-def check(document: dict[str, Any], current_version: int,
-          base: dict[str, Any] | None = None) -> Configuration:
+def check(
+    document: dict[str, Any], current_version: int, base: dict[str, Any] | None = None
+) -> Configuration:
     """The configuration of the whole document, or Invalid with the place of its first fault; `base` as in
     `faults`."""
     for fault in faults(document, current_version, base):
--- a/finchshelf/controlplane/__main__.py
+++ b/finchshelf/controlplane/__main__.py
@@ -57,8 +57,16 @@
         turns = Turns(telemetry.log)
         nursery.start_soon(turns.run)
         news = News(cells, clock, nursery, counted, random, telemetry.log, turns)
-        register = Register(address, seeds, boot.initial_condition, store, news.members, random,
-                            telemetry.log, telemetry.monitor)
+        register = Register(
+            address,
+            seeds,
+            boot.initial_condition,
+            store,
+            news.members,
+            random,
+            telemetry.log,
+            telemetry.monitor,
+        )
         news.register = register
         await register.begin()
         nursery.start_soon(register.keep)
@@ -67,8 +75,9 @@
             if control is not None:
                 news.follow(control)
         inner = await net.listen(Address(boot.ip, port))
-        nursery.start_soon(frames.serve, inner, news.handle, nursery,
-                           lambda why: telemetry.rare("peer.broken", error=why))
+        nursery.start_soon(
+            frames.serve, inner, news.handle, nursery, lambda why: telemetry.rare("peer.broken", error=why)
+        )
         nursery.start_soon(register.confirm)
         repair = Repair(register, telemetry.log)
         sweeps = Sweeps(news, news.asking, register, repair, clock, random)
@@ -95,12 +104,19 @@
         nursery.start_soon(clients.accept, listener)
         nursery.start_soon(clients.sweep)
         settings = program.Settings(
-            boot, lambda _: {"state": "noted: seeds are only needed at a start"}, telemetry.log)
+            boot, lambda _: {"state": "noted: seeds are only needed at a start"}, telemetry.log
+        )
         nursery.start_soon(settings.run)
         figures = Figures(telemetry, partial(gauges, register, cells, news))
         await endpoint.serve(boot, figures, clock, nursery)
-        telemetry.log("start", address=address, disk=register.me.disk, seed=seed, recalled=recalled,
-                      slot=register.decided.slot if register.decided else -1)
+        telemetry.log(
+            "start",
+            address=address,
+            disk=register.me.disk,
+            seed=seed,
+            recalled=recalled,
+            slot=register.decided.slot if register.decided else -1,
+        )
         gc.collect()
         gc.freeze()
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
@@ -121,11 +137,16 @@
 def gauges(register: Register, cells: Cells, news: News) -> dict[str, float]:
     """Present values for whoever fetches the figures."""
     decided = register.decided
-    return {"decided_slot": decided.slot if decided else -1, "configuration_version":
-            decided.version if decided else -1, "core_members": len(decided.members) if decided else 0,
-            "is_member": float(decided is not None and register.me in decided.members),
-            "in_contact": float(news.joined()), "proved_newest": float(register.standing.proved),
-            "disk_in_doubt": float(register.witness.doubted), "servers_known": len(cells.servers.rows)}
+    return {
+        "decided_slot": decided.slot if decided else -1,
+        "configuration_version": decided.version if decided else -1,
+        "core_members": len(decided.members) if decided else 0,
+        "is_member": float(decided is not None and register.me in decided.members),
+        "in_contact": float(news.joined()),
+        "proved_newest": float(register.standing.proved),
+        "disk_in_doubt": float(register.witness.doubted),
+        "servers_known": len(cells.servers.rows),
+    }
 
 
 def main() -> int:
--- a/finchshelf/controlplane/asking.py
+++ b/finchshelf/controlplane/asking.py
@@ -31,8 +31,17 @@
 
 
 class Asking:
-    def __init__(self, news: News, cells: Cells, members: Members, clock: Clock, nursery: trio.Nursery,
-                 counted: bool, random: Random, log: Callable[..., None]) -> None:
+    def __init__(
+        self,
+        news: News,
+        cells: Cells,
+        members: Members,
+        clock: Clock,
+        nursery: trio.Nursery,
+        counted: bool,
+        random: Random,
+        log: Callable[..., None],
+    ) -> None:
         self.news, self.cells, self.members, self.clock = news, cells, members, clock
         self.nursery, self.counted, self.random, self.log = nursery, counted, random, log
         self.steady: set[str] = set()
@@ -57,14 +66,29 @@
 
     async def ask_once(self, control: Control) -> None:
         cells, register = self.cells, self.news.register
-        have = {"life": control.life, "rev": control.rev, "own": control.own, "named": control.named,
-                "verdicts": control.verdicts,
-                "slot": register.known, "zip": True, "pieces": True}
+        have = {
+            "life": control.life,
+            "rev": control.rev,
+            "own": control.own,
+            "named": control.named,
+            "verdicts": control.verdicts,
+            "slot": register.known,
+            "zip": True,
+            "pieces": True,
+        }
         sent = self.clock.now()
         answer = await self.members.link(control.address).ask(
-            "news", {"op": "news", "have": have, "wait": BETWEEN,
-                     "control": [cells.address, cells.zone, register.me.disk, self.counted],
-                     "saved": register.saved(), "form": FORM}, BETWEEN + 1.0)
+            "news",
+            {
+                "op": "news",
+                "have": have,
+                "wait": BETWEEN,
+                "control": [cells.address, cells.zone, register.me.disk, self.counted],
+                "saved": register.saved(),
+                "form": FORM,
+            },
+            BETWEEN + 1.0,
+        )
         now = self.clock.now()
         heard = read_answer(answer, now, control.limiters)
         self.take(control, heard, min(now, contact.spoke(sent, BETWEEN if heard.none else heard.held)), now)
--- a/finchshelf/controlplane/cells.py
+++ b/finchshelf/controlplane/cells.py
@@ -238,8 +238,11 @@
         return self.controls.setdefault(address, Control(address))
 
     def forget(self, keep: set[str], now: float) -> list[str]:
-        gone = [one.address for one in self.controls.values()
-                if one.address not in keep and now - max(one.heard, self.began) > CONTROL_FORGET]
+        gone = [
+            one.address
+            for one in self.controls.values()
+            if one.address not in keep and now - max(one.heard, self.began) > CONTROL_FORGET
+        ]
         for address in gone:
             del self.controls[address]
         return gone
--- a/finchshelf/controlplane/chain.py
+++ b/finchshelf/controlplane/chain.py
@@ -21,30 +21,46 @@
     def learned(self, before: Value | None, after: Value | None, contradiction: Value | None) -> None:
         """The decided values before and after a message; `contradiction`: another one heard for this slot."""
         if contradiction is not None and after is not None:
-            self.monitor.check(False, invariants.ONE_VALUE_PER_SLOT, slot=after.slot, version=after.version,
-                               heard=contradiction.version, members=[one.address for one in after.members],
-                               heard_members=[one.address for one in contradiction.members])
+            self.monitor.check(
+                False,
+                invariants.ONE_VALUE_PER_SLOT,
+                slot=after.slot,
+                version=after.version,
+                heard=contradiction.version,
+                members=[one.address for one in after.members],
+                heard_members=[one.address for one in contradiction.members],
+            )
         if before is not None and after is not None and after.slot == before.slot + 1:
             self.members_changed(before, after)
 
     def members_changed(self, held: Value, value: Value) -> None:
         if value.members != held.members:
             come, gone = set(value.members) - set(held.members), set(held.members) - set(value.members)
-            self.monitor.check(max(len(come), len(gone)) <= MOST_MEMBERS_CHANGED,
-                               invariants.MEMBERS_CHANGE_BY_ONE, slot=value.slot,
-                               come=sorted(map(str, come)), gone=sorted(map(str, gone)))
+            self.monitor.check(
+                max(len(come), len(gone)) <= MOST_MEMBERS_CHANGED,
+                invariants.MEMBERS_CHANGE_BY_ONE,
+                slot=value.slot,
+                come=sorted(map(str, come)),
+                gone=sorted(map(str, gone)),
+            )
 
     def promised(self, before: Value | None, after: Value | None, promised: Ballot, now: Ballot) -> None:
         """A message was handled: `promised` was the ballot before it, `now` the one after it."""
         if before is after:
-            self.monitor.check(now >= promised, invariants.PROMISE_NEVER_FALLS,
-                               slot=after.slot if after else -1, before=list(promised), now=list(now))
+            self.monitor.check(
+                now >= promised,
+                invariants.PROMISE_NEVER_FALLS,
+                slot=after.slot if after else -1,
+                before=list(promised),
+                now=list(now),
+            )
 
     def voting(self, kind: str, on_disk: int, wanted: int) -> None:
         """A reply that leans on revision `wanted` is about to leave."""
         if kind in ("promise", "accepted"):
-            self.monitor.check(on_disk >= wanted, invariants.VOTE_ON_DISK, kind=kind, on_disk=on_disk,
-                               wanted=wanted)
+            self.monitor.check(
+                on_disk >= wanted, invariants.VOTE_ON_DISK, kind=kind, on_disk=on_disk, wanted=wanted
+            )
 
     def answering(self, slot: int, floor: int) -> None:
         """A read is answered by that slot; `floor`: `read_slot` when the read began.
@@ -55,6 +71,7 @@
 
     def acknowledging(self, slot: int, version: int, fate: str) -> None:
         """An order is acknowledged; `fate`: what the decided value known here says of it."""
-        self.monitor.check(fate != NEVER_TAKEN, invariants.ACKNOWLEDGED_IS_DECIDED, slot=slot,
-                           version=version, fate=fate)
+        self.monitor.check(
+            fate != NEVER_TAKEN, invariants.ACKNOWLEDGED_IS_DECIDED, slot=slot, version=version, fate=fate
+        )
         self.read_slot = max(self.read_slot, slot)
--- a/finchshelf/controlplane/heard.py
+++ b/finchshelf/controlplane/heard.py
@@ -27,8 +27,12 @@
 def place(row: Any) -> tuple[str, str]:
     """A control plane's address and zone. Danger: one that can't be asked would be asked for good."""
     address, zone = row
-    if not isinstance(address, str) or not isinstance(zone, str) or len(zone) > MOST_TEXT \
-            or not is_address(address):
+    if (
+        not isinstance(address, str)
+        or not isinstance(zone, str)
+        or len(zone) > MOST_TEXT
+        or not is_address(address)
+    ):
         why = f"expected HOST:PORT and zone: {row!r}"[:200]
         raise Unfit("read a control plane's address", "controls", why)
     return address, zone
@@ -65,9 +69,15 @@
         servers = number(answer["rev"]), [read_server(row, now) for row in answer["servers"]]
     if "limiters" in answer:
         limiters = number(answer["own"]), tuple(read_list(answer, known).values())
-    return Heard(number(answer["life"]), bool(answer.get("none")), servers, limiters,
-                 parcel.unpack(answer["value"]) if "value" in answer else None,
-                 parcel.elsewhere(answer["value"]) if "value" in answer else b"",
-                 number(answer["named"]) if "named" in answer else None,
-                 [place(row) for row in answer.get("controls", ())], verdicts,
-                 number(answer.get("held", 0)) / 1000)
+    return Heard(
+        number(answer["life"]),
+        bool(answer.get("none")),
+        servers,
+        limiters,
+        parcel.unpack(answer["value"]) if "value" in answer else None,
+        parcel.elsewhere(answer["value"]) if "value" in answer else b"",
+        number(answer["named"]) if "named" in answer else None,
+        [place(row) for row in answer.get("controls", ())],
+        verdicts,
+        number(answer.get("held", 0)) / 1000,
+    )
--- a/finchshelf/controlplane/leaving.py
+++ b/finchshelf/controlplane/leaving.py
@@ -51,6 +51,9 @@
     decided, cells = news.register.decided, news.cells
     if decided is None:
         return True
-    have = [one for one in cells.controls.values() if one.has >= cells.servers.prompt
-            and one.address in {member.address for member in decided.members}]
+    have = [
+        one
+        for one in cells.controls.values()
+        if one.has >= cells.servers.prompt and one.address in {member.address for member in decided.members}
+    ]
     return len(have) >= majority(len(decided.members))
