--- a/finchshelf/controlplane/news.py
+++ b/finchshelf/controlplane/news.py
@@ -47,8 +47,16 @@
 
 
 class News:
-    def __init__(self, cells: Cells, clock: Clock, nursery: trio.Nursery, counted: bool, random: Random,
-                 log: Callable[..., None], turns: Turns) -> None:
+    def __init__(
+        self,
+        cells: Cells,
+        clock: Clock,
+        nursery: trio.Nursery,
+        counted: bool,
+        random: Random,
+        log: Callable[..., None],
+        turns: Turns,
+    ) -> None:
         self.cells, self.clock, self.nursery = cells, clock, nursery
         self.turns = turns
         self.log = log
@@ -120,7 +128,8 @@
             event, decided = self.event, self.register.decided_event
             since = trio.current_time() - self.register.decided_at
             if "control" in message and telling.under_way(
-                    self.register.decided, since, int(have.get("slot", -1))):
+                self.register.decided, since, int(have.get("slot", -1))
+            ):
                 waited = str(message["control"][0])
             answer = self.fresh(have, "limiter" in message, waited)
             if answer is not None or trio.current_time() >= until:
@@ -159,8 +168,9 @@
                         onward.setdefault(to, {}).setdefault(what, []).append(row)
             for to, part in onward.items():
                 with suppress(PeerError):
-                    answer = await self.members.link(to).ask("experience", {
-                        "op": "experience", "limiter": limiter, "relayed": True, **part}, RELAY)
+                    answer = await self.members.link(to).ask(
+                        "experience", {"op": "experience", "limiter": limiter, "relayed": True, **part}, RELAY
+                    )
                     granted += answer.get("granted", ())
         return {"granted": granted}
 
@@ -238,8 +248,9 @@
                 answer["whole"] = now - cells.began
         # Danger: in contact, but with a value not proved or known to be old, it tells none; and a limiter
         # that starts would take that for "nothing newer" than what one cut off told.
-        joined = not limiter or (self.joined() and ((same and have.get("core") is True)
-                                                    or self.register.leads()))
+        joined = not limiter or (
+            self.joined() and ((same and have.get("core") is True) or self.register.leads())
+        )
         changed = limiter and (not same or have.get("core") != joined)
         if changed:
             answer["core"] = joined
@@ -265,11 +276,15 @@
         if limiter and have.get("usual") and (usual := self.times.usual()):
             answer["usual"] = usual
         decided = self.register.decided
-        if decided is not None and decided.slot > int(have.get("slot", -1)) \
-                and (not waited or telling.tells(decided, cells.address, waited)) \
-                and (not limiter or self.register.leads()):
+        if (
+            decided is not None
+            and decided.slot > int(have.get("slot", -1))
+            and (not waited or telling.tells(decided, cells.address, waited))
+            and (not limiter or self.register.leads())
+        ):
             answer["value"] = self.members.shelf.pack(
-                telling.for_limiter(decided) if limiter else decided, have)
+                telling.for_limiter(decided) if limiter else decided, have
+            )
         if not answer:
             return None
         return {"life": cells.life, **answer}
@@ -296,12 +311,16 @@
         """What an operator's `show` tells."""
         decided, now = self.register.decided, self.clock.now()
         return {
-            "address": self.cells.address, "zone": self.cells.zone, "disk": self.register.me.disk,
-            "slot": decided.slot if decided else -1, "version": decided.version if decided else 0,
+            "address": self.cells.address,
+            "zone": self.cells.zone,
+            "disk": self.register.me.disk,
+            "slot": decided.slot if decided else -1,
+            "version": decided.version if decided else 0,
             "joined": self.joined(),
             "members": [list(member) for member in decided.members] if decided else [],
-            "controls": [[one.address, one.zone, round(now - one.heard, 3)]
-                         for one in self.cells.controls.values()],
+            "controls": [
+                [one.address, one.zone, round(now - one.heard, 3)] for one in self.cells.controls.values()
+            ],
             "limiters": [one.pack() for one in self.cells.merged],
             "servers": [record.pack(now) for record in self.cells.servers.rows.values()],
             "experience": self.cells.board.since(0, True),
@@ -313,8 +332,11 @@
         if self.table.ask(message.get("aims", {}), now):
             self.wake()
         usable = sum(record.usable() for record in cells.servers.rows.values())
-        return {"rows": self.table.rows(), "version": decided.version if decided else 0,
-                "machines": usable + len(cells.merged)}
+        return {
+            "rows": self.table.rows(),
+            "version": decided.version if decided else 0,
+            "machines": usable + len(cells.merged),
+        }
 
 
 async def either(first: trio.Event, second: trio.Event) -> None:
@@ -325,4 +347,3 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(one, first)
         nursery.start_soon(one, second)
-
--- a/finchshelf/controlplane/ranks.py
+++ b/finchshelf/controlplane/ranks.py
@@ -49,7 +49,7 @@
             self.since = self.since if self.begun else now
             self.begun += 1
             return True, []
-        if sum(map(len, self.waiting[:rank + 1])) * self.pace > PATIENCE[rank]:
+        if sum(map(len, self.waiting[: rank + 1])) * self.pace > PATIENCE[rank]:
             return False, [item]
         self.waiting[rank].append((now, item))
         if len(self) <= MOST:
@@ -71,10 +71,19 @@
         return begin, shed
 
 
-CALLS = {"servers.departure": Rank.DRAIN, "setpoint.replace": Rank.OPERATOR, "setpoint.adjust": Rank.OPERATOR,
-         "setpoint.observe": Rank.OPERATOR}
-QUESTIONS = {"agree": Rank.OPERATOR, "show": Rank.OPERATOR, "hold": Rank.DRAIN, "news": Rank.NEWS,
-             "piece": Rank.NEWS}
+CALLS = {
+    "servers.departure": Rank.DRAIN,
+    "setpoint.replace": Rank.OPERATOR,
+    "setpoint.adjust": Rank.OPERATOR,
+    "setpoint.observe": Rank.OPERATOR,
+}
+QUESTIONS = {
+    "agree": Rank.OPERATOR,
+    "show": Rank.OPERATOR,
+    "hold": Rank.DRAIN,
+    "news": Rank.NEWS,
+    "piece": Rank.NEWS,
+}
 
 
 def of_call(name: str, body: bytes) -> Rank:
--- a/finchshelf/controlplane/register.py
+++ b/finchshelf/controlplane/register.py
@@ -64,9 +64,17 @@
 
 
 class Register:
-    def __init__(self, address: str, seeds: tuple[str, ...], first_start: bool, store: Store | None,
-                 peers: Peers, random: Random, log: Callable[..., None],
-                 monitor: Monitor | None = None) -> None:
+    def __init__(
+        self,
+        address: str,
+        seeds: tuple[str, ...],
+        first_start: bool,
+        store: Store | None,
+        peers: Peers,
+        random: Random,
+        log: Callable[..., None],
+        monitor: Monitor | None = None,
+    ) -> None:
         """`monitor`: counts violations of invariants; without one they are only logged."""
         self.monitor = monitor or Monitor(log)
         self.address, self.store, self.peers, self.random, self.log = address, store, peers, random, log
@@ -279,8 +287,11 @@
         """A member's or proposer's message; StoreError where the disk did not take what the reply leans
         on."""
         # Danger: a disk that was put back, told as proof beside one that was down, would prove an old value.
-        if (message.get("kind") == "read" and "me" not in message
-                and not await self.witnessing.allow_read(ASK)):
+        if (
+            message.get("kind") == "read"
+            and "me" not in message
+            and not await self.witnessing.allow_read(ASK)
+        ):
             raise StoreError("witness", self.address, "not yet known whether the disk is an older one")
         acceptor, before, promised = self.acceptor, self.acceptor.decided, self.acceptor.promised
         if message.get("kind") == "learn":
@@ -311,8 +322,9 @@
     def disks(self) -> list[list[Any]]:
         """How far this member knows the members' disks to be, its own among them."""
         members = self.decided.members if self.decided is not None else ()
-        return self.witness.rows([one.address for one in members if one.address != self.address],
-                                 [*self.me, self.saved()])
+        return self.witness.rows(
+            [one.address for one in members if one.address != self.address], [*self.me, self.saved()]
+        )
 
     async def give_up(self) -> None:
         """The disk was put back to an older state, or did not keep what it said it had: it forgot what it
@@ -348,8 +360,9 @@
         except (PeerError, StoreError, TypeError, ValueError, OverflowError):
             return None
 
-    async def change(self, make: Callable[[Value], Value | Refusal], limit: float, step: str,
-                     without: Member | None = None) -> Value | str:
+    async def change(
+        self, make: Callable[[Value], Value | Refusal], limit: float, step: str, without: Member | None = None
+    ) -> Value | str:
         """The decided value with the change in it, or the reason it was refused. Unsettled: it may be
         decided yet. `without`: a member that goes and is not asked for its promise."""
         with trio.move_on_after(limit):
--- a/finchshelf/controlplane/repair.py
+++ b/finchshelf/controlplane/repair.py
@@ -35,8 +35,7 @@
         # members of which more than half were seen to have on disk the value that names them
         self.settled: tuple[Member, ...] = ()
 
-    def to_mend(self, silent: dict[Member, float], candidates: Candidates,
-                leaving: Leaving = nobody) -> bool:
+    def to_mend(self, silent: dict[Member, float], candidates: Candidates, leaving: Leaving = nobody) -> bool:
         """Is there a change of members to be made?"""
         now = self.register.decided
         return now is not None and next_members(now.members, silent, candidates, leaving()) is not None
@@ -46,8 +45,9 @@
         now = self.register.decided
         return self.to_mend(silent, candidates, leaving) or (now is not None and now.members != self.settled)
 
-    async def mend(self, silent: dict[Member, float], candidates: Candidates,
-                   leaving: Leaving = nobody) -> None:
+    async def mend(
+        self, silent: dict[Member, float], candidates: Candidates, leaving: Leaving = nobody
+    ) -> None:
         """Change who the members are, where one is wiped, silent, new or leaving, and see to it that the
         change is settled."""
         while (decided := self.register.decided) is not None:
@@ -70,8 +70,9 @@
         """Does its disk hold what is decided? The news bring it there."""
         return holds(learner, decided.slot, await self.register.send(learner, HOLDS))
 
-    async def settle(self, limit: float, without: Member | None = None, life: int = 0,
-                     leaving: Leaving = nobody) -> bool:
+    async def settle(
+        self, limit: float, without: Member | None = None, life: int = 0, leaving: Leaving = nobody
+    ) -> bool:
         """Until more than half of the members, `without` one that goes, have on disk the value that names
         them, and heard that it goes in this life; False where that takes too long.
 
@@ -114,8 +115,9 @@
         return False
 
 
-def to_members(silent: dict[Member, float], learned: Candidates,
-               leaving: Leaving) -> Callable[[Value], Value | Refusal]:
+def to_members(
+    silent: dict[Member, float], learned: Candidates, leaving: Leaving
+) -> Callable[[Value], Value | Refusal]:
     def make(value: Value) -> Value | Refusal:
         # Danger: who goes is asked when more than half have promised, not before: a fence then parts who
         # named others without knowing it from who knows it.
--- a/finchshelf/controlplane/resources.py
+++ b/finchshelf/controlplane/resources.py
@@ -70,8 +70,9 @@
                 return told(503, {"error": "not held by more than half of the core"})
             self.cells.held.add(of, self.now())
         if record.mode == DECAYING:
-            self.news.register.monitor.check(self.cells.held.known(of, self.now()), invariants.DRAIN_HELD,
-                                             server=of, count=record.count)
+            self.news.register.monitor.check(
+                self.cells.held.known(of, self.now()), invariants.DRAIN_HELD, server=of, count=record.count
+            )
         return told(200, self.target(of, record.zone))
 
     def target(self, of: str, zone: str) -> dict[str, str]:
@@ -81,8 +82,9 @@
         Danger: told nothing because it came to the right one, it goes to any for its next beat, and all
         control planes hear that it moved."""
         named = self.cells.named
-        own = rendezvous.first(of, [address for address, place in named if place == zone]
-                               or [address for address, _ in named])
+        own = rendezvous.first(
+            of, [address for address, place in named if place == zone] or [address for address, _ in named]
+        )
         return {"pulseTarget": f"{own.rpartition(':')[0]}:{self.port}"} if own else {}
 
 
@@ -106,8 +108,13 @@
 class Change:
     """`setpoint.replace` and `setpoint.adjust`: a configuration on top of the one it names."""
 
-    def __init__(self, register: Register, kind: changes.Kind, log: Callable[..., None],
-                 newer: Callable[[Value], bool] = lambda _: True) -> None:
+    def __init__(
+        self,
+        register: Register,
+        kind: changes.Kind,
+        log: Callable[..., None],
+        newer: Callable[[Value], bool] = lambda _: True,
+    ) -> None:
         """`newer`: may the value after this one be in the form that an older text does not read?"""
         self.register, self.kind, self.log, self.newer, self.early = register, kind, log, newer, Early()
 
@@ -162,8 +169,9 @@
             self.early.end()
 
     async def change(self, make: Callable[..., Value | Refusal], done: Ruling, longer: float = 0.0) -> Ruling:
-        made = await self.register.change(lambda value: make(value, newer=self.newer(value)), LIMIT + longer,
-                                          f"setpoint.{self.kind}")
+        made = await self.register.change(
+            lambda value: make(value, newer=self.newer(value)), LIMIT + longer, f"setpoint.{self.kind}"
+        )
         return done if isinstance(made, Value) else Ruling(made)
 
     def answer(self, ruling: Ruling, order: Order) -> Answer:
@@ -213,8 +221,13 @@
     `beyond`: None while this control plane is in contact; else the `control` address of one beyond the cut,
     or nothing where there is none."""
 
-    def __init__(self, handlers: dict[str, Resource], turns: Turns,
-                 beyond: Callable[[], str | None] = lambda: None, watch: CallWatch | None = None) -> None:
+    def __init__(
+        self,
+        handlers: dict[str, Resource],
+        turns: Turns,
+        beyond: Callable[[], str | None] = lambda: None,
+        watch: CallWatch | None = None,
+    ) -> None:
         self.handlers, self.turns, self.beyond, self.watch = handlers, turns, beyond, watch
 
     async def handle(self, call: Call) -> Answer:
--- a/finchshelf/controlplane/rounds.py
+++ b/finchshelf/controlplane/rounds.py
@@ -31,8 +31,9 @@
         event, self.met = self.met, trio.Event()
         event.set()
 
-    async def attempt(self, proposer: Proposer,
-                      without: Member | None = None) -> Decided | Refused | Retry | None:
+    async def attempt(
+        self, proposer: Proposer, without: Member | None = None
+    ) -> Decided | Refused | Retry | None:
         """One attempt to its outcome; None where the members that answered leave it open."""
         done, busy = trio.Event(), 0
 
@@ -109,5 +110,8 @@
 
 def slots_of(states: dict[Member, Message]) -> list[int]:
     """The newest slot that each of those knows who said so under the name asked for."""
-    return [int(one["slot"]) for member, one in states.items()
-            if one.get("kind") == "state" and one.get("from") == list(member)]
+    return [
+        int(one["slot"])
+        for member, one in states.items()
+        if one.get("kind") == "state" and one.get("from") == list(member)
+    ]
--- a/finchshelf/controlplane/standing.py
+++ b/finchshelf/controlplane/standing.py
@@ -51,14 +51,20 @@
         Danger: some of them may be dead, which can't be told from here. A caller must not be sent to one time
         after time, as chance would."""
         spoken = {one.address: one.spoke for one in self.cells.controls.values()}
-        found = sorted(one for one in self.members()
-                       if one != self.cells.address and contact.apart(spoken.get(one, -inf), now))
+        found = sorted(
+            one
+            for one in self.members()
+            if one != self.cells.address and contact.apart(spoken.get(one, -inf), now)
+        )
         self.turn += 1
         return found[self.turn % len(found)] if found else None
 
     def all(self) -> list[list[str]]:
         """Each control plane that this one ever heard of, with its zone: for who finds nobody else."""
         cells = self.cells
-        zones = {**{address: "" for address in self.members()},
-                 **{one.address: one.zone for one in cells.controls.values()}, **dict(cells.named)}
+        zones = {
+            **{address: "" for address in self.members()},
+            **{one.address: one.zone for one in cells.controls.values()},
+            **dict(cells.named),
+        }
         return [[address, zone] for address, zone in sorted(zones.items())]
--- a/finchshelf/controlplane/sweeps.py
+++ b/finchshelf/controlplane/sweeps.py
@@ -24,8 +24,9 @@
 
 
 class Sweeps:
-    def __init__(self, news: News, asking: Asking, register: Register, repair: Repair, clock: Clock,
-                 random: Random) -> None:
+    def __init__(
+        self, news: News, asking: Asking, register: Register, repair: Repair, clock: Clock, random: Random
+    ) -> None:
         self.news, self.asking, self.register, self.repair = news, asking, register, repair
         self.clock, self.random = clock, random
         self.cells = news.cells
@@ -87,8 +88,11 @@
                 continue  # Danger: who has only just come up takes all others for silent
             silent = self.cells.silent(me, now)
             # Danger: were the duty a new member's, nobody would do it until that one is no longer young.
-            voters = [m.address for m in decided.members
-                      if silent.get(m, math.inf) <= 1.0 and not self.cells.young(m.address, now)]
+            voters = [
+                m.address
+                for m in decided.members
+                if silent.get(m, math.inf) <= 1.0 and not self.cells.young(m.address, now)
+            ]
             candidates = self.cells.candidates(me, self.asking.counted)
             due = self.repair.due(silent, candidates, self.news.going)
             self.due = min(self.due, now) if due else math.inf
--- a/finchshelf/controlplane/watch.py
+++ b/finchshelf/controlplane/watch.py
@@ -21,5 +21,11 @@
         self.telemetry.observe("call", f"{call or 'unknown'} {answer.status}", took)
         if answer.status >= FAILED:
             why = (answer.body or b"")[:MOST_WHY].decode("utf-8", "replace")
-            self.telemetry.rare("calls.failed", call=call, of=of[:MOST_WHY], status=answer.status,
-                                took=round(took * 1000), why=why)
+            self.telemetry.rare(
+                "calls.failed",
+                call=call,
+                of=of[:MOST_WHY],
+                status=answer.status,
+                took=round(took * 1000),
+                why=why,
+            )
--- a/finchshelf/controlplane/witnessing.py
+++ b/finchshelf/controlplane/witnessing.py
@@ -85,8 +85,11 @@
         async def release_reads() -> None:
             needed = core.majority(len(others) + 1) - 1
             await trio.sleep(REACH_S)
-            while (len(found) < needed or register.witness.put_back(found)
-                   or any(register.peers.reaches(member.address) for member in silent)):
+            while (
+                len(found) < needed
+                or register.witness.put_back(found)
+                or any(register.peers.reaches(member.address) for member in silent)
+            ):
                 await answered.wait()
             self.readable.set()
 
@@ -110,7 +113,8 @@
     """Address, disk and number of each member; ValueError or TypeError where they can't be read."""
     found = [(address, disk, number) for address, disk, number in rows]
     if len(found) > MOST_ROWS or not all(
-            isinstance(address, str) and isinstance(disk, str) and type(number) is int
-            for address, disk, number in found):
+        isinstance(address, str) and isinstance(disk, str) and type(number) is int
+        for address, disk, number in found
+    ):
         raise ValueError("disks: expected rows of address, disk and number")
     return found
--- a/finchshelf/counts/caller.py
+++ b/finchshelf/counts/caller.py
@@ -89,8 +89,11 @@
             self.moved(limiters)
         self.settled = now
         # Danger: off the list unawares, and back: another limiter held the counts meanwhile.
-        self.held = {} if unaware else {
-            tenant: since for tenant, since in self.held.items() if self.holder(tenant) == self.me}
+        self.held = (
+            {}
+            if unaware
+            else {tenant: since for tenant, since in self.held.items() if self.holder(tenant) == self.me}
+        )
 
     def cut_off(self) -> None:
         """The list came from one that is cut off: no more is let in than after a long time without any.
@@ -105,8 +108,11 @@
         there, before = set(limiters), set(self.limiters)
         came = [name for name in limiters if name not in before]
         self.limiters = limiters
-        self.holders = {tenant: rendezvous.first(tenant, (name, *came)) or self.me if came else name
-                        for tenant, name in self.holders.items() if name in there}
+        self.holders = {
+            tenant: rendezvous.first(tenant, (name, *came)) or self.me if came else name
+            for tenant, name in self.holders.items()
+            if name in there
+        }
         self.breakers = {name: one for name, one in self.breakers.items() if name in there}
 
     def holder(self, tenant: str) -> str:
--- a/finchshelf/counts/ends.py
+++ b/finchshelf/counts/ends.py
@@ -56,5 +56,8 @@
         """Limiters listed of late whose life has ended, and of which no later one was heard."""
         if not self.over:
             return ()
-        return [name for name, (host, life) in self.rows.items()
-                if self.over.get(host) == life == self.lives.get(host)]
+        return [
+            name
+            for name, (host, life) in self.rows.items()
+            if self.over.get(host) == life == self.lives.get(host)
+        ]
--- a/finchshelf/counts/holder.py
+++ b/finchshelf/counts/holder.py
@@ -107,8 +107,19 @@
             self.counts.clear()
         self.touched = now
 
-    def add(self, tenant: str, units: float, rate: float, burst: float, now: float, who: str = "",
-            state: int = NEAR, sole: float = 0.0, limiters: int = 1, left: int = 0) -> bool:
+    def add(
+        self,
+        tenant: str,
+        units: float,
+        rate: float,
+        burst: float,
+        now: float,
+        who: str = "",
+        state: int = NEAR,
+        sole: float = 0.0,
+        limiters: int = 1,
+        left: int = 0,
+    ) -> bool:
         """Do the units fit? Those that do not are taken off again. `rate` in units a second, above 0.
 
         `sole`: when nobody else can be the holder, `limiters`: known, `left`: those of them off the list, as
--- a/finchshelf/dataplane/__main__.py
+++ b/finchshelf/dataplane/__main__.py
@@ -50,23 +50,46 @@
     me = Limiter(boot.node, int(time.time() * 1000), boot.ip, boot.zone)
     assert boot.front is not None and boot.readiness is not None
     margins = boot.margins
-    core = Core(boot.node, boot.zone, clock, telemetry, random, float(margins.get("retryRatio", 0.2)),
-                float(margins.get("retrySlack", 0.0)), policy, QuotaMargins(
-                    boot.seconds("quotaWindow", 5.0), float(margins.get("quotaOvershoot", 0.1)),
-                    float(margins.get("quotaSlack", 20.0))))
+    core = Core(
+        boot.node,
+        boot.zone,
+        clock,
+        telemetry,
+        random,
+        float(margins.get("retryRatio", 0.2)),
+        float(margins.get("retrySlack", 0.0)),
+        policy,
+        QuotaMargins(
+            boot.seconds("quotaWindow", 5.0),
+            float(margins.get("quotaOvershoot", 0.1)),
+            float(margins.get("quotaSlack", 20.0)),
+        ),
+    )
     async with trio.open_nursery() as nursery:
         core.counting.wire = wire = Questions(Address(boot.ip, counts), core.counting, telemetry, me.life)
         core.servers = Servers(core, Words(core.probe_path), nursery, boot.descriptors)
         memory = int(boot.memory_mb * 1e6)
-        core.clients = clients = Clients(core, Reader(core.configuration), nursery, lambda: True,
-                                         boot.descriptors, memory)
+        core.clients = clients = Clients(
+            core, Reader(core.configuration), nursery, lambda: True, boot.descriptors, memory
+        )
         seeds = [f"{peer.host}:{control}" for peer in boot.initial_peers]
-        follower = Follower(me, seeds, control, clock, core.put, random, telemetry.log, nursery,
-                            core.seen, core.choice.usual if policy.on else None)
+        follower = Follower(
+            me,
+            seeds,
+            control,
+            clock,
+            core.put,
+            random,
+            telemetry.log,
+            nursery,
+            core.seen,
+            core.choice.usual if policy.on else None,
+        )
         core.counting.in_touch = follower.in_touch
         looked_at = calls.Calls(clock, telemetry, nursery, None)
-        readiness = Clients(looked_at, calls.Reader(READY), nursery,
-                            lambda: core.ready() and follower.settled(), 64, memory)
+        readiness = Clients(
+            looked_at, calls.Reader(READY), nursery, lambda: core.ready() and follower.settled(), 64, memory
+        )
         front = await net.listen(Address(*boot.front))
         gate = await net.listen(Address(*boot.readiness))
         accepting = trio.CancelScope()
@@ -110,10 +133,15 @@
 
 def gauges(core: Core, clients: Clients, follower: Follower) -> dict[str, float]:
     """Present values for whoever fetches the figures."""
-    return {"requests_open": len(core.live), "connections": len(clients.connections),
-            "configuration_version": core.configuration.version, "configuration_slot": follower.slot,
-            "servers_known": len(core.choice.table), "limiters_known": len(core.counting.limiters),
-            "ready": float(core.ready() and follower.settled())}
+    return {
+        "requests_open": len(core.live),
+        "connections": len(clients.connections),
+        "configuration_version": core.configuration.version,
+        "configuration_slot": follower.slot,
+        "servers_known": len(core.choice.table),
+        "limiters_known": len(core.counting.limiters),
+        "ready": float(core.ready() and follower.settled()),
+    }
 
 
 async def tally(telemetry: Telemetry) -> None:
--- a/finchshelf/dataplane/checks.py
+++ b/finchshelf/dataplane/checks.py
@@ -28,42 +28,82 @@
 
     def configured(self, version: int, slot: int) -> None:
         """A configuration takes the place of the one in force."""
-        self.monitor.check(slot >= self.slot, invariants.CONFIGURATION_FORWARD, version=version, slot=slot,
-                           before=self.slot)
+        self.monitor.check(
+            slot >= self.slot, invariants.CONFIGURATION_FORWARD, version=version, slot=slot, before=self.slot
+        )
         self.slot = max(self.slot, slot)
 
     def trying(self, request: Request, record: Server | None, server: str) -> None:
         """Before a try goes out; `request.tried` names the server already."""
         route, monitor = request.route, self.monitor
         if route is None or record is None:
-            monitor.check(False, invariants.SERVICE_OF_ROUTE, trial=request.mark.decode("latin-1"),
-                          server=server, service="unknown")
+            monitor.check(
+                False,
+                invariants.SERVICE_OF_ROUTE,
+                trial=request.mark.decode("latin-1"),
+                server=server,
+                service="unknown",
+            )
             return
         trial = request.mark.decode("latin-1")
-        monitor.check(route.repeatable or not (request.may_have_run or request.out), invariants.SINGLE_RUN,
-                      trial=trial, route=route.label, server=server, before=request.tried[:-1])
-        monitor.check(len(set(request.tried)) <= max(1, route.trials), invariants.TRIALS_BOUND,
-                      trial=trial, route=route.label, tried=request.tried)
-        monitor.check(record.service == request.service, invariants.SERVICE_OF_ROUTE,
-                      trial=trial, route=route.label, server=server, service=record.service)
-        monitor.check(record.mode == STABLE, invariants.TARGET_STAYS,
-                      trial=trial, route=route.label, server=server, mode=record.mode)
+        monitor.check(
+            route.repeatable or not (request.may_have_run or request.out),
+            invariants.SINGLE_RUN,
+            trial=trial,
+            route=route.label,
+            server=server,
+            before=request.tried[:-1],
+        )
+        monitor.check(
+            len(set(request.tried)) <= max(1, route.trials),
+            invariants.TRIALS_BOUND,
+            trial=trial,
+            route=route.label,
+            tried=request.tried,
+        )
+        monitor.check(
+            record.service == request.service,
+            invariants.SERVICE_OF_ROUTE,
+            trial=trial,
+            route=route.label,
+            server=server,
+            service=record.service,
+        )
+        monitor.check(
+            record.mode == STABLE,
+            invariants.TARGET_STAYS,
+            trial=trial,
+            route=route.label,
+            server=server,
+            mode=record.mode,
+        )
 
     def answering(self, request: Request, status: int, counted: str) -> None:
         """Before the final answer goes out."""
         route = request.route
         if status not in NEVER_RAN or route is None or route.repeatable:
             return
-        self.monitor.check(not request.may_have_run and not request.out, invariants.REFUSAL_NEVER_RAN,
-                           trial=request.mark.decode("latin-1"), route=route.label, status=status,
-                           counted=counted, tried=request.tried)
+        self.monitor.check(
+            not request.may_have_run and not request.out,
+            invariants.REFUSAL_NEVER_RAN,
+            trial=request.mark.decode("latin-1"),
+            route=route.label,
+            status=status,
+            counted=counted,
+            tried=request.tried,
+        )
 
     def overdue(self, open_requests: Iterable[Request], now: float) -> None:
         """All timers up to now were looked at: a request that should have ended has."""
         for request in open_requests:
-            self.monitor.check(now < request.until + GRACE_S, invariants.REQUEST_ENDS,
-                               trial=request.mark.decode("latin-1"), over_s=round(now - request.until, 3),
-                               tried=request.tried, ends=[one.ended for one in request.ends])
+            self.monitor.check(
+                now < request.until + GRACE_S,
+                invariants.REQUEST_ENDS,
+                trial=request.mark.decode("latin-1"),
+                over_s=round(now - request.until, 3),
+                tried=request.tried,
+                ends=[one.ended for one in request.ends],
+            )
 
 
 @dataclass(slots=True)
@@ -97,8 +137,14 @@
         level = self.levels.setdefault(tenant, Level(0.0, now))
         level.units = min(ceiling, max(0.0, level.units - rate * (now - level.at))) + units
         level.at = now
-        self.monitor.check(level.units <= ceiling + units * 0.01, invariants.GRANTS_WITHIN_RATE,
-                           tenant=tenant, level=round(level.units, 1), ceiling=round(ceiling, 1), rate=rate)
+        self.monitor.check(
+            level.units <= ceiling + units * 0.01,
+            invariants.GRANTS_WITHIN_RATE,
+            tenant=tenant,
+            level=round(level.units, 1),
+            ceiling=round(ceiling, 1),
+            rate=rate,
+        )
 
     def keep(self, tenants: Iterable[str]) -> None:
         """Forget tenants that the configuration no longer has."""
--- a/finchshelf/dataplane/choice.py
+++ b/finchshelf/dataplane/choice.py
@@ -129,8 +129,9 @@
 
     # ---- the choice ----
 
-    def pick(self, service: str, now: float, tried: Iterable[str] = (), rank: float = 0.0,
-             once: bool = False) -> Server | None:
+    def pick(
+        self, service: str, now: float, tried: Iterable[str] = (), rank: float = 0.0, once: bool = False
+    ) -> Server | None:
         """The server that should be done with one more soonest; None if none has room for one of that rank
         (0 the highest precedence, 1 the lowest). `once`: what may have run there is not sent again."""
         queue = QUEUE_PART - (QUEUE_PART - QUEUE_LEAST) * rank
@@ -147,8 +148,9 @@
             best = self.best(rest or usable, now, tried, 0.0, queue)[0] or best
         return best
 
-    def best(self, usable: Iterable[Known], now: float, tried: Collection[str],
-             steer: float, queue: float) -> tuple[Server | None, bool, bool]:
+    def best(
+        self, usable: Iterable[Known], now: float, tried: Collection[str], steer: float, queue: float
+    ) -> tuple[Server | None, bool, bool]:
         """The cheapest with room; whether any was passed over by its share (to the power of `steer`), and
         whether the one found has no slot free."""
         best, least, spared, waits = None, math.inf, False, False
@@ -187,8 +189,15 @@
         if known is not None:
             known.open += 1
 
-    def ended(self, name: str, route: str, status: Status, took: float, load: tuple[int, int, int] | None,
-              now: float) -> None:
+    def ended(
+        self,
+        name: str,
+        route: str,
+        status: Status,
+        took: float,
+        load: tuple[int, int, int] | None,
+        now: float,
+    ) -> None:
         """One of ours ended; `load` is what the server said: running, waiting, slots."""
         known = self.table.get(name)
         if known is None:
--- a/finchshelf/dataplane/core.py
+++ b/finchshelf/dataplane/core.py
@@ -66,9 +66,18 @@
 
 
 class Core:
-    def __init__(self, me: str, zone: str, clock: Clock, telemetry: Telemetry, random: Random,
-                 ratio: float, slack: float, policy: Policy = DEFAULT,
-                 quota: QuotaMargins | None = None) -> None:
+    def __init__(
+        self,
+        me: str,
+        zone: str,
+        clock: Clock,
+        telemetry: Telemetry,
+        random: Random,
+        ratio: float,
+        slack: float,
+        policy: Policy = DEFAULT,
+        quota: QuotaMargins | None = None,
+    ) -> None:
         self.me, self.clock, self.telemetry, self.count = me, clock, telemetry, telemetry.count
         self.random = random
         self.configuration = Configuration(0, (), {}, {}, Limits())
@@ -214,8 +223,9 @@
         assert request.route is not None
         if not self.attempt(request, now):
             usual = self.choice.usual.get(request.route.label, 0.1)
-            return self.answer(request, refusal(503, tries.come_again(usual, self.random.random())),
-                               "refused.room")
+            return self.answer(
+                request, refusal(503, tries.come_again(usual, self.random.random())), "refused.room"
+            )
         if request.route.repeatable and request.route.trials > 1 and request.stream is None:
             usual = self.choice.usual.get(request.route.label, request.route.target)
             self.timer(now + tries.hedge_after(request.route.target, usual), "hedge", request.id)
@@ -239,8 +249,16 @@
             self.seen.add(request.route.label, "repeated")
         known = self.choice.table.get(server)
         self.checks.trying(request, known.record if known is not None else None, server)
-        attempt = Attempt(request, request.attempts, server, self.addresses[server], request.until - now, now,
-                          request.until, most_idle)
+        attempt = Attempt(
+            request,
+            request.attempts,
+            server,
+            self.addresses[server],
+            request.until - now,
+            now,
+            request.until,
+            most_idle,
+        )
         request.out[attempt.number] = attempt
         request.attempts += 1
         self.choice.sent(server)
@@ -315,12 +333,24 @@
                 return self.finish(request, item.answer, "out.error")
             request.last = item.answer
         usual = self.choice.usual.get(request.route.label, 0.0)
-        tried = Tried(request.route.repeatable, request.may_have_run, len(request.out), len(request.tried),
-                      request.route.trials, request.again, request.until - now, usual,
-                      request.last is not None)
+        tried = Tried(
+            request.route.repeatable,
+            request.may_have_run,
+            len(request.out),
+            len(request.tried),
+            request.route.trials,
+            request.again,
+            request.until - now,
+            usual,
+            request.last is not None,
+        )
         # Danger: a server often closes its kept connections because it leaves; by now that may be known here.
-        if dropped and self.choice.takes(attempt.server) and tries.renews(tried, request.renewed) \
-                and self.budget.spend(request.service):
+        if (
+            dropped
+            and self.choice.takes(attempt.server)
+            and tries.renews(tried, request.renewed)
+            and self.budget.spend(request.service)
+        ):
             request.renewed = True
             self.count["tries.renewed"] += 1
             return self.start(request, attempt.server, 0.0, now)
@@ -357,8 +387,13 @@
         self.failures.ended(request, counted, answer.status, self.clock.now())
         if self.seen.on:
             route = request.route
-            self.seen.ended(route.label if route else "", route.target if route else 0.0, counted,
-                            answer.status, self.clock.now() - request.came)
+            self.seen.ended(
+                route.label if route else "",
+                route.target if route else 0.0,
+                counted,
+                answer.status,
+                self.clock.now() - request.came,
+            )
         request.reply(answer)
 
     def cancel(self, request: Request) -> None:
@@ -410,4 +445,5 @@
 
     def ready(self) -> bool:
         return self.configuration.version > 0 and any(
-            self.choice.ready((name,)) for name in self.configuration.services)
+            self.choice.ready((name,)) for name in self.configuration.services
+        )
--- a/finchshelf/dataplane/counting.py
+++ b/finchshelf/dataplane/counting.py
@@ -73,8 +73,9 @@
     def told(self, number: int, source: tuple[str, int], fits: bool, after: float) -> None:
         self.owner.put(Told(number, source, fits, after))
 
-    def asked(self, tenant: str, units: float, who: str, state: int,
-              life: int | None) -> tuple[bool, float] | None:
+    def asked(
+        self, tenant: str, units: float, who: str, state: int, life: int | None
+    ) -> tuple[bool, float] | None:
         """A limiter's question or word (0 units); None where that life has ended, or no such tenant is
         known (yet). `life`: None for one of an older text, which names none and tells no end."""
         return self.add(tenant, units, who, state) if life is None or self.ends.hear(who, life) else None
@@ -93,8 +94,18 @@
         known, now = self.owner.configuration.tenants.get(tenant), self.clock.now()
         if known is None or known.rate <= 0 or not self.may_hold(now):
             return None  # Danger: on the other side of a cut another holder grants the whole rate
-        fits = self.holder.add(tenant, units, known.rate, max(1.0, known.surge), now, who, state,
-                               self.caller.sole(tenant), self.caller.there(), self.caller.left())
+        fits = self.holder.add(
+            tenant,
+            units,
+            known.rate,
+            max(1.0, known.surge),
+            now,
+            who,
+            state,
+            self.caller.sole(tenant),
+            self.caller.there(),
+            self.caller.left(),
+        )
         if fits and units > 0:
             self.grants.granted(tenant, units, known.rate, max(1.0, known.surge), now)
         return fits, 0.0 if fits else self.holder.after(tenant, units, now)
@@ -205,8 +216,10 @@
             return False
         changed, self.limiters = limiters != self.limiters, limiters
         if changed or self.ends.rows.keys() != self.caller.known.keys():
-            self.ends.listed({name: (one.host, one.life) for name, one in limiters.items()},
-                             self.caller.known.keys() | limiters.keys())
+            self.ends.listed(
+                {name: (one.host, one.life) for name, one in limiters.items()},
+                self.caller.known.keys() | limiters.keys(),
+            )
         self.caller.listed(list(limiters), now, self.ends.names())
         if not current:
             self.caller.cut_off()
--- a/finchshelf/dataplane/dialect.py
+++ b/finchshelf/dataplane/dialect.py
@@ -21,8 +21,9 @@
 from finchshelf.transport.replies import Another, Broken, Reply, framing, onward
 
 # Danger: of two of these one would be read here and the other behind us.
-ONCE = frozenset((b"host", b"content-length", b"transfer-encoding", b"trial-id", b"remaining-ms",
-                  b"authorization"))
+ONCE = frozenset(
+    (b"host", b"content-length", b"transfer-encoding", b"trial-id", b"remaining-ms", b"authorization")
+)
 OURS = frozenset((b"target-server", b"load-name", b"authorization", b"remaining-ms", b"expect"))
 NOT_PASSED = HOP_BY_HOP | OURS
 NOT_BACK = frozenset((b"server-load", b"not-executed", b"server-id"))
@@ -66,9 +67,13 @@
         self.configuration = configuration
         bounds = configuration.limits
         self.limits = Limits(
-            most_request=bounds.payload_bytes, most_head=bounds.head_bytes, slow_read=bounds.head_time,
-            silent=max(bounds.head_time, bounds.idle_time), kept=bounds.idle_time,
-            kept_headers=((b"Keep-Alive", b"timeout=%d" % max(1, int(bounds.idle_time) - 2)),))
+            most_request=bounds.payload_bytes,
+            most_head=bounds.head_bytes,
+            slow_read=bounds.head_time,
+            silent=max(bounds.head_time, bounds.idle_time),
+            kept=bounds.idle_time,
+            kept_headers=((b"Keep-Alive", b"timeout=%d" % max(1, int(bounds.idle_time) - 2)),),
+        )
 
     def head(self, event: h11.Request) -> dict[bytes, bytes]:
         if head_size(event) > self.limits.most_head:
@@ -77,8 +82,16 @@
             raise BadRequest("a tunnel")
         return headers_once(event, ONCE)
 
-    def call(self, event: h11.Request, body: bytes, number: int, came: float,
-             reply: Callable[[Answer], None], stream: Body | None = None, coming: float = 0.0) -> Request:
+    def call(
+        self,
+        event: h11.Request,
+        body: bytes,
+        number: int,
+        came: float,
+        reply: Callable[[Answer], None],
+        stream: Body | None = None,
+        coming: float = 0.0,
+    ) -> Request:
         told = dict(event.headers)
         trial = told.get(b"trial-id", b"")
         if not 0 < len(trial) <= MOST_ID:
@@ -98,13 +111,29 @@
         wait = min(int(left), MOST_LEFT) / 1000 if left is not None else MOST_LEFT / 1000
         wait = min(wait, route.cutoff) if route is not None else wait
         named = {name.strip().lower() for name in told.get(b"connection", b"").split(b",")}
-        headers = [(raw, value) for (raw, value), (plain, _)
-                   in zip(event.headers.raw_items(), event.headers, strict=True)
-                   if plain not in NOT_PASSED and plain not in named]
-        return Request(number, came + coming + wait, reply, event.method, event.target, headers, body,
-                       trial if route is not None and not route.repeatable else b"", stream, wait, trial,
-                       route=route, tenant=tenant, verdict=verdict, came=came,
-                       rank=where.rank(tenant, route) if route is not None else 0.0)
+        headers = [
+            (raw, value)
+            for (raw, value), (plain, _) in zip(event.headers.raw_items(), event.headers, strict=True)
+            if plain not in NOT_PASSED and plain not in named
+        ]
+        return Request(
+            number,
+            came + coming + wait,
+            reply,
+            event.method,
+            event.target,
+            headers,
+            body,
+            trial if route is not None and not route.repeatable else b"",
+            stream,
+            wait,
+            trial,
+            route=route,
+            tenant=tenant,
+            verdict=verdict,
+            came=came,
+            rank=where.rank(tenant, route) if route is not None else 0.0,
+        )
 
 
 class Words:
@@ -120,8 +149,11 @@
         request = attempt.exchange
         assert isinstance(request, Request)
         left = max(1, int((request.until - now) * 1000))
-        headers = [*request.headers, (b"Remaining-Ms", b"%d" % left),
-                   (b"Target-Server", attempt.server.encode("latin-1"))]
+        headers = [
+            *request.headers,
+            (b"Remaining-Ms", b"%d" % left),
+            (b"Target-Server", attempt.server.encode("latin-1")),
+        ]
         if request.tenant is not None:
             headers.append((b"Load-Name", request.tenant.label.encode()))
         headers += framing(request)
--- a/finchshelf/dataplane/failures.py
+++ b/finchshelf/dataplane/failures.py
@@ -61,9 +61,15 @@
         if why == SERVED:
             return
         failure = Failure(
-            request.mark.decode("latin-1"), request.route.label if request.route else "", request.service,
-            request.tenant.label if request.tenant else "", why, status, int(held * 1000),
-            tuple(request.ends))
+            request.mark.decode("latin-1"),
+            request.route.label if request.route else "",
+            request.service,
+            request.tenant.label if request.tenant else "",
+            why,
+            status,
+            int(held * 1000),
+            tuple(request.ends),
+        )
         self.kept.append(failure)
         self.telemetry.rare("request.failed", **asdict(failure))
 
@@ -71,4 +77,4 @@
         """Log the last failures, in as many lines as they take."""
         rows: list[dict[str, Any]] = [asdict(one) for one in self.kept]
         for at in range(0, len(rows), MOST_IN_A_LINE):
-            self.telemetry.log("requests.failed", failures=rows[at:at + MOST_IN_A_LINE])
+            self.telemetry.log("requests.failed", failures=rows[at : at + MOST_IN_A_LINE])
--- a/finchshelf/dataplane/follower.py
+++ b/finchshelf/dataplane/follower.py
@@ -82,9 +82,19 @@
 
 
 class Follower:
-    def __init__(self, me: Limiter, seeds: list[str], port: int, clock: Clock, put: Callable[[News], None],
-                 random: Random, log: Callable[..., None], nursery: trio.Nursery, seen: Seen,
-                 usual: dict[str, float] | None = None) -> None:
+    def __init__(
+        self,
+        me: Limiter,
+        seeds: list[str],
+        port: int,
+        clock: Clock,
+        put: Callable[[News], None],
+        random: Random,
+        log: Callable[..., None],
+        nursery: trio.Nursery,
+        seen: Seen,
+        usual: dict[str, float] | None = None,
+    ) -> None:
         """`usual`: s that each route takes, as this limiter learns it; None where it takes no part in shared
         experience."""
         self.seen, self.usual = seen, usual
@@ -120,8 +130,10 @@
             # way from another. Traffic would begin with old state.
             if self.coming <= self.slot or now - self.coming_since > PATIENCE:
                 # Danger: one that was cut off for long may answer first, the others' word is on its way.
-                asked = all((one.failed and not one.shed) or name in self.answered
-                            for name, one in self.sources.items())
+                asked = all(
+                    (one.failed and not one.shed) or name in self.answered
+                    for name, one in self.sources.items()
+                )
                 words = ((one.said, one.contact) for one in self.sources.values())
                 lost = contact.out(words, now) if asked else 0.0
                 self.begun = contact.may_begin(self.members, self.answered, told, now - self.first, lost)
@@ -192,8 +204,14 @@
         return float(min(EARLY_MOST, EARLY * 2 ** min(source.failed // EARLY_TRIES, 8)))
 
     async def ask_once(self, address: str, source: Source) -> None:
-        have: dict[str, Any] = {**source.have, "slot": max(self.slot, self.coming), "core": source.core,
-                                "zip": True, "pieces": True, "document": self.document}
+        have: dict[str, Any] = {
+            **source.have,
+            "slot": max(self.slot, self.coming),
+            "core": source.core,
+            "zip": True,
+            "pieces": True,
+            "document": self.document,
+        }
         times: dict[str, float] = {}
         if self.usual is not None:
             have["verdicts"] = source.have.get("verdicts", -1)
@@ -291,8 +309,9 @@
         if not source.core:
             self.follow()
 
-    def adopt(self, value: Value | None, configuration: Configuration | None, name: bytes,
-              joined: bool) -> Configuration | None:
+    def adopt(
+        self, value: Value | None, configuration: Configuration | None, name: bytes, joined: bool
+    ) -> Configuration | None:
         """Go by a newer value; the configuration that counts from now on, if another one does. `joined`: is
         whoever told it in contact with the core?"""
         if value is not None and value.slot > self.slot:
--- a/finchshelf/dataplane/questions.py
+++ b/finchshelf/dataplane/questions.py
@@ -55,8 +55,9 @@
 
 
 class Asked(Protocol):
-    def asked(self, tenant: str, units: float, who: str, state: int,
-              life: int | None) -> tuple[bool, float] | None: ...
+    def asked(
+        self, tenant: str, units: float, who: str, state: int, life: int | None
+    ) -> tuple[bool, float] | None: ...
     def told(self, number: int, source: tuple[str, int], fits: bool, after: float) -> None: ...
     def ended(self, who: str, life: int, used: dict[str, float]) -> None: ...
 
@@ -94,7 +95,7 @@
     def flush(self) -> None:
         for host, rows in self.out.items():
             for at in range(0, len(rows), 16):
-                self.send(self.question(host, rows[at:at + 16]), (host, self.port))
+                self.send(self.question(host, rows[at : at + 16]), (host, self.port))
         self.out.clear()
 
     def question(self, host: str, rows: list[tuple[int, str, float, int]]) -> list[Any]:
@@ -135,8 +136,10 @@
         form = [whole(one) for one in life]
         if kind == ASK:
             answers: list[tuple[int, int, float]] = []
-            asked = [(whole(number), text(tenant), amount(units), state_of(state))
-                     for number, tenant, units, state in rows]
+            asked = [
+                (whole(number), text(tenant), amount(units), state_of(state))
+                for number, tenant, units, state in rows
+            ]
             self.spoke(source[0], bool(form) or any(one[0] >> NUMBER for one in asked))
             for number, tenant, units, state in asked:  # all can be read, or none counts
                 of = form[0] if form else number >> NUMBER or None
@@ -170,4 +173,3 @@
             self.older.discard(host)
         elif len(self.older) < MOST_OLDER:
             self.older.add(host)
-
--- a/finchshelf/dataplane/steering.py
+++ b/finchshelf/dataplane/steering.py
@@ -36,8 +36,16 @@
 
     # ---- what this limiter sees ----
 
-    def ended(self, server: str, status: Status, used: int, took: float, usual: float,
-              load: tuple[int, int, int] | None, now: float) -> None:
+    def ended(
+        self,
+        server: str,
+        status: Status,
+        used: int,
+        took: float,
+        usual: float,
+        load: tuple[int, int, int] | None,
+        now: float,
+    ) -> None:
         """One try ended; `usual`: s that its route takes."""
         multiple = took / max(usual, 1e-3) if usual else 1.0
         # Danger: where answers take a millisecond, a turn of our own loop makes any server look slow.
@@ -46,8 +54,11 @@
         if slow and known is not None:
             # Danger: under a load that is more than all can bear, queues would make every server look slow.
             slow = multiple >= self.policy.slow * max(1.0, (known.open + known.told) / known.record.capacity)
-        full = known is not None and now - known.told_at < FRESH \
+        full = (
+            known is not None
+            and now - known.told_at < FRESH
             and known.open + known.told >= known.record.capacity
+        )
         room = load is not None and load[0] < load[2] and not load[1]
         found = kind(status, used, slow, room)
         if full and status in (Status.RESET, Status.TIMEOUT):
@@ -70,8 +81,13 @@
         """A server of the service that is to be tried by the next repeatable request."""
         for name in self.duties:
             known = self.choice.table.get(name)
-            if known is not None and known.record.service == service and name not in self.trying \
-                    and name not in self.probing and known.record.usable():
+            if (
+                known is not None
+                and known.record.service == service
+                and name not in self.trying
+                and name not in self.probing
+                and known.record.usable()
+            ):
                 self.trying[name] = self.duties[name]
                 return name
         return None
@@ -96,8 +112,11 @@
             self.digest.watched.discard(name)
         else:
             self.digest.watch(name, old is None or old.state == FULL)
-        if verdict.state != TRIAL or verdict.holder not in ("", self.me) \
-                or self.duties.get(name, verdict.round) != verdict.round:
+        if (
+            verdict.state != TRIAL
+            or verdict.holder not in ("", self.me)
+            or self.duties.get(name, verdict.round) != verdict.round
+        ):
             self.duties.pop(name, None)
             self.trying.pop(name, None)
             self.probing.pop(name, None)
--- a/finchshelf/dataplane/teller.py
+++ b/finchshelf/dataplane/teller.py
@@ -23,8 +23,14 @@
 
 
 class Teller:
-    def __init__(self, steering: Steering, follower: Follower, clock: Clock, nursery: trio.Nursery,
-                 log: Callable[..., None]) -> None:
+    def __init__(
+        self,
+        steering: Steering,
+        follower: Follower,
+        clock: Clock,
+        nursery: trio.Nursery,
+        log: Callable[..., None],
+    ) -> None:
         self.steering, self.follower, self.clock, self.log = steering, follower, clock, log
         self.nursery = nursery
         self.event = trio.Event()
@@ -48,8 +54,11 @@
                 steering.alone()
                 for one in sources.values():
                     one.have["verdicts"] = -1
-            named = [name for name, one in sources.items()
-                     if now >= max(one.down_until, self.failed.get(name, 0.0))]
+            named = [
+                name
+                for name, one in sources.items()
+                if now >= max(one.down_until, self.failed.get(name, 0.0))
+            ]
             said = steering.take(named, now)
             for address, message in said.items():
                 self.nursery.start_soon(self.tell, address, message)
@@ -61,8 +70,9 @@
         if source is None:
             return
         try:
-            answer = await source.link.ask("experience", {"op": "experience", "limiter": self.steering.me,
-                                                          **message}, LIMIT)
+            answer = await source.link.ask(
+                "experience", {"op": "experience", "limiter": self.steering.me, **message}, LIMIT
+            )
             for server, number in answer.get("granted", ()):
                 self.steering.granted(str(server), int(number))
         except PeerError:
--- a/finchshelf/dataplane/tries.py
+++ b/finchshelf/dataplane/tries.py
@@ -62,8 +62,7 @@
 def renews(tried: Tried, renewed: bool) -> bool:
     """May it go once more to the same server, on a new connection, because its kept one was dropped while
     idle? That asks no further server, so it costs none of the route's `trials`. `renewed`: it has done so."""
-    return (tried.repeatable and tried.bytes_at_hand and not renewed
-            and tried.left > LEAST_LEFT * tried.usual)
+    return tried.repeatable and tried.bytes_at_hand and not renewed and tried.left > LEAST_LEFT * tried.usual
 
 
 def end(tried: Tried, status: Status) -> Next:
--- a/finchshelf/drill/codec.py
+++ b/finchshelf/drill/codec.py
@@ -23,8 +23,14 @@
 }
 STATE = {0: i.ServerState.READY, 1: i.ServerState.GONE, 2: i.ServerState.DRAINING}
 LIST_KIND = {0: i.ListKind.CHANGES, 1: i.ListKind.FULL, 2: i.ListKind.CACHED, 3: i.ListKind.FAILED}
-LOAD = {"busy_reqs": "held", "pending": "queued", "cpu_share": "busy", "svc_ms": "service",
-        "served_ps": "served", "failed_ps": "failed"}
+LOAD = {
+    "busy_reqs": "held",
+    "pending": "queued",
+    "cpu_share": "busy",
+    "svc_ms": "service",
+    "served_ps": "served",
+    "failed_ps": "failed",
+}
 TEXT_FIELDS = ("setup", "msg")
 
 
@@ -121,9 +127,15 @@
     state = integer(fields, "condition", 0)
     if state not in STATE:
         raise WireError(f"expected condition 0, 1 or 2, got {state}")
-    return i.Server(word(fields, "server"), integer(fields, "campus", 0), integer(fields, "class-of-host", 0),
-                    integer(fields, "pod", 0), STATE[state], number(fields, "weight", 1.0),
-                    seconds(fields, "launched", 0.0))
+    return i.Server(
+        word(fields, "server"),
+        integer(fields, "campus", 0),
+        integer(fields, "class-of-host", 0),
+        integer(fields, "pod", 0),
+        STATE[state],
+        number(fields, "weight", 1.0),
+        seconds(fields, "launched", 0.0),
+    )
 
 
 def list_kind(fields: Mapping[str, str]) -> i.ListKind:
@@ -146,13 +158,29 @@
 def event(name: str, f: Mapping[str, str]) -> i.Event:
     """The event of one line other than the ones the loop itself handles."""
     if name == "ORDER":
-        return i.Request(integer(f, "id"), integer(f, "cls"), integer(f, "tier", 0), integer(f, "account", 0),
-                         seconds(f, "valid-until"), integer(f, "quota-units", 1),
-                         max(1, integer(f, "entry-points", 1)), flag(f, "resent"), integer(f, "first", 0))
+        return i.Request(
+            integer(f, "id"),
+            integer(f, "cls"),
+            integer(f, "tier", 0),
+            integer(f, "account", 0),
+            seconds(f, "valid-until"),
+            integer(f, "quota-units", 1),
+            max(1, integer(f, "entry-points", 1)),
+            flag(f, "resent"),
+            integer(f, "first", 0),
+        )
     if name == "REPLY":
-        return i.Outcome(integer(f, "id"), integer(f, "n"), word(f, "server"), status(f),
-                         seconds(f, "took", 0.0), flag(f, "settled"), integer(f, "seen-use", 0),
-                         integer(f, "true-units", 0), load(f))
+        return i.Outcome(
+            integer(f, "id"),
+            integer(f, "n"),
+            word(f, "server"),
+            status(f),
+            seconds(f, "took", 0.0),
+            flag(f, "settled"),
+            integer(f, "seen-use", 0),
+            integer(f, "true-units", 0),
+            load(f),
+        )
     if name == "TOTAL":
         return i.Counted(integer(f, "cname"), status(f), number(f, "sum", 0.0), seconds(f, "took", 0.0))
     if name == "FIRED":
--- a/finchshelf/experience/board.py
+++ b/finchshelf/experience/board.py
@@ -44,8 +44,7 @@
 
     def pack(self, whole: bool) -> list[Any]:
         """`whole`: for another cell; limiters need not know why."""
-        row = [self.server, self.count, self.cell, self.share, self.state, self.holder, self.round,
-               self.dead]
+        row = [self.server, self.count, self.cell, self.share, self.state, self.holder, self.round, self.dead]
         return [*row, round(self.rate, 2), self.falls, round(self.at, 2), self.why] if whole else row
 
 
@@ -55,8 +54,20 @@
         rate, falls, at, why = rest or (0.0, 0, 0.0, "")
         if state not in (FULL, LOWERED, OUT, TRIAL, RISING):
             raise ValueError(f"state {state!r}")
-        return Verdict(str(server), int(count), str(cell), min(1.0, max(0.0, float(share))), str(state),
-                       str(holder), int(number), bool(dead), float(rate), int(falls), float(at), str(why))
+        return Verdict(
+            str(server),
+            int(count),
+            str(cell),
+            min(1.0, max(0.0, float(share))),
+            str(state),
+            str(holder),
+            int(number),
+            bool(dead),
+            float(rate),
+            int(falls),
+            float(at),
+            str(why),
+        )
     except (TypeError, ValueError) as error:
         raise Unfit("read a verdict", "row", repr(error)) from None
 
@@ -67,8 +78,13 @@
 
 
 class Board:
-    def __init__(self, address: str, policy: Policy = DEFAULT,
-                 log: Callable[..., None] = lambda *_, **__: None, witness: Witness | None = None) -> None:
+    def __init__(
+        self,
+        address: str,
+        policy: Policy = DEFAULT,
+        log: Callable[..., None] = lambda *_, **__: None,
+        witness: Witness | None = None,
+    ) -> None:
         self.address, self.policy, self.log = address, policy, log
         self.witness = witness or Witness(policy)
         self.rows: dict[str, dict[str, Row]] = {}
@@ -151,8 +167,10 @@
                 services.setdefault(record.service, []).append(record)
         self.forget(known, now)
         for service, records in services.items():
-            if any(one.id in self.rows or one.id in self.verdicts for one in records) \
-                    and owner(service, heard) == self.address:
+            if (
+                any(one.id in self.rows or one.id in self.verdicts for one in records)
+                and owner(service, heard) == self.address
+            ):
                 self.judge(records, limiters, now)
         return self.rev > before
 
@@ -231,21 +249,43 @@
             return
         kept = share > place.wanted + 0.01
         now_is = (way.state, way.holder, way.round, way.falls)
-        if old is not None and (old.state, old.holder, old.round, old.falls) == now_is \
-                and abs(old.share - share) < (KEEP if kept else FINE) and old.cell == self.address:
+        if (
+            old is not None
+            and (old.state, old.holder, old.round, old.falls) == now_is
+            and abs(old.share - share) < (KEEP if kept else FINE)
+            and old.cell == self.address
+        ):
             return
         rows = sorted(self.rows.get(place.server, {}).values(), key=lambda row: -row.weight)
         doubted = self.witness.doubted
-        why = "; ".join(row.words(now) + ", not heard" * (doubted.get(row.limiter, 0.0) > now)
-                        for row in rows[:WORDS])
+        why = "; ".join(
+            row.words(now) + ", not heard" * (doubted.get(row.limiter, 0.0) > now) for row in rows[:WORDS]
+        )
         if not why and old is not None:
             why = old.why.partition(" | ")[2]
-        notes = [way.note, "kept in use by the floor" * kept,
-                 f"next trial in {max(0.0, way.next_at - now):.1f} s" * (way.state == OUT)]
+        notes = [
+            way.note,
+            "kept in use by the floor" * kept,
+            f"next trial in {max(0.0, way.next_at - now):.1f} s" * (way.state == OUT),
+        ]
         why = f"{'; '.join(filter(None, notes))} | {why}"
         count = old.count + 1 if old is not None else 1
-        self.keep(Verdict(place.server, count, self.address, share, way.state, way.holder, way.round,
-                          place.dead, place.rate, way.falls, now, why[:400]))
+        self.keep(
+            Verdict(
+                place.server,
+                count,
+                self.address,
+                share,
+                way.state,
+                way.holder,
+                way.round,
+                place.dead,
+                place.rate,
+                way.falls,
+                now,
+                why[:400],
+            )
+        )
         was = old.state if old is not None else FULL
         if way.state == OUT and was in (FULL, LOWERED, RISING):
             self.log("server.steered", server=place.server, share=share, falls=way.falls, why=why)
--- a/finchshelf/experience/digest.py
+++ b/finchshelf/experience/digest.py
@@ -136,8 +136,15 @@
             if one.version > one.told and now - one.at < 2 * self.policy.forget:
                 one.told = one.version
                 fade = math.exp((one.at - now) / self.policy.forget)
-                rows.append([server, one.version, round(one.good * fade * 100),
-                             [round(value * fade * 100) for value in one.kinds], round(one.time * 100),
-                             round(min(LONG, now - one.good_at) * 100)])
+                rows.append(
+                    [
+                        server,
+                        one.version,
+                        round(one.good * fade * 100),
+                        [round(value * fade * 100) for value in one.kinds],
+                        round(one.time * 100),
+                        round(min(LONG, now - one.good_at) * 100),
+                    ]
+                )
         self.due.clear()
         return rows
--- a/finchshelf/experience/policy.py
+++ b/finchshelf/experience/policy.py
@@ -52,12 +52,28 @@
     step: float = 0.5  # s at each, times the falls
 
     def __post_init__(self) -> None:
-        shares = (self.after_bad, self.after_good, self.least, self.eject_rate, self.floor, self.zone_floor,
-                  self.most, *self.steps)
+        shares = (
+            self.after_bad,
+            self.after_good,
+            self.least,
+            self.eject_rate,
+            self.floor,
+            self.zone_floor,
+            self.most,
+            *self.steps,
+        )
         if not all(0.0 < one < 1.0 for one in shares) or list(self.steps) != sorted(self.steps):
             raise ValueError("experience: expected shares between 0 and 1, and steps that rise")
-        times = (self.dead, self.forget, self.prompt, self.doubt, self.first_wait, self.grant, self.bid_step,
-                 self.step)
+        times = (
+            self.dead,
+            self.forget,
+            self.prompt,
+            self.doubt,
+            self.first_wait,
+            self.grant,
+            self.bid_step,
+            self.step,
+        )
         if min(times) <= 0 or self.trial_wait < self.first_wait or self.most_wait < self.trial_wait:
             raise ValueError("experience: expected times over 0, and waits that grow")
         if not 0 <= self.probes <= 100:
--- a/finchshelf/experience/witness.py
+++ b/finchshelf/experience/witness.py
@@ -41,13 +41,16 @@
 
     def says_bad(self, now: float, policy: Policy) -> bool:
         bad = self.weight
-        return bad >= policy.bad and bad > 0.3 * self.good \
-            and bad * self.fade(now, policy) >= policy.bad * 0.5
+        return (
+            bad >= policy.bad and bad > 0.3 * self.good and bad * self.fade(now, policy) >= policy.bad * 0.5
+        )
 
     def words(self, now: float) -> str:
         told = [f"{value:.1f} {Kind(at).name.lower()}" for at, value in enumerate(self.kinds) if value >= 0.1]
-        return f"{self.limiter}: {', '.join(told) or 'well'} of {self.good + sum(self.kinds):.1f}, " \
-               f"time x{self.time:.1f}, {max(0.0, now - self.at):.1f} s ago"
+        return (
+            f"{self.limiter}: {', '.join(told) or 'well'} of {self.good + sum(self.kinds):.1f}, "
+            f"time x{self.time:.1f}, {max(0.0, now - self.at):.1f} s ago"
+        )
 
 
 def read_row(limiter: str, row: Any, now: float) -> Row:
@@ -56,8 +59,16 @@
         values = tuple(min(1e4, max(0.0, float(one) / 100)) for one in kinds)
         if len(values) != len(Kind):
             raise ValueError("kinds")
-        return Row(limiter, str(server), int(version), min(1e4, max(0.0, float(good) / 100)), values,
-                   float(time) / 100, now, max(0.0, float(since) / 100))
+        return Row(
+            limiter,
+            str(server),
+            int(version),
+            min(1e4, max(0.0, float(good) / 100)),
+            values,
+            float(time) / 100,
+            now,
+            max(0.0, float(since) / 100),
+        )
     except (TypeError, ValueError) as error:
         raise Unfit("read a digest", "row", repr(error)) from None
 
@@ -76,8 +87,10 @@
         return self.weight / (self.weight + self.good + 0.5)
 
     def words(self) -> str:
-        return f"{self.witnesses} witness{'es' * (self.witnesses != 1)}, " \
-               f"{self.weight:.1f} bad of {self.weight + self.good:.1f}{', no answers' * self.dead}"
+        return (
+            f"{self.witnesses} witness{'es' * (self.witnesses != 1)}, "
+            f"{self.weight:.1f} bad of {self.weight + self.good:.1f}{', no answers' * self.dead}"
+        )
 
 
 class Witness:
@@ -85,8 +98,9 @@
         self.policy = policy
         self.doubted: dict[str, float] = {}  # until when
 
-    def credits(self, rows: Mapping[str, Mapping[str, Row]], servers: Iterable[str], limiters: int,
-                now: float) -> tuple[dict[str, float], list[str]]:
+    def credits(
+        self, rows: Mapping[str, Mapping[str, Row]], servers: Iterable[str], limiters: int, now: float
+    ) -> tuple[dict[str, float], list[str]]:
         """The credit of each limiter by what it says of one service's servers; and who is doubted anew.
 
         `rows`: by server, by limiter."""
@@ -121,8 +135,9 @@
             credit[limiter] = min(1.0, 2.0 * fits / (fits + differs))
         return credit, fresh
 
-    def opinion(self, rows: Mapping[str, Row], credit: Mapping[str, float], now: float,
-                since: float = -math.inf) -> Opinion:
+    def opinion(
+        self, rows: Mapping[str, Row], credit: Mapping[str, float], now: float, since: float = -math.inf
+    ) -> Opinion:
         """What is left of it when each is believed by its credit; `since`: older words do not count."""
         weight = good = answers = 0.0
         witnesses, last_good, last_bad = 0, -math.inf, -math.inf
@@ -147,8 +162,11 @@
     def wanted(self, opinion: Opinion) -> tuple[float, bool]:
         """The share it should have by this, and whether it should be left by all."""
         policy = self.policy
-        if opinion.witnesses >= policy.eject_witnesses and opinion.weight >= policy.eject_weight \
-                and opinion.rate >= policy.eject_rate:
+        if (
+            opinion.witnesses >= policy.eject_witnesses
+            and opinion.weight >= policy.eject_weight
+            and opinion.rate >= policy.eject_rate
+        ):
             return 0.0, True
         if not opinion.witnesses:
             return 1.0, False
@@ -178,8 +196,10 @@
         zones.setdefault(one.zone, []).append(one)
     lost = sum(one.capacity * (1 - one.wanted) for one in places if one.dead)
     left = max(0.0, total * (1 - policy.floor) - lost)
-    in_zone = {zone: sum(one.capacity for one in rows) * (1 - policy.zone_floor) if len(rows) > 1 else total
-               for zone, rows in zones.items()}
+    in_zone = {
+        zone: sum(one.capacity for one in rows) * (1 - policy.zone_floor) if len(rows) > 1 else total
+        for zone, rows in zones.items()
+    }
     found = {}
     for one in sorted(places, key=lambda place: (-place.rate, place.server)):
         if one.dead or one.wanted >= 1.0:
--- a/finchshelf/invariants.py
+++ b/finchshelf/invariants.py
@@ -32,68 +32,110 @@
 SINGLE_RUN = Invariant(
     "single-run",
     "A request that must not be repeated goes to no further server once it may have run.",
-    "dataplane.core.Core.start", "two comparisons a try")
+    "dataplane.core.Core.start",
+    "two comparisons a try",
+)
 REFUSAL_NEVER_RAN = Invariant(
     "refusal-never-ran",
     "A non-repeatable request gets 408, 421, 429 or 503 only if it has not run and is at no server.",
-    "dataplane.core.Core.answer", "one look-up an answer")
+    "dataplane.core.Core.answer",
+    "one look-up an answer",
+)
 TRIALS_BOUND = Invariant(
     "trials-bound",
     "One request is sent to no more servers than its route's `trials`.",
-    "dataplane.core.Core.start", "one comparison a try")
+    "dataplane.core.Core.start",
+    "one comparison a try",
+)
 SERVICE_OF_ROUTE = Invariant(
     "service-of-route",
     "A request goes only to a known server of the service drawn from its route.",
-    "dataplane.core.Core.start", "one look-up a try")
+    "dataplane.core.Core.start",
+    "one look-up a try",
+)
 TARGET_STAYS = Invariant(
     "target-stays",
     "No try goes to a server that is known here to be leaving or gone.",
-    "dataplane.core.Core.start", "one comparison a try")
+    "dataplane.core.Core.start",
+    "one comparison a try",
+)
 REQUEST_ENDS = Invariant(
     "request-ends",
     "No request stays without a final answer beyond its deadline and a grace time.",
-    "dataplane.core.Core.check_overdue", "one pass over open requests each 5 s")
+    "dataplane.core.Core.check_overdue",
+    "one pass over open requests each 5 s",
+)
 CONFIGURATION_FORWARD = Invariant(
     "configuration-forward",
     "A data plane never replaces its configuration by one of an older slot.",
-    "dataplane.core.Core.news", "one comparison a change")
+    "dataplane.core.Core.news",
+    "one comparison a change",
+)
 GRANTS_WITHIN_RATE = Invariant(
     "grants-within-rate",
     "One holder grants a tenant no more than its rate and surge, plus what the quota rule tolerates.",
-    "dataplane.counting.Counting.add", "one multiplication a grant")
+    "dataplane.counting.Counting.add",
+    "one multiplication a grant",
+)
 ONE_VALUE_PER_SLOT = Invariant(
     "one-value-per-slot",
     "Two members never hold different decided values for one slot.",
-    "controlplane.register.Register.learn", "one comparison a decided value that is heard")
+    "controlplane.register.Register.learn",
+    "one comparison a decided value that is heard",
+)
 VOTE_ON_DISK = Invariant(
     "vote-on-disk",
     "A promise or an acceptance leaves only after the state it leans on is on this member's disk.",
-    "controlplane.register.Register.handle", "one comparison a vote")
+    "controlplane.register.Register.handle",
+    "one comparison a vote",
+)
 PROMISE_NEVER_FALLS = Invariant(
     "promise-never-falls",
     "Within a slot and a disk's life the promised ballot never goes down.",
-    "controlplane.register.Register.handle", "one comparison a message")
+    "controlplane.register.Register.handle",
+    "one comparison a message",
+)
 MEMBERS_CHANGE_BY_ONE = Invariant(
     "members-change-by-one",
     "Consecutive decided values replace, add or remove one member at most.",
-    "controlplane.register.Register.told", "two set differences a decided value")
+    "controlplane.register.Register.told",
+    "two set differences a decided value",
+)
 ACKNOWLEDGED_IS_DECIDED = Invariant(
     "acknowledged-is-decided",
     "An order is acknowledged only if the decided value known here has it as taken.",
-    "controlplane.resources.Change.answer", "one look-up an order")
+    "controlplane.resources.Change.answer",
+    "one look-up an order",
+)
 READS_NEVER_GO_BACK = Invariant(
     "reads-never-go-back",
     "Within a life a control plane answers no read by an older slot than it answered or acknowledged before.",
-    "controlplane.resources.Observe.call", "one comparison a read")
+    "controlplane.resources.Observe.call",
+    "one comparison a read",
+)
 DRAIN_HELD = Invariant(
     "drain-held",
     "A server's leaving is acknowledged only after more than half of the core holds it.",
-    "controlplane.resources.Pulse.call", "one look-up a beat that says `decaying`")
+    "controlplane.resources.Pulse.call",
+    "one look-up a beat that says `decaying`",
+)
 
 CATALOGUE = (
-    SINGLE_RUN, REFUSAL_NEVER_RAN, TRIALS_BOUND, SERVICE_OF_ROUTE, TARGET_STAYS, REQUEST_ENDS,
-    CONFIGURATION_FORWARD, GRANTS_WITHIN_RATE, ONE_VALUE_PER_SLOT, VOTE_ON_DISK, PROMISE_NEVER_FALLS,
-    MEMBERS_CHANGE_BY_ONE, ACKNOWLEDGED_IS_DECIDED, READS_NEVER_GO_BACK, DRAIN_HELD,
+    SINGLE_RUN,
+    REFUSAL_NEVER_RAN,
+    TRIALS_BOUND,
+    SERVICE_OF_ROUTE,
+    TARGET_STAYS,
+    REQUEST_ENDS,
+    CONFIGURATION_FORWARD,
+    GRANTS_WITHIN_RATE,
+    ONE_VALUE_PER_SLOT,
+    VOTE_ON_DISK,
+    PROMISE_NEVER_FALLS,
+    MEMBERS_CHANGE_BY_ONE,
+    ACKNOWLEDGED_IS_DECIDED,
+    READS_NEVER_GO_BACK,
+    DRAIN_HELD,
 )
 
 
--- a/finchshelf/membership/contact.py
+++ b/finchshelf/membership/contact.py
@@ -73,8 +73,9 @@
     return now - max(last for _, last in known)
 
 
-def may_begin(members: Collection[str], answered: Collection[str], told: bool, since: float,
-              lost: float) -> bool:
+def may_begin(
+    members: Collection[str], answered: Collection[str], told: bool, since: float, lost: float
+) -> bool:
     """May a limiter that started serve by what it was told? `members`: by the newest value that it knows of,
     `answered`: control planes that did, `told`: by one in contact with the core, `since`: s since the first,
     `lost`: s for which none of them has been in contact (`out`).
--- a/finchshelf/membership/listing.py
+++ b/finchshelf/membership/listing.py
@@ -37,7 +37,7 @@
         if len(self.at) > 2 * len(rows) + KEPT:
             # Danger: with the newest forgotten too, all who follow would be told the whole list at once.
             gone = [node for node in self.at if node not in rows]
-            for node in gone[:len(gone) // 2]:
+            for node in gone[: len(gone) // 2]:
                 self.floor = self.at.pop(node)
         return True
 
@@ -50,8 +50,10 @@
             if at <= have:
                 break
             news.append(node)
-        return {"limiters": [self.rows[node].pack() for node in news if node in self.rows],
-                "gone": [node for node in news if node not in self.rows]}
+        return {
+            "limiters": [self.rows[node].pack() for node in news if node in self.rows],
+            "gone": [node for node in news if node not in self.rows],
+        }
 
 
 def read_list(answer: Mapping[str, Any], known: Iterable[Limiter]) -> dict[str, Limiter]:
@@ -62,5 +64,6 @@
     gone = answer["gone"]
     if not isinstance(gone, list) or not all(isinstance(one, str) and len(one) <= MOST_TEXT for one in gone):
         raise Unfit("read a list of limiters", "gone", f"expected names: {gone!r}"[:200])
-    return {node: one for node, one in ({one.node: one for one in known} | rows).items()
-            if node not in set(gone)}
+    return {
+        node: one for node, one in ({one.node: one for one in known} | rows).items() if node not in set(gone)
+    }
--- a/finchshelf/membership/records.py
+++ b/finchshelf/membership/records.py
@@ -60,15 +60,33 @@
 
     def pack(self, now: float) -> list[Any]:
         """As said to another machine, whose clock is another: what is left of the slow time, in ms."""
-        return [self.id, self.address, self.service, self.zone, self.capacity, self.count, self.mode,
-                self.lost, max(0, round((self.warm_at - now) * 1000)), self.cell]
+        return [
+            self.id,
+            self.address,
+            self.service,
+            self.zone,
+            self.capacity,
+            self.count,
+            self.mode,
+            self.lost,
+            max(0, round((self.warm_at - now) * 1000)),
+            self.cell,
+        ]
 
 
 def is_address(address: str) -> bool:
     """HOST:PORT, in letters that a head and a socket take."""
     host, _, port = address.rpartition(":")
-    return (bool(host) and host.isascii() and host.isprintable() and " " not in host and port.isascii()
-            and port.isdigit() and len(port) <= 5 and 0 < int(port) < 65536)
+    return (
+        bool(host)
+        and host.isascii()
+        and host.isprintable()
+        and " " not in host
+        and port.isascii()
+        and port.isdigit()
+        and len(port) <= 5
+        and 0 < int(port) < 65536
+    )
 
 
 def read_server(row: Any, now: float) -> Server:
@@ -76,6 +94,7 @@
 
     Danger: what is taken here is told on. One number that can't be said again (NaN, 1e300) would spoil every
     answer with news, and one address without a port ends whoever sends there."""
+
     def fit(true: bool, place: str) -> None:
         if not true:
             raise Unfit("read a server's record", place, f"not as expected in {row!r}"[:200])
@@ -121,11 +140,17 @@
     mode = state.get("mode", STABLE)
     if mode not in (STABLE, DECAYING):
         raise Unfit("read a beat", "stateEstimate.mode", "expected stable or decaying")
-    return Server(name, address, text(seen.get("subsystem"), "observation.subsystem"),
-                  text(seen.get("zone"), "observation.zone"),
-                  max(1, whole(seen.get("capacity", 1), "observation.capacity", 1 << 16)),
-                  whole(state.get("callCount", 0), "stateEstimate.callCount"), mode, False,
-                  now + whole(state.get("warmupMs", 0), "stateEstimate.warmupMs", int(MOST_WARM)) / 1000)
+    return Server(
+        name,
+        address,
+        text(seen.get("subsystem"), "observation.subsystem"),
+        text(seen.get("zone"), "observation.zone"),
+        max(1, whole(seen.get("capacity", 1), "observation.capacity", 1 << 16)),
+        whole(state.get("callCount", 0), "stateEstimate.callCount"),
+        mode,
+        False,
+        now + whole(state.get("warmupMs", 0), "stateEstimate.warmupMs", int(MOST_WARM)) / 1000,
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -177,8 +202,10 @@
         self.rows[server.id] = server
         told = known is None or replace(known, count=server.count, warm_at=server.warm_at) != server
         if told:
-            moved = known is not None and replace(known, count=server.count, warm_at=server.warm_at,
-                                                  cell=server.cell) == server
+            moved = (
+                known is not None
+                and replace(known, count=server.count, warm_at=server.warm_at, cell=server.cell) == server
+            )
             self.tell(server.id, moved)
             if not moved and not (known is not None and known.mode == DECAYING and server.mode == GONE):
                 self.prompt = self.rev
--- a/finchshelf/metrics/exposition.py
+++ b/finchshelf/metrics/exposition.py
@@ -37,7 +37,8 @@
     def violations(self) -> CounterMetricFamily:
         """Each invariant has a row, also while it was never violated: an alert needs the 0."""
         family = CounterMetricFamily(
-            f"{PREFIX}_invariant_violations", "Violations of invariants.", labels=["invariant"])
+            f"{PREFIX}_invariant_violations", "Violations of invariants.", labels=["invariant"]
+        )
         found = self.figures.telemetry.monitor.violations
         for name in sorted({one.name for one in invariants.CATALOGUE} | found.keys()):
             family.add_metric([name], found[name])
@@ -52,9 +53,14 @@
     def histograms(self) -> Iterable[Metric]:
         by_name: dict[str, HistogramMetricFamily] = {}
         for (name, label), histogram in sorted(self.figures.telemetry.durations.items()):
-            family = by_name.setdefault(name, HistogramMetricFamily(
-                f"{PREFIX}_{name}_seconds", f"Seconds of each {name.replace('_', ' ')}, by how it ended.",
-                labels=["ended"]))
+            family = by_name.setdefault(
+                name,
+                HistogramMetricFamily(
+                    f"{PREFIX}_{name}_seconds",
+                    f"Seconds of each {name.replace('_', ' ')}, by how it ended.",
+                    labels=["ended"],
+                ),
+            )
             family.add_metric([label], buckets=histogram.cumulative(), sum_value=histogram.total)
         return by_name.values()
 
--- a/finchshelf/node/config.py
+++ b/finchshelf/node/config.py
@@ -95,14 +95,26 @@
     operator = raw.get("operator", environ.get("BALANCER_OPERATOR"))
     name = text("name")
     # A name may hold whatever; the file's name holds a digest of it.
-    state = os.path.join(environ.get("TMPDIR") or "/tmp",
-                         f"finchshelf-{hashlib.sha256(name.encode()).hexdigest()[:16]}.offline")
+    state = os.path.join(
+        environ.get("TMPDIR") or "/tmp",
+        f"finchshelf-{hashlib.sha256(name.encode()).hexdigest()[:16]}.offline",
+    )
     return Config(
-        name, address(text("listen"), "listen"), address(text("discovery"), "discovery"),
+        name,
+        address(text("listen"), "listen"),
+        address(text("discovery"), "discovery"),
         address(raw["counter"], "counter") if raw.get("counter") is not None else None,
-        seed, settings, around, known, descriptors, messages,
-        address(operator, "operator") if operator else None, state, raw["settings"],
-        int(memory * (1 << 20)))
+        seed,
+        settings,
+        around,
+        known,
+        descriptors,
+        messages,
+        address(operator, "operator") if operator else None,
+        state,
+        raw["settings"],
+        int(memory * (1 << 20)),
+    )
 
 
 def load(environ: Mapping[str, str] | None = None, former: Config | None = None) -> Config:
--- a/finchshelf/node/core.py
+++ b/finchshelf/node/core.py
@@ -39,9 +39,19 @@
 
     __slots__ = ("owner", "request", "settings")
 
-    def __init__(self, request: i.Request, reply: Callable[[Answer], None], method: bytes, target: bytes,
-                 headers: Headers, body: bytes, key: bytes = b"", settings: i.Settings | None = None,
-                 stream: Body | None = None, wait: float = 0.0) -> None:
+    def __init__(
+        self,
+        request: i.Request,
+        reply: Callable[[Answer], None],
+        method: bytes,
+        target: bytes,
+        headers: Headers,
+        body: bytes,
+        key: bytes = b"",
+        settings: i.Settings | None = None,
+        stream: Body | None = None,
+        wait: float = 0.0,
+    ) -> None:
         """`settings`: by which it was read, a class is a number in those."""
         super().__init__(request.id, request.until, reply, method, target, headers, body, key, stream, wait)
         self.request, self.settings = request, settings
@@ -279,8 +289,12 @@
         self.servers.forget(item.server)
         for limiter in (*self.former, self.limiter):
             self.handle(i.Maintenance(item.server, item.offline), now, limiter)
-        self.telemetry.log("maintenance", server=item.server, state="offline" if item.offline else "online",
-                           offline=len(self.offline))
+        self.telemetry.log(
+            "maintenance",
+            server=item.server,
+            state="offline" if item.offline else "online",
+            offline=len(self.offline),
+        )
         item.reply(f"+OK {item.server} {'offline' if item.offline else 'online'}")
 
     def renew(self, config: Config, now: float) -> None:
@@ -319,9 +333,23 @@
             item.answer.more.close()  # Danger: nobody takes the rest, and its server would wait for good
         took = now - attempt.issued
         exchange = owned(attempt)
-        self.handle(i.Outcome(request, attempt.number, attempt.server, item.status, took, final, item.used,
-                              item.true_units, item.load or {}, exchange.again, exchange.stream is not None),
-                    now, exchange.owner)
+        self.handle(
+            i.Outcome(
+                request,
+                attempt.number,
+                attempt.server,
+                item.status,
+                took,
+                final,
+                item.used,
+                item.true_units,
+                item.load or {},
+                exchange.again,
+                exchange.stream is not None,
+            ),
+            now,
+            exchange.owner,
+        )
 
     def news(self, item: Listed, now: float) -> None:
         kept = item.members.kind in (i.ListKind.FULL, i.ListKind.CACHED)
@@ -381,15 +409,19 @@
     def send(self, action: i.Attempt, now: float) -> None:
         exchange = self.live.get(action.id)
         address = self.addresses.get(action.server)
-        if not self.telemetry.holds(exchange is not None and address is not None, "attempt_known") \
-                or exchange is None or address is None:
+        if (
+            not self.telemetry.holds(exchange is not None and address is not None, "attempt_known")
+            or exchange is None
+            or address is None
+        ):
             return
         self.telemetry.holds(exchange.again, "bytes_at_hand")
         left = exchange.until - now
         sooner = exchange.request.until - exchange.until  # the module reckons with the latest last byte
         limit = min(action.limit - sooner, left) if action.limit > 0 else left
-        attempt = Attempt(exchange, exchange.attempts, action.server, address, max(limit, 0.001), now,
-                          exchange.until)
+        attempt = Attempt(
+            exchange, exchange.attempts, action.server, address, max(limit, 0.001), now, exchange.until
+        )
         exchange.attempts += 1
         self.out[action.id, attempt.number] = attempt
         self.count["attempts.sent"] += 1
--- a/finchshelf/node/counter.py
+++ b/finchshelf/node/counter.py
@@ -159,7 +159,7 @@
             while self.backlog and self.stream is not None:
                 await trio.lowlevel.wait_writable(self.stream.sock)
                 try:
-                    self.backlog = self.backlog[self.stream.send_now(self.backlog):]
+                    self.backlog = self.backlog[self.stream.send_now(self.backlog) :]
                 except OSError:
                     return self.stream.hang_up()
 
@@ -186,7 +186,7 @@
             if end >= 0:
                 self.heard = self.owner.core.clock.now()
                 lines = bytes(buffer[:end]).split(b"\n")
-                del buffer[:end + 1]
+                del buffer[: end + 1]
                 # Danger: behind what is no answer, the next line would be taken for the next call's answer.
                 if not all(self.answered(line.rstrip(b"\r")) for line in lines):
                     return
--- a/finchshelf/node/dialect.py
+++ b/finchshelf/node/dialect.py
@@ -29,21 +29,45 @@
     long_head=400,
     slow_read=2.5,  # clients may take 2 s
     silent=2.2,  # a connection may not be closed before 2 s, and must be by 3 s
-    kept=4.0)  # some clients ask once and stay for good
+    kept=4.0,
+)  # some clients ask once and stay for good
 NOT_PASSED = HOP_BY_HOP | {b"x-budget-ms", b"x-metering", b"expect"}
 MOST_BUDGET = 3_600_000
 MOST_CUSTOMER = 1 << 33
 MOST_ID = 64
 # Danger: of two of these one would be read here and the other behind us.
-ONCE = frozenset((b"host", b"content-length", b"transfer-encoding", b"x-call-id", b"x-call-class",
-                  b"x-contract", b"x-budget-ms", b"x-metering", b"x-again", b"idempotency-key"))
+ONCE = frozenset(
+    (
+        b"host",
+        b"content-length",
+        b"transfer-encoding",
+        b"x-call-id",
+        b"x-call-class",
+        b"x-contract",
+        b"x-budget-ms",
+        b"x-metering",
+        b"x-again",
+        b"idempotency-key",
+    )
+)
 IDLE_SHARE = 0.5  # of the server's idle close, after which a connection is not used again
 MOST_TOLD = 1e9  # no figure that a server tells is larger
 TRUE_UNITS = 16  # times the most units of a request that its true ones may be
 OURS = frozenset((b"x-load-report", b"x-meter", b"x-settled", b"x-rejected"))
-REPORT = {b"inflight": "held", b"queue": "queued", b"util": "busy", b"qps": "served", b"eps": "failed",
-          b"latency_ms": "service", b"busy_reqs": "held", b"pending": "queued", b"cpu_share": "busy",
-          b"svc_ms": "service", b"served_ps": "served", b"failed_ps": "failed"}
+REPORT = {
+    b"inflight": "held",
+    b"queue": "queued",
+    b"util": "busy",
+    b"qps": "served",
+    b"eps": "failed",
+    b"latency_ms": "service",
+    b"busy_reqs": "held",
+    b"pending": "queued",
+    b"cpu_share": "busy",
+    b"svc_ms": "service",
+    b"served_ps": "served",
+    b"failed_ps": "failed",
+}
 FIGURE = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,18})?(e-?[0-9]{1,2})?")
 
 
@@ -60,8 +84,16 @@
     def head(self, event: h11.Request) -> dict[bytes, bytes]:
         return headers_once(event, ONCE)
 
-    def call(self, event: h11.Request, body: bytes, number: int, came: float,
-             reply: Callable[[Answer], None], stream: Body | None = None, coming: float = 0.0) -> Exchange:
+    def call(
+        self,
+        event: h11.Request,
+        body: bytes,
+        number: int,
+        came: float,
+        reply: Callable[[Answer], None],
+        stream: Body | None = None,
+        coming: float = 0.0,
+    ) -> Exchange:
         """A call that has come whole, or but for `coming` seconds of its body."""
         told = dict(event.headers)
         path = event.target.partition(b"?")[0].split(b"/")
@@ -79,13 +111,35 @@
             raise BadRequest("id")
         budget, customer = min(whole(told.get(b"x-budget-ms")), MOST_BUDGET), hexadecimal(path[-1])
         units, spread = self.metering(told.get(b"x-metering", b""))
-        headers = [(raw, value) for (raw, value), (plain, _)
-                   in zip(event.headers.raw_items(), event.headers, strict=True) if plain not in NOT_PASSED]
+        headers = [
+            (raw, value)
+            for (raw, value), (plain, _) in zip(event.headers.raw_items(), event.headers, strict=True)
+            if plain not in NOT_PASSED
+        ]
         wait = min(budget / 1000, kind.deadline) if kind.deadline > 0 else budget / 1000
-        request = i.Request(number, cls, plan, customer, came + coming + wait, units, spread,
-                            told.get(b"x-again") == b"1", coming=coming)
-        return Exchange(request, reply, event.method, event.target, headers, body, told[b"x-call-id"],
-                        settings=self.settings, stream=stream, wait=wait)
+        request = i.Request(
+            number,
+            cls,
+            plan,
+            customer,
+            came + coming + wait,
+            units,
+            spread,
+            told.get(b"x-again") == b"1",
+            coming=coming,
+        )
+        return Exchange(
+            request,
+            reply,
+            event.method,
+            event.target,
+            headers,
+            body,
+            told[b"x-call-id"],
+            settings=self.settings,
+            stream=stream,
+            wait=wait,
+        )
 
     def metering(self, text: bytes) -> tuple[int, int]:
         """Units and the customer's set; one unit of a set of all where nothing is said."""
--- a/finchshelf/node/discovery.py
+++ b/finchshelf/node/discovery.py
@@ -170,8 +170,9 @@
     def changed(self, news: Listed) -> None:
         for server in news.members.servers:
             if news.members.kind is i.ListKind.CHANGES:
-                self.telemetry.log("server", server=server.name, state=server.state.value,
-                                   started=round(server.started, 3))
+                self.telemetry.log(
+                    "server", server=server.name, state=server.state.value, started=round(server.started, 3)
+                )
         if news.members.kind is i.ListKind.FULL:
             self.telemetry.log("list", servers=len(news.members.servers))
 
@@ -216,5 +217,3 @@
         if self.stream is not None:
             self.stream.close()
         self.stream = self.http = None
-
-
--- a/finchshelf/program.py
+++ b/finchshelf/program.py
@@ -30,8 +30,9 @@
 
     A look is one `os.stat`. `take` does what new settings mean to the program and returns what to log."""
 
-    def __init__(self, boot: Boot, take: Callable[[Boot], dict[str, object]], log: Callable[..., None],
-                 path: str = "") -> None:
+    def __init__(
+        self, boot: Boot, take: Callable[[Boot], dict[str, object]], log: Callable[..., None], path: str = ""
+    ) -> None:
         self.boot, self.take, self.log = boot, take, log
         self.path = path or os.environ.get("FINCHSHELF_BOOT", "")
         # Of the file as last read and as last seen. It may have changed since the start read it: so none yet.
--- a/finchshelf/rollout/driver.py
+++ b/finchshelf/rollout/driver.py
@@ -110,9 +110,18 @@
 
 
 def begin(plan: Plan) -> State:
-    return {"name": plan.name, "plan": plan.given, "phase": "observing", "wave": 0, "why": "", "says": "",
-            "revision": 0, "systems": {}, "history": [],
-            "sites": {site.name: {"state": "waiting"} for site in plan.sites}}
+    return {
+        "name": plan.name,
+        "plan": plan.given,
+        "phase": "observing",
+        "wave": 0,
+        "why": "",
+        "says": "",
+        "revision": 0,
+        "systems": {},
+        "history": [],
+        "sites": {site.name: {"state": "waiting"} for site in plan.sites},
+    }
 
 
 @dataclass
@@ -181,11 +190,17 @@
             rows = [row for delta in mind.deltas for row in delta.values()]
             if rows:
                 total = [sum(each) for each in zip(*rows, strict=True)]
-                harms = {name: round(total[at] / max(1, total[0]), 4) for name, at in AT.items()
-                         if at and total[at]}
+                harms = {
+                    name: round(total[at] / max(1, total[0]), 4)
+                    for name, at in AT.items()
+                    if at and total[at]
+                }
                 seconds = max(1e-3, self.plan.poll * sum(map(bool, mind.deltas)))
-                found[site.name] = {"rate": round(total[0] / seconds, 1), "harms": harms,
-                                    "taken": sum(mind.taken.values())}
+                found[site.name] = {
+                    "rate": round(total[0] / seconds, 1),
+                    "harms": harms,
+                    "taken": sum(mind.taken.values()),
+                }
         return found
 
     # ---- words ----
@@ -243,8 +258,9 @@
         if self.phase == "observing":
             silent = [site.name for site in self.plan.sites if site.system not in self.state["systems"]]
             self.says(f"waits for the configuration of {silent[0]}" if silent else "")
-            self.out += [Observe(site) for site in self.plan.sites
-                         if site.system not in self.state["systems"]]
+            self.out += [
+                Observe(site) for site in self.plan.sites if site.system not in self.state["systems"]
+            ]
             return
         if self.phase == "returning":
             return self.leave() if event.leave else self.go_back()
@@ -256,8 +272,13 @@
         elif self.phase == "watching":
             self.decide()
         if self.phase not in (*ENDED, "returning"):
-            self.out += [Ask(site, {route: kind.aim_ms for route, kind in self.plan.routes(site).items()
-                                    if kind.aim_ms}) for site in self.plan.sites]
+            self.out += [
+                Ask(
+                    site,
+                    {route: kind.aim_ms for route, kind in self.plan.routes(site).items() if kind.aim_ms},
+                )
+                for site in self.plan.sites
+            ]
 
     # ---- evidence ----
 
@@ -296,8 +317,12 @@
             if not mind.heard:
                 mind.heard = True
                 mind.last = row.get("at", now) if row["state"] == "watching" else now
-            mind.deltas.append({route: [max(0, a - b) for a, b in zip(now[route], mind.last[route],
-                                                                      strict=True)] for route in now})
+            mind.deltas.append(
+                {
+                    route: [max(0, a - b) for a, b in zip(now[route], mind.last[route], strict=True)]
+                    for route in now
+                }
+            )
             mind.last = now
             if row["state"] == "waiting" and self.now - mind.disturbed > GRACE:
                 mind.pen.append(mind.deltas[-1])
@@ -305,8 +330,11 @@
                     for route, delta in mind.pen.popleft().items():
                         before = mind.past.get(route, [0] * len(FIELDS))
                         mind.past[route] = [a + b for a, b in zip(before, delta, strict=True)]
-        under_way = {(one.system, self.row(one.name)["version"]) for one in self.plan.sites
-                     if self.row(one.name)["state"] == "changing"}
+        under_way = {
+            (one.system, self.row(one.name)["version"])
+            for one in self.plan.sites
+            if self.row(one.name)["state"] == "changing"
+        }
         for site in self.plan.sites:
             mind, row = self.mind[site.name], self.row(site.name)
             known = self.state["systems"].get(site.system)
@@ -337,8 +365,10 @@
                         deltas = [each[route] for each in list(mind.deltas)[-span:] if route in each]
                         if deltas:
                             rows.append(([sum(each) for each in zip(*deltas, strict=True)], past[route]))
-                most = [max(former, lift((now[at], now[0], past[at], past[0]) for now, past in rows))
-                        for at, former in enumerate(most)]
+                most = [
+                    max(former, lift((now[at], now[0], past[at], past[0]) for now, past in rows))
+                    for at, former in enumerate(most)
+                ]
             self.near[kind.route] = most
         return self.near[kind.route]
 
@@ -347,8 +377,9 @@
         mind, row = self.mind[site.name], self.row(site.name)
         delta = mind.deltas[-1]
         recent = list(mind.deltas)[-RATE_OVER:]  # fewer at first: the rate is then taken for lower
-        mind.peak = max(mind.peak, sum(each[route][0] for each in recent for route in each)
-                        / (RATE_OVER * passed))
+        mind.peak = max(
+            mind.peak, sum(each[route][0] for each in recent for route in each) / (RATE_OVER * passed)
+        )
         excused = self.now - mind.disturbed <= GRACE and mind.excused < EXCUSED
         mind.excused += passed if excused else 0.0
         for route, kind in self.plan.routes(site).items():
@@ -362,15 +393,22 @@
                 test = mind.tests[route, harm]
                 if taken or delta[route][AT[harm]]:
                     # Danger: an answer may fall into the interval after its request's, over its own number.
-                    test.add(delta[route][AT[harm]], max(taken, delta[route][AT[harm]]),
-                             self.grown(kind)[AT[harm]])
+                    test.add(
+                        delta[route][AT[harm]], max(taken, delta[route][AT[harm]]), self.grown(kind)[AT[harm]]
+                    )
                 if test.undecided():
-                    return self.halt(site.name, f"{route}: after {test.calm} requests still not proven that "
-                                     f"{harm} has not grown", harm=harm)
+                    return self.halt(
+                        site.name,
+                        f"{route}: after {test.calm} requests still not proven that " f"{harm} has not grown",
+                        harm=harm,
+                    )
                 if test.verdict() is Verdict.HALT:
                     rate, before = delta[route][AT[harm]] / max(1, taken), test.past_x / max(1, test.past_n)
-                    return self.halt(site.name, f"{route}: {harm} {rate:.1%} of requests, {before:.1%} "
-                                     "before, more than beside", harm=harm)
+                    return self.halt(
+                        site.name,
+                        f"{route}: {harm} {rate:.1%} of requests, {before:.1%} " "before, more than beside",
+                        harm=harm,
+                    )
 
     def tested(self, kind: plans.Kind, past: Totals) -> list[str]:
         own = kind.once and past[AT["repeated"]]
@@ -385,21 +423,28 @@
         for route, kind in self.plan.routes(self.sites[name]).items():
             past = row["past"][route]
             for harm in self.tested(kind, past):
-                mind.tests[route, harm] = Growth(past[AT[harm]], past[0], kind.tolerated.get(harm, REPEATS),
-                                                   back=self.back)
+                mind.tests[route, harm] = Growth(
+                    past[AT[harm]], past[0], kind.tolerated.get(harm, REPEATS), back=self.back
+                )
 
     # ---- steps ----
 
     def before(self) -> None:
         """The sites' own past is gathered until there is enough of it."""
-        lacking = [(site, route, self.past(site)[route][0]) for site in self.wave
-                   for route in self.plan.routes(site) if self.past(site)[route][0] < self.plan.least]
+        lacking = [
+            (site, route, self.past(site)[route][0])
+            for site in self.wave
+            for route in self.plan.routes(site)
+            if self.past(site)[route][0] < self.plan.least
+        ]
         if self.now - self.began < self.plan.before:
             self.says(f"gathers the past of all sites for {self.plan.before:g} s")
         elif lacking:
             site, route, seen = lacking[0]
-            self.says(f"waits: too few requests before the change at {site.name}, {route}: fewer than "
-                      f"{self.plan.least}")
+            self.says(
+                f"waits: too few requests before the change at {site.name}, {route}: fewer than "
+                f"{self.plan.least}"
+            )
         elif not self.paused:
             for one in self.plan.sites:
                 if self.row(one.name)["state"] == "waiting":
@@ -416,8 +461,9 @@
 
     def step(self) -> None:
         """Sites of the wave that still wait: each system one step at a time."""
-        busy = {self.sites[name].system for name, row in self.state["sites"].items()
-                if row["state"] == "changing"}
+        busy = {
+            self.sites[name].system for name, row in self.state["sites"].items() if row["state"] == "changing"
+        }
         for site in self.wave:
             row = self.row(site.name)
             if row["state"] == "changing":
@@ -448,15 +494,24 @@
             if event.version != systems[site.system]:
                 return self.halt(site.name, f"version {event.version:08x} is another operator's")
             document = orjson.loads(event.document) if event.document else {}
-            row.update(state="changing", prior=event.version, version=event.version + 1,
-                       back=plans.undo(site.own(self.plan.change), document),
-                       at=self.totals(site))
+            row.update(
+                state="changing",
+                prior=event.version,
+                version=event.version + 1,
+                back=plans.undo(site.own(self.plan.change), document),
+                at=self.totals(site),
+            )
             self.note("rollout.step", site.name, version=f"{row['version']:08x}")
             self.send(site)
         elif self.phase == "returning" and row["state"] == "returning" and "back_version" not in row:
-            ours = {systems[site.system], *(other["version"] for name, other in self.state["sites"].items()
-                                            if self.sites[name].system == site.system
-                                            and "version" in other)}
+            ours = {
+                systems[site.system],
+                *(
+                    other["version"]
+                    for name, other in self.state["sites"].items()
+                    if self.sites[name].system == site.system and "version" in other
+                ),
+            }
             document = orjson.loads(event.document) if event.document else {}
             # Danger: an operator may have counted on to the very number that an unanswered step had.
             doubt = event.version == row["version"] > systems[site.system]
@@ -564,11 +619,13 @@
 
     def send_back(self, site: Site) -> None:
         row = self.row(site.name)
-        self.order(Adjust(site, row["back_version"],
-                          plans.body(row["back"], row["back_prior"], row["back_version"])))
+        self.order(
+            Adjust(site, row["back_version"], plans.body(row["back"], row["back_prior"], row["back_version"]))
+        )
 
     def returned(self) -> None:
         if self.phase == "returning" and not any(
-                row["state"] == "returning" for row in self.state["sites"].values()):
+            row["state"] == "returning" for row in self.state["sites"].values()
+        ):
             self.state["phase"] = self.state["end"]
             self.note("rollout.ended", end=self.state["end"])
--- a/finchshelf/rollout/duty.py
+++ b/finchshelf/rollout/duty.py
@@ -28,8 +28,16 @@
 
 def read(value: Value | None) -> Document:
     if value is None or not value.document:
-        return {"epoch": 0, "driver": "", "beat": 0, "paused": False, "abort": False, "leave": False,
-                "state": None, "former": []}
+        return {
+            "epoch": 0,
+            "driver": "",
+            "beat": 0,
+            "paused": False,
+            "abort": False,
+            "leave": False,
+            "state": None,
+            "former": [],
+        }
     found: Document = orjson.loads(value.document)
     return found
 
@@ -44,6 +52,7 @@
 
 def win(me: str, seen: int) -> Make:
     """Take the duty, if nobody did since epoch `seen`."""
+
     def make(value: Value) -> Value | Refusal:
         document = read(value)
         if document["epoch"] == seen + 1 and document["driver"] == me:
@@ -51,11 +60,13 @@
         if document["epoch"] != seen or not running(document):
             return Refusal(FENCED)
         return written(value, {**document, "epoch": seen + 1, "driver": me, "beat": document["beat"] + 1})
+
     return make
 
 
 def save(me: str, epoch: int, state: Document | None, view: Document | None = None) -> Make:
     """The driver's word: a new state, or that it is there (None); `view`: what an operator is shown."""
+
     def make(value: Value) -> Value | Refusal:
         document = read(value)
         # Danger: one that was cut off and comes back still holds a state, older than what was done since.
@@ -66,13 +77,22 @@
             if now["revision"] >= state["revision"]:
                 return Refusal(SAVED)
             now = state
-        return written(value, {**document, "state": now, "beat": document["beat"] + 1,
-                               "view": view or document.get("view", {})})
+        return written(
+            value,
+            {
+                **document,
+                "state": now,
+                "beat": document["beat"] + 1,
+                "view": view or document.get("view", {}),
+            },
+        )
+
     return make
 
 
 def start(state: Document) -> Make:
     """An operator begins a roll-out; one at a time."""
+
     def make(value: Value) -> Value | Refusal:
         document = read(value)
         if running(document):
@@ -81,14 +101,27 @@
         former = document["former"]
         if document["state"] is not None:
             former = [*former, {key: document["state"][key] for key in ("name", "phase", "why", "history")}]
-        return written(value, {**document, "state": state, "former": former[-FORMER:], "driver": "",
-                               "epoch": document["epoch"] + 1, "paused": False, "abort": False,
-                               "leave": False, "view": {}})
+        return written(
+            value,
+            {
+                **document,
+                "state": state,
+                "former": former[-FORMER:],
+                "driver": "",
+                "epoch": document["epoch"] + 1,
+                "paused": False,
+                "abort": False,
+                "leave": False,
+                "view": {},
+            },
+        )
+
     return make
 
 
 def ask(word: str) -> Make:
     """An operator's word to the driver: `pause`, `resume`, `abort` or `leave`."""
+
     def make(value: Value) -> Value | Refusal:
         document = read(value)
         if not running(document):
@@ -96,4 +129,5 @@
         wanted = {**document, **{name: document[name] or word == name for name in ("abort", "leave")}}
         wanted["paused"] = {"pause": True, "resume": False}.get(word, document["paused"])
         return Refusal(SAVED) if wanted == document else written(value, wanted)
+
     return make
--- a/finchshelf/rollout/evidence.py
+++ b/finchshelf/rollout/evidence.py
@@ -125,8 +125,10 @@
             self.lives.pop(next(iter(self.lives)))
 
     def rows(self) -> list[list[Any]]:
-        return [[node, life, [[route, *totals] for route, totals in routes.items()]]
-                for (node, life), routes in self.lives.items()]
+        return [
+            [node, life, [[route, *totals] for route, totals in routes.items()]]
+            for (node, life), routes in self.lives.items()
+        ]
 
 
 def merge(known: dict[str, Totals], rows: Iterable[Any]) -> None:
--- a/finchshelf/rollout/plan.py
+++ b/finchshelf/rollout/plan.py
@@ -24,31 +24,73 @@
 _TEXT = {"type": "string", "minLength": 1, "maxLength": 128}
 _PART = {"type": "number", "exclusiveMinimum": 0, "maximum": 0.5}
 _TIME = {"type": "number", "exclusiveMinimum": 0, "maximum": 86400}
-_CHANGE = {"type": "object", "minProperties": 1, "additionalProperties": False, "properties": {
-    "apply": {"type": "object", "required": ["elements"], "additionalProperties": False,
-              "properties": {"elements": {"type": "array", "items": {"type": "object"}}}},
-    "remove": {"type": "object", "additionalProperties": {"type": "array", "items": {"type": "string"}}}}}
+_CHANGE = {
+    "type": "object",
+    "minProperties": 1,
+    "additionalProperties": False,
+    "properties": {
+        "apply": {
+            "type": "object",
+            "required": ["elements"],
+            "additionalProperties": False,
+            "properties": {"elements": {"type": "array", "items": {"type": "object"}}},
+        },
+        "remove": {"type": "object", "additionalProperties": {"type": "array", "items": {"type": "string"}}},
+    },
+}
 SCHEMA: dict[str, Any] = {
-    "type": "object", "required": ["name", "change", "kinds", "sites"], "additionalProperties": False,
+    "type": "object",
+    "required": ["name", "change", "kinds", "sites"],
+    "additionalProperties": False,
     "properties": {
         "name": _TEXT,
         "change": {"anyOf": [_TEXT, _CHANGE]},
         "back": {"enum": ["site", "all"]},
-        "watch": {"type": "object", "additionalProperties": False, "properties": {
-            "before_s": _TIME, "window_s": _TIME, "poll_s": {"type": "number", "minimum": 0.2, "maximum": 60},
-            "least": {"type": "integer", "minimum": 1, "maximum": 10_000_000},
-            "least_rate": {"type": "number", "minimum": 0}}},
-        "kinds": {"type": "array", "minItems": 1, "maxItems": MOST_KINDS, "items": {
-            "type": "object", "required": ["route"], "additionalProperties": False,
-            "properties": {"route": _TEXT, "once": {"type": "boolean"}, "aim_ms": _TIME,
-                           **{harm: _PART for harm in HARMS}}}},
-        "sites": {"type": "array", "minItems": 1, "maxItems": MOST_SITES, "items": {
-            "type": "object", "required": ["name", "controls"], "additionalProperties": False,
-            "properties": {"name": _TEXT, "wave": {"type": "integer", "minimum": 1, "maximum": MOST_SITES},
-                           "controls": {"type": "array", "minItems": 1, "maxItems": 32, "items": _TEXT},
-                           "least_rate": {"type": "number", "minimum": 0},
-                           "inner": {"type": "integer", "minimum": 1, "maximum": 65535},
-                           "set": {"type": "object", "additionalProperties": {"type": "string"}}}}},
+        "watch": {
+            "type": "object",
+            "additionalProperties": False,
+            "properties": {
+                "before_s": _TIME,
+                "window_s": _TIME,
+                "poll_s": {"type": "number", "minimum": 0.2, "maximum": 60},
+                "least": {"type": "integer", "minimum": 1, "maximum": 10_000_000},
+                "least_rate": {"type": "number", "minimum": 0},
+            },
+        },
+        "kinds": {
+            "type": "array",
+            "minItems": 1,
+            "maxItems": MOST_KINDS,
+            "items": {
+                "type": "object",
+                "required": ["route"],
+                "additionalProperties": False,
+                "properties": {
+                    "route": _TEXT,
+                    "once": {"type": "boolean"},
+                    "aim_ms": _TIME,
+                    **{harm: _PART for harm in HARMS},
+                },
+            },
+        },
+        "sites": {
+            "type": "array",
+            "minItems": 1,
+            "maxItems": MOST_SITES,
+            "items": {
+                "type": "object",
+                "required": ["name", "controls"],
+                "additionalProperties": False,
+                "properties": {
+                    "name": _TEXT,
+                    "wave": {"type": "integer", "minimum": 1, "maximum": MOST_SITES},
+                    "controls": {"type": "array", "minItems": 1, "maxItems": 32, "items": _TEXT},
+                    "least_rate": {"type": "number", "minimum": 0},
+                    "inner": {"type": "integer", "minimum": 1, "maximum": 65535},
+                    "set": {"type": "object", "additionalProperties": {"type": "string"}},
+                },
+            },
+        },
     },
 }
 # What is tolerated where a kind does not say: a part of its requests more than would be expected.
@@ -116,8 +158,10 @@
     @property
     def waves(self) -> list[list[Site]]:
         """Sites of one wave change together."""
-        return [[site for site in self.sites if site.wave == number]
-                for number in sorted({site.wave for site in self.sites})]
+        return [
+            [site for site in self.sites if site.wave == number]
+            for number in sorted({site.wave for site in self.sites})
+        ]
 
     def routes(self, site: Site) -> dict[str, Kind]:
         return {site.own(kind.route): kind for kind in self.kinds}
@@ -157,8 +201,10 @@
     """The plan in `given`; PlanError with every fault of it."""
     from jsonschema import Draft202012Validator  # type: ignore[import-untyped]
 
-    found = [f"{file}: {_place(error)}: {error.message[:200]}"
-             for error in Draft202012Validator(SCHEMA).iter_errors(given)]
+    found = [
+        f"{file}: {_place(error)}: {error.message[:200]}"
+        for error in Draft202012Validator(SCHEMA).iter_errors(given)
+    ]
     if not found and isinstance(given["change"], str):
         found = [f"{file}: change: expected the change itself"]
     if not found:
@@ -167,15 +213,39 @@
         raise PlanError(found)
     watch = given.get("watch", {})
     before, window = float(watch.get("before_s", 60)), float(watch.get("window_s", 120))
-    kinds = tuple(Kind(one["route"], one.get("once", False), float(one.get("aim_ms", 0)),
-                       {harm: float(one.get(harm, TOLERATED[harm])) for harm in HARMS})
-                  for one in given["kinds"])
-    sites = tuple(Site(one["name"], one.get("wave", at), tuple(one["controls"]), one.get("inner", 7660),
-                       dict(one.get("set", {})), float(one.get("least_rate", 0)))
-                  for at, one in enumerate(given["sites"], 1))
-    return Plan(given["name"], given["change"], given.get("back", "site"), before, window,
-                float(watch.get("poll_s", 1)), int(watch.get("least", 500)),
-                float(watch.get("least_rate", 0)), kinds, sites, deepcopy(given))
+    kinds = tuple(
+        Kind(
+            one["route"],
+            one.get("once", False),
+            float(one.get("aim_ms", 0)),
+            {harm: float(one.get(harm, TOLERATED[harm])) for harm in HARMS},
+        )
+        for one in given["kinds"]
+    )
+    sites = tuple(
+        Site(
+            one["name"],
+            one.get("wave", at),
+            tuple(one["controls"]),
+            one.get("inner", 7660),
+            dict(one.get("set", {})),
+            float(one.get("least_rate", 0)),
+        )
+        for at, one in enumerate(given["sites"], 1)
+    )
+    return Plan(
+        given["name"],
+        given["change"],
+        given.get("back", "site"),
+        before,
+        window,
+        float(watch.get("poll_s", 1)),
+        int(watch.get("least", 500)),
+        float(watch.get("least_rate", 0)),
+        kinds,
+        sites,
+        deepcopy(given),
+    )
 
 
 def _place(error: Any) -> str:
@@ -216,8 +286,10 @@
         says = any("{" + word + "}" in text for word in ("site", *site.get("set", {})))
         if systems.setdefault(system, at) != at and not says:
             # Danger: the change of one site would be the change of all, all at once.
-            yield (f"sites[{at}].controls: sites[{systems[system]}] is in the same system; the change must "
-                   "say by {site} or a word of `set` whose it is")
+            yield (
+                f"sites[{at}].controls: sites[{systems[system]}] is in the same system; the change must "
+                "say by {site} or a word of `set` whose it is"
+            )
 
 
 def label(element: dict[str, Any]) -> tuple[str, str]:
@@ -251,5 +323,6 @@
 def body(change: dict[str, Any], prior: int, version: int) -> bytes:
     """The operator's call of a step: the same bytes whoever makes it."""
     before: str | int = f"{prior:08x}" if prior else 0
-    return orjson.dumps({"setpointSeq": f"{version:08x}", "priorVersion": before, **change},
-                        option=orjson.OPT_SORT_KEYS)
+    return orjson.dumps(
+        {"setpointSeq": f"{version:08x}", "priorVersion": before, **change}, option=orjson.OPT_SORT_KEYS
+    )
--- a/finchshelf/rollout/statistics.py
+++ b/finchshelf/rollout/statistics.py
@@ -87,7 +87,7 @@
     former: list[tuple[list[float], float]] = field(default_factory=list)
 
     def add(self, x: int, n: int, grown: float) -> None:
-        self.former = [*self.former[1 - self.back:], (self.levels, self.proof)]
+        self.former = [*self.former[1 - self.back :], (self.levels, self.proof)]
         x = min(x, n)
         if n <= 0:
             return
@@ -96,14 +96,17 @@
         null = min(0.98, high + self.tolerated / 2)
         rates = [min(0.99, null + times * self.tolerated) for times in FURTHER]
         rates += [null + part * (1 - null) for part in LARGE]
-        self.levels = [max(0.0, level) + min(CAP, ratio(x, n, rate, null))
-                       for level, rate in zip(self.levels, rates, strict=True)]
+        self.levels = [
+            max(0.0, level) + min(CAP, ratio(x, n, rate, null))
+            for level, rate in zip(self.levels, rates, strict=True)
+        ]
         worst = min(0.99, (expected + high) / 2 + grown / 2 + self.tolerated)
         self.proof += min(CAP, ratio(x, n, worst - 0.75 * self.tolerated, worst))
         if grown <= self.tolerated / 2:
             self.calm += n
             self.usual = expected * math.log((worst - 0.75 * self.tolerated) / worst) + (1 - expected) * (
-                math.log((1 - worst + 0.75 * self.tolerated) / (1 - worst)))
+                math.log((1 - worst + 0.75 * self.tolerated) / (1 - worst))
+            )
 
     def take_back(self) -> None:
         """The last intervals did not count: machines were lost in them."""
@@ -119,8 +122,11 @@
 
     def undecided(self) -> bool:
         """Were there many times the requests that a proof takes, and none came?"""
-        return self.usual > 0 and self.calm > ENOUGH * -math.log(PASS) / self.usual \
+        return (
+            self.usual > 0
+            and self.calm > ENOUGH * -math.log(PASS) / self.usual
             and self.verdict() is Verdict.WAIT
+        )
 
     def verdict(self) -> Verdict:
         if self.level >= -math.log(HALT):
--- a/finchshelf/settings.py
+++ b/finchshelf/settings.py
@@ -139,35 +139,69 @@
     return Surroundings(
         tuple(c.text("name") for c in top.parts("lanes")),
         tuple(p.text("name") for p in top.parts("contracts")),
-        top.texts("localities"), top.texts("skus"), limits.seconds("connect-timeout"),
-        limits.seconds("idle-close"))
+        top.texts("localities"),
+        top.texts("skus"),
+        limits.seconds("connect-timeout"),
+        limits.seconds("idle-close"),
+    )
 
 
 def settings(raw: dict[str, Any]) -> i.Settings:
     top = Section(raw, "setup")
     limits, family, rules, prices = (top.part(k) for k in ("ceilings", "family-info", "rules", "prices"))
     classes = tuple(
-        i.RequestClass(c.seconds("aim"), c.seconds("deadline"), c.number("worth"),
-                       c.word("semantics", EFFECT, "fragile"), c.word("key-scope", SCOPE, "all"),
-                       c.seconds("key-ttl"), c.number("late-share"), c.flag("stream"))
-        for c in top.parts("lanes"))
+        i.RequestClass(
+            c.seconds("aim"),
+            c.seconds("deadline"),
+            c.number("worth"),
+            c.word("semantics", EFFECT, "fragile"),
+            c.word("key-scope", SCOPE, "all"),
+            c.seconds("key-ttl"),
+            c.number("late-share"),
+            c.flag("stream"),
+        )
+        for c in top.parts("lanes")
+    )
     plans = tuple(
-        i.Plan(p.number("price"), p.number("refill"), p.number("most-at-once"), int(p.number("concurrency")),
-               p.number("never-over-rate"), p.number("ceiling-burst"), p.number("hard-slack"),
-               p.number("excess-worth"), p.number("overrun-cost"))
-        for p in top.parts("contracts"))
+        i.Plan(
+            p.number("price"),
+            p.number("refill"),
+            p.number("most-at-once"),
+            int(p.number("concurrency")),
+            p.number("never-over-rate"),
+            p.number("ceiling-burst"),
+            p.number("hard-slack"),
+            p.number("excess-worth"),
+            p.number("overrun-cost"),
+        )
+        for p in top.parts("contracts")
+    )
     return i.Settings(
-        me=int(top.number("me")), limiters=int(top.number("balancers")), zone=int(top.number("locality")),
-        classes=classes, plans=plans,
-        counter=family.flag("may-count"), counter_wait=family.seconds("count-wait"),
-        max_units=int(family.number("most-units")), settles_later=family.flag("trued-up"),
+        me=int(top.number("me")),
+        limiters=int(top.number("balancers")),
+        zone=int(top.number("locality")),
+        classes=classes,
+        plans=plans,
+        counter=family.flag("may-count"),
+        counter_wait=family.seconds("count-wait"),
+        max_units=int(family.number("most-units")),
+        settles_later=family.flag("trued-up"),
         meter_period=family.seconds("use-period"),
         ask_discovery=top.word("discovery", {"push": False, "ask": True}, "push"),
-        cancel=limits.flag("cancel"), parallel=limits.flag("parallel-tries"), probes=limits.flag("probes"),
-        retry_after=limits.flag("retry-after"), max_retry_after=limits.seconds("max-retry-after"),
+        cancel=limits.flag("cancel"),
+        parallel=limits.flag("parallel-tries"),
+        probes=limits.flag("probes"),
+        retry_after=limits.flag("retry-after"),
+        max_retry_after=limits.seconds("max-retry-after"),
         max_attempts=int(limits.number("try-limit")),
-        answer_slack=rules.seconds("answer-slack"), cold_share=rules.number("cold-from"),
-        warm_up=rules.seconds("warm-up"), fall_multiple=rules.number("fall-multiple"),
+        answer_slack=rules.seconds("answer-slack"),
+        cold_share=rules.number("cold-from"),
+        warm_up=rules.seconds("warm-up"),
+        fall_multiple=rules.number("fall-multiple"),
         fall_span=rules.seconds("fall"),
-        price_cross_zone=prices.number("cross-zone"), price_waste=prices.number("waste"),
-        price_late=prices.number("late-fail"), peers=limits.flag("peers"), inbox=family.amount("inbox-per-s"))
+        price_cross_zone=prices.number("cross-zone"),
+        price_waste=prices.number("waste"),
+        price_late=prices.number("late-fail"),
+        peers=limits.flag("peers"),
+        inbox=family.amount("inbox-per-s"),
+    )
--- a/finchshelf/transport/answering.py
+++ b/finchshelf/transport/answering.py
@@ -27,8 +27,9 @@
 
 
 @lru_cache(512)
-def response(status: int, headers: tuple[tuple[bytes, bytes], ...],
-             extra: tuple[tuple[bytes, bytes], ...]) -> h11.Response:
+def response(
+    status: int, headers: tuple[tuple[bytes, bytes], ...], extra: tuple[tuple[bytes, bytes], ...]
+) -> h11.Response:
     """The head of an answer; checked by h11 once for all answers that have the same."""
     return h11.Response(status_code=status, headers=[*headers, *extra])
 
@@ -37,8 +38,22 @@
     """What a client's connection writes. `turn`: of the request that waits, or of the last that did;
     `writing`: a task writes, and takes what is `pending` along."""
 
-    __slots__ = ("body", "clients", "closing", "exchange", "fresh", "http", "idle", "pending", "pouring",
-                 "resume", "since", "stream", "turn", "writing")
+    __slots__ = (
+        "body",
+        "clients",
+        "closing",
+        "exchange",
+        "fresh",
+        "http",
+        "idle",
+        "pending",
+        "pouring",
+        "resume",
+        "since",
+        "stream",
+        "turn",
+        "writing",
+    )
 
     clients: Clients
     stream: net.Stream
@@ -173,8 +188,13 @@
             self.sent()
             self.read_on()
             return self.wake()
-        except (OSError, trio.ClosedResourceError, trio.EndOfChannel, trio.TooSlowError,
-                h11.LocalProtocolError):
+        except (
+            OSError,
+            trio.ClosedResourceError,
+            trio.EndOfChannel,
+            trio.TooSlowError,
+            h11.LocalProtocolError,
+        ):
             pass
         except Exception as error:  # Danger: what nobody thought of must not end the node
             self.clients.telemetry.rare("clients.error", error=repr(error))
--- a/finchshelf/transport/bodies.py
+++ b/finchshelf/transport/bodies.py
@@ -37,11 +37,23 @@
     """One body on its way. `length`: bytes, None where only its end will tell. `wanted`: called once, when an
     attempt first waits for bytes (100 Continue). One attempt at a time is its `reader`."""
 
-    __slots__ = ("broken", "length", "lot", "piece", "position", "reader", "room", "size", "wanted", "whole",
-                 "window")
-
-    def __init__(self, room: Room, first: bytes, length: int | None = None,
-                 wanted: Callable[[], None] | None = None) -> None:
+    __slots__ = (
+        "broken",
+        "length",
+        "lot",
+        "piece",
+        "position",
+        "reader",
+        "room",
+        "size",
+        "wanted",
+        "whole",
+        "window",
+    )
+
+    def __init__(
+        self, room: Room, first: bytes, length: int | None = None, wanted: Callable[[], None] | None = None
+    ) -> None:
         self.room, self.length, self.wanted = room, length, wanted
         self.size = max(len(first), room.window())
         self.window: bytearray | None = bytearray(first)
@@ -100,7 +112,7 @@
             if self.broken or self.reader is not reader:
                 raise Cut
             if self.window is not None and at < len(self.window):
-                return bytes(self.window[at:at + PIECE])
+                return bytes(self.window[at : at + PIECE])
             if at != self.position:  # Danger: a body with a hole in it, served as the client's
                 raise Cut
             if self.piece:
--- a/finchshelf/transport/calls.py
+++ b/finchshelf/transport/calls.py
@@ -61,8 +61,16 @@
             raise BadRequest("head", 431)
         return headers_once(event, ONCE)
 
-    def call(self, event: h11.Request, body: bytes, number: int, came: float,
-             reply: Callable[[Answer], None], stream: Body | None = None, coming: float = 0.0) -> Exchange:
+    def call(
+        self,
+        event: h11.Request,
+        body: bytes,
+        number: int,
+        came: float,
+        reply: Callable[[Answer], None],
+        stream: Body | None = None,
+        coming: float = 0.0,
+    ) -> Exchange:
         if self.health_target is not None:
             raise BadRequest("only health is told here", 404)
         until = came + coming + 30.0
@@ -72,8 +80,9 @@
 class Calls:
     """The core of a listener whose requests go to one handler; satisfies what `transport.clients` asks."""
 
-    def __init__(self, clock: Clock, telemetry: Log, nursery: trio.Nursery,
-                 handler: CallHandler | None) -> None:
+    def __init__(
+        self, clock: Clock, telemetry: Log, nursery: trio.Nursery, handler: CallHandler | None
+    ) -> None:
         self.clock, self.telemetry, self.nursery, self.handler = clock, telemetry, nursery, handler
         self.last, self.held = 0, 0
 
--- a/finchshelf/transport/clients.py
+++ b/finchshelf/transport/clients.py
@@ -35,8 +35,15 @@
 
 
 class Clients:
-    def __init__(self, core: Core, reader: Reader, nursery: trio.Nursery, ready: Callable[[], bool],
-                 descriptors: int, memory: int) -> None:
+    def __init__(
+        self,
+        core: Core,
+        reader: Reader,
+        nursery: trio.Nursery,
+        ready: Callable[[], bool],
+        descriptors: int,
+        memory: int,
+    ) -> None:
         """`descriptors`, `memory` (bytes): the process's limits."""
         self.nursery = nursery
         self.core, self.telemetry, self.count = core, core.telemetry, core.telemetry.count
@@ -56,8 +63,15 @@
         self.former, self.reader, self.limits = self.reader, reader, reader.limits
         self.follow_until = self.core.clock.now() + follow
 
-    def read(self, head: h11.Request, body: bytes, came: float, reply: Callable[[Answer], None],
-             stream: Body | None = None, coming: float = 0.0) -> Exchange:
+    def read(
+        self,
+        head: h11.Request,
+        body: bytes,
+        came: float,
+        reply: Callable[[Answer], None],
+        stream: Body | None = None,
+        coming: float = 0.0,
+    ) -> Exchange:
         """A call by the settings in use; for a while after new ones, one that names what only the former
         settings know is read and decided by those."""
         try:
@@ -139,8 +153,13 @@
         with scope:
             await self.accept(listener)
 
-    async def leave(self, listener: trio.socket.SocketType, accepting: trio.CancelScope, last_calls: float,
-                    last_word: float) -> None:
+    async def leave(
+        self,
+        listener: trio.socket.SocketType,
+        accepting: trio.CancelScope,
+        last_calls: float,
+        last_word: float,
+    ) -> None:
         """Answer what is here and what still comes, then be left by all. `last_calls`: s in which new
         connections are still taken; `last_word`: s more for the first request on one that was taken late.
 
--- a/finchshelf/transport/exchange.py
+++ b/finchshelf/transport/exchange.py
@@ -20,8 +20,19 @@
 from finchshelf.transport.bodies import Body
 
 Headers = list[tuple[bytes, bytes]]
-HOP_BY_HOP = frozenset((b"connection", b"keep-alive", b"proxy-authenticate", b"proxy-authorization", b"te",
-                        b"trailer", b"transfer-encoding", b"upgrade", b"content-length"))
+HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+    )
+)
 
 
 class Clock:
--- a/finchshelf/transport/frames.py
+++ b/finchshelf/transport/frames.py
@@ -84,8 +84,8 @@
                 if size > MOST_FRAME:
                     raise ValueError(f"frame of {size} bytes")
                 if len(self.held) >= HEAD.size + size:
-                    data = bytes(self.held[HEAD.size:HEAD.size + size])
-                    del self.held[:HEAD.size + size]
+                    data = bytes(self.held[HEAD.size : HEAD.size + size])
+                    del self.held[: HEAD.size + size]
                     return unpack(data)
                 if size > LARGE:
                     self.moving()
@@ -100,7 +100,7 @@
             # Danger: a question given up half written would spoil every frame after it.
             for at in range(0, len(data), PART):
                 with trio.CancelScope(shield=True, deadline=trio.current_time() + WRITE) as scope:
-                    await self.stream.send(data[at:at + PART] if len(data) > PART else data)
+                    await self.stream.send(data[at : at + PART] if len(data) > PART else data)
                 if scope.cancelled_caught:
                     self.stream.hang_up()
                     raise BrokenPipeError("a peer that does not read")
@@ -208,8 +208,9 @@
                 one.event.set()
 
 
-async def serve(listener: trio.socket.SocketType, handler: Handler, nursery: trio.Nursery,
-                broken: Callable[[str], None]) -> None:
+async def serve(
+    listener: trio.socket.SocketType, handler: Handler, nursery: trio.Nursery, broken: Callable[[str], None]
+) -> None:
     """Answer the questions of whoever connects; each in a task of its own."""
     while True:
         try:
--- a/finchshelf/transport/pieces.py
+++ b/finchshelf/transport/pieces.py
@@ -63,7 +63,7 @@
         try:
             while way.document is None and failures < FAILURES and way.peers:
                 peer, way.asked = way.peers[0], trio.current_time()
-                wait = PIECE_WAIT if len(way.peers) == 1 else min(PIECE_WAIT, SLOW * 2 ** failures)
+                wait = PIECE_WAIT if len(way.peers) == 1 else min(PIECE_WAIT, SLOW * 2**failures)
                 answer = None
                 try:
                     with trio.move_on_after(wait) as way.asking:
--- a/finchshelf/transport/reading.py
+++ b/finchshelf/transport/reading.py
@@ -50,8 +50,16 @@
     def head(self, event: h11.Request) -> dict[bytes, bytes]:
         """The headers by their names in small letters; `headers_once` does that."""
 
-    def call(self, event: h11.Request, body: bytes, number: int, came: float,
-             reply: Callable[[Answer], None], stream: Body | None, coming: float) -> Exchange:
+    def call(
+        self,
+        event: h11.Request,
+        body: bytes,
+        number: int,
+        came: float,
+        reply: Callable[[Answer], None],
+        stream: Body | None,
+        coming: float,
+    ) -> Exchange:
         """A call that has come whole, or but for `coming` seconds of its body."""
 
 
--- a/finchshelf/transport/servers.py
+++ b/finchshelf/transport/servers.py
@@ -92,8 +92,9 @@
 
     # ---- connections ----
 
-    def take(self, server: str, address: Address, most: float = math.inf,
-             mark: bytes = b"") -> Connection | None:
+    def take(
+        self, server: str, address: Address, most: float = math.inf, mark: bytes = b""
+    ) -> Connection | None:
         """The idle connection used last, if that is below `most` seconds ago: the others get old and go.
         None that carried a request of this `mark`."""
         stack, now = self.idle.get(server, []), self.clock.now()
@@ -188,8 +189,9 @@
                 # now. What has not begun within the time to connect has not begun at all.
                 if connection is not None and self.clock.now() - attempt.issued <= self.connect_limit:
                     if stream is None:
-                        await connection.write(self.dialect.head(attempt, self.clock.now()),
-                                               attempt.exchange.body, mark)
+                        await connection.write(
+                            self.dialect.head(attempt, self.clock.now()), attempt.exchange.body, mark
+                        )
                         written, ended.status = True, i.Status.RESET
                     else:
                         connection.carry(mark)
--- a/finchshelf/transport/upstream.py
+++ b/finchshelf/transport/upstream.py
@@ -25,8 +25,7 @@
     """One connection to a server, by its id and address; h11 holds its one buffer. `most_idle`: the seconds
     that it may idle, None where the pool's hold."""
 
-    __slots__ = ("address", "carried", "heard", "http", "most_idle", "server", "stream", "unsent",
-                 "used")
+    __slots__ = ("address", "carried", "heard", "http", "most_idle", "server", "stream", "unsent", "used")
 
     def __init__(self, server: str, address: Address, stream: net.Stream, now: float) -> None:
         self.server, self.address, self.stream, self.used = server, address, stream, now
@@ -108,8 +107,12 @@
                         with trio.fail_after(PIECE):
                             self.http.receive_data(await self.stream.receive())
                         continue
-                except (h11.RemoteProtocolError, OSError, trio.TooSlowError,
-                        trio.ClosedResourceError) as error:
+                except (
+                    h11.RemoteProtocolError,
+                    OSError,
+                    trio.TooSlowError,
+                    trio.ClosedResourceError,
+                ) as error:
                     raise Broken(repr(error)) from None
                 if isinstance(event, h11.Data):
                     with trio.fail_after(PIECE):
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -12,8 +12,12 @@
     pytest_sessionstart,
 )
 
-__all__ = ["pytest_collection_modifyitems", "pytest_configure", "pytest_runtest_makereport",
-           "pytest_sessionstart"]
+__all__ = [
+    "pytest_collection_modifyitems",
+    "pytest_configure",
+    "pytest_runtest_makereport",
+    "pytest_sessionstart",
+]
 
 
 @pytest.fixture
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -75,8 +75,11 @@
 
     def lines(self) -> list[str]:
         missing = self.missing()
-        return [f"{red.test}: {'DOES NOT EXIST' if red in missing else self.ended.get(red.test, 'not run')}"
-                f" ({red.cause}; {red.issue})" for red in self.reds]
+        return [
+            f"{red.test}: {'DOES NOT EXIST' if red in missing else self.ended.get(red.test, 'not run')}"
+            f" ({red.cause}; {red.issue})"
+            for red in self.reds
+        ]
 
 
 SEEN = pytest.StashKey[Seen]()
@@ -85,8 +88,9 @@
 def whole(config: pytest.Config) -> bool:
     """Whether this run is of all tests: no path, id or word chooses among them."""
     chosen = ("keyword", "markexpr", "deselect", "ignore", "ignore_glob", "lf", "collectonly", "stepwise")
-    return (config.args_source is pytest.Config.ArgsSource.TESTPATHS
-            and not any(config.getoption(name, None) for name in chosen))
+    return config.args_source is pytest.Config.ArgsSource.TESTPATHS and not any(
+        config.getoption(name, None) for name in chosen
+    )
 
 
 # ---- hooks: `conftest.py` gives them to pytest ----
@@ -108,7 +112,8 @@
 
 @pytest.hookimpl(wrapper=True, tryfirst=True)
 def pytest_runtest_makereport(
-        item: pytest.Item, call: pytest.CallInfo[None],
+    item: pytest.Item,
+    call: pytest.CallInfo[None],
 ) -> Generator[None, pytest.TestReport, pytest.TestReport]:
     report = yield
     listed = item.nodeid in [red.test for red in item.config.stash[SEEN].reds]
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -46,6 +46,7 @@
 
 def lasting(limit: float) -> Callable[[Callable[..., Awaitable[None]]], Callable[..., None]]:
     """As `trio_test`, for a test whose work alone may take a busy machine longer than LIMIT; s."""
+
     def lasts(test: Callable[..., Awaitable[None]]) -> Callable[..., None]:
         @functools.wraps(test)
         def run(**fixtures: Any) -> None:
@@ -77,6 +78,7 @@
 
     Danger: what a customer may use hangs on where in its window it is met, and so on the hour of a test.
     """
+
     def begin(clock: Clock) -> None:
         clock.origin = 0.0
         clock.origin = EDGE + at - clock.now()
@@ -85,8 +87,9 @@
         yield
 
 
-async def limited(test: Callable[..., Awaitable[None]], fixtures: dict[str, Any],
-                  limit: float = LIMIT) -> None:
+async def limited(
+    test: Callable[..., Awaitable[None]], fixtures: dict[str, Any], limit: float = LIMIT
+) -> None:
     with trio.fail_after(limit):
         await test(**fixtures)
 
@@ -255,8 +258,17 @@
 
 
 def entry(name: str, address: Address, phase: str = "SERVING", **more: Any) -> dict[str, Any]:
-    return {"id": name, "host_port": str(address), "locality": "here", "flavor": "box", "cell": 0,
-            "phase": phase, "size": 1.0, "up_since_ms": 0, **more}
+    return {
+        "id": name,
+        "host_port": str(address),
+        "locality": "here",
+        "flavor": "box",
+        "cell": 0,
+        "phase": phase,
+        "size": 1.0,
+        "up_since_ms": 0,
+        **more,
+    }
 
 
 class Discovery(Listening):
@@ -305,31 +317,63 @@
 
 
 SETTINGS: dict[str, Any] = {
-    "balancers": 1, "me": 0, "locality": 0, "localities": ["here", "there"], "skus": ["box"],
-    "ceilings": {"cancel": True, "try-limit": 3, "retry-after": True, "max-retry-after": 500.0,
-                 "parallel-tries": False, "probes": True, "connect-timeout": 250.0, "idle-close": 4000.0},
+    "balancers": 1,
+    "me": 0,
+    "locality": 0,
+    "localities": ["here", "there"],
+    "skus": ["box"],
+    "ceilings": {
+        "cancel": True,
+        "try-limit": 3,
+        "retry-after": True,
+        "max-retry-after": 500.0,
+        "parallel-tries": False,
+        "probes": True,
+        "connect-timeout": 250.0,
+        "idle-close": 4000.0,
+    },
     "family-info": {"may-count": True, "count-wait": 400.0, "most-units": 4, "trued-up": True},
     "lanes": [
         {"aim": 3000.0, "deadline": 6000.0, "semantics": "retryable", "worth": 1.0, "name": "look"},
-        {"aim": 3000.0, "deadline": 6000.0, "semantics": "dedup", "key-scope": "cell", "key-ttl": 6000.0,
-         "worth": 2.0, "name": "post"},
-        {"aim": 3000.0, "deadline": 6000.0, "semantics": "fragile", "worth": 2.0, "name": "pay"}],
-    "contracts": [{"refill": 50.0, "most-at-once": 100.0, "price": 1.0, "name": "team"},
-                  {"refill": 0.5, "most-at-once": 1.0, "price": 1.0, "name": "small"},
-                  {"price": 1.0, "name": "free"}],
-    "rules": {"fall": 1000.0, "fall-multiple": 2.0, "cold-from": 0.2, "warm-up": 9000.0}}
+        {
+            "aim": 3000.0,
+            "deadline": 6000.0,
+            "semantics": "dedup",
+            "key-scope": "cell",
+            "key-ttl": 6000.0,
+            "worth": 2.0,
+            "name": "post",
+        },
+        {"aim": 3000.0, "deadline": 6000.0, "semantics": "fragile", "worth": 2.0, "name": "pay"},
+    ],
+    "contracts": [
+        {"refill": 50.0, "most-at-once": 100.0, "price": 1.0, "name": "team"},
+        {"refill": 0.5, "most-at-once": 1.0, "price": 1.0, "name": "small"},
+        {"price": 1.0, "name": "free"},
+    ],
+    "rules": {"fall": 1000.0, "fall-multiple": 2.0, "cold-from": 0.2, "warm-up": 9000.0},
+}
 NOWHERE = Address("127.0.0.1", 9)
 
 
-def config_object(discovery: Address = NOWHERE, counter: Address = NOWHERE, known: Any = None,
-                  **limits: Any) -> dict[str, Any]:
-    return {"name": "n0", "listen": "127.0.0.1:0", "discovery": str(discovery), "counter": str(counter),
-            "seed": "0a", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256, **limits},
-            "known": known or {"revision": 0, "complete": True, "members": []}, "settings": SETTINGS}
-
-
-def config(discovery: Address = NOWHERE, counter: Address = NOWHERE, known: Any = None,
-           **limits: Any) -> Config:
+def config_object(
+    discovery: Address = NOWHERE, counter: Address = NOWHERE, known: Any = None, **limits: Any
+) -> dict[str, Any]:
+    return {
+        "name": "n0",
+        "listen": "127.0.0.1:0",
+        "discovery": str(discovery),
+        "counter": str(counter),
+        "seed": "0a",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256, **limits},
+        "known": known or {"revision": 0, "complete": True, "members": []},
+        "settings": SETTINGS,
+    }
+
+
+def config(
+    discovery: Address = NOWHERE, counter: Address = NOWHERE, known: Any = None, **limits: Any
+) -> Config:
     return configuration.read(config_object(discovery, counter, known, **limits), {})
 
 
@@ -361,8 +405,9 @@
 
 
 @asynccontextmanager
-async def world(*plans: Plan | Listening, say: Say | None = None, keep: str = "", at: float = WINDOW / 4,
-                **limits: Any) -> AsyncIterator[World]:
+async def world(
+    *plans: Plan | Listening, say: Say | None = None, keep: str = "", at: float = WINDOW / 4, **limits: Any
+) -> AsyncIterator[World]:
     """`plans`: of a server each, or other servers. `keep`: a folder for what operators said; with it
     the node has its second address. `at`: the node's time at its start, in s behind the edge of a window."""
     async with trio.open_nursery() as nursery:
@@ -404,14 +449,29 @@
 IDS = itertools.count(0x9B1F03AA5C7E2D41)
 
 
-def call(cls: str = "look", plan: str = "team", budget: int = 4000, path: str = "", body: bytes = b"",
-         method: str = "", extra: tuple[str, ...] = (), drop: str = "", ident: str = "") -> bytes:
+def call(
+    cls: str = "look",
+    plan: str = "team",
+    budget: int = 4000,
+    path: str = "",
+    body: bytes = b"",
+    method: str = "",
+    extra: tuple[str, ...] = (),
+    drop: str = "",
+    ident: str = "",
+) -> bytes:
     """A request in the protocol's form, or nearly so; with an id of its own unless one is given."""
     ident = ident or f"{next(IDS):016x}"
     method = method or ("GET" if cls == "look" else "POST")
-    lines = [f"{method} {path or f'/{cls}/00000000b4d65521'} HTTP/1.1", "Host: service.internal",
-             f"X-Call-Id: {ident}", f"X-Call-Class: {cls}", f"X-Contract: {plan}",
-             f"X-Budget-Ms: {budget}", "X-Metering: units=1,spread=1,first=0"]
+    lines = [
+        f"{method} {path or f'/{cls}/00000000b4d65521'} HTTP/1.1",
+        "Host: service.internal",
+        f"X-Call-Id: {ident}",
+        f"X-Call-Class: {cls}",
+        f"X-Contract: {plan}",
+        f"X-Budget-Ms: {budget}",
+        "X-Metering: units=1,spread=1,first=0",
+    ]
     if cls == "post":
         lines.append("Idempotency-Key: 5c0f6e1a2b3d4c59a8b7c6d5e4f30211")
     if method == "POST":
--- a/tests/stories/backends.py
+++ b/tests/stories/backends.py
@@ -22,8 +22,25 @@
 
 PROMISES = (408, 421, 429, 503)
 # One in so many answers is spoilt so; `tests/stories/test_answers.py` says what each must not bring about.
-HARMS = ("late", "two late", "unasked", "behind", "nameless", "rubbish", "cut", "reset", "silent", "early",
-         "interim", "close", "promise", "full", "large", "nothing said", "stray 421")
+HARMS = (
+    "late",
+    "two late",
+    "unasked",
+    "behind",
+    "nameless",
+    "rubbish",
+    "cut",
+    "reset",
+    "silent",
+    "early",
+    "interim",
+    "close",
+    "promise",
+    "full",
+    "large",
+    "nothing said",
+    "stray 421",
+)
 
 
 @dataclass
@@ -120,20 +137,23 @@
         self.day.record.seen[kind] += hit
         return hit
 
-    async def answer(self, stream: net.Stream, name: str, asked: Message, late: deque[bytes],
-                     early: bool) -> bool:
+    async def answer(
+        self, stream: net.Stream, name: str, asked: Message, late: deque[bytes], early: bool
+    ) -> bool:
         """False: this connection is over."""
         method, target, headers, body, _ = asked
         mark, record = headers.get("trial-id", ""), self.day.record
         back = [("Trial-Id", mark)]
         if target == "/probe":
-            return await self.say(stream, head("HTTP/1.1 200 X", [("Server-Id", name),
-                                                                  ("Content-Length", "0")]))
+            return await self.say(
+                stream, head("HTTP/1.1 200 X", [("Server-Id", name), ("Content-Length", "0")])
+            )
         if headers.get("target-server", name) != name:
             return await self.say(stream, head("HTTP/1.1 421 X", [("Content-Length", "0")]))
         if self.harm("full"):
-            return await self.say(stream, head("HTTP/1.1 503 X", [*back, ("Not-Executed", "1"),
-                                                                  ("Content-Length", "0")]))
+            return await self.say(
+                stream, head("HTTP/1.1 503 X", [*back, ("Not-Executed", "1"), ("Content-Length", "0")])
+            )
         if self.harm("silent"):
             await trio.sleep(30.0)
             return False
@@ -163,12 +183,17 @@
 
     def text(self, status: int, headers: list[tuple[str, str]], content: bytes, method: str) -> bytes:
         if self.random.random() < 0.3 and method != "HEAD":
-            chunks = b"".join(b"%x\r\n%s\r\n" % (len(part), part)
-                              for part in (content[:7], content[7:]) if part)
-            return head(f"HTTP/1.1 {status} X", [*headers, ("Transfer-Encoding", "chunked")],
-                        chunks + b"0\r\n\r\n")
-        return head(f"HTTP/1.1 {status} X", [*headers, ("Content-Length", str(len(content)))],
-                    b"" if method == "HEAD" else content)
+            chunks = b"".join(
+                b"%x\r\n%s\r\n" % (len(part), part) for part in (content[:7], content[7:]) if part
+            )
+            return head(
+                f"HTTP/1.1 {status} X", [*headers, ("Transfer-Encoding", "chunked")], chunks + b"0\r\n\r\n"
+            )
+        return head(
+            f"HTTP/1.1 {status} X",
+            [*headers, ("Content-Length", str(len(content)))],
+            b"" if method == "HEAD" else content,
+        )
 
     async def spoilt(self, stream: net.Stream, answer: bytes, nameless: bytes, late: deque[bytes]) -> bool:
         while late:
@@ -176,8 +201,9 @@
         if self.harm("interim"):
             await self.say(stream, head("HTTP/1.1 103 X", [("Trial-Id", "another's")]))
         if self.harm("stray 421"):
-            await self.say(stream, head("HTTP/1.1 421 X", [("Trial-Id", "another's"),
-                                                           ("Content-Length", "0")]))
+            await self.say(
+                stream, head("HTTP/1.1 421 X", [("Trial-Id", "another's"), ("Content-Length", "0")])
+            )
         if self.harm("late"):
             late.append(answer if self.random.random() < 0.7 else nameless)
         if self.harm("two late"):
@@ -190,7 +216,7 @@
         if self.harm("rubbish"):
             return await self.say(stream, self.random.randbytes(self.random.randint(1, 60)))
         if self.harm("cut"):
-            await self.say(stream, answer[:self.random.randrange(len(answer))])
+            await self.say(stream, answer[: self.random.randrange(len(answer))])
             if isinstance(stream, End) and self.random.random() < 0.5:
                 stream.reset()
             return False
--- a/tests/stories/callers.py
+++ b/tests/stories/callers.py
@@ -35,12 +35,18 @@
         if random.random() < 0.2:
             headers.append(("Expect", "100-continue"))
         if random.random() < 0.6:
-            return head(f"{self.method} {self.target} HTTP/1.1",
-                        [*headers, ("Content-Length", str(len(self.body)))], self.body)
+            return head(
+                f"{self.method} {self.target} HTTP/1.1",
+                [*headers, ("Content-Length", str(len(self.body)))],
+                self.body,
+            )
         at = random.randrange(1, len(self.body))
         chunks = b"".join(b"%x\r\n%s\r\n" % (len(one), one) for one in (self.body[:at], self.body[at:]))
-        return head(f"{self.method} {self.target} HTTP/1.1", [*headers, ("Transfer-Encoding", "chunked")],
-                    chunks + b"0\r\n\r\n")
+        return head(
+            f"{self.method} {self.target} HTTP/1.1",
+            [*headers, ("Transfer-Encoding", "chunked")],
+            chunks + b"0\r\n\r\n",
+        )
 
 
 def padded(document: Any, more: int = PAD) -> bytes:
@@ -57,11 +63,23 @@
 
     def beat(self) -> Call:
         self.count += 1
-        return Call(f"/v1/rpc?call=servers.pulse&of={self.name}", padded({
-            "address": self.address,
-            "observation": {"subsystem": self.service, "setpointSeq": "v1", "zone": self.zone, "capacity": 4},
-            "stateEstimate": {"mode": self.mode, "callCount": self.count, "warmupMs": 0}}),
-            (200, *ELSEWHERE), lambda found: isinstance(orjson.loads(found.body), dict))
+        return Call(
+            f"/v1/rpc?call=servers.pulse&of={self.name}",
+            padded(
+                {
+                    "address": self.address,
+                    "observation": {
+                        "subsystem": self.service,
+                        "setpointSeq": "v1",
+                        "zone": self.zone,
+                        "capacity": 4,
+                    },
+                    "stateEstimate": {"mode": self.mode, "callCount": self.count, "warmupMs": 0},
+                }
+            ),
+            (200, *ELSEWHERE),
+            lambda found: isinstance(orjson.loads(found.body), dict),
+        )
 
     def departure(self) -> Call:
         return Call(f"/v1/rpc?call=servers.departure&of={self.name}", padded({}), (200, *ELSEWHERE))
--- a/tests/stories/calling.py
+++ b/tests/stories/calling.py
@@ -114,8 +114,14 @@
         """All of a call but its last bytes: then an end, a reset, or silence for good."""
         text = one.text(self.random)
         least = text.index(b"\r\n\r\n") + 4
-        at = self.random.choice((len(text) - 1, len(text) - 2, self.random.randrange(least, len(text)),
-                                 self.random.randrange(len(text))))
+        at = self.random.choice(
+            (
+                len(text) - 1,
+                len(text) - 2,
+                self.random.randrange(least, len(text)),
+                self.random.randrange(len(text)),
+            )
+        )
         # A call that came whole stands before it, so that the connection is one in use.
         first = self.odd().text(self.random) if self.random.random() < 0.5 else b""
         self.seen["unwhole"] += 1
@@ -142,12 +148,21 @@
     def odd(self) -> Call:
         """A call whose answer is like no other's."""
         self.number += 1
-        return self.random.choice((
-            lambda: Call(f"/v1/rpc?call=no.such{self.number}", b"{}  ", (404,)),
-            lambda: Call(f"/v1/rpc?call=servers.pulse&of=odd{self.number}", b"[]  ", (400, 503)),
-            lambda: Call("/v1/rpc?call=setpoint.observe", b"{}  ", (200, *ELSEWHERE),
-                         lambda found: "elements" in orjson.loads(found.body)),
-            lambda: Call(f"/v1/rpc?call=servers.pulse&of=odd{self.number}", b"{}  ", (405,), method="PUT")))()
+        return self.random.choice(
+            (
+                lambda: Call(f"/v1/rpc?call=no.such{self.number}", b"{}  ", (404,)),
+                lambda: Call(f"/v1/rpc?call=servers.pulse&of=odd{self.number}", b"[]  ", (400, 503)),
+                lambda: Call(
+                    "/v1/rpc?call=setpoint.observe",
+                    b"{}  ",
+                    (200, *ELSEWHERE),
+                    lambda found: "elements" in orjson.loads(found.body),
+                ),
+                lambda: Call(
+                    f"/v1/rpc?call=servers.pulse&of=odd{self.number}", b"{}  ", (405,), method="PUT"
+                ),
+            )
+        )()
 
     async def acknowledged(self, one: Call) -> bool:
         """One call, to one control plane after another, with others' before and behind it; doubled, unheard
@@ -181,8 +196,12 @@
         random = self.random
         for turn in range(3):
             self.number += 1
-            life = Life(f"life-{self.number}", address, random.choice(("alpha", "beta")),
-                        random.choice(self.world.zones))
+            life = Life(
+                f"life-{self.number}",
+                address,
+                random.choice(("alpha", "beta")),
+                random.choice(self.world.zones),
+            )
             self.lives.append(life)
             until = now() + random.uniform(0.5, 4.0) if turn < 2 else float("inf")
             while now() < until and not self.over:
@@ -216,13 +235,35 @@
 
     def order(self, number: int, label: str, prior: int | None = None, large: bool = False) -> Call:
         prior = max(self.orders, default=1) if prior is None else prior
-        element = {"elementKind": "trajectories", "header": {"label": f"{label}-{number}"}, "reference": {
-            "plant": HOST, "pathPrefix": f"/{label}{number}/", "variant": "mutating", "cutoffMs": 1500,
-            "targetMs": 400, "precedence": 1, "subsystem": "alpha", "trials": 2, "unguarded": False}}
-        return Call("/v1/rpc?call=setpoint.adjust", padded(
-            {"setpointSeq": f"{number:08x}", "priorVersion": f"{prior:08x}", "apply": {"elements": [element]},
-             "remove": {}}, 90_000 if large else PAD), (200, 412, *ELSEWHERE),
-            lambda found: orjson.loads(found.body) == {"setpointSeq": f"{number:08x}"})
+        element = {
+            "elementKind": "trajectories",
+            "header": {"label": f"{label}-{number}"},
+            "reference": {
+                "plant": HOST,
+                "pathPrefix": f"/{label}{number}/",
+                "variant": "mutating",
+                "cutoffMs": 1500,
+                "targetMs": 400,
+                "precedence": 1,
+                "subsystem": "alpha",
+                "trials": 2,
+                "unguarded": False,
+            },
+        }
+        return Call(
+            "/v1/rpc?call=setpoint.adjust",
+            padded(
+                {
+                    "setpointSeq": f"{number:08x}",
+                    "priorVersion": f"{prior:08x}",
+                    "apply": {"elements": [element]},
+                    "remove": {},
+                },
+                90_000 if large else PAD,
+            ),
+            (200, 412, *ELSEWHERE),
+            lambda found: orjson.loads(found.body) == {"setpointSeq": f"{number:08x}"},
+        )
 
     async def operate(self) -> None:
         """One order on top of the other, each sent until it is acknowledged."""
--- a/tests/stories/catching.py
+++ b/tests/stories/catching.py
@@ -24,8 +24,14 @@
 ADDRESSES = ("a:1", "b:1", "c:1")  # a was down
 MEMBERS = core.genesis(ADDRESSES).members
 PIECE = 12  # bytes: a document is four pieces or five
-MUTANTS = ("proved by the disk", "a majority of one", "a newer slot told counts for nothing", "any document",
-           "votes behind", "goes back")
+MUTANTS = (
+    "proved by the disk",
+    "a majority of one",
+    "a newer slot told counts for nothing",
+    "any document",
+    "votes behind",
+    "goes back",
+)
 # These are looked for where all restart, one of them with an old copy of its disk.
 MUTANTS_PUT_BACK = ("heard in memory only", "told to the proposer alone", "put back and trusted")
 # Its place is held by the digest of the whole: without it a fetch begins anew, no more.
@@ -110,10 +116,26 @@
 
     def key(self) -> Any:
         part = None if self.part is None else (self.part.name, self.part.form, bytes(self.part.held))
-        return (self.newest, tuple(map(tuple, self.shelves.values())), self.disk, self.before, self.held,
-                self.standing.proved, self.standing.newest, self.at_start, self.told, part, self.coming,
-                self.limiter, self.rest, self.number, self.voter, self.owed, tuple(self.heard.values()),
-                tuple(self.kept.values()))
+        return (
+            self.newest,
+            tuple(map(tuple, self.shelves.values())),
+            self.disk,
+            self.before,
+            self.held,
+            self.standing.proved,
+            self.standing.newest,
+            self.at_start,
+            self.told,
+            part,
+            self.coming,
+            self.limiter,
+            self.rest,
+            self.number,
+            self.voter,
+            self.owed,
+            tuple(self.heard.values()),
+            tuple(self.kept.values()),
+        )
 
     def spend(self, kind: int) -> None:
         self.rest = tuple(n - (at == kind) for at, n in enumerate(self.rest))
@@ -140,8 +162,13 @@
             yield ("learn",)
         if self.limiter < 0:
             yield ("lead",)
-        if self.rest[0] and self.rest[4] and self.voter and self.held == self.newest \
-                and self.number == self.owed:
+        if (
+            self.rest[0]
+            and self.rest[4]
+            and self.voter
+            and self.held == self.newest
+            and self.number == self.owed
+        ):
             yield ("vote",)
         if self.rest[4]:
             yield from (("put back", names) for names in ("b", "c", "bc"))
@@ -168,16 +195,19 @@
     def do_put_back(self, names: str) -> None:
         """All restart, a with the copy; `names`: who answers what it heard of a's disk."""
         self.rest = (*self.rest[:4], 0)
-        self.heard = {name: -1 if self.mutant == "heard in memory only" else number
-                      for name, number in self.kept.items()}
+        self.heard = {
+            name: -1 if self.mutant == "heard in memory only" else number
+            for name, number in self.kept.items()
+        }
         self.disk = self.before = 0
         self.number = 1
         self.rest = (self.rest[0], self.rest[1] + 1, *self.rest[2:])
         self.do_restart(False)
         witness = Witness()
         witness.doubt(self.number)
-        self.voter = not witness.put_back(self.heard[name] for name in names) \
-            or self.mutant == "put back and trusted"
+        self.voter = (
+            not witness.put_back(self.heard[name] for name in names) or self.mutant == "put back and trusted"
+        )
         if self.voter and self.number < self.owed:
             raise Broken(f"its disk has {self.number} and votes; {self.owed} went with a decided value")
 
@@ -249,8 +279,15 @@
     def do_prove(self) -> None:
         """It asks the members for their slots; b and c go on without it."""
         decided = value(self.held)
-        states = {member: {"kind": "state", "slot": self.newest if member.address != "a:1" else self.held,
-                           "accepted": False, "from": list(member)} for member in MEMBERS}
+        states = {
+            member: {
+                "kind": "state",
+                "slot": self.newest if member.address != "a:1" else self.held,
+                "accepted": False,
+                "from": list(member),
+            }
+            for member in MEMBERS
+        }
         if self.mutant == "a majority of one":
             states = {member: one for member, one in states.items() if member.address == "a:1"}
             self.standing.proved = True
@@ -295,8 +332,9 @@
     return after
 
 
-def search(mutant: str = "", rest: tuple[int, ...] = (2, 2, 2, 1, 0), limit: int = 1_000_000) \
-        -> tuple[int, int, int]:
+def search(
+    mutant: str = "", rest: tuple[int, ...] = (2, 2, 2, 1, 0), limit: int = 1_000_000
+) -> tuple[int, int, int]:
     """All states; how many, how deep, and the most messages to be current. Broken, with the depth, if a rule
     is. `rest`: the harm that there may be."""
     before, parcel.PIECE = parcel.PIECE, PIECE
--- a/tests/stories/contact_model.py
+++ b/tests/stories/contact_model.py
@@ -28,10 +28,19 @@
 
 
 def rules(**other: Any) -> Rules:
-    return Rules(**{"spoke": contact.spoke, "contact": contact.contact, "current": contact.current,
-                    "believed": contact.believed, "may_begin": contact.may_begin, "asked_counts": False,
-                    "out": contact.out, "alone": lambda last, began, now: now - max(last, began),
-                    **other})
+    return Rules(
+        **{
+            "spoke": contact.spoke,
+            "contact": contact.contact,
+            "current": contact.current,
+            "believed": contact.believed,
+            "may_begin": contact.may_begin,
+            "asked_counts": False,
+            "out": contact.out,
+            "alone": lambda last, began, now: now - max(last, began),
+            **other,
+        }
+    )
 
 
 def one_less(members: Any, me: str, spoken: Any, now: float) -> float:
@@ -47,8 +56,8 @@
     "a control plane's lease ends": {"current": lambda last, now: last > -inf},
     "a limiter's lease ends": {"believed": lambda said, now: said > -inf},
     "a limiter begins by the core's word, or that of more than half": {
-        "may_begin": lambda members, answered, told, since, lost:
-            len(answered) >= 2 or since > contact.SETTLE},
+        "may_begin": lambda members, answered, told, since, lost: len(answered) >= 2 or since > contact.SETTLE
+    },
 }
 
 
@@ -60,11 +69,14 @@
 LONG: dict[str, dict[str, Any]] = {  # found where a cut may last longer than `ALONE`
     "a limiter looks for longer than a cut lasts": {"may_begin": six},
     "the last contact of any counts": {
-        "out": lambda words, now: now - min((at for _, at in words), default=now)},
+        "out": lambda words, now: now - min((at for _, at in words), default=now)
+    },
     "who says that it is cut off says so just now": {
-        "out": lambda words, now: now - max((at for _, at in words), default=now)},
+        "out": lambda words, now: now - max((at for _, at in words), default=now)
+    },
     "who has come up anew was in contact until then": {
-        "alone": lambda last, began, now: now - last if last > -inf else 2 * contact.ALONE},
+        "alone": lambda last, began, now: now - last if last > -inf else 2 * contact.ALONE
+    },
 }
 
 
@@ -72,7 +84,8 @@
     "a control plane's lease allows for drift": {"current": lambda last, now: now - last <= contact.CURRENT},
     "a limiter's lease allows for drift": {"believed": lambda said, now: now - said < contact.TOUCH},
     "the time that an answer was held allows for drift": {
-        "spoke": lambda sent, held: sent + held * (1 + contact.DRIFT)},
+        "spoke": lambda sent, held: sent + held * (1 + contact.DRIFT)
+    },
 }
 
 
@@ -95,8 +108,7 @@
 
 
 class Model:
-    def __init__(self, seed: int, rule: Rules, count: int = 5, limiters: int = 2,
-                 long: bool = False) -> None:
+    def __init__(self, seed: int, rule: Rules, count: int = 5, limiters: int = 2, long: bool = False) -> None:
         """`long`: cuts may last longer than `ALONE`, and limiters start behind them."""
         self.random, self.rule, self.time = Random(seed), rule, 0.0
         self.longest, self.harms, self.kinds = (90.0, 4.0, HARMS_LONG) if long else (20.0, 1.5, HARMS)
@@ -177,8 +189,9 @@
         have = node.slot
         self.send(name, other, lambda: self.asked(name, other, have, None, BETWEEN, heard))
 
-    def asked(self, name: str, other: str, have: int, core: bool | None, wait: float,
-              heard: Callable[..., None]) -> None:
+    def asked(
+        self, name: str, other: str, have: int, core: bool | None, wait: float, heard: Callable[..., None]
+    ) -> None:
         """A question came to `other`: answered when there is news, or its time is over."""
         node = self.nodes[other]
         if self.rule.asked_counts and core is None:
@@ -218,8 +231,11 @@
                 answer(False)
 
     def reaches(self, one: str, other: str) -> bool:
-        return not ({(one, other), (other, one)} & self.blocked.keys()
-                    or self.nodes[one].frozen or self.nodes[other].frozen)
+        return not (
+            {(one, other), (other, one)} & self.blocked.keys()
+            or self.nodes[one].frozen
+            or self.nodes[other].frozen
+        )
 
     def decide(self) -> None:
         """Anyone proposes; of the members that it can reach no more take it than are needed."""
@@ -314,8 +330,11 @@
             told = any(joined for _, joined, _, _ in node.words.values())
             since = now - node.first
             lost = self.rule.out([(said, node.last[one]) for one, (said, *_) in node.words.items()], now)
-            if not node.begun and node.answered \
-                    and self.rule.may_begin(node.members, node.answered, told, since, lost):
+            if (
+                not node.begun
+                and node.answered
+                and self.rule.may_begin(node.members, node.answered, told, since, lost)
+            ):
                 node.begun = True
                 self.begins += 1
                 self.begins_by_old(node)
@@ -329,8 +348,10 @@
         alone = self.time - min(node.started, max(self.nodes[one].touched for one in node.answered))
         self.long_alone += age > contact.CURRENT
         if age > contact.CURRENT and alone < contact.ALONE * (1 - 2 * contact.DRIFT) - contact.CURRENT - 0.1:
-            raise Stale(f"{node.name} begins by slot {node.slot}, left behind for {age:.3f} s, "
-                        f"{alone:.3f} s after a contact")
+            raise Stale(
+                f"{node.name} begins by slot {node.slot}, left behind for {age:.3f} s, "
+                f"{alone:.3f} s after a contact"
+            )
 
     # ---- harm ----
 
@@ -340,8 +361,9 @@
         some = random.sample(self.controls, random.randint(1, len(self.controls) // 2 + 1))
         if random.random() < 0.3:
             some.append(random.choice(self.limiters))
-        others = [one for one in self.nodes if one not in some and
-                  (one in self.controls or random.random() < 0.3)]
+        others = [
+            one for one in self.nodes if one not in some and (one in self.controls or random.random() < 0.3)
+        ]
         if kind in ("cut", "one way"):
             pairs = [(a, b) for a in some for b in others]
             pairs = pairs if random.random() < 0.5 else [(b, a) for a, b in pairs]
--- a/tests/stories/counts_fleet.py
+++ b/tests/stories/counts_fleet.py
@@ -112,6 +112,7 @@
 
     def leave(self, name: str, when: float, down: float = inf, slow: float = 0.0) -> None:
         """It ends in order, and says so, twice; the second word takes `slow` s more on its way."""
+
         def end() -> None:
             node = self.nodes[name]
             if name in self.dead or node.caller.closed:
@@ -119,13 +120,18 @@
             for copy in range(2 if self.plan.mutant != "unsaid" else 0):
                 for other, used in node.caller.close(self.now).items():
                     self.words += 1
-                    self.send(name, other, lambda to, used=used: self.ended(to, name, node.life, used),  # type: ignore
-                              slow * copy)
+                    self.send(
+                        name,
+                        other,
+                        lambda to, used=used: self.ended(to, name, node.life, used),  # type: ignore
+                        slow * copy,
+                    )
             if self.plan.mutant == "goes on":
                 node.caller.closed = False
                 self.at(self.now + 6, lambda: self.dead.update({name: self.now}))
             else:
                 self.dead[name] = self.now
+
         self.at(when, end)
         if down < inf:
             self.at(when + down, lambda: self.again(name))
@@ -152,6 +158,7 @@
             self.cut -= pairs
             for name in names:
                 self.alone.pop(name, None)
+
         self.at(when, begin)
         self.at(when + span, end)
 
@@ -181,9 +188,11 @@
 
     def polling(self) -> None:
         there = self.force or tuple(
-            name for name in self.names
+            name
+            for name in self.names
             if self.now - self.dead.get(name, inf) < CLOSED or name not in self.dead
-            if self.now - self.alone.get(name, inf) < UNLISTED or name not in self.alone)
+            if self.now - self.alone.get(name, inf) < UNLISTED or name not in self.alone
+        )
         if self.rows(there) != self.lists[-1][1]:
             self.lists.append((self.now, self.rows(there)))
         for name, node in self.nodes.items():
@@ -206,6 +215,7 @@
         def come() -> None:
             if b not in self.dead:
                 what(self.nodes[b])
+
         self.at(self.now + takes + slow, come)
 
     def beating(self, name: str) -> Callable[[], None]:
@@ -218,6 +228,7 @@
                     else:
                         self.send(name, holder, lambda to, s=state: self.heard(to, name, node.life, s))  # type: ignore
             self.at(self.now + self.nodes[name].caller.pace(), beat)
+
         return beat
 
     def heard(self, to: Node, who: str, life: int, state: int) -> None:
@@ -227,8 +238,12 @@
     # ---- requests: the steps of the data plane's core ----
 
     def arriving(self) -> None:
-        weights = list(accumulate(0.0 if name in self.dead else weight
-                                  for name, weight in zip(self.names, self.weights, strict=True)))
+        weights = list(
+            accumulate(
+                0.0 if name in self.dead else weight
+                for name, weight in zip(self.names, self.weights, strict=True)
+            )
+        )
         if weights[-1] > 0:
             self.came.append(self.now)
             self.arrived(self.rng.choices(self.names, cum_weights=weights)[0])
@@ -257,6 +272,7 @@
                 return
             fits = self.add(to, name, state, 1.0)
             self.send(holder, name, lambda back: told(fits) if back is node else None)
+
         self.send(name, holder, question)
 
     def add(self, to: Node, who: str, state: int, units: float) -> bool:
@@ -266,8 +282,9 @@
             sole = -inf
         if self.plan.mutant == "whole" and state == AWAY:
             state = NEAR
-        fits = to.holder.add("t", units, tenant.rate, tenant.surge, self.now, who, state, sole, limiters,
-                           left)
+        fits = to.holder.add(
+            "t", units, tenant.rate, tenant.surge, self.now, who, state, sole, limiters, left
+        )
         if self.plan.mutant == "whole":
             to.holder.counts["t"].part = 1.0
         return fits
--- a/tests/stories/crossing.py
+++ b/tests/stories/crossing.py
@@ -102,8 +102,9 @@
         if one.body and self.random.random() < 0.3:
             headers.append(("Expect", "100-continue"))  # it doesn't wait for that, as a client may
         if one.body:
-            headers.append(("Transfer-Encoding", "chunked") if chunked
-                           else ("Content-Length", str(len(one.body))))
+            headers.append(
+                ("Transfer-Encoding", "chunked") if chunked else ("Content-Length", str(len(one.body)))
+            )
         if chunked:
             cuts = sorted(self.random.sample(range(1, len(one.body)), min(3, len(one.body) - 1)))
             parts = [one.body[a:b] for a, b in zip([0, *cuts], [*cuts, len(one.body)], strict=True)]
@@ -178,8 +179,11 @@
             part = f"{one.mark} {one.target};".encode()
             whole = body == b"" if one.method == "HEAD" else body in (part, part * 9000)
             if not whole or headers.get(b"trial-id") != one.mark.encode() or not self.record.runs[one.target]:
-                self.record.fault("MIXED", f"{one.method} {one.target} ({one.mark}) got {status} {headers} "
-                                           f"{len(body)} bytes: {body[:60]!r}")
+                self.record.fault(
+                    "MIXED",
+                    f"{one.method} {one.target} ({one.mark}) got {status} {headers} "
+                    f"{len(body)} bytes: {body[:60]!r}",
+                )
 
 
 # ---- a day ----
@@ -196,16 +200,42 @@
         self.notes.said = []
 
     def document(self) -> dict[str, Any]:
-        routes = [(f"{service}-{variant}", f"/{service}/{prefix}/", variant, service)
-                  for service in ("alpha", "beta")
-                  for prefix, variant in (("any", "nullipotent"), ("once", "mutating"))]
-        return {"setpointSeq": "00000001", "elements": [
-            *({"elementKind": "trajectories", "header": {"label": label}, "reference": {
-                "plant": HOST, "pathPrefix": prefix, "variant": variant, "cutoffMs": 1200, "targetMs": 300,
-                "precedence": 1, "subsystem": service, "trials": 3, "unguarded": True}}
-              for label, prefix, variant, service in routes),
-            *({"elementKind": "subsystems", "header": {"label": name}, "reference": {
-                "probe": "/probe", "connectionCeiling": 140}} for name in ("alpha", "beta"))]}
+        routes = [
+            (f"{service}-{variant}", f"/{service}/{prefix}/", variant, service)
+            for service in ("alpha", "beta")
+            for prefix, variant in (("any", "nullipotent"), ("once", "mutating"))
+        ]
+        return {
+            "setpointSeq": "00000001",
+            "elements": [
+                *(
+                    {
+                        "elementKind": "trajectories",
+                        "header": {"label": label},
+                        "reference": {
+                            "plant": HOST,
+                            "pathPrefix": prefix,
+                            "variant": variant,
+                            "cutoffMs": 1200,
+                            "targetMs": 300,
+                            "precedence": 1,
+                            "subsystem": service,
+                            "trials": 3,
+                            "unguarded": True,
+                        },
+                    }
+                    for label, prefix, variant, service in routes
+                ),
+                *(
+                    {
+                        "elementKind": "subsystems",
+                        "header": {"label": name},
+                        "reference": {"probe": "/probe", "connectionCeiling": 140},
+                    }
+                    for name in ("alpha", "beta")
+                ),
+            ],
+        }
 
     async def run(self, callers: int) -> None:
         network, random = self.network, self.random
@@ -226,8 +256,21 @@
 
             def tell(backend: Backend, mode: str = "stable") -> None:
                 counts[backend.name] += 1
-                core.put(News([Listed(backend.name, str(backend.address), backend.service, "zone", 50,
-                                      counts[backend.name], mode)]))
+                core.put(
+                    News(
+                        [
+                            Listed(
+                                backend.name,
+                                str(backend.address),
+                                backend.service,
+                                "zone",
+                                50,
+                                counts[backend.name],
+                                mode,
+                            )
+                        ]
+                    )
+                )
 
             for n in range(4):
                 with self.being(f"10.0.1.{n}"):
@@ -253,8 +296,21 @@
                             backend.begin()
                             if random.random() < 0.5:
                                 counts[former] += 1
-                                core.put(News([Listed(former, str(backend.address), was, "zone", 50,
-                                                      counts[former], "gone")]))
+                                core.put(
+                                    News(
+                                        [
+                                            Listed(
+                                                former,
+                                                str(backend.address),
+                                                was,
+                                                "zone",
+                                                50,
+                                                counts[former],
+                                                "gone",
+                                            )
+                                        ]
+                                    )
+                                )
                             tell(backend)
             await trio.sleep(2.0)
             nursery.cancel_scope.cancel()
@@ -291,8 +347,12 @@
     return found
 
 
-def play(seed: int, callers: int = 20, harm: dict[str, float] | None = None,
-         made: Callable[[Day], None] | None = None) -> Record:
+def play(
+    seed: int,
+    callers: int = 20,
+    harm: dict[str, float] | None = None,
+    made: Callable[[Day], None] | None = None,
+) -> Record:
     """One day by one seed; what it broke is in the record's `verdict`."""
     day = Day(seed, harms(Random(seed)) if harm is None else harm)
     if made is not None:
--- a/tests/stories/explore.py
+++ b/tests/stories/explore.py
@@ -36,8 +36,13 @@
 HOT = {"plain": (0.0, 0.0), "hot": (10.0, 10.0)}
 # As little as the rules need: each limiter, server and route is asked a few times between two faults, and the
 # hot tenant so often that two sides which each grant its rate break QUOTA.
-TRAFFIC = (("/read/", "key-plain", 6.0), ("/write/", "key-plain", 5.0), ("/other/", "key-plain", 1.5),
-           ("/read/", "key-old", 2.0), ("/write/", "key-hot", 28.0))
+TRAFFIC = (
+    ("/read/", "key-plain", 6.0),
+    ("/write/", "key-plain", 5.0),
+    ("/other/", "key-plain", 1.5),
+    ("/read/", "key-old", 2.0),
+    ("/write/", "key-hot", 28.0),
+)
 MOST_DAYS = 150  # played to cut one day down
 EVENTS = 150  # lines printed of the day that is left
 TOLD_S = 2.0  # s between two lines of progress
@@ -133,8 +138,14 @@
         # Danger: a world that fell is no day without a broken rule.
         broken = [f"ERROR: {cause!r}" for cause in causes(error)]
     lines = worlds[0].lines if told and worlds else []
-    return Day(seed, faults, tuple(broken), tuple(began),
-               tuple(f"{at:9.3f} {name} {event} {fields}" for at, name, event, fields in lines), quotas)
+    return Day(
+        seed,
+        faults,
+        tuple(broken),
+        tuple(began),
+        tuple(f"{at:9.3f} {name} {event} {fields}" for at, name, event, fields in lines),
+        quotas,
+    )
 
 
 def causes(error: BaseException) -> Iterator[BaseException]:
@@ -154,7 +165,7 @@
         at, cut = 0, False
         while at < len(left) and days < MOST_DAYS:
             days += 1
-            tried = day(found.seed, left[:at] + left[at + part:], shape)
+            tried = day(found.seed, left[:at] + left[at + part :], shape)
             if found.rule in {line.partition(":")[0] for line in tried.broken}:
                 best, left, cut = tried, tried.faults, True
                 tell(f"{len(left)} faults are left after {days} days")
@@ -181,15 +192,20 @@
         for tenant, (share, seed, one) in sorted(self.worst.items()):
             units = self.units[tenant]
             net = units["refused"] - units["over"]
-            yield (f"QUOTA {tenant}: at most {share:.2f} of what is allowed, {one.most} of {one.allowed:.0f} "
-                   f"in a window to {one.at:.3f} of seed {seed}")
-            yield (f"QUOTA {tenant}: of {units['fits']} units that one bucket for all would have let in "
-                   f"{units['refused']} were refused, {units['over']} others ran: {net} fewer in all "
-                   f"({net / max(1, units['fits']):.3f})")
-
-
-def first_broken(seeds: Sequence[int], shape: Shape, jobs: int, tell: Callable[[str], None],
-                 quotas: Quotas) -> Day | None:
+            yield (
+                f"QUOTA {tenant}: at most {share:.2f} of what is allowed, {one.most} of {one.allowed:.0f} "
+                f"in a window to {one.at:.3f} of seed {seed}"
+            )
+            yield (
+                f"QUOTA {tenant}: of {units['fits']} units that one bucket for all would have let in "
+                f"{units['refused']} were refused, {units['over']} others ran: {net} fewer in all "
+                f"({net / max(1, units['fits']):.3f})"
+            )
+
+
+def first_broken(
+    seeds: Sequence[int], shape: Shape, jobs: int, tell: Callable[[str], None], quotas: Quotas
+) -> Day | None:
     """The first seed, by number, whose day breaks a rule; `quotas` gets the figures of each day before it."""
     began = told = time.monotonic()
     with contextlib.ExitStack() as stack:
@@ -249,20 +265,38 @@
 @click.command()
 @click.option("--seeds", type=Seeds(), required=True, help="From A to B, both played.")
 @click.option("--faults", callback=kinds, help="Only these kinds, with commas between.")
-@click.option("--jobs", type=click.IntRange(1), default=os.cpu_count() or 1,
-              help="Processes; else one on each core.")
-@click.option("--length", type=click.FloatRange(1.0), default=LENGTH, show_default=True,
-              help="Seconds of harm in the world's time.")
-@click.option("--calm", type=click.FloatRange(1.0), default=CALM, show_default=True,
-              help="Seconds after it: all must be back.")
-@click.option("--traffic", type=click.FloatRange(0.0, 10.0, min_open=True), default=1.0,
-              show_default=True, help="Times the usual traffic: less is quicker, and sees less.")
-def main(seeds: range, faults: tuple[str, ...], jobs: int, length: float, calm: float,
-         traffic: float) -> None:
+@click.option(
+    "--jobs", type=click.IntRange(1), default=os.cpu_count() or 1, help="Processes; else one on each core."
+)
+@click.option(
+    "--length",
+    type=click.FloatRange(1.0),
+    default=LENGTH,
+    show_default=True,
+    help="Seconds of harm in the world's time.",
+)
+@click.option(
+    "--calm",
+    type=click.FloatRange(1.0),
+    default=CALM,
+    show_default=True,
+    help="Seconds after it: all must be back.",
+)
+@click.option(
+    "--traffic",
+    type=click.FloatRange(0.0, 10.0, min_open=True),
+    default=1.0,
+    show_default=True,
+    help="Times the usual traffic: less is quicker, and sees less.",
+)
+def main(
+    seeds: range, faults: tuple[str, ...], jobs: int, length: float, calm: float, traffic: float
+) -> None:
     """Play storms over seeds; print the first broken rule with the fewest faults.
 
     Status 0 if none is broken, 1 if one is.
     """
+
     def tell(words: str) -> None:
         click.echo(words, err=True)
 
--- a/tests/stories/fleet.py
+++ b/tests/stories/fleet.py
@@ -30,8 +30,10 @@
 
 def add(change: str) -> Any:
     def make(now: core.Value) -> core.Value | core.Refusal:
-        return replace(now, slot=now.slot + 1, version=now.version + 1,
-                       document=now.document + change.encode() + b" ")
+        return replace(
+            now, slot=now.slot + 1, version=now.version + 1, document=now.document + change.encode() + b" "
+        )
+
     return make
 
 
@@ -42,8 +44,9 @@
 class Fleet:
     def __init__(self, mutant: str = "", lazy: bool = False) -> None:
         self.mutant, self.lazy = mutant, lazy or mutant == "early"
-        self.acceptors = {each: core.Acceptor(core.Member(each, core.FIRST), core.genesis(ADDRESSES))
-                          for each in ADDRESSES}
+        self.acceptors = {
+            each: core.Acceptor(core.Member(each, core.FIRST), core.genesis(ADDRESSES)) for each in ADDRESSES
+        }
         self.disks = {each: msgpack.packb(one.state()) for each, one in self.acceptors.items()}
         self.held: dict[str, tuple[Action, ...]] = {each: () for each in ADDRESSES}
         self.net: frozenset[Action] = frozenset()  # (attempt, member, is a reply, packed message)
@@ -126,8 +129,11 @@
     def recovered(self) -> bool:
         """Whether another wipe may come: all members' disks are there, and a majority knows it durably."""
         last = self.chosen[max(self.chosen)]
-        known = [msgpack.unpackb(self.disks[each.address])["decided"] == last.pack() for each in last.members
-                 if self.acceptors[each.address].me == each]
+        known = [
+            msgpack.unpackb(self.disks[each.address])["decided"] == last.pack()
+            for each in last.members
+            if self.acceptors[each.address].me == each
+        ]
         return len(known) == len(last.members) and sum(known) >= core.majority(len(last.members))
 
     def heal(self, name: str) -> None:
