--- a/tests/stories/losses.py
+++ b/tests/stories/losses.py
@@ -135,8 +135,11 @@
             if known and (sure or self.random.random() < self.gossip):
                 machine.acceptor.learn(max(known, key=lambda value: value.slot))
             kept = machine.acceptor.decided is None or machine.acceptor.on_disk >= machine.acceptor.revision
-            if not kept and self.mutant not in ("once", "memory") and (
-                    sure or self.random.random() < self.gossip):
+            if (
+                not kept
+                and self.mutant not in ("once", "memory")
+                and (sure or self.random.random() < self.gossip)
+            ):
                 machine.save()
 
     # ---- what a control plane does ----
@@ -146,10 +149,16 @@
         if decided is None:
             return None
         # Danger: who has gone in order is heard for a while yet.
-        silent = {one.acceptor.me: 0.0 for one in self.machines.values()
-                  if one.up or (one.leaving and not self.calm)}
-        spares = tuple(one.acceptor.me for one in self.there()
-                       if (not one.leaving or self.mutant == "stay") and (me.met or one is me))
+        silent = {
+            one.acceptor.me: 0.0
+            for one in self.machines.values()
+            if one.up or (one.leaving and not self.calm)
+        }
+        spares = tuple(
+            one.acceptor.me
+            for one in self.there()
+            if (not one.leaving or self.mutant == "stay") and (me.met or one is me)
+        )
         leaving = self.going(me)
         while True:
             members = membership.next_members(decided.members, silent, spares, leaving)
@@ -210,8 +219,9 @@
 
     def fence(self, me: Machine) -> Any:
         before = me.acceptor.decided
-        refused = yield from self.decide(me, lambda value: core.Refusal("fence"),
-                                         None if self.mutant == "own" else me.acceptor.me)
+        refused = yield from self.decide(
+            me, lambda value: core.Refusal("fence"), None if self.mutant == "own" else me.acceptor.me
+        )
         return refused and me.acceptor.decided is before
 
     def decide(self, me: Machine, change: Any, without: Member | None = None) -> Any:
@@ -262,15 +272,21 @@
 
     def must_bear(self, members: tuple[Member, ...], loss: str) -> bool:
         """Does a program say that it is settled, and are there enough to lose one?"""
-        there = [each.address for each in members if (one := self.machines.get(each.address)) is not None
-                 and one.up and one.acceptor.me == each]
+        there = [
+            each.address
+            for each in members
+            if (one := self.machines.get(each.address)) is not None and one.up and one.acceptor.me == each
+        ]
         return self.settled == members and len(there) - (loss in there) >= majority(len(members))
 
     def planned(self, loss: str) -> bool:
         """Is the only loss until now a planned end? Then one more must be borne at any step; that of a
         first member only if it knew somebody to hand over to."""
-        return all(one.met or one.up or loss not in {each.address for each in self.first.members}
-                   for one in self.machines.values() if one.leaving)
+        return all(
+            one.met or one.up or loss not in {each.address for each in self.first.members}
+            for one in self.machines.values()
+            if one.leaving
+        )
 
     def rests(self, over: bool) -> bool:
         """Has all been done that the first loss asked for? Then one more must be borne, whoever says what."""
@@ -309,8 +325,9 @@
 HOWS = ("gone", "gone power", "wiped", "wiped power")
 
 
-def harmed(members: int, kind: str, seed: int, mutant: str = "", always: bool = False, part: int = 0,
-           parts: int = 1) -> int:
+def harmed(
+    members: int, kind: str, seed: int, mutant: str = "", always: bool = False, part: int = 0, parts: int = 1
+) -> int:
     """One repair, with a loss after each of its steps in turn; how many losses were played. `always`: the
     second must be borne at any step, else only where a program says that the first is settled. `part`: of
     `parts` that share the steps out in turn."""
@@ -332,8 +349,11 @@
                 continue
             address, how = target
             # at rest every change must be settled, whoever says so
-            wanted = one.planned(address) if kind == "leaves" else (
-                always or one.must_bear(one.newest().members, address) or one.rests(over))
+            wanted = (
+                one.planned(address)
+                if kind == "leaves"
+                else (always or one.must_bear(one.newest().members, address) or one.rests(over))
+            )
             if not wanted or not one.machines[address].up:
                 continue
             played += 1
@@ -341,8 +361,9 @@
             try:
                 one.heal()
             except Broken as broken:
-                raise Broken(f"{broken}: {members} members, {kind}, seed {seed}, step {step}, "
-                             f"{address} {how}") from None
+                raise Broken(
+                    f"{broken}: {members} members, {kind}, seed {seed}, step {step}, " f"{address} {how}"
+                ) from None
         if over:
             return played
         step += 1
--- a/tests/stories/older.py
+++ b/tests/stories/older.py
@@ -42,6 +42,7 @@
 @contextmanager
 def running(hosts: set[str]) -> Iterator[set[str]]:
     """In the in-memory world, the machines in the set run the older text; the set may change."""
+
     def old() -> bool:
         return current.get().machine.host in hosts
 
@@ -73,9 +74,14 @@
         return "taken" if (version, digest) in self.older else "not taken"
 
     patches: list[tuple[Any, str, Any]] = [
-        (Value, "unpack", staticmethod(unpack)), (News, "note", note), (News, "newer", newer),
-        (Taken, "fate", fate), (Members, "slim", slim), (Members, "whole", whole),
-        (core.Acceptor, "_answer", answer)]
+        (Value, "unpack", staticmethod(unpack)),
+        (News, "note", note),
+        (News, "newer", newer),
+        (Taken, "fate", fate),
+        (Members, "slim", slim),
+        (Members, "whole", whole),
+        (core.Acceptor, "_answer", answer),
+    ]
     with ExitStack() as stack:
         for owner, word, instead in patches:
             stack.enter_context(mock.patch.object(owner, word, instead))
--- a/tests/stories/order_chain.py
+++ b/tests/stories/order_chain.py
@@ -54,8 +54,14 @@
 
 
 class Calls:
-    def __init__(self, case: Case, copies: tuple[int, ...], lacks: tuple[str, ...] = (),
-                 denied: bool = True, like: bool = False) -> None:
+    def __init__(
+        self,
+        case: Case,
+        copies: tuple[int, ...],
+        lacks: tuple[str, ...] = (),
+        denied: bool = True,
+        like: bool = False,
+    ) -> None:
         """`denied`: is that rule looked at, or only what operators see? `like`: of states that differ only by
         which of like orders is which, is one enough?"""
         self.case, self.copies, self.lacks, self.denied = case, copies, lacks, denied
@@ -125,15 +131,26 @@
             yield self.tell(now, call.order, Ruling(made.reason))
 
     def decide(self, now: Day, value: Value) -> Day:
-        taken = next((at for at, one in enumerate(self.case) if value.document == one.digest
-                      and value.version != now.newest.version), -1)
+        taken = next(
+            (
+                at
+                for at, one in enumerate(self.case)
+                if value.document == one.digest and value.version != now.newest.version
+            ),
+            -1,
+        )
         chain = now.chain if taken < 0 else (*now.chain, taken)
-        day = self.facts(now._replace(newest=value, made=(), chain=chain, calls=tuple(
-            call for call in now.calls if call.made != value)))
+        day = self.facts(
+            now._replace(
+                newest=value,
+                made=(),
+                chain=chain,
+                calls=tuple(call for call in now.calls if call.made != value),
+            )
+        )
         for call in now.calls:
             if call.made == value:
-                day = self.tell(
-                    day, call.order, Ruling.TAKEN if call.kind is Ruling.OPEN else Ruling.REFUSED)
+                day = self.tell(day, call.order, Ruling.TAKEN if call.kind is Ruling.OPEN else Ruling.REFUSED)
         return day
 
     def at(self, now: Day, call: Call) -> Day:
@@ -183,8 +200,11 @@
         for some in self.like:
             for at in some:
                 own = self.case[at].digest
-                calls = sorted((one.step, str(one.kind), one.base.slot, one.made is not None)
-                               for one in now.calls if one.order == at)
+                calls = sorted(
+                    (one.step, str(one.kind), one.base.slot, one.made is not None)
+                    for one in now.calls
+                    if one.order == at
+                )
                 made = [value.document == own for value in now.made]
                 place = now.chain.index(at) if at in now.chain else -1
                 become[at] = repr((place, now.copies[at], now.told[at], now.said[at], any(made), calls))
@@ -195,46 +215,67 @@
         if goes == sorted(goes):
             return now
         to, comes = tuple(goes), [goes.index(at) for at in range(len(goes))]
-        return Day(self.rename(now.newest, to), tuple(self.rename(value, to) for value in now.made),
-                   tuple(one._replace(order=to[one.order], base=self.rename(one.base, to),
-                                      made=one.made and self.rename(one.made, to)) for one in now.calls),
-                   tuple(now.copies[at] for at in comes), tuple(now.told[at] for at in comes),
-                   tuple(now.said[at] for at in comes), tuple(to[at] for at in now.chain))
+        return Day(
+            self.rename(now.newest, to),
+            tuple(self.rename(value, to) for value in now.made),
+            tuple(
+                one._replace(
+                    order=to[one.order],
+                    base=self.rename(one.base, to),
+                    made=one.made and self.rename(one.made, to),
+                )
+                for one in now.calls
+            ),
+            tuple(now.copies[at] for at in comes),
+            tuple(now.told[at] for at in comes),
+            tuple(now.said[at] for at in comes),
+            tuple(to[at] for at in now.chain),
+        )
 
     def rename(self, value: Value, to: tuple[int, ...]) -> Value:
         """The value in which each order has the digest of the one whose place it takes."""
         found = self.renamed.get((value, to))
         if found is None:
             names = {one.digest: self.case[to[at]].digest for at, one in enumerate(self.case)}
-            short = {old[:DIGEST].ljust(DIGEST, b"\0"): new[:DIGEST].ljust(DIGEST, b"\0")
-                     for old, new in names.items()}
+            short = {
+                old[:DIGEST].ljust(DIGEST, b"\0"): new[:DIGEST].ljust(DIGEST, b"\0")
+                for old, new in names.items()
+            }
 
             def entries(packed: bytes) -> bytes:
-                split = [packed[at:at + ENTRY] for at in range(0, len(packed), ENTRY)]
+                split = [packed[at : at + ENTRY] for at in range(0, len(packed), ENTRY)]
                 return b"".join(one[:-DIGEST] + short.get(one[-DIGEST:], one[-DIGEST:]) for one in split)
 
             memory = replace(value.taken, kept=entries(value.taken.kept), barred=entries(value.taken.barred))
             found = self.renamed[value, to] = replace(
-                value, document=names.get(value.document, value.document), taken=memory)
+                value, document=names.get(value.document, value.document), taken=memory
+            )
         return found
 
 
 def put(row: tuple[str, ...], at: int, new: str) -> tuple[str, ...]:
-    return (*row[:at], new, *row[at + 1:])
+    return (*row[:at], new, *row[at + 1 :])
 
 
 def fewer(row: tuple[int, ...], at: int) -> tuple[int, ...]:
-    return (*row[:at], row[at] - 1, *row[at + 1:])
+    return (*row[:at], row[at] - 1, *row[at + 1 :])
 
 
 def without(calls: tuple[Call, ...], one: Call) -> tuple[Call, ...]:
     at = calls.index(one)
-    return calls[:at] + calls[at + 1:]
-
-
-def search(case: Case, copies: int | tuple[int, ...] = 2, lacks: tuple[str, ...] = (),
-           limit: int = 2_000_000, kept: int = 1, barred: int = 1, denied: bool = True,
-           like: bool = False) -> Found:
+    return calls[:at] + calls[at + 1 :]
+
+
+def search(
+    case: Case,
+    copies: int | tuple[int, ...] = 2,
+    lacks: tuple[str, ...] = (),
+    limit: int = 2_000_000,
+    kept: int = 1,
+    barred: int = 1,
+    denied: bool = True,
+    like: bool = False,
+) -> Found:
     """Breadth first; `kept`, `barred`: bounds of the memory, so small that a few orders pass them; `like`: is
     one enough of states that differ only by which of like orders is which?"""
     with lacking(*lacks, kept=kept, barred=barred):
--- a/tests/stories/order_days.py
+++ b/tests/stories/order_days.py
@@ -114,13 +114,21 @@
 
     def faults(self) -> list[str]:
         """Orders that were acknowledged and refused, in whatever order."""
-        return [f"order {one.version.number:08x} on {one.version.prior:08x}: {one.told}"
-                for one in self.orders
-                if one.version.refused and any(status == 200 for _, status, _ in one.told)]
-
-
-def played(seed: int, rounds: int, lacks: tuple[str, ...] = (), kept: int = taken.KEPT,
-           barred: int = taken.BARRED, patience: float = early.PATIENCE) -> tuple[list[str], dict[str, int]]:
+        return [
+            f"order {one.version.number:08x} on {one.version.prior:08x}: {one.told}"
+            for one in self.orders
+            if one.version.refused and any(status == 200 for _, status, _ in one.told)
+        ]
+
+
+def played(
+    seed: int,
+    rounds: int,
+    lacks: tuple[str, ...] = (),
+    kept: int = taken.KEPT,
+    barred: int = taken.BARRED,
+    patience: float = early.PATIENCE,
+) -> tuple[list[str], dict[str, int]]:
     """What broke on that day, and its figures; `kept`, `barred`: bounds of the memory; `patience`: s for
     which an order whose base is missing is told to come again; with 0 it does not wait for it either."""
     wait = early.WAIT if patience else 0.0
@@ -134,9 +142,13 @@
         world = play(story, seed, limiters=1, servers=1)
     day = days[0]
     told = [status for one in day.orders for _, status, _ in one.told]
-    figures = {"orders": len(day.orders),
-               "taken": sum(one.version.taken < float("inf") for one in day.orders),
-               "answers": len(told), "unclear": sum(status >= 500 for status in told),
-               "again": sum(max(0, len([1 for _, status, _ in one.told if status == 200]) - 1)
-                            for one in day.orders)}
+    figures = {
+        "orders": len(day.orders),
+        "taken": sum(one.version.taken < float("inf") for one in day.orders),
+        "answers": len(told),
+        "unclear": sum(status >= 500 for status in told),
+        "again": sum(
+            max(0, len([1 for _, status, _ in one.told if status == 200]) - 1) for one in day.orders
+        ),
+    }
     return [*day.faults(), *world.judge.verdict()], figures
--- a/tests/stories/order_lives.py
+++ b/tests/stories/order_lives.py
@@ -190,8 +190,9 @@
         return len(documents) - 1
 
 
-def play(seed: int, steps: int = 20_000, lacks: tuple[str, ...] = (), kept: int = 8,
-         barred: int = 2) -> tuple[int, Life]:
+def play(
+    seed: int, steps: int = 20_000, lacks: tuple[str, ...] = (), kept: int = 8, barred: int = 2
+) -> tuple[int, Life]:
     """One life, judged all along; how many changes were taken. Denied, or fleet's Split, if a rule broke."""
     with lacking(*lacks, kept=kept, barred=barred):
         life = Life(seed, lacks)
--- a/tests/stories/order_mutants.py
+++ b/tests/stories/order_mutants.py
@@ -50,7 +50,7 @@
 
 def evicted(self: Taken, prior: int, digest: bytes, newer: bool = True) -> Taken | None:
     if len(self.barred) >= taken.BARRED * taken.ENTRY:
-        self = replace(self, barred=self.barred[taken.ENTRY:])
+        self = replace(self, barred=self.barred[taken.ENTRY :])
     return real_bar(self, prior, digest, newer)
 
 
@@ -71,8 +71,13 @@
 
 def below(value: Value, order: Order, base: Value, document: bytes, newer: bool = True) -> Value | Refusal:
     if order.version <= value.version == order.prior:
-        return replace(value, slot=value.slot + 1, version=order.version, document=document,
-                       taken=value.taken.add(order.version, order.digest))
+        return replace(
+            value,
+            slot=value.slot + 1,
+            version=order.version,
+            document=document,
+            taken=value.taken.add(order.version, order.digest),
+        )
     return real_take(value, order, base, document, newer)
 
 
--- a/tests/stories/order_states.py
+++ b/tests/stories/order_states.py
@@ -51,8 +51,11 @@
 
     def heard(self, now: State, one: Attempt, rest: tuple[Attempt, ...]) -> Any:
         for new in super().heard(now, one, rest):
-            made = one.change.startswith(BAR) and one.value == NONE and any(
-                each.value != NONE and each.own and each not in rest for each in new.attempts)
+            made = (
+                one.change.startswith(BAR)
+                and one.value == NONE
+                and any(each.value != NONE and each.own and each not in rest for each in new.attempts)
+            )
             if made and "bar undecided" in self.lacks:
                 new = new._replace(fates=self.fate(new, one.change.removeprefix(BAR), REFUSED))
             yield new
@@ -92,8 +95,17 @@
                 said = ruling
 
 
-def search(case: Case, bounds: Bounds, lacks: tuple[str, ...] = (), limit: int = 1_000_000, depth: int = 1000,
-           deep: bool = False, only: str = "", kept: int = 1, barred: int = 1) -> Found:
+def search(
+    case: Case,
+    bounds: Bounds,
+    lacks: tuple[str, ...] = (),
+    limit: int = 1_000_000,
+    depth: int = 1000,
+    deep: bool = False,
+    only: str = "",
+    kept: int = 1,
+    barred: int = 1,
+) -> Found:
     """`kept`, `barred`: bounds of the memory, so small that a few orders pass them."""
     bounds = replace(bounds, resent=True)
     with lacking(*lacks, kept=kept, barred=barred):
--- a/tests/stories/readers.py
+++ b/tests/stories/readers.py
@@ -34,10 +34,25 @@
 ADDRESS, MARK = Address("10.0.0.9", 80), b"t1"
 MOST = 20_000  # bytes of a recording: larger bodies are streamed, and how far depends on the pieces
 TOKENS = (
-    b"\r\n", b"\r\n\r\n", b"0\r\n\r\n", b"Content-Length: 3\r\n", b"Transfer-Encoding: chunked\r\n",
-    b"HTTP/1.0", b"HTTP/1.1 100 X\r\n\r\n", b"Connection: close\r\n", b"Trial-Id: t1\r\n",
-    b"Trial-Id: t2\r\n", b"HEAD ", b"CONNECT ", b"\x00", b"\xff", b"999999999999", b"Upgrade: x\r\n", b" ",
-    b":")
+    b"\r\n",
+    b"\r\n\r\n",
+    b"0\r\n\r\n",
+    b"Content-Length: 3\r\n",
+    b"Transfer-Encoding: chunked\r\n",
+    b"HTTP/1.0",
+    b"HTTP/1.1 100 X\r\n\r\n",
+    b"Connection: close\r\n",
+    b"Trial-Id: t1\r\n",
+    b"Trial-Id: t2\r\n",
+    b"HEAD ",
+    b"CONNECT ",
+    b"\x00",
+    b"\xff",
+    b"999999999999",
+    b"Upgrade: x\r\n",
+    b" ",
+    b":",
+)
 
 
 @cache
@@ -60,8 +75,10 @@
         if 0 < len(data) < MOST:
             said[whose].append(bytes(data))
     whole = [{"of": n, "rows": [["s", n, None, 1.5, b"x" * n]]} for n in range(6)]
-    said["frames"] = [b"".join(frames.pack([n, one]) for n, one in enumerate(whole, 1) if n % step == 0)
-                      for step in (1, 2, 3)]
+    said["frames"] = [
+        b"".join(frames.pack([n, one]) for n, one in enumerate(whole, 1) if n % step == 0)
+        for step in (1, 2, 3)
+    ]
     sent = Counts.sent
 
     def keep(self: Counts, data: bytes, source: Any, to: Any) -> int:
@@ -79,7 +96,7 @@
         end = min(len(data), at + random.choice((1, 1, 2, 4, 30)))
         kind = random.randrange(7)
         if kind == 0:
-            data = data[:at] + bytes([random.randrange(256)]) + data[at + 1:]
+            data = data[:at] + bytes([random.randrange(256)]) + data[at + 1 :]
         elif kind == 1:
             data = data[:at] + data[end:]
         elif kind == 2:
@@ -87,7 +104,7 @@
         elif kind == 3:
             data = data[:at] + random.choice(TOKENS) + data[at:]
         elif kind == 4:
-            data = data[:at] + other[random.randint(0, len(other)):]
+            data = data[:at] + other[random.randint(0, len(other)) :]
         elif kind == 5:
             data = data[:at]
         else:
@@ -98,7 +115,7 @@
 def cut(data: bytes, random: Random) -> list[bytes]:
     """In pieces: all bytes alone, or cut at some."""
     if random.random() < 0.2 and len(data) < 2000:
-        return [data[n:n + 1] for n in range(len(data))]
+        return [data[n : n + 1] for n in range(len(data))]
     places = sorted({0, len(data), *(random.randint(0, len(data)) for _ in range(random.randint(1, 8)))})
     return [data[a:b] for a, b in itertools.pairwise(places) if a < b]
 
@@ -170,6 +187,7 @@
 
     async def story() -> None:
         async with trio.open_nursery() as nursery:
+
             async def answer(item: Exchange) -> None:
                 await trio.sleep(0.001)
                 item.reply(Answer(200, [(b"Content-Length", b"0")]))
@@ -179,8 +197,13 @@
                     found.append((item.method, item.target, item.mark, item.body, sorted(item.headers)))
                     nursery.start_soon(answer, item)
 
-            core: Any = SimpleNamespace(clock=VirtualClock(), telemetry=notes, put=put,
-                                        halted=lambda _: False, next_id=itertools.count(1).__next__)
+            core: Any = SimpleNamespace(
+                clock=VirtualClock(),
+                telemetry=notes,
+                put=put,
+                halted=lambda _: False,
+                next_id=itertools.count(1).__next__,
+            )
             reader = Reader(read_configuration(Day(0, {}).document()))
             clients = Clients(core, reader, nursery, lambda: True, 100, 1 << 28)
             clients.take(stream)
@@ -205,8 +228,9 @@
             servers = Servers(core, Words(), nursery, 100)
             route: Any = SimpleNamespace(repeatable=False)
             until = core.clock.now() + 20.0
-            request = Request(1, until, mock.Mock(), method, b"/", [(b"Host", b"x")], b"", mark=MARK,
-                              route=route)
+            request = Request(
+                1, until, mock.Mock(), method, b"/", [(b"Host", b"x")], b"", mark=MARK, route=route
+            )
             with mock.patch.object(net, "connect", mock.AsyncMock(return_value=Replay(pieces))):
                 servers.start(Attempt(request, 0, "s", ADDRESS, 20.0, core.clock.now(), until))
                 await trio.sleep(30.0)
@@ -228,6 +252,7 @@
         async with trio.open_nursery() as nursery:
             link = frames.Link(ADDRESS, nursery)
             with mock.patch.object(net, "connect", mock.AsyncMock(return_value=Replay(pieces))):
+
                 async def ask(number: int) -> None:
                     with suppress(frames.PeerError):
                         found.append((number, repr(await link.ask("ask", {}, 20.0))))
@@ -248,8 +273,9 @@
             return {}
 
         with trio.move_on_after(30.0):
-            await frames.answer_all(frames.Frames(Replay(pieces)), handle,
-                                    lambda why: broken.append("broken"))
+            await frames.answer_all(
+                frames.Frames(Replay(pieces)), handle, lambda why: broken.append("broken")
+            )
 
     ran(peer)
     # What came before a frame that is none may be under way, and ends with its connection.
@@ -273,7 +299,11 @@
 
 
 READERS: dict[str, Callable[[list[bytes]], Any]] = {
-    "front": front, "answers": answers, "frames": framed, "datagrams": datagrams}
+    "front": front,
+    "answers": answers,
+    "frames": framed,
+    "datagrams": datagrams,
+}
 
 
 def fuzz(name: str, seed: int) -> str:
@@ -294,5 +324,3 @@
 
 def first_mark(data: bytes) -> bytes:
     return data.partition(b"Trial-Id: ")[2].partition(b"\r\n")[0]
-
-
--- a/tests/stories/rules.py
+++ b/tests/stories/rules.py
@@ -25,8 +25,11 @@
 )
 
 SUPERSEDED = "a change was made or refused on a value that was superseded before it was asked"
-TWO, LOST, STUCK = ("two values decided for one slot", "a decided value is lost",
-                    "nothing can be decided any more")
+TWO, LOST, STUCK = (
+    "two values decided for one slot",
+    "a decided value is lost",
+    "nothing can be decided any more",
+)
 OUT, BACK = "an acknowledged change is not in force", "a refused change is in force"
 BOTH = "a change was refused and acknowledged"
 STALE = "a superseded value is read as fresh"
@@ -68,8 +71,11 @@
             self.memo[key] = self.unaware(now.accs, self.values[value])
         newest = (*now.known, *self.chosen(now).values())
         for one in now.attempts:
-            if one.base == value and one.value in newest and any(
-                    self.members(one)[place] in self.memo[key] for place, _ in one.votes):
+            if (
+                one.base == value
+                and one.value in newest
+                and any(self.members(one)[place] in self.memo[key] for place, _ in one.votes)
+            ):
                 self.broken(UNAWARE)
 
     def unaware(self, accs: tuple[Acc, ...], decided: core.Value) -> frozenset[core.Member]:
@@ -90,8 +96,12 @@
         """Whatever disks are left find what is decided: each majority of them, after a loss of all memory."""
         top = max(acc.slot for acc in accs)
         last = self.values[newest[top]]
-        left = [acc for member in last.members for at, acc in enumerate(accs)
-                if member == core.Member(ADDRESSES[at], acc.disk)]
+        left = [
+            acc
+            for member in last.members
+            for at, acc in enumerate(accs)
+            if member == core.Member(ADDRESSES[at], acc.disk)
+        ]
         if len(left) < core.majority(len(last.members)):
             self.broken(STUCK)
         if max(newest) > top + 1:
@@ -112,8 +122,15 @@
     path: int = 0  # steps to what is broken
 
 
-def explore(bounds: Bounds, lacks: frozenset[str] = frozenset(), limit: int = 1_000_000, depth: int = 1000,
-            deep: bool = False, only: str = "", model: Checked | None = None) -> Found:
+def explore(
+    bounds: Bounds,
+    lacks: frozenset[str] = frozenset(),
+    limit: int = 1_000_000,
+    depth: int = 1000,
+    deep: bool = False,
+    only: str = "",
+    model: Checked | None = None,
+) -> Found:
     """Breadth first; `deep`: depth first, which may meet a broken state sooner and tells no least depth.
 
     States are kept as 64-bit hashes: among ten million, two are taken for one with a chance of 1 in 300,000.
--- a/tests/stories/slips.py
+++ b/tests/stories/slips.py
@@ -21,8 +21,12 @@
 
 Drop = Callable[[], Any]
 read, head, begun = dialect.Words.read, dialect.Words.head, core.Core.send
-answered, renew, after, told = (answering.Answering.answered, upstream.Connection.renew, tries.after,
-                                counting.Counting.told)
+answered, renew, after, told = (
+    answering.Answering.answered,
+    upstream.Connection.renew,
+    tries.after,
+    counting.Counting.told,
+)
 
 
 def renamed(always: bool) -> Drop:
@@ -32,6 +36,7 @@
             reply.headers = [(name, value) for name, value in reply.headers if name != b"trial-id"]
             reply.headers.append((b"trial-id", attempt.exchange.mark))
         read(self, reply, attempt, ended)
+
     return lambda: mock.patch.object(dialect.Words, "read", mutant)
 
 
@@ -148,45 +153,77 @@
 GUARDS: dict[str, tuple[str, Drop]] = {
     "name": ("an answer is to the request whose Trial-Id it has", renamed(True)),
     "nameless": ("an answer without a Trial-Id is nobody's", renamed(False)),
-    "unsent": ("a connection is kept only when the kernel has all of its request",
-               lambda: mock.patch.object(upstream.Connection, "renew", sent)),
+    "unsent": (
+        "a connection is kept only when the kernel has all of its request",
+        lambda: mock.patch.object(upstream.Connection, "renew", sent),
+    ),
     "carried": ("a connection carries an id once", lambda: mock.patch.object(upstream, "MARKS", 0)),
-    "promise": ("a server's 408, 429 or 503 that doesn't say Not-Executed is no promise of ours",
-                lambda: mock.patch.object(dialect, "PROMISES", ())),
-    "pending": ("one task writes to a client at a time",
-                lambda: mock.patch.object(answering.Answering, "send", at_once)),
+    "promise": (
+        "a server's 408, 429 or 503 that doesn't say Not-Executed is no promise of ours",
+        lambda: mock.patch.object(dialect, "PROMISES", ()),
+    ),
+    "pending": (
+        "one task writes to a client at a time",
+        lambda: mock.patch.object(answering.Answering, "send", at_once),
+    ),
     "target": ("a request names the server's life", lambda: mock.patch.object(dialect.Words, "head", untold)),
-    "may have run": ("what was written may have run",
-                     lambda: mock.patch.object(tries, "ran", lambda status: False)),
-    "renewed": ("what may run once isn't sent again after a reset on a kept connection",
-                lambda: mock.patch.object(tries, "renews", lambda tried, renewed: not renewed)),
-    "hedged": ("what may run once isn't sent to a second server beside the first",
-               lambda: mock.patch.object(core.Core, "send", hedged)),
+    "may have run": (
+        "what was written may have run",
+        lambda: mock.patch.object(tries, "ran", lambda status: False),
+    ),
+    "renewed": (
+        "what may run once isn't sent again after a reset on a kept connection",
+        lambda: mock.patch.object(tries, "renews", lambda tried, renewed: not renewed),
+    ),
+    "hedged": (
+        "what may run once isn't sent to a second server beside the first",
+        lambda: mock.patch.object(core.Core, "send", hedged),
+    ),
     "again": ("what may have run isn't tried again", lambda: mock.patch.object(tries, "after", again)),
-    "written": ("a body's last byte written means that it may run",
-                lambda: mock.patch.object(upstream.Upload, "written", mock.PropertyMock(return_value=False))),
-    "life": ("an answer about a count names the life that asked",
-             lambda: mock.patch.object(questions.Questions, "read", of_any_life)),
-    "source": ("an answer about a count comes from the address that was asked",
-               lambda: mock.patch.object(counting.Counting, "told", from_anyone)),
-    "line": ("an answer comes by the connection that its question went out on",
-             lambda: mock.patch.object(frames.Link, "take", any_line)),
+    "written": (
+        "a body's last byte written means that it may run",
+        lambda: mock.patch.object(upstream.Upload, "written", mock.PropertyMock(return_value=False)),
+    ),
+    "life": (
+        "an answer about a count names the life that asked",
+        lambda: mock.patch.object(questions.Questions, "read", of_any_life),
+    ),
+    "source": (
+        "an answer about a count comes from the address that was asked",
+        lambda: mock.patch.object(counting.Counting, "told", from_anyone),
+    ),
+    "line": (
+        "an answer comes by the connection that its question went out on",
+        lambda: mock.patch.object(frames.Link, "take", any_line),
+    ),
 }
 
 
 CALLS: dict[str, tuple[str, Drop]] = {
-    "drained": ("no beat undoes a drain, whatever its number",
-                lambda: mock.patch.object(records.Server, "rank", by_number)),
-    "late": ("a late beat of a server called lost is none of its next",
-             lambda: mock.patch.object(cells.Cells, "beat", by_any_beat)),
-    "departed": ("a server that left is remembered while late beats may come",
-                 lambda: mock.patch.object(cells, "GONE_KEPT", 0.5)),
-    "held": ("a drain is acknowledged when more than half of the core holds it",
-             lambda: mock.patch.object(asking.Asking, "hold", unasked)),
-    "whole": ("a call that is cut before its last byte changes nothing",
-              lambda: mock.patch.object(connection.Connection, "reply", half_a_call)),
-    "streamed": ("nor does one whose body is too large to come in one",
-                 lambda: mock.patch.object(calls.Calls, "whole", half_a_body)),
+    "drained": (
+        "no beat undoes a drain, whatever its number",
+        lambda: mock.patch.object(records.Server, "rank", by_number),
+    ),
+    "late": (
+        "a late beat of a server called lost is none of its next",
+        lambda: mock.patch.object(cells.Cells, "beat", by_any_beat),
+    ),
+    "departed": (
+        "a server that left is remembered while late beats may come",
+        lambda: mock.patch.object(cells, "GONE_KEPT", 0.5),
+    ),
+    "held": (
+        "a drain is acknowledged when more than half of the core holds it",
+        lambda: mock.patch.object(asking.Asking, "hold", unasked),
+    ),
+    "whole": (
+        "a call that is cut before its last byte changes nothing",
+        lambda: mock.patch.object(connection.Connection, "reply", half_a_call),
+    ),
+    "streamed": (
+        "nor does one whose body is too large to come in one",
+        lambda: mock.patch.object(calls.Calls, "whole", half_a_body),
+    ),
 }
 
 
--- a/tests/stories/states.py
+++ b/tests/stories/states.py
@@ -31,6 +31,8 @@
 NONE = -1
 
 Accepted = tuple[Any, ...]  # () or (ballot, value)
+
+
 class Broken(Exception):
     """What must never be; the words tell which rule."""
 
@@ -103,8 +105,17 @@
         zero = self.number(core.genesis(ADDRESSES[:3]))
         members = tuple(Acc(core.FIRST, 0, zero, core.NO_BALLOT, ()) for _ in range(3))
         most = self.bounds
-        return State((*members, Acc("d", NONE, NONE, core.NO_BALLOT, ())), None, (zero,),
-                     (OPEN,) * len(self.names), (), most.starts, most.swaps, most.wipes, most.restarts)
+        return State(
+            (*members, Acc("d", NONE, NONE, core.NO_BALLOT, ())),
+            None,
+            (zero,),
+            (OPEN,) * len(self.names),
+            (),
+            most.starts,
+            most.swaps,
+            most.wipes,
+            most.restarts,
+        )
 
     def broken(self, rule: str) -> None:
         if self.only in ("", rule):
@@ -112,14 +123,18 @@
 
     # ---- core's own steps, remembered ----
 
-    def answer(self, at: int, acc: Acc, synced: bool,
-               message: tuple[Any, ...]) -> tuple[Acc, core.Message, bool]:
+    def answer(
+        self, at: int, acc: Acc, synced: bool, message: tuple[Any, ...]
+    ) -> tuple[Acc, core.Message, bool]:
         """What a machine's acceptor becomes, its reply, and whether that must wait for the disk."""
         key = (at, acc, synced, message)
         if key not in self.memo:
-            one = Acceptor(core.Member(ADDRESSES[at], acc.disk),
-                           None if acc.decided == NONE else self.values[acc.decided], acc.promised,
-                           (acc.accepted[0], self.values[acc.accepted[1]]) if acc.accepted else None)
+            one = Acceptor(
+                core.Member(ADDRESSES[at], acc.disk),
+                None if acc.decided == NONE else self.values[acc.decided],
+                acc.promised,
+                (acc.accepted[0], self.values[acc.accepted[1]]) if acc.accepted else None,
+            )
             one.lacks, one.on_disk = self.lacks, one.revision - (not synced)
             asked: core.Message = {"kind": message[0]}
             if message[0] == "learn":
@@ -129,8 +144,13 @@
                 if message[0] == "accept":
                     asked["value"] = self.values[message[3]].pack()
             reply, dirty = one.handle(asked)
-            new = Acc(acc.disk, one._slot(), NONE if one.decided is None else self.number(one.decided),
-                      one.promised, (one.accepted[0], self.number(one.accepted[1])) if one.accepted else ())
+            new = Acc(
+                acc.disk,
+                one._slot(),
+                NONE if one.decided is None else self.number(one.decided),
+                one.promised,
+                (one.accepted[0], self.number(one.accepted[1])) if one.accepted else (),
+            )
             self.memo[key] = new, reply, dirty
         found: tuple[Acc, core.Message, bool] = self.memo[key]
         return found
@@ -145,6 +165,7 @@
             if now.version:
                 return core.Refusal("another version")
             return replace(now, slot=now.slot + 1, version=1, document=name.encode())
+
         return make
 
     def swap(self, now: core.Value, name: str) -> core.Value | core.Refusal:
@@ -170,8 +191,13 @@
         member = self.members(one)[place]
         told = member if "stranger" in self.lacks else core.Member(member.address, disk)
         accepted = [list(held[0]), self.values[held[1]].pack()] if held else None
-        return member, {"kind": kind, "slot": one.slot, "ballot": list(one.ballot), "accepted": accepted,
-                        "from": list(told)}
+        return member, {
+            "kind": kind,
+            "slot": one.slot,
+            "ballot": list(one.ballot),
+            "accepted": accepted,
+            "from": list(told),
+        }
 
     def hear_promises(self, one: Attempt, promises: tuple[Any, ...]) -> tuple[int, bool, str]:
         """The value proposed and whether it is the attempt's own, or why it was refused; (NONE, False, "") if
@@ -206,7 +232,7 @@
 
     def next(self, now: State) -> Iterator[State]:
         for i, one in enumerate(now.attempts):
-            rest = now.attempts[:i] + now.attempts[i + 1:]
+            rest = now.attempts[:i] + now.attempts[i + 1 :]
             yield from self.asked(now, one, rest)
             if one.life == LIVE:
                 yield from self.heard(now, one, rest)
@@ -237,8 +263,19 @@
             elif said and reply["kind"] == "accepted":
                 told = one._replace(votes=tuple(sorted({*one.votes, (place, acc.disk)})))
             if told != one or (new != acc and new != acc._replace(promised=new.promised)):
-                yield self.made(State(put(now.accs, at, new), now.stopped, now.known, now.fates,
-                                      (*rest, told), now.starts, now.swaps, now.wipes, now.restarts))
+                yield self.made(
+                    State(
+                        put(now.accs, at, new),
+                        now.stopped,
+                        now.known,
+                        now.fates,
+                        (*rest, told),
+                        now.starts,
+                        now.swaps,
+                        now.wipes,
+                        now.restarts,
+                    )
+                )
 
     def held(self, accepted: Any) -> Accepted:
         if accepted is None:
@@ -273,8 +310,14 @@
         acc, _, _ = self.answer(at, now.accs[at], synced, ("learn", one.value))
         mine = one.own and one.change in self.names
         fates = self.fate(now, one.change, DONE) if mine else now.fates
-        return self.made(now._replace(accs=put(now.accs, at, acc), known=known, fates=fates,
-                                      attempts=(*rest, one._replace(life=OVER))))
+        return self.made(
+            now._replace(
+                accs=put(now.accs, at, acc),
+                known=known,
+                fates=fates,
+                attempts=(*rest, one._replace(life=OVER)),
+            )
+        )
 
     def told(self, now: State, change: str, why: str) -> tuple[int, ...]:
         """The fates once an operator was told that its change is not made, and why."""
@@ -303,12 +346,17 @@
             wants = self.wanted(now, own)
             if now.swaps:
                 wants += ["swap spare"] if most.spare else []
-                wants += [f"swap {address[0]}" for address, each in zip(ADDRESSES, now.accs, strict=True)
-                          if each.disk == "wiped"]
+                wants += [
+                    f"swap {address[0]}"
+                    for address, each in zip(ADDRESSES, now.accs, strict=True)
+                    if each.disk == "wiped"
+                ]
             slot = acc.slot + 1
             late = slot < len(now.known) or slot in self.chosen(now)
-            gone = tuple(over(one, OVER) if one.ballot.address == address and one.life == LIVE else one
-                         for one in now.attempts)
+            gone = tuple(
+                over(one, OVER) if one.ballot.address == address and one.life == LIVE else one
+                for one in now.attempts
+            )
             fates = now.fates
             if "given up" in self.lacks:
                 for each in now.attempts:
@@ -317,49 +365,79 @@
             for ballot, before in self.ballots(now._replace(attempts=gone, fates=fates), slot, address):
                 for change in wants:
                     one = Attempt(slot, ballot, change, acc.decided, LIVE, NONE, False, late, (), ())
-                    yield self.made(before._replace(attempts=(*before.attempts, one), starts=now.starts - 1,
-                                                    swaps=now.swaps - change.startswith("swap")))
+                    yield self.made(
+                        before._replace(
+                            attempts=(*before.attempts, one),
+                            starts=now.starts - 1,
+                            swaps=now.swaps - change.startswith("swap"),
+                        )
+                    )
 
     def wanted(self, now: State, own: str) -> list[str]:
         """The changes that may come to a proposer; `own`: of its operator."""
-        return [name for name, fate in zip(self.names, now.fates, strict=True)
-                if fate == OPEN and (name == own or self.bounds.resent)]
+        return [
+            name
+            for name, fate in zip(self.names, now.fates, strict=True)
+            if fate == OPEN and (name == own or self.bounds.resent)
+        ]
 
     def ballots(self, now: State, slot: int, address: str) -> Iterator[tuple[core.Ballot, State]]:
         """Each place that a new ballot may have among the slot's, which are numbered anew around it."""
-        mine = {one.ballot: one.life for one in now.attempts
-                if one.slot == slot and one.ballot.address == address}
+        mine = {
+            one.ballot: one.life for one in now.attempts if one.slot == slot and one.ballot.address == address
+        }
         last = max((ballot for ballot, life in mine.items() if life != FORGOTTEN), default=core.NO_BALLOT)
         disks = [*now.accs, now.stopped[1]] if now.stopped else now.accs
-        used = sorted({*(acc.promised for acc in disks if acc.slot + 1 == slot and acc.promised.n),
-                       *(one.ballot for one in now.attempts if one.slot == slot)})
+        used = sorted(
+            {
+                *(acc.promised for acc in disks if acc.slot + 1 == slot and acc.promised.n),
+                *(one.ballot for one in now.attempts if one.slot == slot),
+            }
+        )
         yield from ((ballot, now) for ballot, life in mine.items() if life == FORGOTTEN and ballot > last)
         for place in range(sum(ballot <= last for ballot in used), len(used) + 1):
             new = {old: core.Ballot(at + 1 + (at >= place), old.address) for at, old in enumerate(used)}
             new[core.NO_BALLOT] = core.NO_BALLOT
-            yield core.Ballot(place + 1, address), now._replace(
-                accs=tuple(renumbered(acc, slot, new) for acc in now.accs),
-                stopped=now.stopped and (now.stopped[0], renumbered(now.stopped[1], slot, new)),
-                attempts=tuple(one if one.slot != slot else one._replace(
-                    ballot=new[one.ballot], promises=tuple((at, disk, moved(held, new))
-                                                           for at, disk, held in one.promises))
-                    for one in now.attempts))
+            yield (
+                core.Ballot(place + 1, address),
+                now._replace(
+                    accs=tuple(renumbered(acc, slot, new) for acc in now.accs),
+                    stopped=now.stopped and (now.stopped[0], renumbered(now.stopped[1], slot, new)),
+                    attempts=tuple(
+                        one
+                        if one.slot != slot
+                        else one._replace(
+                            ballot=new[one.ballot],
+                            promises=tuple((at, disk, moved(held, new)) for at, disk, held in one.promises),
+                        )
+                        for one in now.attempts
+                    ),
+                ),
+            )
 
     def harmed(self, now: State) -> Iterator[State]:
         for at in self.bounds.harmed:
-            gone = tuple(over(one, FORGOTTEN) if one.ballot.address == ADDRESSES[at] else one
-                         for one in now.attempts)
-            if now.wipes and now.accs[at].disk != "wiped" and (
-                    now.wipes == self.bounds.wipes or "twice" in self.lacks or self.settled(now)):
+            gone = tuple(
+                over(one, FORGOTTEN) if one.ballot.address == ADDRESSES[at] else one for one in now.attempts
+            )
+            if (
+                now.wipes
+                and now.accs[at].disk != "wiped"
+                and (now.wipes == self.bounds.wipes or "twice" in self.lacks or self.settled(now))
+            ):
                 blank = Acc("wiped", NONE, NONE, core.NO_BALLOT, ())
                 if "wiped" in self.lacks:
                     blank = Acc(core.FIRST, 0, now.known[0], core.NO_BALLOT, ())
                 stopped = None if now.stopped is not None and now.stopped[0] == at else now.stopped
-                yield self.made(now._replace(accs=put(now.accs, at, blank), attempts=gone, stopped=stopped,
-                                             wipes=now.wipes - 1))
+                yield self.made(
+                    now._replace(
+                        accs=put(now.accs, at, blank), attempts=gone, stopped=stopped, wipes=now.wipes - 1
+                    )
+                )
             if now.stopped is not None and now.stopped[0] == at:
-                yield self.made(now._replace(accs=put(now.accs, at, now.stopped[1]), attempts=gone,
-                                             stopped=None))
+                yield self.made(
+                    now._replace(accs=put(now.accs, at, now.stopped[1]), attempts=gone, stopped=None)
+                )
             if now.restarts:
                 yield self.made(now._replace(stopped=(at, now.accs[at]), restarts=now.restarts - 1))
 
@@ -370,16 +448,33 @@
         kept, last = [one for one in new.attempts if one.value != NONE or one.life == LIVE], len(new.known)
         if last > 1:
             disks = [*new.accs, new.stopped[1]] if new.stopped else new.accs
-            kept = [one for one in kept if one.slot >= last or any(acc.slot < one.slot and any(
-                acc.disk == each.disk for each in self.members(one)) for acc in disks)]
+            kept = [
+                one
+                for one in kept
+                if one.slot >= last
+                or any(
+                    acc.slot < one.slot and any(acc.disk == each.disk for each in self.members(one))
+                    for acc in disks
+                )
+            ]
         kept.sort()
-        return State(new.accs, new.stopped, new.known, new.fates, tuple(kept), new.starts, new.swaps,
-                     new.wipes, new.restarts)
+        return State(
+            new.accs,
+            new.stopped,
+            new.known,
+            new.fates,
+            tuple(kept),
+            new.starts,
+            new.swaps,
+            new.wipes,
+            new.restarts,
+        )
 
     def chosen(self, now: State) -> dict[int, int]:
         """Values that a majority of the slot's members accepted under one ballot, whoever knows it."""
-        key = tuple([(one.slot, one.ballot, one.base, one.value, one.votes)
-                     for one in now.attempts if one.votes])
+        key = tuple(
+            [(one.slot, one.ballot, one.base, one.value, one.votes) for one in now.attempts if one.votes]
+        )
         if key not in self.memo:
             self.memo[key] = self.counted(now)
         found: dict[int, int] = self.memo[key]
@@ -391,7 +486,8 @@
             if one.value != NONE and one.votes:
                 named = self.members(one)
                 votes.setdefault((one.slot, one.ballot, one.value), set()).update(
-                    named[place] for place, disk in one.votes if named[place].disk == disk)
+                    named[place] for place, disk in one.votes if named[place].disk == disk
+                )
         found: dict[int, int] = {}
         for (slot, _, value), voters in votes.items():
             if len(voters) >= core.majority(3) and found.setdefault(slot, value) != value:
@@ -405,11 +501,12 @@
         there = [acc for at, acc in enumerate(accs) if core.Member(ADDRESSES[at], acc.disk) in last.members]
         have = sum(acc.slot == last.slot for acc in there)
         return len(there) == len(last.members) and (
-            "unsettled" in self.lacks or have >= core.majority(len(there)))
+            "unsettled" in self.lacks or have >= core.majority(len(there))
+        )
 
 
 def put(row: tuple[Any, ...], at: int, new: Any) -> tuple[Any, ...]:
-    return (*row[:at], new, *row[at + 1:])
+    return (*row[:at], new, *row[at + 1 :])
 
 
 def renumbered(acc: Acc, slot: int, new: dict[core.Ballot, core.Ballot]) -> Acc:
--- a/tests/stories/tallying.py
+++ b/tests/stories/tallying.py
@@ -127,8 +127,8 @@
     async def answer(self, end: End, came: bytearray) -> bool:
         random = self.random
         while b"\n" in came:
-            line = bytes(came[:came.index(b"\n")]).split()
-            del came[:came.index(b"\n") + 1]
+            line = bytes(came[: came.index(b"\n")]).split()
+            del came[: came.index(b"\n") + 1]
             if line == [b"ping"]:
                 await end.send(b"pong\r\n")
                 continue
@@ -159,16 +159,18 @@
     async def run(self) -> None:
         random, network = self.random, self.network
         current.set(Life(network, network.machine(HERE, "zone"), "node"))
-        settings: Any = SimpleNamespace(settings=SimpleNamespace(counter_wait=WAIT),
-                                        around=SimpleNamespace(connect_limit=0.25))
+        settings: Any = SimpleNamespace(
+            settings=SimpleNamespace(counter_wait=WAIT), around=SimpleNamespace(connect_limit=0.25)
+        )
         async with trio.open_nursery() as nursery:
             for address in PLACES:
                 nursery.start_soon(self.serve, address, nursery)
             await trio.sleep(0.01)
             node: Any = self.node
             counter = Counter(node, settings, PLACES[0], nursery)
-            nursery.start_soon(self.harm, lambda: not any(line.out for line in counter.lines),
-                               lambda: b"ok 888888\r\n")
+            nursery.start_soon(
+                self.harm, lambda: not any(line.out for line in counter.lines), lambda: b"ok 888888\r\n"
+            )
             for number in range(1, 300):
                 name, now = 2 * random.randrange(NAMES), node.clock.now()
                 self.waiting[name].append(number)
@@ -205,12 +207,23 @@
                 self.broken.append(f"MIXED: {server.name} was told to who asked {asked}")
 
     def text(self, after: int) -> bytes:
-        entry = {"id": f"after-{after}", "host_port": "10.0.0.9:80", "locality": "here", "flavor": "box",
-                 "cell": 0, "phase": "SERVING", "size": 1.0, "up_since_ms": 0}
+        entry = {
+            "id": f"after-{after}",
+            "host_port": "10.0.0.9:80",
+            "locality": "here",
+            "flavor": "box",
+            "cell": 0,
+            "phase": "SERVING",
+            "size": 1.0,
+            "up_since_ms": 0,
+        }
         body = orjson.dumps({"revision": self.version, "complete": after < 0, "members": [entry]})
         if self.random.random() < 0.4:
-            return head("HTTP/1.1 200 X", [("Transfer-Encoding", "chunked")],
-                        b"%x\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n" % (9, body[:9], len(body) - 9, body[9:]))
+            return head(
+                "HTTP/1.1 200 X",
+                [("Transfer-Encoding", "chunked")],
+                b"%x\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n" % (9, body[:9], len(body) - 9, body[9:]),
+            )
         return head("HTTP/1.1 200 X", [("Content-Length", str(len(body)))], body)
 
     async def answer(self, end: End, came: bytearray) -> bool:
@@ -225,7 +238,7 @@
             data, what = self.text(int(after or -1)), random.random()
             if what < 0.1:
                 self.seen["cut"] += 1
-                await end.send(data[:random.randrange(len(data))])
+                await end.send(data[: random.randrange(len(data))])
                 return False
             if what < 0.15:
                 self.seen["silent"] += 1
@@ -291,8 +304,9 @@
     mutants: dict[str, Callable[[], Any]] = {
         **dict.fromkeys(("lying", "unread"), lambda: mock.patch.object(End, "silent", lambda self: True)),
         "no answer": lambda: mock.patch.object(line, "answered", any_line),
-        "in a breath": lambda: mock.patch.object(module, "all", lambda found: False not in [*found],
-                                                 create=True),
+        "in a breath": lambda: mock.patch.object(
+            module, "all", lambda found: False not in [*found], create=True
+        ),
         "former": lambda: mock.patch.object(line, "retire", at_once),
         "older": lambda: mock.patch.object(line, "fail", before_older),
         "written": lambda: mock.patch.object(line, "fail", none_added),
--- a/tests/stories/test_agreement.py
+++ b/tests/stories/test_agreement.py
@@ -67,20 +67,25 @@
         play(seed, mutant)
 
 
-@pytest.mark.parametrize(("bounds", "depth", "states"), [
-    (Bounds(swaps=1), 20, 30_353),
-    (Bounds(wipes=1, harmed=MEMBER), 18, 21_055),
-    (Bounds(starts=3, swaps=1, wipes=1, restarts=1, resent=True), 4, 3_746),
-])
+@pytest.mark.parametrize(
+    ("bounds", "depth", "states"),
+    [
+        (Bounds(swaps=1), 20, 30_353),
+        (Bounds(wipes=1, harmed=MEMBER), 18, 21_055),
+        (Bounds(starts=3, swaps=1, wipes=1, restarts=1, resent=True), 4, 3_746),
+    ],
+)
 def test_given_all_orders_when_every_state_is_looked_at_then_each_rule_holds(
-        bounds: Bounds, depth: int, states: int) -> None:
+    bounds: Bounds, depth: int, states: int
+) -> None:
     found = explore(bounds, depth=depth + (bounds.starts == 2))
     assert found == Found(states, depth, bounds.starts == 2)  # ended: no state is left
 
 
 @pytest.mark.parametrize(("lacks", "bounds", "rule", "deep"), MUTANTS)
 def test_given_a_guard_is_dropped_when_states_are_looked_at_then_the_rule_that_breaks_is_named(
-        lacks: tuple[str, ...], bounds: Bounds, rule: str, deep: bool) -> None:
+    lacks: tuple[str, ...], bounds: Bounds, rule: str, deep: bool
+) -> None:
     assert set(lacks) <= set(GUARDS)
     assert explore(bounds, frozenset(lacks), 40_000, deep=deep, only=rule).broken == rule
 
@@ -91,6 +96,7 @@
             if now.version != 0:
                 return core.Refusal("done" if now.document == document else "version")
             return replace(now, slot=now.slot + 1, version=1, document=document)
+
         return make
 
     for seed in range(30):
@@ -147,24 +153,30 @@
     assert not core.fresh(now, {**states, B: {**states[B], "accepted": True}})
 
 
-@pytest.mark.parametrize(("silent", "candidates", "expected"), [
-    ({A: 0, B: 0, C: 0}, (), None),
-    ({A: 0, B: 0.5, C: 0, NEW_B: 0}, (NEW_B,), (A, NEW_B, C)),  # a wiped disk, at once
-    ({A: 0, B: 0, C: 0, NEW_B: 0.5}, (NEW_B,), None),  # an older disk of that address
-    ({A: 0, B: 0, C: 1.6, SPARE: 0}, (SPARE,), (A, B, SPARE)),  # a silent member
-    ({A: 0, B: 0, C: 1.4, SPARE: 0}, (SPARE,), (A, B, C, SPARE)),
-    ({A: 0, B: 0, C: 9, SPARE: 2}, (SPARE,), None),  # the spare is silent too
-    ({A: 0, B: 2, C: 2, SPARE: 0}, (SPARE,), None),  # no majority of the old is heard
-])
+@pytest.mark.parametrize(
+    ("silent", "candidates", "expected"),
+    [
+        ({A: 0, B: 0, C: 0}, (), None),
+        ({A: 0, B: 0.5, C: 0, NEW_B: 0}, (NEW_B,), (A, NEW_B, C)),  # a wiped disk, at once
+        ({A: 0, B: 0, C: 0, NEW_B: 0.5}, (NEW_B,), None),  # an older disk of that address
+        ({A: 0, B: 0, C: 1.6, SPARE: 0}, (SPARE,), (A, B, SPARE)),  # a silent member
+        ({A: 0, B: 0, C: 1.4, SPARE: 0}, (SPARE,), (A, B, C, SPARE)),
+        ({A: 0, B: 0, C: 9, SPARE: 2}, (SPARE,), None),  # the spare is silent too
+        ({A: 0, B: 2, C: 2, SPARE: 0}, (SPARE,), None),  # no majority of the old is heard
+    ],
+)
 def test_given_three_members_when_some_are_silent_then_one_change_is_named(
-        silent: dict[core.Member, float], candidates: tuple[core.Member, ...],
-        expected: tuple[core.Member, ...] | None) -> None:
+    silent: dict[core.Member, float],
+    candidates: tuple[core.Member, ...],
+    expected: tuple[core.Member, ...] | None,
+) -> None:
     assert next_members((A, B, C), silent, candidates) == expected
 
 
 @pytest.mark.parametrize(("others", "after"), [((SPARE,), 1.5), ((SPARE, D), 3.0), ((SPARE, D, E), 1.5)])
 def test_given_more_than_three_members_when_one_stays_silent_then_it_is_removed_sooner_of_an_even_number(
-        others: tuple[core.Member, ...], after: float) -> None:
+    others: tuple[core.Member, ...], after: float
+) -> None:
     named = (A, B, C, *others)
     silent = {**dict.fromkeys(named, 0.0), SPARE: after + 0.1}
     assert next_members(named, silent, ()) == tuple(one for one in named if one != SPARE)
@@ -191,7 +203,8 @@
 
 @pytest.mark.parametrize("takes", [(0.008, 0.02), (0.05, 0.15), (0.1, 0.3)])
 def test_given_two_proposers_that_meet_when_attempts_are_slow_then_one_is_through_in_an_orders_time(
-        takes: tuple[float, float]) -> None:
+    takes: tuple[float, float],
+) -> None:
     times = sorted(met(seed, takes, True) for seed in range(400))
     assert times[199] < 0.85 and times[379] < 2.5 and times[-1] < 5.0, (times[199], times[379], times[-1])
     # And with pauses that do not grow, slow ones outbid each other for longer than an operator waits
--- a/tests/stories/test_agreement_store.py
+++ b/tests/stories/test_agreement_store.py
@@ -26,7 +26,7 @@
 
 def tear(path: Path) -> None:
     content = path.read_bytes()
-    path.write_bytes(content[:len(content) // 2] + bytes(len(content) - len(content) // 2))
+    path.write_bytes(content[: len(content) // 2] + bytes(len(content) - len(content) // 2))
 
 
 def test_given_states_saved_when_loaded_then_the_newest_comes_and_files_stay_small(tmp_path: Path) -> None:
@@ -44,7 +44,8 @@
 
 @pytest.mark.parametrize(("part", "step"), [("data.mdb", "data"), ("seal", "seal")])
 def test_given_the_newest_is_torn_when_loaded_then_the_one_before_comes_and_the_loss_is_told(
-        tmp_path: Path, part: str, step: str) -> None:
+    tmp_path: Path, part: str, step: str
+) -> None:
     saved(tmp_path, ONE, TWO)
     tear(tmp_path / "b" / part)
     assert load(tmp_path) == (ONE, [Fault(step, str(tmp_path / "b" / part), True)])
@@ -54,7 +55,8 @@
 
 @pytest.mark.parametrize("half", [b"", b"half"])
 def test_given_a_save_cut_off_when_loaded_then_the_last_good_comes_and_nothing_is_lost(
-        tmp_path: Path, half: bytes) -> None:
+    tmp_path: Path, half: bytes
+) -> None:
     saved(tmp_path, ONE, TWO)
     (tmp_path / "a" / "data.mdb").write_bytes(half)
     assert load(tmp_path) == (TWO, [Fault("data", str(tmp_path / "a" / "data.mdb"), False)])
@@ -63,7 +65,8 @@
 
 
 def test_given_any_write_or_sync_is_refused_when_saving_then_the_last_good_stays_and_a_later_save_works(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     def refuse(*_: Any) -> None:
         raise OSError(28, "No space left on device")
 
--- a/tests/stories/test_answers.py
+++ b/tests/stories/test_answers.py
@@ -40,13 +40,16 @@
 ADDRESS = Address("127.0.0.1", 80)
 PLAYED: dict[str, Callable[[int], list[str]]] = {
     **dict.fromkeys(GUARDS, lambda seed: play(seed).verdict()),
-    "life": lambda seed: Counts(seed).broken, "source": lambda seed: Counts(seed).broken}
+    "life": lambda seed: Counts(seed).broken,
+    "source": lambda seed: Counts(seed).broken,
+}
 ALONE = ("unsent", "pending", "line")  # each with a story of its own below
 
 
 @pytest.mark.parametrize("seed", range(24))
 def test_given_streams_cut_at_any_byte_and_answers_late_doubled_or_lost_then_no_rule_breaks(
-        seed: int) -> None:
+    seed: int,
+) -> None:
     broken = play(seed).verdict()
     assert not broken, f"seed {seed}: {broken}"
 
@@ -85,7 +88,8 @@
 
 @pytest.mark.parametrize("name", READERS)
 def test_given_recorded_bytes_mutated_then_a_reader_makes_the_same_of_them_however_they_come(
-        name: str) -> None:
+    name: str,
+) -> None:
     for seed in range(120):
         wrong = fuzz(name, seed)
         assert not wrong, wrong
@@ -97,7 +101,8 @@
 @pytest.mark.parametrize("guard", ["", "line"])
 @trio_test
 async def test_given_a_former_connection_brings_the_number_of_a_question_then_it_is_not_its_answer(
-        guard: str) -> None:
+    guard: str,
+) -> None:
     link, old, new = frames.Link(ADDRESS, mock.Mock()), mock.Mock(), mock.Mock()
     event, slot = trio.Event(), list[Any]()
     link.frames, link.waiting[1] = new, frames.Waiting(new, event, slot, trio.CancelScope(), 0.0)
@@ -144,11 +149,13 @@
 @pytest.mark.parametrize("guard", ["", "unsent"])
 @trio_test
 async def test_given_an_answer_before_the_last_chunk_is_out_then_its_connection_is_not_kept(
-        guard: str) -> None:
+    guard: str,
+) -> None:
     stream = Stalled(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
     connection = Connection("s", ADDRESS, stream, 0.0)  # type: ignore[arg-type]
-    chunked = h11.Request(method="POST", target="/",
-                          headers=[("Host", "x"), ("Transfer-Encoding", "chunked")])
+    chunked = h11.Request(
+        method="POST", target="/", headers=[("Host", "x"), ("Transfer-Encoding", "chunked")]
+    )
     await connection.part(chunked)
     await connection.part(h11.Data(data=b"body"))
     stream.full = True
@@ -173,7 +180,8 @@
 @pytest.mark.parametrize(("length", "size"), [(100, 100), (None, 100), (100, 60)])
 @trio_test
 async def test_given_an_end_right_behind_a_bodys_last_byte_then_it_may_have_run(
-        length: int | None, size: int) -> None:
+    length: int | None, size: int
+) -> None:
     body, upload = Body(Room(1 << 20), b"x" * size, length), Upload()
     if size == 100:
         body.end()
@@ -232,7 +240,8 @@
         await connection.read()
     with pytest.raises(BadRequest):
         Reader(Configuration(0, (), {}, {}, Limits())).head(
-            h11.Request(method="CONNECT", target="x:1", headers=[("Host", "x")]))
+            h11.Request(method="CONNECT", target="x:1", headers=[("Host", "x")])
+        )
 
 
 def test_given_an_id_again_or_another_address_then_no_kept_connection_carries_it() -> None:
@@ -256,8 +265,9 @@
 
 
 def request(once: bool) -> Any:
-    one = Request(1, math.inf, mock.Mock(), b"GET", b"/", [], b"", mark=b"mine",
-                  route=mock.Mock(repeatable=not once))
+    one = Request(
+        1, math.inf, mock.Mock(), b"GET", b"/", [], b"", mark=b"mine", route=mock.Mock(repeatable=not once)
+    )
     return mock.Mock(exchange=one, server="s")
 
 
@@ -269,8 +279,13 @@
         words.read(Reply(code, [*headers], b""), request(once), ended)
         return ended
 
-    for headers, error in (([(b"trial-id", b"other")], Another), ([], Broken), ([mine, mine], Broken),
-                           ([mine, (b"trial-id", b"other")], Broken), ([(b"server-id", b"s")], Another)):
+    for headers, error in (
+        ([(b"trial-id", b"other")], Another),
+        ([], Broken),
+        ([mine, mine], Broken),
+        ([mine, (b"trial-id", b"other")], Broken),
+        ([(b"server-id", b"s")], Another),
+    ):
         with pytest.raises(error):
             read(200, (b"server-seal", b"s"), *headers)
     for code in (408, 429, 503):
@@ -333,8 +348,11 @@
 @trio_test
 async def test_given_a_large_answer_is_cut_then_an_old_client_does_not_take_it_for_whole() -> None:
     async def cut(got: Got) -> bytes | None:
-        await got.stream.send_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n11170\r\n"
-                                  + b"x" * 70_000 + b"\r\n5\r\nhal")
+        await got.stream.send_all(
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n11170\r\n"
+            + b"x" * 70_000
+            + b"\r\n5\r\nhal"
+        )
         return None
 
     async with world(cut) as w:
@@ -348,7 +366,8 @@
 @pytest.mark.parametrize("guard", ["", "pending"])
 @trio_test
 async def test_given_a_kernel_that_takes_half_of_a_continue_then_the_answer_goes_out_behind_it(
-        guard: str) -> None:
+    guard: str,
+) -> None:
     sound, full = net.Stream.send_now, [True]
 
     def in_parts(self: net.Stream, data: bytes) -> int:
@@ -361,9 +380,11 @@
 
     expect = b"PUT /any HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n"
     async with world(always(ok(b"here"))) as w:
-        with mock.patch.object(net.Stream, "send_now", in_parts), \
-                mock.patch.object(trio.lowlevel, "wait_writable", later), \
-                without(guard) if guard else nullcontext():
+        with (
+            mock.patch.object(net.Stream, "send_now", in_parts),
+            mock.patch.object(trio.lowlevel, "wait_writable", later),
+            without(guard) if guard else nullcontext(),
+        ):
             stream = await trio.open_tcp_stream(*w.address)
             await stream.send_all(expect)
             await until(lambda: any(one.writing for one in w.clients.connections))
--- a/tests/stories/test_bad_input.py
+++ b/tests/stories/test_bad_input.py
@@ -57,12 +57,17 @@
 NAN, INF = math.nan, math.inf
 LIMITER = ["edge-1", 5, "127.0.0.9", "north"]
 SERVER = ["s-1", "127.0.0.1:80", "pages", "north", 4, 7, "stable", False, 0, HERE]
-VALUE: dict[str, Any] = {"slot": 3, "members": [[HERE, "first"], [PEER, "first"]], "version": 1,
-                         "document": orjson.dumps(demo.first_configuration()), "taken": [[1, b"x"]]}
+VALUE: dict[str, Any] = {
+    "slot": 3,
+    "members": [[HERE, "first"], [PEER, "first"]],
+    "version": 1,
+    "document": orjson.dumps(demo.first_configuration()),
+    "taken": [[1, b"x"]],
+}
 
 
 def but(row: list[Any], at: int, value: Any) -> list[Any]:
-    return [*row[:at], value, *row[at + 1:]]
+    return [*row[:at], value, *row[at + 1 :]]
 
 
 def named(what: str, values: list[tuple[Any, Any]]) -> dict[str, Any]:
@@ -73,8 +78,10 @@
 def beat(**more: Any) -> dict[str, Any]:
     """A beat; `seen__zone=...` changes a field of the observation, `state__mode=...` one of the estimate."""
     body: dict[str, Any] = {
-        "address": "127.0.0.1:8080", "observation": {"subsystem": "pages", "zone": "north", "capacity": 4},
-        "stateEstimate": {"mode": "stable", "callCount": 3, "warmupMs": 0}}
+        "address": "127.0.0.1:8080",
+        "observation": {"subsystem": "pages", "zone": "north", "capacity": 4},
+        "stateEstimate": {"mode": "stable", "callCount": 3, "warmupMs": 0},
+    }
     for name, value in more.items():
         part, _, inner = name.partition("__")
         where = body[{"seen": "observation", "state": "stateEstimate"}[part]] if inner else body
@@ -99,19 +106,32 @@
         self.register = Register(HERE, (HERE,), True, store, self.news.members, Random(2), self.log.log)
         self.register.learn(Value(0, (Member(HERE, ""),)))
         self.news.register = self.register
-        handlers: Any = {"servers.pulse": Pulse(self.cells, self.news, clock.now, 8407),
-                         "servers.departure": Departure(self.cells, self.news, clock.now),
-                         "setpoint.observe": Observe(self.register)}
+        handlers: Any = {
+            "servers.pulse": Pulse(self.cells, self.news, clock.now, 8407),
+            "servers.departure": Departure(self.cells, self.news, clock.now),
+            "setpoint.observe": Observe(self.register),
+        }
         calls = Calls(clock, self.log, nursery, Resources(handlers, turns).handle)
         self.clients = Clients(calls, Reader(), nursery, lambda: True, 256, 64 << 20)
 
     def knows(self) -> Any:
         """All that it knows, as it is now."""
         cells = self.cells
-        return copy.deepcopy((
-            cells.servers.rows, cells.servers.revs, cells.servers.rev, cells.heard, cells.left, cells.asked,
-            cells.own.rev, cells.named, cells.merged, self.register.acceptor.state(),
-            {name: dataclasses.asdict(one) for name, one in cells.controls.items()}))
+        return copy.deepcopy(
+            (
+                cells.servers.rows,
+                cells.servers.revs,
+                cells.servers.rev,
+                cells.heard,
+                cells.left,
+                cells.asked,
+                cells.own.rev,
+                cells.named,
+                cells.merged,
+                self.register.acceptor.state(),
+                {name: dataclasses.asdict(one) for name, one in cells.controls.items()},
+            )
+        )
 
 
 @asynccontextmanager
@@ -122,8 +142,13 @@
         outer = await net.listen(Address("127.0.0.1", 0))
         inner = await net.listen(Address("127.0.0.1", 0))
         nursery.start_soon(made.clients.accept, outer)
-        nursery.start_soon(frames.serve, inner, made.news.handle, nursery,
-                           lambda why: made.log.rare("peer.broken", error=why))
+        nursery.start_soon(
+            frames.serve,
+            inner,
+            made.news.handle,
+            nursery,
+            lambda why: made.log.rare("peer.broken", error=why),
+        )
         try:
             yield made, Address(*outer.getsockname()), Address(*inner.getsockname())
         finally:
@@ -138,8 +163,11 @@
 
 def post(target: str, body: Any, method: str = "POST") -> bytes:
     data = body if isinstance(body, bytes) else orjson.dumps(body)
-    return b"%s %s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n" % (
-        method.encode(), target.encode(), len(data)) + data
+    return (
+        b"%s %s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n"
+        % (method.encode(), target.encode(), len(data))
+        + data
+    )
 
 
 BAD_BEATS: dict[str, tuple[Any, str]] = {
@@ -174,8 +202,11 @@
     "an odd mode": (beat(state__mode="gone"), "stateEstimate.mode"),
     "a mode that is a list": (beat(state__mode=["stable"]), "stateEstimate.mode"),
     "a huge callCount": (beat(state__callCount=1 << 60), "stateEstimate.callCount"),
-    "a callCount beyond all": (b'{"address":"127.0.0.1:1","observation":{"subsystem":"a","zone":"b"},'
-                               b'"stateEstimate":{"callCount":1e999}}', ""),
+    "a callCount beyond all": (
+        b'{"address":"127.0.0.1:1","observation":{"subsystem":"a","zone":"b"},'
+        b'"stateEstimate":{"callCount":1e999}}',
+        "",
+    ),
     "a callCount below 0": (beat(state__callCount=-1), "stateEstimate.callCount"),
     "a callCount that is null": (beat() | {"stateEstimate": {"callCount": None}}, "stateEstimate.callCount"),
     "a warm-up without end": (beat(state__warmupMs=1e15), "stateEstimate.warmupMs"),
@@ -204,6 +235,7 @@
 @trio_test
 async def test_given_a_beat_or_call_that_cannot_be_read_then_it_is_refused_and_nothing_changes() -> None:
     async with plane() as (made, outer, _):
+
         async def said(data: bytes) -> tuple[int, bytes]:
             client = Client(await trio.open_tcp_stream(*outer))
             reply = await client.ask(data)
@@ -258,27 +290,72 @@
 
 
 ODD_MESSAGES: list[Any] = [
-    5, [], {}, {"kind": []}, {"kind": "dance"}, {"kind": "learn"}, {"kind": "learn", "value": 5},
-    {"kind": "accept", "slot": 1, "ballot": [1, PEER]}]
+    5,
+    [],
+    {},
+    {"kind": []},
+    {"kind": "dance"},
+    {"kind": "learn"},
+    {"kind": "learn", "value": 5},
+    {"kind": "accept", "slot": 1, "ballot": [1, PEER]},
+]
 BAD_QUESTIONS: dict[str, Any] = {
-    "no op": {}, "an unknown op": {"op": "dance"}, "an op that is a list": {"op": ["news"]},
-    "a hold without rows": {"op": "hold"}, "a hold of a number": {"op": "hold", "rows": 5},
+    "no op": {},
+    "an unknown op": {"op": "dance"},
+    "an op that is a list": {"op": ["news"]},
+    "a hold without rows": {"op": "hold"},
+    "a hold of a number": {"op": "hold", "rows": 5},
     "a hold of numbers": {"op": "hold", "rows": [1, 2]},
     "a hold with a row too short": {"op": "hold", "rows": [SERVER[:9]]},
     "a hold with a good row and a bad one": {"op": "hold", "rows": [but(SERVER, 0, "s-2"), []]},
-    **{f"a hold with {value!r:.20} at {at}": {"op": "hold", "rows": [but(but(SERVER, 0, "s-2"), at, value)]}
-       for at, value in ((0, ""), (0, 7), (0, "s" * 129), (0, "s\n"), (1, "nowhere"), (1, "a:99999"),
-                         (1, None), (2, 5), (3, None), (4, "4"), (4, -1), (4, NAN), (5, INF), (5, 1e300),
-                         (5, True), (5, 1 << 63), (6, "odd"), (6, []), (7, "no"), (8, NAN), (8, INF),
-                         (8, -1), (8, "0"), (9, 5))},
+    **{
+        f"a hold with {value!r:.20} at {at}": {"op": "hold", "rows": [but(but(SERVER, 0, "s-2"), at, value)]}
+        for at, value in (
+            (0, ""),
+            (0, 7),
+            (0, "s" * 129),
+            (0, "s\n"),
+            (1, "nowhere"),
+            (1, "a:99999"),
+            (1, None),
+            (2, 5),
+            (3, None),
+            (4, "4"),
+            (4, -1),
+            (4, NAN),
+            (5, INF),
+            (5, 1e300),
+            (5, True),
+            (5, 1 << 63),
+            (6, "odd"),
+            (6, []),
+            (7, "no"),
+            (8, NAN),
+            (8, INF),
+            (8, -1),
+            (8, "0"),
+            (9, 5),
+        )
+    },
     "news with have that is a list": {**NEWS, "have": [], "limiter": LIMITER},
     "news with a rev without end": {**NEWS, "have": {"life": 1, "rev": INF}, "limiter": LIMITER},
     "news with a slot that is text": {**NEWS, "have": {"slot": "x"}, "limiter": LIMITER},
     "news with a wait of NaN": {**NEWS, "wait": NAN, "limiter": LIMITER},
     "news with a wait that is text": {**NEWS, "wait": "long", "limiter": LIMITER},
-    **{f"news of a limiter with {value!r:.20} at {at}": {**NEWS, "limiter": but(LIMITER, at, value)}
-       for at, value in ((0, ""), (0, None), (1, "5"), (1, INF), (1, -1), (2, "a..b"), (2, "names.example"),
-                         (2, 5), (3, []))},
+    **{
+        f"news of a limiter with {value!r:.20} at {at}": {**NEWS, "limiter": but(LIMITER, at, value)}
+        for at, value in (
+            (0, ""),
+            (0, None),
+            (1, "5"),
+            (1, INF),
+            (1, -1),
+            (2, "a..b"),
+            (2, "names.example"),
+            (2, 5),
+            (3, []),
+        )
+    },
     "news of a limiter too short": {**NEWS, "limiter": LIMITER[:3]},
     "news of a limiter that is a number": {**NEWS, "limiter": 5},
     "news of a control plane without a port": {**NEWS, "control": ["127.0.0.3", "north", "x", True]},
@@ -288,13 +365,27 @@
     "agree without a message": {"op": "agree"},
     **named("agree on", [(message, {"op": "agree", "message": message}) for message in ODD_MESSAGES]),
     **{f"agree on a slot {slot!r}": agree(slot=slot) for slot in (NAN, INF, "1", -1, 1e300, None)},
-    **{f"agree on a ballot {ballot!r:.20}": agree(ballot=ballot)
-       for ballot in (5, [], [1], [INF, PEER], [1e300, PEER], [1 << 63, PEER], [1, 5], ["1", PEER])},
-    **{f"learn members {rows!r:.30}": learn(members=rows)
-       for rows in (5, [], [5], [["x", "first"]], [["x:99999", "first"]], [[PEER, 5]], [[PEER]])},
-    **{f"learn {name} {value!r:.20}": learn(**{name: value})
-       for name, value in (("slot", INF), ("slot", "9"), ("slot", 1 << 63), ("version", NAN), ("document", 9),
-                           ("document", "text"), ("taken", 5), ("taken", [[1, 10 ** 9]]))},
+    **{
+        f"agree on a ballot {ballot!r:.20}": agree(ballot=ballot)
+        for ballot in (5, [], [1], [INF, PEER], [1e300, PEER], [1 << 63, PEER], [1, 5], ["1", PEER])
+    },
+    **{
+        f"learn members {rows!r:.30}": learn(members=rows)
+        for rows in (5, [], [5], [["x", "first"]], [["x:99999", "first"]], [[PEER, 5]], [[PEER]])
+    },
+    **{
+        f"learn {name} {value!r:.20}": learn(**{name: value})
+        for name, value in (
+            ("slot", INF),
+            ("slot", "9"),
+            ("slot", 1 << 63),
+            ("version", NAN),
+            ("document", 9),
+            ("document", "text"),
+            ("taken", 5),
+            ("taken", [[1, 10**9]]),
+        )
+    },
 }
 
 
@@ -318,7 +409,7 @@
             with trio.fail_after(2):
                 assert await stream.receive_some() == b"", name
             await stream.aclose()
-            (event, fields), = made.log.lines
+            ((event, fields),) = made.log.lines
             assert event == "peer.broken" and f"read a question of 127.0.0.1:{port}" in fields["error"], name
             assert made.knows() == before, name
         # And the next peer is answered
@@ -367,36 +458,89 @@
 
 
 GOOD: dict[str, Any] = {
-    "life": 9, "rev": 4, "whole": 0.0, "servers": [SERVER], "limiters": [LIMITER], "list": 2, "own": 2,
-    "controls": [[PEER, "south"]], "named": 3, "value": VALUE, "core": True}
+    "life": 9,
+    "rev": 4,
+    "whole": 0.0,
+    "servers": [SERVER],
+    "limiters": [LIMITER],
+    "list": 2,
+    "own": 2,
+    "controls": [[PEER, "south"]],
+    "named": 3,
+    "value": VALUE,
+    "core": True,
+}
 BAD_ANSWERS: dict[str, Any] = {
     "nothing": {},
-    **named("answer", [(f"{name} {value!r}", {**GOOD, name: value}) for name, value in (
-        ("life", INF), ("life", "9"), ("life", None), ("rev", NAN), ("rev", []), ("servers", 5),
-        ("servers", [5]), ("servers", [SERVER, SERVER[:3]]), ("servers", [but(SERVER, 1, "x")]),
-        ("servers", [but(SERVER, 5, INF)]), ("servers", [but(SERVER, 8, NAN)]), ("limiters", 5),
-        ("limiters", [LIMITER[:3]]), ("limiters", [but(LIMITER, 1, INF)]),
-        ("limiters", [but(LIMITER, 2, "a..b")]), ("gone", 5), ("gone", [5]),
-        ("controls", 5), ("controls", [["x", "south"]]), ("controls", [[5, "south"]]), ("controls", [PEER]),
-        ("named", INF), ("value", 5), ("value", {}), ("value", {**VALUE, "slot": INF}),
-        ("value", {**VALUE, "members": [["x", "first"]]}), ("value", {**VALUE, "document": 5}))]),
-    **{f"zip {name}": {**GOOD, "value": {**VALUE, "zip": small}} for name, small in (
-        ("number", 5), ("rubbish", b"rubbish"), ("cut", zlib.compress(b"{}")[:-5]),
-        ("too large", zlib.compress(bytes(parcel.MOST + 1))))},
+    **named(
+        "answer",
+        [
+            (f"{name} {value!r}", {**GOOD, name: value})
+            for name, value in (
+                ("life", INF),
+                ("life", "9"),
+                ("life", None),
+                ("rev", NAN),
+                ("rev", []),
+                ("servers", 5),
+                ("servers", [5]),
+                ("servers", [SERVER, SERVER[:3]]),
+                ("servers", [but(SERVER, 1, "x")]),
+                ("servers", [but(SERVER, 5, INF)]),
+                ("servers", [but(SERVER, 8, NAN)]),
+                ("limiters", 5),
+                ("limiters", [LIMITER[:3]]),
+                ("limiters", [but(LIMITER, 1, INF)]),
+                ("limiters", [but(LIMITER, 2, "a..b")]),
+                ("gone", 5),
+                ("gone", [5]),
+                ("controls", 5),
+                ("controls", [["x", "south"]]),
+                ("controls", [[5, "south"]]),
+                ("controls", [PEER]),
+                ("named", INF),
+                ("value", 5),
+                ("value", {}),
+                ("value", {**VALUE, "slot": INF}),
+                ("value", {**VALUE, "members": [["x", "first"]]}),
+                ("value", {**VALUE, "document": 5}),
+            )
+        ],
+    ),
+    **{
+        f"zip {name}": {**GOOD, "value": {**VALUE, "zip": small}}
+        for name, small in (
+            ("number", 5),
+            ("rubbish", b"rubbish"),
+            ("cut", zlib.compress(b"{}")[:-5]),
+            ("too large", zlib.compress(bytes(parcel.MOST + 1))),
+        )
+    },
 }
 FOLLOWER_ONLY: dict[str, Any] = {
-    **named("told", [(f"{name} {value!r}", {**GOOD, name: value}) for name, value in (
-        ("whole", "long"), ("list", "2"), ("list", INF),
-        ("value", {**VALUE, "document": b"{"}), ("value", {**VALUE, "document": b"[]"}),
-        ("value", {**VALUE, "document": b'{"elements":5}'}),
-        ("value", {**VALUE, "document": b'{"elements":["x"]}'}),
-        ("value", {**VALUE, "document": b'{"elements":[],"setpointSeq":"x"}'}),
-        ("value", {**VALUE, "document": b"[" * 5000}))]),
+    **named(
+        "told",
+        [
+            (f"{name} {value!r}", {**GOOD, name: value})
+            for name, value in (
+                ("whole", "long"),
+                ("list", "2"),
+                ("list", INF),
+                ("value", {**VALUE, "document": b"{"}),
+                ("value", {**VALUE, "document": b"[]"}),
+                ("value", {**VALUE, "document": b'{"elements":5}'}),
+                ("value", {**VALUE, "document": b'{"elements":["x"]}'}),
+                ("value", {**VALUE, "document": b'{"elements":[],"setpointSeq":"x"}'}),
+                ("value", {**VALUE, "document": b"[" * 5000}),
+            )
+        ],
+    ),
 }
 
 
 def soon(test: Callable[[], Awaitable[None]]) -> None:
     """Run with a clock that jumps to whatever is waited for."""
+
     async def limited() -> None:
         with trio.fail_after(60):
             await test()
@@ -406,18 +550,30 @@
 
 @pytest.mark.parametrize("name", [*BAD_ANSWERS, *FOLLOWER_ONLY])
 def test_given_news_of_wrong_shape_when_a_limiter_follows_then_none_of_it_counts_and_the_next_does(
-        name: str) -> None:
+    name: str,
+) -> None:
     async def story() -> None:
         log, put, seen = Quiet(), list[Told](), list[Any]()
         async with trio.open_nursery() as nursery:
             me = Limiter("edge-1", 1, "127.0.0.9", "north")
-            follower = Follower(me, [PEER], 7660, Clock(), put.append, Random(3), log.log, nursery,
-                                Seen())
+            follower = Follower(me, [PEER], 7660, Clock(), put.append, Random(3), log.log, nursery, Seen())
             source: Source = follower.sources[PEER]
 
             def look() -> None:
-                seen.append(copy.deepcopy((source.have, source.limiters, source.heard, source.core, len(put),
-                                           follower.slot, follower.answered, sorted(follower.sources))))
+                seen.append(
+                    copy.deepcopy(
+                        (
+                            source.have,
+                            source.limiters,
+                            source.heard,
+                            source.core,
+                            len(put),
+                            follower.slot,
+                            follower.answered,
+                            sorted(follower.sources),
+                        )
+                    )
+                )
 
             bad = {**BAD_ANSWERS, **FOLLOWER_ONLY}[name]
             source.link = Peer([bad, copy.deepcopy(GOOD)], look)  # type: ignore[assignment]
@@ -428,9 +584,9 @@
             nursery.cancel_scope.cancel()
         # Then nothing of it counts, it is told with step and peer, and the next answer counts whole
         assert seen[0] == seen[1] != seen[2]
-        (event, fields), = log.lines
+        ((event, fields),) = log.lines
         assert (event, fields["peer"], fields["step"]) == ("peer.unfit", PEER, "news") and fields["error"]
-        told, = put
+        (told,) = put
         assert [one.id for one in told.servers] == ["s-1"] and follower.slot == 3 and told.configuration
         assert told.limiters is not None and list(told.limiters) == ["edge-1"]
 
@@ -439,7 +595,8 @@
 
 @pytest.mark.parametrize("name", BAD_ANSWERS)
 def test_given_news_of_wrong_shape_when_a_control_plane_asks_then_none_of_it_counts_and_the_next_does(
-        name: str) -> None:
+    name: str,
+) -> None:
     async def story() -> None:
         seen = list[Any]()
         async with trio.open_nursery() as nursery:
@@ -453,7 +610,7 @@
                 await trio.sleep(0.05)
             nursery.cancel_scope.cancel()
         assert seen[0] == seen[1] != seen[2]
-        (event, fields), = [line for line in made.log.lines if line[0] != "core.members"]
+        ((event, fields),) = [line for line in made.log.lines if line[0] != "core.members"]
         assert (event, fields["peer"], fields["step"]) == ("peer.unfit", PEER, "news") and fields["error"]
         assert made.register.decided is not None and made.register.decided.slot == 3
 
@@ -464,21 +621,70 @@
 
 ASK, TELL, END = 0, 1, 2
 BAD_DATAGRAMS: dict[str, Any] = {
-    "nothing": b"", "no msgpack": b"\xc1", "rubbish": b"GET / HTTP/1.1\r\n\r\n", "half": b"\x92\x00\x91\x94",
-    **named("datagram", [(message, msgpack.packb(message)) for message in (
-        5, None, "ask", [], [ASK], [ASK, 9], [ASK, 9, 9, []], [ASK, [[1, "acme", 1.0]]],
-        [ASK, 9, 5], [ASK, 9, [5]], [END, []], [END, [["acme", 1.0]]],
-        [3, 9, []], ["0", 9, []], {"kind": 0}, [ASK, 9, [[]]], [ASK, 9, [[1, "acme", 1.0]]],
-        *([ASK, life, [[1, "acme", 1.0, 1]]] for life in (None, "9", -1, NAN, 1 << 63, [9])),
-        *([ASK, 9, [row]] for row in (
-            [INF, "acme", 1.0, 1], ["1", "acme", 1.0, 1], [-1, "acme", 1.0, 1], [1, 5, 1.0, 1],
-            [1, "acme", NAN, 1], [1, "acme", INF, 1], [1, "acme", -5.0, 1], [1, "acme", "1", 1],
-            [1, "acme", 1.0, 7], [1, "acme", 1.0, INF], [1, "acme", 1.0, "near"])),
-        [ASK, 9, [[1, "acme", 1.0, 1], [2, "acme", NAN, 1]]], [TELL, 5], [TELL, 5, 5], [TELL, 5, [[1, 1]]],
-        [TELL, [[1, 1, NAN]]], *([TELL, life, [row]] for life in (5, 9) for row in (
-            [1, 1, NAN], [1, 1, INF], [INF, 1, 0.0], [1, "yes", 0.0])),
-        [TELL, 5, [[1, 1, 0.0], [2, 1, -1.0]]], [END, 9], [END, "9", []], [END, 9, 5], [END, 9, [[5, 1.0]]],
-        [END, 9, [["acme"]]], [END, 9, [["acme", 1.0], ["acme", NAN]]], [END, 9, [["acme", -1.0]]])]),
+    "nothing": b"",
+    "no msgpack": b"\xc1",
+    "rubbish": b"GET / HTTP/1.1\r\n\r\n",
+    "half": b"\x92\x00\x91\x94",
+    **named(
+        "datagram",
+        [
+            (message, msgpack.packb(message))
+            for message in (
+                5,
+                None,
+                "ask",
+                [],
+                [ASK],
+                [ASK, 9],
+                [ASK, 9, 9, []],
+                [ASK, [[1, "acme", 1.0]]],
+                [ASK, 9, 5],
+                [ASK, 9, [5]],
+                [END, []],
+                [END, [["acme", 1.0]]],
+                [3, 9, []],
+                ["0", 9, []],
+                {"kind": 0},
+                [ASK, 9, [[]]],
+                [ASK, 9, [[1, "acme", 1.0]]],
+                *([ASK, life, [[1, "acme", 1.0, 1]]] for life in (None, "9", -1, NAN, 1 << 63, [9])),
+                *(
+                    [ASK, 9, [row]]
+                    for row in (
+                        [INF, "acme", 1.0, 1],
+                        ["1", "acme", 1.0, 1],
+                        [-1, "acme", 1.0, 1],
+                        [1, 5, 1.0, 1],
+                        [1, "acme", NAN, 1],
+                        [1, "acme", INF, 1],
+                        [1, "acme", -5.0, 1],
+                        [1, "acme", "1", 1],
+                        [1, "acme", 1.0, 7],
+                        [1, "acme", 1.0, INF],
+                        [1, "acme", 1.0, "near"],
+                    )
+                ),
+                [ASK, 9, [[1, "acme", 1.0, 1], [2, "acme", NAN, 1]]],
+                [TELL, 5],
+                [TELL, 5, 5],
+                [TELL, 5, [[1, 1]]],
+                [TELL, [[1, 1, NAN]]],
+                *(
+                    [TELL, life, [row]]
+                    for life in (5, 9)
+                    for row in ([1, 1, NAN], [1, 1, INF], [INF, 1, 0.0], [1, "yes", 0.0])
+                ),
+                [TELL, 5, [[1, 1, 0.0], [2, 1, -1.0]]],
+                [END, 9],
+                [END, "9", []],
+                [END, 9, 5],
+                [END, 9, [[5, 1.0]]],
+                [END, 9, [["acme"]]],
+                [END, 9, [["acme", 1.0], ["acme", NAN]]],
+                [END, 9, [["acme", -1.0]]],
+            )
+        ],
+    ),
 }
 
 
@@ -509,7 +715,7 @@
                 log.last.clear()
                 asking.sendto(data, wire.sock.getsockname())
                 await until(lambda: log.lines)
-                (event, fields), = log.lines
+                ((event, fields),) = log.lines
                 assert (event, fields["peer"]) == ("count.unfit", "127.0.0.1"), name
                 assert fields["step"] == "read a question" and fields["error"], name
                 assert core.counting.holder.counts == before and not core.mailbox.items, name
@@ -552,18 +758,25 @@
     "no table": ("restore", lambda folder: Store(str(folder.parent), 64).save([])),  # type: ignore[arg-type]
     "no disk": ("restore", lambda folder: Store(str(folder.parent), 64).save({"decided": None})),
     "a promise that is text": (
-        "restore", lambda folder: Store(str(folder.parent), 64).save({**STATE, "promised": "x"})),
+        "restore",
+        lambda folder: Store(str(folder.parent), 64).save({**STATE, "promised": "x"}),
+    ),
     "an odd value": (
-        "restore", lambda folder: Store(str(folder.parent), 64).save({**STATE, "decided": {"slot": INF}})),
+        "restore",
+        lambda folder: Store(str(folder.parent), 64).save({**STATE, "decided": {"slot": INF}}),
+    ),
     "accepted is short": (
-        "restore", lambda folder: Store(str(folder.parent), 64).save({**STATE, "accepted": []})),
+        "restore",
+        lambda folder: Store(str(folder.parent), 64).save({**STATE, "accepted": []}),
+    ),
 }
 
 
 @pytest.mark.parametrize("first", [False, True])
 @pytest.mark.parametrize("name", BAD_DISKS)
 def test_given_a_disk_that_cannot_be_read_then_it_is_told_and_votes_as_another_member(
-        name: str, first: bool, tmp_path: Path) -> None:
+    name: str, first: bool, tmp_path: Path
+) -> None:
     # Given a disk whose one generation is whole, and then is not; settings perhaps still of the first start
     Store(str(tmp_path), 64).save(STATE)
     step, spoil = BAD_DISKS[name]
@@ -592,7 +805,8 @@
 
 @pytest.mark.parametrize("role", ["control-plane", "data-plane"])
 def test_given_a_settings_file_that_is_rubbish_at_a_signal_then_the_old_stay_and_the_program_goes_on(
-        role: str, tmp_path: Path) -> None:
+    role: str, tmp_path: Path
+) -> None:
     system = System(tmp_path, machines=1)
 
     def line(child: Child, words: str, say: int = 0) -> str:
--- a/tests/stories/test_calls.py
+++ b/tests/stories/test_calls.py
@@ -19,7 +19,8 @@
 
 @pytest.mark.parametrize("seed", range(3))
 def test_given_calls_cut_doubled_late_and_unheard_then_each_has_its_own_answer_and_nothing_is_undone(
-        seed: int) -> None:
+    seed: int,
+) -> None:
     broken = called(seed).broken
     assert not broken, f"seed {seed}: {broken}"
 
@@ -37,7 +38,8 @@
 @pytest.mark.parametrize("guard", ["", "late"])
 @pytest.mark.parametrize("mode", [STABLE, DECAYING])
 def test_given_a_server_called_lost_when_a_late_beat_comes_then_it_changes_nothing_and_the_next_does(
-        mode: str, guard: str) -> None:
+    mode: str, guard: str
+) -> None:
     cells = Cells("10.0.0.1:7660", "z", 1.5, 1, 0.0)
     cells.beat(beat(5, mode), 1.0)
     cells.silent_servers(20.0, True)
@@ -51,7 +53,8 @@
 
 @pytest.mark.parametrize("guard", ["", "drained"])
 def test_given_a_drain_when_a_beat_under_a_higher_number_calls_it_stable_then_it_still_drains(
-        guard: str) -> None:
+    guard: str,
+) -> None:
     cells = Cells("10.0.0.1:7660", "z", 1.5, 1, 0.0)
     cells.beat(beat(7, DECAYING), 1.0)
     with without(guard) if guard else nullcontext():
--- a/tests/stories/test_configuration.py
+++ b/tests/stories/test_configuration.py
@@ -312,7 +312,8 @@
 
 
 def test_given_a_document_in_force_when_it_is_changed_then_what_stays_is_not_looked_at_again(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     # Given a document that was checked, and one that differs in one route
     base, new = document(), document("00000008")
     new["elements"][0]["reference"]["cutoffMs"] = 3000
@@ -333,13 +334,15 @@
 
 @pytest.mark.parametrize("seed", range(30))
 def test_given_a_document_in_force_when_a_change_is_spoilt_then_each_fault_is_found_as_without_it(
-        seed: int) -> None:
+    seed: int,
+) -> None:
     # Given a change of which some fields were spoilt, also by what Python takes for the same
     random, base, new = Random(seed), document(), document("00000008")
     for _ in range(random.randint(1, 3)):
         one = random.choice(new["elements"])["reference"]
         name = random.choice([*one, "plant", "trials", "unguarded"])
         one[name] = random.choice([True, 1, 1.0, 0, False, "", "/a/", "s9", ["k1"], None, [], {}])
+
     # When it is checked on top of the document in force, Then the faults are those of the whole document
     def found(on: dict[str, Any] | None) -> list[str]:
         return [str(fault) for fault in change.faults(new, 7, on)]
@@ -349,7 +352,8 @@
 
 @pytest.mark.parametrize(("good", "bad"), [(1, True), (1, 1.5), (2, "2")])
 def test_given_a_field_that_python_takes_for_the_same_when_it_changes_then_its_shape_is_checked(
-        good: Any, bad: Any) -> None:
+    good: Any, bad: Any
+) -> None:
     base, new = document(), document("00000008")
     base["elements"][0]["reference"]["trials"], new["elements"][0]["reference"]["trials"] = good, bad
     with pytest.raises(change.Invalid, match="trials"):
--- a/tests/stories/test_contact.py
+++ b/tests/stories/test_contact.py
@@ -41,7 +41,8 @@
 
 @pytest.mark.parametrize("name", ["", *LONG])
 def test_given_cuts_that_last_long_then_who_starts_behind_one_waits_and_a_rule_dropped_is_found(
-        name: str) -> None:
+    name: str,
+) -> None:
     began = 0
     first = 160 if "just now" in name else 0
     for seed in range(first, first + 60) if name else range(12):
@@ -59,7 +60,8 @@
 
 @pytest.mark.parametrize("name", ["", *LAX])
 def test_given_clocks_that_drift_much_when_a_lease_does_not_allow_for_it_then_the_model_finds_it(
-        name: str) -> None:
+    name: str,
+) -> None:
     with mock.patch.object(contact, "DRIFT", 0.4):
         for seed in range(200 if name else 10):
             try:
--- a/tests/stories/test_core_contact.py
+++ b/tests/stories/test_core_contact.py
@@ -55,7 +55,8 @@
 
 @pytest.mark.parametrize("way", ["both", "out", "in"])
 def test_given_a_limiter_that_knows_only_the_machine_cut_off_when_it_starts_then_it_finds_the_others(
-        way: str) -> None:
+    way: str,
+) -> None:
     async def story(world: World) -> None:
         await trio.sleep(4.0)
         lost, limiter = world.core[0], spare_limiter(world)
@@ -82,6 +83,7 @@
 
 def cut_off_for_long(kind: str, seed: int) -> None:
     """`kind`: `seeds`: of six, two that settings name; `restarted`: with an old disk, meanwhile."""
+
     async def story(world: World) -> None:
         await trio.sleep(6.0)
         lost = world.core[:2] if kind == "seeds" else world.core[:1]
@@ -108,7 +110,7 @@
         await trio.sleep(end - now())
         # Then whoever decides knows each server that stays, and took none for lost
         with world.being(world.operator.life):
-            for host in world.core[len(lost):]:
+            for host in world.core[len(lost) :]:
                 rows = await show.servers([Address(host, PORTS[0])])
                 known = {row["server"] for row in rows if row["state"] == "stable"}
                 assert known == {name for name, one in world.servers.items() if one.life.alive}
@@ -123,7 +125,8 @@
 
 @pytest.mark.parametrize("way", ["both", "out", "in"])
 def test_given_an_operator_and_a_server_that_know_only_the_machine_cut_off_then_they_are_acknowledged_in_time(
-        way: str) -> None:
+    way: str,
+) -> None:
     async def story(world: World) -> None:
         await trio.sleep(4.0)
         lost = world.core[0]
@@ -186,7 +189,8 @@
 
 @pytest.mark.parametrize("before", [0.0086, 0.0016])
 def test_given_the_machine_that_acted_last_cut_off_right_after_its_acknowledgement_then_limiters_hear_of_it(
-        before: float) -> None:
+    before: float,
+) -> None:
     # Given the moments at which its majority has accepted, and at which its acknowledgement is on its way
     after = acknowledged_after(75) - before
 
@@ -216,7 +220,8 @@
 
 @pytest.mark.parametrize("way", ["both", "out", "in"])
 def test_given_a_zone_cut_off_with_the_holder_of_a_count_then_it_holds_it_no_longer_than_its_leases(
-        way: str) -> None:
+    way: str,
+) -> None:
     assert 0.0 < held_on(way, 76) < contact.CURRENT + contact.TOUCH
 
 
@@ -236,8 +241,9 @@
         count = next(one.count for one in world.notes if one.life.name == f"{holder}-data")
         some, others = (outside, inside) if way == "in" else (inside, outside)
         heal, began = world.cut(some, others, both=way == "both"), now()
-        world.nursery.start_soon(partial(
-            world.traffic, 40.0, 4.0, key=f"key-{tenant}", front=holder, tries=1))
+        world.nursery.start_soon(
+            partial(world.traffic, 40.0, 4.0, key=f"key-{tenant}", front=holder, tries=1)
+        )
         before = 0
         while now() < began + 4.0:
             await trio.sleep(0.01)
@@ -254,13 +260,15 @@
 
 @pytest.mark.parametrize("seed", [77, 78])
 def test_given_limiters_that_start_behind_a_cut_then_none_begins_by_what_the_others_left_behind(
-        seed: int) -> None:
+    seed: int,
+) -> None:
     begun_behind(seed)
 
 
 def begun_behind(seed: int, again: bool = False) -> None:
     """A zone is cut off, `again`: twice; there both limiters are killed twice each time, and elsewhere orders
     are decided that take a route away."""
+
     async def story(world: World) -> None:
         await trio.sleep(4.0)
         inside, outside = world.around(world.zones[0]), world.around(*world.zones[1:])
@@ -355,8 +363,9 @@
     fine(story, 80, limiters=2, controls=1)
 
 
-def test_given_one_cut_off_for_long_that_answers_first_then_a_limiter_that_reaches_all_waits_for_the_others(
-) -> None:
+def test_given_one_cut_off_for_long_that_answers_first_then_a_limiter_that_reaches_all_waits_for_the_others() -> (
+    None
+):
     seen = list[int]()
 
     async def story(world: World) -> None:
--- a/tests/stories/test_core_cut_news.py
+++ b/tests/stories/test_core_cut_news.py
@@ -18,13 +18,15 @@
 
 @pytest.mark.parametrize(("kind", "seed"), [("limiter", 82), ("limiter", 84), ("control", 83)])
 def test_given_one_cut_off_that_tells_old_news_of_servers_then_limiters_that_reach_all_keep_to_the_newer(
-        kind: str, seed: int) -> None:
+    kind: str, seed: int
+) -> None:
     old_news(kind, seed)
 
 
 def old_news(kind: str, seed: int) -> None:
     """While one is cut off, a server leaves that does not reach it, another service gets its address, and one
     starts. Then a limiter that reaches all starts anew, or (`control`) the one cut off does."""
+
     async def story(world: World) -> None:
         await trio.sleep(9.0)
         lost, leaver = world.core[0], world.at("alpha")[-1]
@@ -89,6 +91,7 @@
 
 def cut_twice(seed: int) -> None:
     """Whom, which way, for how long (16 to 22 s) and who is restarted meanwhile is drawn for each cut."""
+
     async def story(world: World) -> None:
         await trio.sleep(6.0)
         number, draw = 1, world.random
--- a/tests/stories/test_core_cuts.py
+++ b/tests/stories/test_core_cuts.py
@@ -25,12 +25,14 @@
 
 @pytest.mark.parametrize("seed", [61, 62, 63])
 def test_given_a_limiter_whose_two_control_planes_are_cut_off_when_the_others_decide_then_it_hears_of_it(
-        seed: int) -> None:
+    seed: int,
+) -> None:
     async def story(world: World) -> None:
         await trio.sleep(6.0)  # the core has grown to six
         zone = world.zones[seed % 3]
-        limiter = next(one.machine.host for one in world.of("data", zone)
-                       if one.machine.host not in world.core)
+        limiter = next(
+            one.machine.host for one in world.of("data", zone) if one.machine.host not in world.core
+        )
         two = followed(world, limiter, zone)
         heal = world.cut(two, [host for host in world.core if host not in two])
         await trio.sleep(3.0)  # by now those two name nobody but each other
@@ -45,8 +47,9 @@
     fine(story, seed, limiters=3, controls=2)
 
 
-def test_given_a_machine_of_the_settings_is_gone_when_all_are_killed_then_limiters_follow_whoever_comes_up(
-        ) -> None:
+def test_given_a_machine_of_the_settings_is_gone_when_all_are_killed_then_limiters_follow_whoever_comes_up() -> (
+    None
+):
     led = list[float]()
 
     async def story(world: World) -> None:
--- a/tests/stories/test_core_endings.py
+++ b/tests/stories/test_core_endings.py
@@ -18,6 +18,7 @@
 
 def test_given_two_of_three_told_to_end_at_one_moment_when_a_new_one_comes_then_the_rest_go_on() -> None:
     """Told 0.1 s apart, the second waits for who comes. Neither may count the other as one that stays."""
+
     async def story(world: World) -> None:
         assert await until_borne(world, 1, CONVERGENCE_S) < CONVERGENCE_S
         leavers = world.core[:2]
@@ -37,9 +38,11 @@
 @pytest.mark.parametrize("count", [5, 6])
 @pytest.mark.parametrize("apart", [0.5, 1.5])
 def test_given_all_but_one_told_to_end_in_a_row_when_each_goes_then_those_left_decide_but_the_last_alone(
-        count: int, apart: float) -> None:
+    count: int, apart: float
+) -> None:
     """Three members are the fewest: the last one alone decides nothing until one more is back, and one of
     the two before it waits for that as long as it may."""
+
     async def story(world: World) -> None:
         assert await until_borne(world, 2, 10.0) < 10.0
         hosts, ended, orders = list(world.core), dict[str, float](), 1
--- a/tests/stories/test_core_losses.py
+++ b/tests/stories/test_core_losses.py
@@ -42,6 +42,7 @@
 
 def test_given_a_spare_whose_disk_is_full_when_a_member_is_lost_then_the_core_goes_on() -> None:
     """It would be named, count in the number that more than half is taken of, and have no vote."""
+
     async def story(world: World) -> None:
         world.bring("10.0.0.8", "zone0")
         spare = world.process("10.0.0.8", "control")
@@ -61,8 +62,10 @@
 
 @pytest.mark.parametrize("seed", [411, 412])
 def test_given_the_first_in_the_order_waits_for_its_disk_when_a_member_is_lost_then_another_mends(
-        seed: int) -> None:
+    seed: int,
+) -> None:
     """Nor does a change wait for that disk, where the others suffice."""
+
     async def story(world: World) -> None:
         first = world.process(world.core[0], "control")
         assert first.disk is not None and await until_borne(world, 2, 10.0) < 10.0
@@ -85,8 +88,10 @@
 
 @pytest.mark.parametrize("seed", [413, 414])
 def test_given_the_first_in_the_order_hears_nobody_when_a_member_is_lost_then_another_mends(
-        seed: int) -> None:
+    seed: int,
+) -> None:
     """A cut one way: the others hear it, and would wait for it."""
+
     async def story(world: World) -> None:
         assert await until_borne(world, 2, 10.0) < 10.0
         first, lost = world.core[0], world.core[-1]
@@ -104,8 +109,10 @@
 
 @pytest.mark.parametrize("seed", [415, 416])
 def test_given_the_first_in_the_order_does_not_hear_the_spare_when_a_member_is_lost_then_another_mends(
-        seed: int) -> None:
+    seed: int,
+) -> None:
     """It sees nothing to change, and who does see it is not the first: a turn comes after 0.7 s."""
+
     async def story(world: World) -> None:
         assert await until_borne(world, 1, CONVERGENCE_S) < CONVERGENCE_S
         first, lost, spare = world.core[0], world.core[-1], "10.2.0.9"
@@ -121,6 +128,7 @@
 
 def test_given_the_own_disk_hangs_when_another_restarts_then_an_order_waits_for_that_one_alone() -> None:
     """A vote of its own that never comes must not keep an attempt from being made anew."""
+
     async def story(world: World) -> None:
         asked, other = world.process(world.core[0], "control"), world.core[1]
         assert asked.disk is not None and await until_borne(world, 1, CONVERGENCE_S) < CONVERGENCE_S
@@ -141,16 +149,21 @@
 def test_given_a_value_heard_with_the_news_when_the_power_goes_then_the_disk_has_it() -> None:
     """Whoever misses the one message of its proposer holds it no less."""
     seeds = ("10.0.0.1:7660", "10.0.0.2:7660", "10.0.0.3:7660")
-    decided = Value(1, (*(Member(seed, core.FIRST) for seed in seeds[:2]), Member("10.0.0.9:7660", "new")), 1,
-                    b"a document")
+    decided = Value(
+        1,
+        (*(Member(seed, core.FIRST) for seed in seeds[:2]), Member("10.0.0.9:7660", "new")),
+        1,
+        b"a document",
+    )
 
     async def story(world: World) -> None:
         disk = Disk(Random(1))
         with world.being(world.operator.life):
             async with trio.open_nursery() as nursery:
                 peers = cast(Peers, world)  # it has a nursery, and none is asked
-                register = Register(seeds[0], seeds, True, cast(Store, disk), peers, Random(1),
-                                    lambda *_, **__: None)
+                register = Register(
+                    seeds[0], seeds, True, cast(Store, disk), peers, Random(1), lambda *_, **__: None
+                )
                 nursery.start_soon(register.keep)
                 disk.mode = "full"
                 register.learn(decided)
@@ -168,6 +181,7 @@
 def test_given_a_value_decided_while_a_disk_takes_nothing_when_it_takes_again_then_it_has_it_soon() -> None:
     """No change of members, so nobody asks whether it is settled: that disk may be all that is left
     to restore from."""
+
     async def story(world: World) -> None:
         last = world.process(world.core[-1], "control")
         assert last.disk is not None and await until_borne(world, 1, CONVERGENCE_S) < CONVERGENCE_S
@@ -188,6 +202,7 @@
 
 def test_given_all_seeds_replaced_in_turn_when_a_disk_is_wiped_then_it_is_found_without_its_seeds() -> None:
     """Its settings name only machines that have gone: the others ask it, for its address is a member's."""
+
     async def story(world: World) -> None:
         seeds = list(world.peers)
         for n, old in enumerate(list(world.core)):
@@ -244,9 +259,9 @@
 
 
 @pytest.mark.parametrize("seed", [441, 442])
-def test_given_a_member_lost_when_another_is_told_to_end_then_it_waits_for_who_comes(
-        seed: int) -> None:
+def test_given_a_member_lost_when_another_is_told_to_end_then_it_waits_for_who_comes(seed: int) -> None:
     """It and one more are all that is left of three; the new one has nothing yet."""
+
     async def story(world: World) -> None:
         world.remove(world.core[2])
         await trio.sleep(0.2)
@@ -265,6 +280,7 @@
 @pytest.mark.parametrize("seed", [443, 444])
 def test_given_a_member_that_goes_when_a_new_one_is_named_and_lost_then_the_rest_go_on(seed: int) -> None:
     """Two of three are left; beside the one that goes, the new one would make it two of four."""
+
     async def story(world: World) -> None:
         leaver, spare = world.core[2], "10.2.0.9"
         ending(world, leaver)
@@ -283,6 +299,7 @@
 @pytest.mark.parametrize("seed", [445, 446])
 def test_given_one_spare_when_two_of_three_are_told_to_end_then_the_rest_go_on(seed: int) -> None:
     """The first in the order of duty is one of them."""
+
     async def story(world: World) -> None:
         world.bring("10.1.0.9", "zone1")
         assert await until_borne(world, 1, CONVERGENCE_S, "10.1.0.9") < CONVERGENCE_S
@@ -317,8 +334,12 @@
 def test_given_who_leaves_when_it_waits_then_it_is_no_candidate_and_most_know_its_servers() -> None:
     addresses = ("10.0.0.1:7660", "10.0.0.2:7660", "10.0.0.3:7660")
     cells = Cells(addresses[0], "north", 1.5, 1, 0.0)
-    news = SimpleNamespace(asking=SimpleNamespace(counted=True), cells=cells, joined=lambda: False,
-                           register=SimpleNamespace(decided=core.genesis(addresses)))
+    news = SimpleNamespace(
+        asking=SimpleNamespace(counted=True),
+        cells=cells,
+        joined=lambda: False,
+        register=SimpleNamespace(decided=core.genesis(addresses)),
+    )
     repair = Repair(cast(Register, news.register), lambda *_, **__: None)
     cells.beat(Record("a", "10.9.0.1:80", "alpha", "north", 1, 3, "decaying"), 0.0)
     one, other = (cells.controls.setdefault(each, Control(each)) for each in addresses[1:])
@@ -344,8 +365,11 @@
     with world.being(world.operator.life):
         for host in world.core:
             with suppress(PeerError):
-                told |= {row["state"] for row in await show.servers([Address(host, PORTS[0])])
-                         if row["server"] == name}
+                told |= {
+                    row["state"]
+                    for row in await show.servers([Address(host, PORTS[0])])
+                    if row["server"] == name
+                }
     return told
 
 
--- a/tests/stories/test_core_moves.py
+++ b/tests/stories/test_core_moves.py
@@ -79,8 +79,9 @@
 async def leaving(world: World, moves: Moves) -> None:
     """Servers leave in order, each after another has come in its place."""
     while not moves.over:
-        server = world.random.choice([one for one in world.at("alpha") + world.at("beta")
-                                      if one.mode == "stable"])
+        server = world.random.choice(
+            [one for one in world.at("alpha") + world.at("beta") if one.mode == "stable"]
+        )
         world.serve(server.service, server.machine.zone, server.machine.host, server.address.port + 1)
         await trio.sleep(0.5)
         world.nursery.start_soon(drained, world, server, moves)
@@ -172,13 +173,17 @@
 
 
 WAYS: dict[str, Callable[[], Moves]] = {
-    "told, new one after": lambda: Moves(True, True), "untold, new one after": lambda: Moves(False, True),
-    "told, new one before": lambda: Moves(True, False), "untold, new one before": lambda: Moves(False, False)}
+    "told, new one after": lambda: Moves(True, True),
+    "untold, new one after": lambda: Moves(False, True),
+    "told, new one before": lambda: Moves(True, False),
+    "untold, new one before": lambda: Moves(False, False),
+}
 
 
 @pytest.mark.parametrize(("way", "seed"), [(way, 301 + n) for n, way in enumerate(WAYS)])
 def test_given_changes_and_drains_when_all_members_of_the_core_are_replaced_then_no_duty_is_missed(
-        way: str, seed: int) -> None:
+    way: str, seed: int
+) -> None:
     moves = WAYS[way]()
     world = played(seed, moves, limiters=1)
     assert not moves.stuck and not moves.late and len(moves.voting) == 3 and moves.drains > 3
@@ -187,7 +192,8 @@
 
 @pytest.mark.parametrize("seed", [303, 305])
 def test_given_an_empty_member_at_the_lowest_address_when_the_next_goes_soon_then_the_core_goes_on(
-        seed: int) -> None:
+    seed: int,
+) -> None:
     """The duty of naming members must not lie with one that has only just come up and does not do it."""
     moves = Moves(False, True, 2.0)
     world = played(seed, moves, limiters=1, servers=1)
@@ -212,8 +218,10 @@
 
 @pytest.mark.parametrize(("each", "seed"), [(1, 321), (2, 322)])
 def test_given_a_zone_without_control_machines_when_they_are_back_then_its_servers_were_kept_and_return(
-        each: int, seed: int) -> None:
+    each: int, seed: int
+) -> None:
     """No trouble marked: a zone's control machines, one of a core of three or two of six, excuse nothing."""
+
     async def story(world: World) -> None:
         for n, zone in enumerate(world.zones * (each - 1)):
             world.bring(f"10.{n}.0.8", zone)
@@ -253,8 +261,15 @@
 def test_given_members_that_change_when_another_finishes_the_change_then_it_is_told_once() -> None:
     told: list[str] = []
     seeds = ("10.0.0.1:7660", "10.0.0.2:7660", "10.0.0.3:7660")
-    register = Register(seeds[0], seeds, True, cast(Store, Disk(Random(1))), cast(Peers, None), Random(1),
-                        lambda event, **_: told.append(event))
+    register = Register(
+        seeds[0],
+        seeds,
+        True,
+        cast(Store, Disk(Random(1))),
+        cast(Peers, None),
+        Random(1),
+        lambda event, **_: told.append(event),
+    )
     value = core.genesis(seeds)
     moved = replace(value, slot=1, members=(*value.members[:2], Member("10.0.0.9:7660", "new")))
 
@@ -270,12 +285,18 @@
 
 
 def beat(count: int, mode: str) -> bytes:
-    return orjson.dumps({"address": "10.9.0.1:80", "observation": {"subsystem": "runner", "zone": "north"},
-                         "stateEstimate": {"mode": mode, "callCount": count}})
-
-
-def test_given_many_drains_when_their_ids_are_forgotten_then_the_drains_are_not_and_most_are_asked_again(
-        ) -> None:
+    return orjson.dumps(
+        {
+            "address": "10.9.0.1:80",
+            "observation": {"subsystem": "runner", "zone": "north"},
+            "stateEstimate": {"mode": mode, "callCount": count},
+        }
+    )
+
+
+def test_given_many_drains_when_their_ids_are_forgotten_then_the_drains_are_not_and_most_are_asked_again() -> (
+    None
+):
     cells, most, at = Cells("10.0.0.1:7660", "north", 1.5, 1, 0.0), [True], [0.0]
     asked: list[str] = []
 
@@ -319,11 +340,21 @@
         fine(story, seed)
 
 
-@pytest.mark.parametrize(("members", "voting", "free"), [
-    ("abc", "abc", "abc"), ("abc", "ab", "c"), ("abc", "a", ""), ("abcd", "abcd", "abcd"),
-    ("abcd", "abc", "d"), ("abcde", "abcd", "abcde"), ("abcde", "abc", "de")])
+@pytest.mark.parametrize(
+    ("members", "voting", "free"),
+    [
+        ("abc", "abc", "abc"),
+        ("abc", "ab", "c"),
+        ("abc", "a", ""),
+        ("abcd", "abcd", "abcd"),
+        ("abcd", "abc", "d"),
+        ("abcde", "abcd", "abcde"),
+        ("abcde", "abc", "de"),
+    ],
+)
 def test_given_who_votes_when_a_member_is_to_go_then_more_than_half_are_left(
-        members: str, voting: str, free: str) -> None:
+    members: str, voting: str, free: str
+) -> None:
     named = {letter: Member(f"10.0.0.{n}:7660", letter) for n, letter in enumerate("abcde")}
     found = may_go(tuple(named[one] for one in members), frozenset(named[one] for one in voting))
     assert found == {named[one] for one in free}
--- a/tests/stories/test_counts.py
+++ b/tests/stories/test_counts.py
@@ -98,10 +98,22 @@
         fleet.kill(name, 4, 0.4 + 0.6 * rng.random())
 
 
-HARMS: list[Harm] = [nothing, all_killed, holder_killed_twice, holders_killed_in_turn, third_cut_off,
-                     third_cut_off_with_the_holder, cut_in_two, answers_lost, lists_flap,
-                     holder_killed_after_a_burst, most_end, ends_amid_harm, ends_after_falling_back,
-                     ends_and_starts_behind_a_cut]
+HARMS: list[Harm] = [
+    nothing,
+    all_killed,
+    holder_killed_twice,
+    holders_killed_in_turn,
+    third_cut_off,
+    third_cut_off_with_the_holder,
+    cut_in_two,
+    answers_lost,
+    lists_flap,
+    holder_killed_after_a_burst,
+    most_end,
+    ends_amid_harm,
+    ends_after_falling_back,
+    ends_and_starts_behind_a_cut,
+]
 
 
 def play(harm: Harm, seed: int, plan: Plan) -> Fleet:
@@ -113,8 +125,14 @@
 @pytest.mark.parametrize("harm", HARMS, ids=lambda harm: harm.__name__)
 def test_given_a_hot_tenant_when_harm_comes_then_every_window_holds(harm: Harm) -> None:
     for seed in range(24):
-        plan = Plan(rate=(10.0, 60.0, 60.0, 150.0)[seed % 4], hot=6, skew=seed % 3 / 2, until=13,
-                    late=0.2 * (seed % 5 == 0), loss=0.02 * (seed % 2))
+        plan = Plan(
+            rate=(10.0, 60.0, 60.0, 150.0)[seed % 4],
+            hot=6,
+            skew=seed % 3 / 2,
+            until=13,
+            late=0.2 * (seed % 5 == 0),
+            loss=0.02 * (seed % 2),
+        )
         assert play(harm, seed, plan).worst() <= 1.0, seed
 
 
@@ -123,15 +141,23 @@
     assert play(harm, 1, Plan(limiters=96, rate=300, hot=5, until=12)).worst() <= 1.0
 
 
-@pytest.mark.parametrize(("mutant", "harm"), [
-    ("fresh", holder_killed_twice), ("whole", third_cut_off_with_the_holder),
-    ("left", cut_in_two), ("uncharged", holder_killed_after_a_burst)])
+@pytest.mark.parametrize(
+    ("mutant", "harm"),
+    [
+        ("fresh", holder_killed_twice),
+        ("whole", third_cut_off_with_the_holder),
+        ("left", cut_in_two),
+        ("uncharged", holder_killed_after_a_burst),
+    ],
+)
 def test_given_a_mutant_without_a_guard_then_a_window_breaks(mutant: str, harm: Harm) -> None:
     assert any(play(harm, seed, Plan(rate=150, hot=8, mutant=mutant)).worst() > 1.0 for seed in range(24))
 
 
-@pytest.mark.parametrize(("mutant", "harm"), [
-    ("untold", ends_after_falling_back), ("former", ends_and_starts_behind_a_cut), ("goes on", most_end)])
+@pytest.mark.parametrize(
+    ("mutant", "harm"),
+    [("untold", ends_after_falling_back), ("former", ends_and_starts_behind_a_cut), ("goes on", most_end)],
+)
 def test_given_a_guard_of_ends_dropped_then_a_window_breaks(mutant: str, harm: Harm) -> None:
     plan = Plan(rate=600, hot=8, skew=0, loss=0, until=11, mutant=mutant)
     assert any(play(harm, seed, plan).worst() > 1.0 for seed in range(3))
@@ -139,8 +165,11 @@
 
 
 def test_given_most_limiters_end_when_within_the_limit_then_little_is_refused() -> None:
-    said, unsaid = (sum(play(most_end, seed, Plan(rate=60, hot=0.8, skew=0, mutant=each)).served(4)
-                        for seed in range(4)) / 4 for each in ("", "unsaid"))
+    said, unsaid = (
+        sum(play(most_end, seed, Plan(rate=60, hot=0.8, skew=0, mutant=each)).served(4) for seed in range(4))
+        / 4
+        for each in ("", "unsaid")
+    )
     assert said > 0.9 > 0.75 > unsaid
 
 
@@ -172,15 +201,21 @@
 
 
 def test_given_beats_that_stop_when_clients_are_few_then_their_limiters_are_taken_for_cut_off() -> None:
-    with_beats, without = (play(nothing, 1, Plan(rate=10, hot=0.9, mutant=each)).served()
-                           for each in ("", "silent"))
+    with_beats, without = (
+        play(nothing, 1, Plan(rate=10, hot=0.9, mutant=each)).served() for each in ("", "silent")
+    )
     assert with_beats > 0.97 > 0.5 > without
 
 
 def test_given_all_killed_when_a_tenant_comes_through_few_limiters_then_it_has_room_at_once() -> None:
     with_words, without = (
-        sum(play(all_killed, seed, Plan(limiters=68, rate=15, hot=0.5, until=8, mutant=each)).served(5)
-            for seed in range(4)) / 4 for each in ("", "unheard"))
+        sum(
+            play(all_killed, seed, Plan(limiters=68, rate=15, hot=0.5, until=8, mutant=each)).served(5)
+            for seed in range(4)
+        )
+        / 4
+        for each in ("", "unheard")
+    )
     assert with_words > 0.93 > 0.6 > without
 
 
@@ -257,7 +292,8 @@
 
 @pytest.mark.parametrize(("gap", "fits"), [(APART * 0.9, True), (APART * 1.1, False)])
 def test_given_a_holder_out_of_touch_when_another_may_have_held_its_counts_then_it_grants_no_second_burst(
-        gap: float, fits: bool) -> None:
+    gap: float, fits: bool
+) -> None:
     holder = Holder()
     holder.touch(0.0)
     assert holder.add("t", 1.0, 60.0, 60.0, 0.0, "a", sole=gap)  # begins full, and drains from now on
--- a/tests/stories/test_disk_words.py
+++ b/tests/stories/test_disk_words.py
@@ -25,8 +25,14 @@
 class Peers:
     """The other members; one that is `slow` takes its time. `word`: what all of them say instead."""
 
-    def __init__(self, nursery: trio.Nursery, me: str, others: dict[str, Register], slow: str = "",
-                 word: dict[str, Any] | None = None) -> None:
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        me: str,
+        others: dict[str, Register],
+        slow: str = "",
+        word: dict[str, Any] | None = None,
+    ) -> None:
         self.nursery, self.me, self.others, self.slow, self.word = nursery, me, others, slow, word
 
     def reaches(self, address: str) -> bool:
@@ -41,8 +47,9 @@
 
 def made(folder: Path, peers: Peers, seeds: tuple[str, ...]) -> Register:
     folder.mkdir(exist_ok=True)
-    return Register(peers.me, seeds, True, Store(str(folder), 64), cast(Any, peers), Random(1),
-                    lambda *_, **__: None)
+    return Register(
+        peers.me, seeds, True, Store(str(folder), 64), cast(Any, peers), Random(1), lambda *_, **__: None
+    )
 
 
 def run(story: Callable[[trio.Nursery], Any]) -> None:
@@ -56,7 +63,8 @@
 
 @pytest.mark.parametrize("me", [SEEDS[0], "10.0.0.99:7660"])
 def test_given_ten_disks_of_which_it_knows_when_it_starts_again_then_its_own_is_no_wiped_one(
-        me: str, tmp_path: Path) -> None:
+    me: str, tmp_path: Path
+) -> None:
     # Given a core of ten seeds with their first disks, or one of nine and this one beside it
     async def story(nursery: trio.Nursery) -> None:
         peers = Peers(nursery, me, {})
@@ -77,11 +85,21 @@
     run(story)
 
 
-@pytest.mark.parametrize("word", [
-    {"saw": None}, {"saw": math.inf}, {"slot": None}, {"slot": math.inf}, {"accepted": None, "slot": "0"},
-    {"from": None}, {"saved": math.inf}])
+@pytest.mark.parametrize(
+    "word",
+    [
+        {"saw": None},
+        {"saw": math.inf},
+        {"slot": None},
+        {"slot": math.inf},
+        {"accepted": None, "slot": "0"},
+        {"from": None},
+        {"saved": math.inf},
+    ],
+)
 def test_given_a_member_that_answers_rubbish_when_one_starts_then_its_program_goes_on(
-        word: dict[str, Any], tmp_path: Path) -> None:
+    word: dict[str, Any], tmp_path: Path
+) -> None:
     async def story(nursery: trio.Nursery) -> None:
         register = made(tmp_path / "disk", Peers(nursery, SEEDS[0], {}, word=word), SEEDS[:3])
         await register.begin()
--- a/tests/stories/test_ended_limiters.py
+++ b/tests/stories/test_ended_limiters.py
@@ -22,6 +22,7 @@
 
 async def story(world: World) -> None:
     """Nine of twelve limiters are told to end within 7 s and stay away; a tenant asks 0.8 of its limit."""
+
     async def end() -> None:
         for host in world.random.sample([one for one in world.edges if not one.endswith(".1")], 9):
             await trio.sleep(world.random.uniform(0.2, 0.8))
@@ -50,12 +51,17 @@
 
 def test_given_a_limiter_that_said_its_end_then_neither_share_nor_late_answer_lets_in() -> None:
     let, refused, tenant = list[Any](), list[str](), Tenant("t", (), 1, 60.0, 60.0)
-    telemetry = SimpleNamespace(count=mock.MagicMock(), log=None, monitor=Monitor(mock.Mock()),
-                                observe=mock.Mock())
-    owner: Any = mock.Mock(telemetry=telemetry, live={1: 1, 2: 2},
-                           configuration=SimpleNamespace(tenants={"t": tenant}),
-                           clock=SimpleNamespace(now=lambda: 9.0), send=lambda *row: let.append(row),
-                           refuse=lambda request, after, why: refused.append(why))
+    telemetry = SimpleNamespace(
+        count=mock.MagicMock(), log=None, monitor=Monitor(mock.Mock()), observe=mock.Mock()
+    )
+    owner: Any = mock.Mock(
+        telemetry=telemetry,
+        live={1: 1, 2: 2},
+        configuration=SimpleNamespace(tenants={"t": tenant}),
+        clock=SimpleNamespace(now=lambda: 9.0),
+        send=lambda *row: let.append(row),
+        refuse=lambda request, after, why: refused.append(why),
+    )
     one = Counting("a", owner)
     one.wire = wire = mock.Mock(port=1, ask=mock.Mock(return_value=7))
     with mock.patch.object(Caller, "holder", lambda self, tenant: "b"):
@@ -78,8 +84,6 @@
     assert one.asked("t", 1.0, "b", NEAR, 1) is None is not one.asked("t", 1.0, "b", NEAR, 2)
 
 
-
-
 def test_given_an_end_that_was_heard_then_the_next_holder_is_asked_before_the_list_says_so() -> None:
     names = ["a", "b", "c"]
     caller = Caller("a", 0.0)
--- a/tests/stories/test_experience.py
+++ b/tests/stories/test_experience.py
@@ -122,8 +122,9 @@
 class Believer(Witness):
     """A mutant: believes any witness wholly."""
 
-    def credits(self, rows: Mapping[str, Mapping[str, Row]], servers: Iterable[str], limiters: int,
-                now: float) -> tuple[dict[str, float], list[str]]:
+    def credits(
+        self, rows: Mapping[str, Mapping[str, Row]], servers: Iterable[str], limiters: int, now: float
+    ) -> tuple[dict[str, float], list[str]]:
         return {}, []
 
     def wanted(self, opinion: Opinion) -> tuple[float, bool]:
@@ -134,8 +135,11 @@
     """One limiter sees, or says, what is not so."""
     world.run(3.0)
     if how in ("cut off", "frozen", "spoils"):
-        world.limiters[0].broken = {"cut off": Status.UNREACHABLE, "frozen": Status.TIMEOUT,
-                                    "spoils": Status.RESET}[how]
+        world.limiters[0].broken = {
+            "cut off": Status.UNREACHABLE,
+            "frozen": Status.TIMEOUT,
+            "spoils": Status.RESET,
+        }[how]
         return
     names = list(world.records) if how == "liar" else [BAD]
 
@@ -210,8 +214,10 @@
 
 def test_a_server_is_dead_only_after_a_second_of_bad_ends_alone() -> None:
     def dead(since: float) -> bool:
-        rows = {name: Row(name, BAD, 1, 0.0, (0.0, 3.0, 0.0, 0.0, 0.0, 0.0, 0.0), 1.0, 9.0, since)
-                for name in "ab"}
+        rows = {
+            name: Row(name, BAD, 1, 0.0, (0.0, 3.0, 0.0, 0.0, 0.0, 0.0, 0.0), 1.0, 9.0, since)
+            for name in "ab"
+        }
         rows["c"] = Row("c", BAD, 1, 0.1, (0.0,) * 7, 1.0, 9.0, since)
         return Witness(ON).opinion(rows, {}, 9.0).dead
 
@@ -260,8 +266,9 @@
         return Place(name, zone, 4, wanted, rate, dead)
 
     well = [Place(f"w{at}", "b", 4, 1.0, 0.0, False) for at in range(6)]
-    shares = allot([place("x", 0.6, "c"), place("y", 0.9, "d"), place("z", 0.8, "e"), place("v", 0.5, "f"),
-                    *well], ON)
+    shares = allot(
+        [place("x", 0.6, "c"), place("y", 0.9, "d"), place("z", 0.8, "e"), place("v", 0.5, "f"), *well], ON
+    )
     assert [shares[name] for name in "yzxv"] == [0.0, 0.0, 0.2, 1.0]
     # A zone keeps half of its own; what is dead is gone already, and is no reason to keep less of the rest.
     shares = allot([place("x", 0.6), place("y", 0.9), *well], ON)
@@ -288,8 +295,10 @@
         choice.put(record)
     lowered = choice.table["srv-0"]
     lowered.share = 0.5
-    found = {once: sum(choice.pick("s", 0.0, once=once) is lowered.record for _ in range(2000))
-             for once in (False, True)}
+    found = {
+        once: sum(choice.pick("s", 0.0, once=once) is lowered.record for _ in range(2000))
+        for once in (False, True)
+    }
     assert 0 < found[True] < found[False] / 3, found
 
 
@@ -376,8 +385,12 @@
 def test_probes_spare_requests_in_the_way_back_and_one_that_lies_only_slows_it() -> None:
     # Given a failing server; when it is tried with no probes, with two of three rounds by probe, and by lies
     found: dict[tuple[int, bool, str], tuple[int, int]] = {}
-    for probes, lying, fault in [(0, False, "failing"), (2, False, "failing"), (2, True, "failing"),
-                                 (2, False, "part")]:
+    for probes, lying, fault in [
+        (0, False, "failing"),
+        (2, False, "failing"),
+        (2, True, "failing"),
+        (2, False, "part"),
+    ]:
         world = World(12, 16, rate=RATE, policy=Policy(probes=probes))
         world.lying |= {BAD} if lying else set()
         world.run(4.0)
@@ -428,9 +441,13 @@
     world.fault.clear()
     look(30.0)
     # Then each step has its cause in front, and what limiters said behind it
-    for state, cause in [("out", r"^fall 1: left by all, \d+ witnesses, .* bad of .*next.* \| edge"),
-                         ("out", r"^fall 1: trial 1 failed at edge-\d+; next"), ("lowered", r"^lowered, \d+"),
-                         ("rising", r"^2 trials went well at edge-\d+"), ("out", "edge-0: .*, not heard")]:
+    for state, cause in [
+        ("out", r"^fall 1: left by all, \d+ witnesses, .* bad of .*next.* \| edge"),
+        ("out", r"^fall 1: trial 1 failed at edge-\d+; next"),
+        ("lowered", r"^lowered, \d+"),
+        ("rising", r"^2 trials went well at edge-\d+"),
+        ("out", "edge-0: .*, not heard"),
+    ]:
         assert any(re.search(cause, why) for why in told[state]), (state, cause, told[state])
 
 
@@ -520,22 +537,33 @@
         assert not digest.ended("a", None, True, 1.0, at * 0.01)
     assert not digest.take(0.1)
     assert digest.ended("a", Kind.FAILED, False, 1.0, 0.2)
-    (name, version, good, kinds, *_), = digest.take(0.2)
+    ((name, version, good, kinds, *_),) = digest.take(0.2)
     assert (name, kinds[Kind.FAILED]) == ("a", 100) and good <= 100 and not digest.take(0.3)
     digest.forget("a")
     digest.ended("a", Kind.LOST, False, 1.0, 0.4)
     assert digest.take(0.4)[0][1] > version
 
 
-@pytest.mark.parametrize(("status", "used", "slow", "room", "found"), [
-    (Status.OK, 200, False, True, None), (Status.OK, 200, True, True, Kind.SLOW),
-    (Status.ERROR, 500, False, True, Kind.FAILED), (Status.RESET, 0, False, False, Kind.LOST),
-    (Status.RESET, 200, False, False, Kind.WRONG), (Status.UNREACHABLE, 0, False, False, Kind.SILENT),
-    (Status.TIMEOUT, 0, False, False, None), (Status.TIMEOUT, 0, True, False, Kind.LOST),
-    (Status.FULL, 503, False, True, Kind.REFUSED), (Status.FULL, 503, False, False, None),
-    (Status.CANCELLED, 0, True, False, Kind.HUNG), (Status.CANCELLED, 0, False, False, None)])
-def test_what_an_end_says_of_its_server(status: Status, used: int, slow: bool, room: bool,
-                                        found: Kind | None) -> None:
+@pytest.mark.parametrize(
+    ("status", "used", "slow", "room", "found"),
+    [
+        (Status.OK, 200, False, True, None),
+        (Status.OK, 200, True, True, Kind.SLOW),
+        (Status.ERROR, 500, False, True, Kind.FAILED),
+        (Status.RESET, 0, False, False, Kind.LOST),
+        (Status.RESET, 200, False, False, Kind.WRONG),
+        (Status.UNREACHABLE, 0, False, False, Kind.SILENT),
+        (Status.TIMEOUT, 0, False, False, None),
+        (Status.TIMEOUT, 0, True, False, Kind.LOST),
+        (Status.FULL, 503, False, True, Kind.REFUSED),
+        (Status.FULL, 503, False, False, None),
+        (Status.CANCELLED, 0, True, False, Kind.HUNG),
+        (Status.CANCELLED, 0, False, False, None),
+    ],
+)
+def test_what_an_end_says_of_its_server(
+    status: Status, used: int, slow: bool, room: bool, found: Kind | None
+) -> None:
     assert kind(status, used, slow, room) is found
 
 
@@ -584,8 +612,12 @@
         found.close()
 
 
-SPOILT: list[Callable[[], Any]] = [lambda: Policy(floor=1.5), lambda: Policy(eject_witnesses=1),
-                                   lambda: Policy(steps=(0.5, 0.1)), lambda: Policy(first_wait=0.0)]
+SPOILT: list[Callable[[], Any]] = [
+    lambda: Policy(floor=1.5),
+    lambda: Policy(eject_witnesses=1),
+    lambda: Policy(steps=(0.5, 0.1)),
+    lambda: Policy(first_wait=0.0),
+]
 
 
 @pytest.mark.parametrize("make", SPOILT)
@@ -599,6 +631,12 @@
     assert on is not None and on.on and off is not None and not off.on and plain == Policy()
     assert switched(["--experience", "on", "--probes", "2"]) == Policy(on=True, probes=2)
     assert switched(["--probes", "3"]) == Policy(probes=3)
-    for words in (["--experience"], ["--experience", "yes"], ["--probes", "x"], ["--probes", "-1"],
-                  ["--else", "1"], ["--probes", "1", "--probes", "2"]):
+    for words in (
+        ["--experience"],
+        ["--experience", "yes"],
+        ["--probes", "x"],
+        ["--probes", "-1"],
+        ["--else", "1"],
+        ["--probes", "1", "--probes", "2"],
+    ):
         assert switched(words) is None
--- a/tests/stories/test_explore.py
+++ b/tests/stories/test_explore.py
@@ -23,8 +23,9 @@
 
 def test_given_a_guard_dropped_when_seeds_are_explored_then_it_is_found_with_its_fewest_faults() -> None:
     with mock.patch.object(Register, "save", unsaved):  # what is acknowledged is not on a disk
-        done = CliRunner().invoke(explore.main, [
-            "--seeds", "1-9", "--faults", "all_dark,change,signalled,resets", *SHORT])
+        done = CliRunner().invoke(
+            explore.main, ["--seeds", "1-9", "--faults", "all_dark,change,signalled,resets", *SHORT]
+        )
     assert done.exit_code == 1, done.output
     assert "breaks LOST" in done.stdout, done.stdout
     left = [line.split()[1] for line in done.stdout.splitlines() if "(its chance:" in line]
@@ -54,13 +55,23 @@
 
 
 def test_given_other_hashes_when_a_day_is_played_then_its_events_are_the_same() -> None:
-    code = ("from tests.stories import explore as e\n"
-            "shape = e.Shape(('leave', 'dark'), 8.0, 4.0, 0.1)\n"
-            "days = [e.day(n, e.plan(n, shape), shape, True) for n in (1, 2)]\n"
-            "print(chr(10).join(line for day in days for line in day.events))")
-    days = [subprocess.run([sys.executable, "-c", code], env={**os.environ, "PYTHONHASHSEED": hashes},
-                           capture_output=True, text=True, check=True, cwd=command.ROOT).stdout
-            for hashes in ("1", "2")]
+    code = (
+        "from tests.stories import explore as e\n"
+        "shape = e.Shape(('leave', 'dark'), 8.0, 4.0, 0.1)\n"
+        "days = [e.day(n, e.plan(n, shape), shape, True) for n in (1, 2)]\n"
+        "print(chr(10).join(line for day in days for line in day.events))"
+    )
+    days = [
+        subprocess.run(
+            [sys.executable, "-c", code],
+            env={**os.environ, "PYTHONHASHSEED": hashes},
+            capture_output=True,
+            text=True,
+            check=True,
+            cwd=command.ROOT,
+        ).stdout
+        for hashes in ("1", "2")
+    ]
     assert days[0] == days[1] and days[0].count("\n") > 40
 
 
@@ -70,13 +81,20 @@
 
 
 def test_given_the_command_when_the_tests_are_there_or_not_then_it_becomes_them_or_says_so(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     became: list[Any] = []
     monkeypatch.setattr(os, "execve", lambda *given: became.append(given))
     CliRunner().invoke(command.main, ["explore", "--seeds", "1-2", "--jobs", "1"])
-    (program, words, env), = became
-    assert program == sys.executable and words[1:] == ["-m", "tests.stories.explore", "--seeds", "1-2",
-                                                       "--jobs", "1"]
+    ((program, words, env),) = became
+    assert program == sys.executable and words[1:] == [
+        "-m",
+        "tests.stories.explore",
+        "--seeds",
+        "1-2",
+        "--jobs",
+        "1",
+    ]
     assert (Path(env["PYTHONPATH"].split(os.pathsep)[0]) / "tests/stories/explore.py").is_file()
     monkeypatch.setattr(command, "ROOT", tmp_path)
     told = CliRunner().invoke(command.main, ["explore", "--seeds", "1-2"])
--- a/tests/stories/test_fleet_stories.py
+++ b/tests/stories/test_fleet_stories.py
@@ -58,7 +58,8 @@
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_given_load_when_a_limiter_is_killed_then_no_rule_is_broken_and_it_is_back_in_seconds(
-        seed: int) -> None:
+    seed: int,
+) -> None:
     async def story(world: World) -> None:
         world.usual(9.0)
         await trio.sleep(2.0)
@@ -72,7 +73,8 @@
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_given_load_when_all_processes_are_killed_at_once_then_traffic_and_configuration_are_back(
-        seed: int) -> None:
+    seed: int,
+) -> None:
     async def story(world: World) -> None:
         world.usual(12.0)
         await trio.sleep(2.0)
@@ -113,8 +115,7 @@
 
 
 @pytest.mark.parametrize("seed", [41, 42])
-def test_given_an_acknowledged_configuration_when_a_disk_is_wiped_at_once_then_it_is_there(
-        seed: int) -> None:
+def test_given_an_acknowledged_configuration_when_a_disk_is_wiped_at_once_then_it_is_there(seed: int) -> None:
     async def story(world: World) -> None:
         world.usual(10.0, rate=10.0)
         await trio.sleep(1.0)
@@ -133,7 +134,8 @@
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_given_a_core_machine_taken_away_when_an_empty_one_takes_its_place_then_changes_go_on(
-        seed: int) -> None:
+    seed: int,
+) -> None:
     async def story(world: World) -> None:
         world.usual(14.0, rate=15.0)
         await trio.sleep(1.0)
@@ -175,7 +177,8 @@
 
 @pytest.mark.parametrize("seed", [61, 62])
 def test_given_the_core_cut_in_two_when_the_operator_reaches_either_side_then_only_most_decide(
-        seed: int) -> None:
+    seed: int,
+) -> None:
     async def story(world: World) -> None:
         world.usual(12.0, rate=15.0)
         await trio.sleep(1.0)
@@ -266,7 +269,8 @@
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_given_a_key_taken_away_and_a_route_moved_when_that_holds_then_nobody_goes_by_the_old(
-        seed: int) -> None:
+    seed: int,
+) -> None:
     async def story(world: World) -> None:
         async def old_key() -> None:
             await world.traffic(10.0, 9.0, key="key-old")
@@ -276,11 +280,18 @@
         world.usual(9.0)
         world.nursery.start_soon(old_key)
         await trio.sleep(3.0)
-        moved = {"read": ("/read/", "nullipotent", "beta"), "write": ("/write/", "mutating", "alpha"),
-                 "new": ("/new/", "nullipotent", "alpha")}
+        moved = {
+            "read": ("/read/", "nullipotent", "beta"),
+            "write": ("/write/", "mutating", "alpha"),
+            "new": ("/new/", "nullipotent", "alpha"),
+        }
         whole = world.configuration(3, 2, routes=moved)
-        change = {"setpointSeq": whole["setpointSeq"], "priorVersion": whole["priorVersion"],
-                  "apply": {"elements": whole["elements"]}, "remove": {"trajectories": ["other"]}}
+        change = {
+            "setpointSeq": whole["setpointSeq"],
+            "priorVersion": whole["priorVersion"],
+            "apply": {"elements": whole["elements"]},
+            "remove": {"trajectories": ["other"]},
+        }
         assert await world.adjust(change, whole) == 200
         await trio.sleep(3.0)
         for zone in world.zones:
@@ -298,8 +309,10 @@
 
 @pytest.mark.parametrize("patient", [False, True])
 def test_given_a_limiter_that_stood_still_when_it_goes_on_then_requests_whose_time_is_up_reach_no_server(
-        patient: bool) -> None:
+    patient: bool,
+) -> None:
     """Their clients have hung up, or (`patient`) still listen a moment after their time: told at once."""
+
     async def story(world: World) -> None:
         world.usual(6.0, rate=10.0)
         await trio.sleep(1.0)
@@ -307,8 +320,17 @@
         world.nursery.start_soon(world.freeze, host, 2.0)
         async with trio.open_nursery() as nursery:
             for _ in range(30):
-                nursery.start_soon(lambda: world.ask("zone0", "/write/", front=host, tries=1, mutating=True,
-                                                     wait=0.5, patience=3.0 * patient))
+                nursery.start_soon(
+                    lambda: world.ask(
+                        "zone0",
+                        "/write/",
+                        front=host,
+                        tries=1,
+                        mutating=True,
+                        wait=0.5,
+                        patience=3.0 * patient,
+                    )
+                )
                 await trio.sleep(0.03)
         await trio.sleep(frozen + 3.0 - now())
 
@@ -357,7 +379,8 @@
 
 @pytest.mark.parametrize("seed", range(91, 94))
 def test_given_a_drain_acknowledged_when_who_acknowledged_it_is_killed_then_the_server_is_left_alone(
-        seed: int) -> None:
+    seed: int,
+) -> None:
     async def story(world: World) -> None:
         world.usual(10.0, rate=60.0)
         await trio.sleep(2.0)
@@ -392,7 +415,8 @@
 
 @pytest.mark.parametrize("on_full", ["503", "reset", "hang"])
 def test_given_servers_with_little_room_when_more_comes_then_what_is_refused_has_not_run(
-        on_full: str) -> None:
+    on_full: str,
+) -> None:
     async def story(world: World) -> None:
         for server in world.at("alpha"):
             server.on_full, server.queue, server.work = on_full, 1, 0.4
@@ -422,8 +446,10 @@
 @pytest.mark.parametrize("apart", [math.inf, 0.01])
 @pytest.mark.parametrize("seed", SEEDS)
 def test_given_an_extra_answer_when_it_comes_late_then_no_client_gets_it_and_none_loses_its_own(
-        seed: int, apart: float) -> None:
+    seed: int, apart: float
+) -> None:
     """In the place of the next, which is skipped; or while nothing is asked, which ends its connection."""
+
     async def story(world: World) -> None:
         world.usual(6.0)
         await trio.sleep(1.0)
@@ -439,8 +465,10 @@
 
 @pytest.mark.parametrize("status", [200, 421])
 def test_given_two_answers_of_others_when_they_come_before_the_right_one_then_nobody_is_promised_anything(
-        status: int) -> None:
+    status: int,
+) -> None:
     """One is skipped, no more; and a 421 made for another says nothing of a request that runs here."""
+
     async def story(world: World) -> None:
         world.usual(6.0)
         await trio.sleep(1.0)
@@ -456,6 +484,7 @@
 
 def test_given_connections_dropped_while_idle_when_requests_meet_that_then_few_lose_their_answer() -> None:
     """A repeatable one goes again to the same server, one that may run once takes a young connection."""
+
     async def story(world: World) -> None:
         for server in world.servers.values():
             server.idle_drop, server.keep_alive = 1.5, None
@@ -468,16 +497,25 @@
     assert world.judge.count(502) < 5 and reused > 2 * world.counted("servers.opened")
 
 
-@pytest.mark.parametrize(("tries", "once", "again"), [
-    ([], UNTOLD, math.inf),
-    ([(0.1, 0, 400), (3.0, 0, 40)], 4.0, math.inf),  # an age at which it went well is known to go well
-    ([(0.1, 0, 400), (1.3, 1, 20)], 1.0, math.inf),  # one reset is enough for what can't go again
-    ([(0.1, 0, 400), (1.3, 9, 20)], 1.0, 1.0),
-    ([(0.1, 20, 400), (1.3, 1, 20)], UNTOLD, math.inf),  # young ones are reset as often: it has another cause
-    ([(1.3, 1, 1000)], 2.0, math.inf),
-], ids=["nothing", "proved", "one", "many", "another cause", "rare"])
+@pytest.mark.parametrize(
+    ("tries", "once", "again"),
+    [
+        ([], UNTOLD, math.inf),
+        ([(0.1, 0, 400), (3.0, 0, 40)], 4.0, math.inf),  # an age at which it went well is known to go well
+        ([(0.1, 0, 400), (1.3, 1, 20)], 1.0, math.inf),  # one reset is enough for what can't go again
+        ([(0.1, 0, 400), (1.3, 9, 20)], 1.0, 1.0),
+        (
+            [(0.1, 20, 400), (1.3, 1, 20)],
+            UNTOLD,
+            math.inf,
+        ),  # young ones are reset as often: it has another cause
+        ([(1.3, 1, 1000)], 2.0, math.inf),
+    ],
+    ids=["nothing", "proved", "one", "many", "another cause", "rare"],
+)
 def test_given_tries_on_kept_connections_when_some_are_reset_then_the_age_to_use_follows(
-        tries: list[tuple[float, int, int]], once: float, again: float) -> None:
+    tries: list[tuple[float, int, int]], once: float, again: float
+) -> None:
     idling = Idling()
     for idle, lost, all_of in tries:
         for n in range(all_of):
@@ -513,11 +551,15 @@
     assert sum(one.status == 200 for one in hot) > 100 and any(one.status == 429 for one in hot)
 
 
-@pytest.mark.parametrize(("zone", "rate", "both"), [
-    ("zone0", 40.0, True), ("zone1", 20.0, True), ("zone2", 20.0, True), ("zone2", 20.0, False)])
+@pytest.mark.parametrize(
+    ("zone", "rate", "both"),
+    [("zone0", 40.0, True), ("zone1", 20.0, True), ("zone2", 20.0, True), ("zone2", 20.0, False)],
+)
 def test_given_a_hot_tenant_when_a_zone_is_cut_off_for_long_then_its_quota_holds(
-        zone: str, rate: float, both: bool) -> None:
+    zone: str, rate: float, both: bool
+) -> None:
     """The holder of the count is on either side."""
+
     async def story(world: World) -> None:
         async def hot() -> None:
             await world.traffic(4 * rate, 17.0, key="key-hot", tries=1)
@@ -654,30 +696,52 @@
 
 
 GUARDS = [
-    ("UNASKED", "a key is not passed on", dialect, "NOT_PASSED",
-     dialect.NOT_PASSED - {b"authorization"}, short),
+    (
+        "UNASKED",
+        "a key is not passed on",
+        dialect,
+        "NOT_PASSED",
+        dialect.NOT_PASSED - {b"authorization"},
+        short,
+    ),
     ("ROUTE", "a request goes to its route's service", Core, "service", lambda *_: "beta", short),
     ("DENIED", "a head within its size is read", dialect, "head_size", lambda _: 1 << 20, short),
     ("BUDGET", "further tries are counted", Budget, "spend", lambda *_: True, resetting),
     ("LOST", "who is told to end answers what is here", Clients, "leave", at_once, told_to_end),
-    ("RECOVER", "a start hears of the servers", Choice, "put",
-     lambda self, record: put(self, record) if trio.current_time() < 2.0 else False, harmed),
+    (
+        "RECOVER",
+        "a start hears of the servers",
+        Choice,
+        "put",
+        lambda self, record: put(self, record) if trio.current_time() < 2.0 else False,
+        harmed,
+    ),
     ("MIXED", "a success is only passed on under its own id", Words, "read", any_answer, late),
     ("REFUSED", "only what has not run is promised", tries, "end", ended, losing),
     ("TWICE", "what may have run is not sent again", tries, "ran", lambda _: False, losing),
     ("DRAIN", "a server that leaves is left alone", Choice, "put", deaf, leaving),
     ("LOST", "what is acknowledged is on disk", Register, "save", unsaved, powerless),
     ("QUOTA", "a holder counts", Holder, "add", lambda *_: True, pressed),
-    ("CONFIG", "a key taken away is no key", Configuration, "tenant",
-     lambda self, key: next(iter(self.tenants.values())), revoked),
+    (
+        "CONFIG",
+        "a key taken away is no key",
+        Configuration,
+        "tenant",
+        lambda self, key: next(iter(self.tenants.values())),
+        revoked,
+    ),
 ]
 
 
 @pytest.mark.usefixtures("invariants_may_break")
-@pytest.mark.parametrize(("rule", "guard", "owner", "name", "mutant", "story"), GUARDS,
-                         ids=[f"{rule}: {guard}" for rule, guard, *_ in GUARDS])
+@pytest.mark.parametrize(
+    ("rule", "guard", "owner", "name", "mutant", "story"),
+    GUARDS,
+    ids=[f"{rule}: {guard}" for rule, guard, *_ in GUARDS],
+)
 def test_given_a_guard_dropped_when_the_day_is_judged_then_it_is_seen(
-        rule: str, guard: str, owner: Any, name: str, mutant: Any, story: Any) -> None:
+    rule: str, guard: str, owner: Any, name: str, mutant: Any, story: Any
+) -> None:
     with mock.patch.object(owner, name, mutant):
         world = play(story, 97, tenants={"plain": (0.0, 0.0), "hot": (20.0, 20.0)})
     assert rule in {line.partition(":")[0] for line in world.judge.verdict()}, guard
--- a/tests/stories/test_fleet_storms.py
+++ b/tests/stories/test_fleet_storms.py
@@ -121,8 +121,12 @@
     if world.random.random() < 0.5:
         server.life.die()
         await trio.sleep(2.0)
-        world.serve(world.random.choice(["alpha", "beta"]), server.machine.zone, server.machine.host,
-                    server.address.port)
+        world.serve(
+            world.random.choice(["alpha", "beta"]),
+            server.machine.zone,
+            server.machine.host,
+            server.address.port,
+        )
     else:
         server.life.machine.power = False
         server.life.die(dark=True)
@@ -155,8 +159,10 @@
     prior = int(current["setpointSeq"], 16)
 
     async def send(number: int) -> None:
-        routes = {"read": ("/read/", "nullipotent", world.random.choice(["alpha", "beta"])),
-                  "write": ("/write/", "mutating", world.random.choice(["alpha", "beta"]))}
+        routes = {
+            "read": ("/read/", "nullipotent", world.random.choice(["alpha", "beta"])),
+            "write": ("/write/", "mutating", world.random.choice(["alpha", "beta"])),
+        }
         if world.random.random() < 0.5:
             routes["other"] = ("/other/", "nullipotent", "beta")
         keys = {"plain": ["key-plain", *(["key-old"] if world.random.random() < 0.5 else [])]}
@@ -168,8 +174,21 @@
             nursery.start_soon(send, newest + 2)
 
 
-CORE_HARM: list[Harm] = [kill, kill, herd, dark, all_dark, wipe, exchange, zone_cut, machine_cut, frozen,
-                         resets, disk, signalled]
+CORE_HARM: list[Harm] = [
+    kill,
+    kill,
+    herd,
+    dark,
+    all_dark,
+    wipe,
+    exchange,
+    zone_cut,
+    machine_cut,
+    frozen,
+    resets,
+    disk,
+    signalled,
+]
 OTHER_HARM: list[Harm] = [planned, lossy, crash, leave, trouble, change, change, change]
 
 
@@ -179,9 +198,13 @@
             await trio.sleep(world.random.expovariate(1 / pause))
             await world.random.choice(harm)(world)
 
-    for path, key, rate in [("/read/", "key-plain", 14.0), ("/write/", "key-plain", 10.0),
-                            ("/other/", "key-plain", 3.0), ("/read/", "key-old", 3.0),
-                            ("/write/", "key-hot", 40.0)]:
+    for path, key, rate in [
+        ("/read/", "key-plain", 14.0),
+        ("/write/", "key-plain", 10.0),
+        ("/other/", "key-plain", 3.0),
+        ("/read/", "key-old", 3.0),
+        ("/write/", "key-hot", 40.0),
+    ]:
         world.nursery.start_soon(world.traffic, rate, LENGTH + CALM, path, key)
     with trio.move_on_after(LENGTH):
         async with trio.open_nursery() as nursery:
@@ -193,17 +216,22 @@
 
 @pytest.mark.parametrize(("seed", "experience"), [(201, False), (202, False), (203, True), (204, True)])
 def test_given_one_harm_after_another_when_the_day_is_judged_then_no_rule_is_broken_and_all_is_back(
-        seed: int, experience: bool) -> None:
+    seed: int, experience: bool
+) -> None:
     world = fine(storm, seed, tenants=HOT, experience=experience)
     since = LENGTH + CALM - 4.0
-    plain = [one for one in world.judge.asked.values()
-             if one.key == "key-plain" and one.path.startswith(("/read/", "/write/")) and one.at > since]
+    plain = [
+        one
+        for one in world.judge.asked.values()
+        if one.key == "key-plain" and one.path.startswith(("/read/", "/write/")) and one.at > since
+    ]
     assert sum(one.status == 200 for one in plain) > 0.95 * len(plain)
 
 
 @pytest.mark.parametrize("experience", [False, True])
 def test_given_a_server_that_loses_answers_while_its_probe_is_good_when_all_share_then_few_meet_it(
-        experience: bool) -> None:
+    experience: bool,
+) -> None:
     found: dict[str, list[Server]] = {}
 
     async def losing(world: World) -> None:
--- a/tests/stories/test_growth.py
+++ b/tests/stories/test_growth.py
@@ -52,16 +52,26 @@
     return [growth.measure(growth.Size(3, 1, n, n // 2, 3 * n, 2.0, 2.0), 5, 2.0, 10) for n in (2, 4, 8)]
 
 
-@pytest.mark.parametrize(("span", "what", "kinds", "way", "bound"), [
-    ("calm", "messages", growth.NEWS, "s", 5.0),  # two control planes, a question and an answer a second
-    ("calm", "bytes", growth.NEWS, "s", 500.0),
-    ("release", "messages", growth.NEWS[2:], "event", 6.0),
-    ("release", "rows", ("part servers",), "event", 6.1),  # it comes, drains, goes; from two control planes
-    ("kills", "bytes", ("part limiters", "part gone"), "event", 400.0),
-    ("setpoint", "bytes", ("part value",), "event", 4000.0)])
+@pytest.mark.parametrize(
+    ("span", "what", "kinds", "way", "bound"),
+    [
+        ("calm", "messages", growth.NEWS, "s", 5.0),  # two control planes, a question and an answer a second
+        ("calm", "bytes", growth.NEWS, "s", 500.0),
+        ("release", "messages", growth.NEWS[2:], "event", 6.0),
+        (
+            "release",
+            "rows",
+            ("part servers",),
+            "event",
+            6.1,
+        ),  # it comes, drains, goes; from two control planes
+        ("kills", "bytes", ("part limiters", "part gone"), "event", 400.0),
+        ("setpoint", "bytes", ("part value",), "event", 4000.0),
+    ],
+)
 def test_given_more_limiters_when_one_thing_happens_then_each_hears_as_much_as_before(
-        fleets: list[growth.Found], span: str, what: str, kinds: tuple[str, ...], way: str,
-        bound: float) -> None:
+    fleets: list[growth.Found], span: str, what: str, kinds: tuple[str, ...], way: str, bound: float
+) -> None:
     least, middle, most = (growth.limiter(span, what, *kinds, way=way)(one) for one in fleets)
     assert least > 0
     assert max(most, middle) <= min(GROWS * least, bound), (least, middle, most)
@@ -112,7 +122,8 @@
 
 
 def test_given_a_day_when_it_is_counted_then_what_each_role_spent_is_known(
-        fleets: list[growth.Found]) -> None:
+    fleets: list[growth.Found],
+) -> None:
     # Danger: a loop of the world's own that forgets trio's instruments would count nothing, unseen
     for one in fleets:
         assert growth.spent("calm", "data")(one) > 0 and growth.spent("calm", "control")(one) > 0
@@ -192,7 +203,8 @@
 
 @pytest.mark.parametrize("size", [24, 96])
 def test_given_many_tenants_when_a_limiter_goes_and_comes_then_only_its_own_are_weighed_by_all(
-        size: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    size: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
     # Given as many tenants in use as there are limiters
     names = [f"edge-{n}" for n in range(size)]
     tenants = [f"tenant-{n}" for n in range(size)]
--- a/tests/stories/test_late_counts.py
+++ b/tests/stories/test_late_counts.py
@@ -18,8 +18,9 @@
 
 ASKER, HOLDER = "10.0.0.2", "10.0.0.3"
 NODES = [f"edge-10.0.0.{n}" for n in (1, 2, 3)]
-HELD = [name for name in (f"tenant{n}" for n in range(60))
-        if rendezvous.first(name, NODES) == f"edge-{HOLDER}"][:6]
+HELD = [
+    name for name in (f"tenant{n}" for n in range(60)) if rendezvous.first(name, NODES) == f"edge-{HOLDER}"
+][:6]
 
 
 async def story(world: World) -> None:
@@ -27,12 +28,14 @@
     world.kill(ASKER, "data", after=0.1)
     await trio.sleep(0.4)  # its numbers are still low
     async with trio.open_nursery() as nursery:
+
         async def ask(tenants: list[str], seconds: float) -> None:
             until = trio.current_time() + seconds
             while trio.current_time() < until:
                 name = world.random.choice(tenants)
-                nursery.start_soon(lambda key: world.ask("zone0", "/read/", key, front=ASKER, tries=1),
-                                   f"key-{name}")
+                nursery.start_soon(
+                    lambda key: world.ask("zone0", "/read/", key, front=ASKER, tries=1), f"key-{name}"
+                )
                 await trio.sleep(0.005)
 
         nursery.start_soon(world.freeze, HOLDER, 0.7)
@@ -60,8 +63,14 @@
             read(self, message, source)
 
         with mock.patch.object(Questions, "read", reading), mock.patch.object(Counting, "told", telling):
-            world = play(story, seed, zones=1, limiters=3, controls=1,
-                         tenants={"plain": (0.0, 0.0), **dict.fromkeys(HELD, (400.0, 400.0))})
+            world = play(
+                story,
+                seed,
+                zones=1,
+                limiters=3,
+                controls=1,
+                tenants={"plain": (0.0, 0.0), **dict.fromkeys(HELD, (400.0, 400.0))},
+            )
     return len(wrong), world.counted("count.stale"), world.judge.verdict()
 
 
--- a/tests/stories/test_losses.py
+++ b/tests/stories/test_losses.py
@@ -8,9 +8,16 @@
 from finchshelf.agreement.membership import LEAVER_S, MOST_LEAVERS, TURN_S, Leavers, anyone_stays, on_duty
 from tests.stories.losses import KINDS, MUTANTS, Broken, harmed
 
-FOUND = {"learner": ("full", 0), "told": ("replaced", 4), "old": ("leaves", 1), "deaf": ("leaves", 1),
-         "memory": ("wiped", 3), "once": ("replaced", 2), "unfenced": ("leaves", 1),
-         "own": ("leaves", 13)}  # in each the least seed of those searched
+FOUND = {
+    "learner": ("full", 0),
+    "told": ("replaced", 4),
+    "old": ("leaves", 1),
+    "deaf": ("leaves", 1),
+    "memory": ("wiped", 3),
+    "once": ("replaced", 2),
+    "unfenced": ("leaves", 1),
+    "own": ("leaves", 13),
+}  # in each the least seed of those searched
 
 
 @pytest.mark.parametrize("kind", KINDS)
@@ -21,7 +28,8 @@
 @pytest.mark.parametrize("part", range(4))
 @pytest.mark.parametrize(("kind", "seed"), [("replaced", 4), ("wiped", 5)])
 def test_given_six_members_when_two_are_lost_at_any_two_moments_then_the_rest_go_on(
-        kind: str, seed: int, part: int) -> None:
+    kind: str, seed: int, part: int
+) -> None:
     assert harmed(6, kind, seed, always=True, part=part, parts=4) > 500
 
 
--- a/tests/stories/test_many_changes.py
+++ b/tests/stories/test_many_changes.py
@@ -50,7 +50,8 @@
 
 @pytest.mark.parametrize("tenants", [4, 1000])
 def test_given_600_routes_and_thin_links_when_a_member_was_down_for_changes_then_one_snapshot_is_enough(
-        tenants: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    tenants: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
     packed = Packed()
     monkeypatch.setattr(Shelf, "pack", lambda *given: packed(*given))
     # Given links of 2 Mbit/s, and documents that go with a message or must come in pieces
@@ -105,8 +106,9 @@
     fine(story, 3, limiters=1, servers=1)
 
 
-def test_given_an_old_and_a_new_configuration_on_their_way_when_a_data_plane_starts_then_it_waits_for_the_new(
-        ) -> None:
+def test_given_an_old_and_a_new_configuration_on_their_way_when_a_data_plane_starts_then_it_waits_for_the_new() -> (
+    None
+):
     # Given a control plane that is behind and cut off from the others for longer than it keeps silent
     async def story(world: World) -> None:
         assert isinstance(world, Thin)
@@ -123,8 +125,11 @@
         await trio.sleep(4.0)
         heal()
         # Then it is told the old one first, and is not ready before it has the new one
-        taken = {line[3]["version"]: line[0] for line in world.told("configuration", f"{other}-data")
-                 if line[0] > began}
+        taken = {
+            line[3]["version"]: line[0]
+            for line in world.told("configuration", f"{other}-data")
+            if line[0] > began
+        }
         ready = min(line[0] for line in world.told("ready", f"{other}-data") if line[0] > began)
         assert sorted(taken) == [1, 3] and taken[1] < taken[3] <= ready, (taken, ready)
 
@@ -133,7 +138,8 @@
 
 @pytest.mark.parametrize("guarded", [True, False])
 def test_given_a_disk_put_back_to_before_its_vote_when_it_is_needed_then_nothing_is_decided_twice(
-        guarded: bool, monkeypatch: pytest.MonkeyPatch) -> None:
+    guarded: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
     if not guarded:
         monkeypatch.setattr(Witness, "put_back", lambda *_: False)
     second = list[int]()
@@ -169,7 +175,8 @@
 
 @pytest.mark.parametrize("dropped", ["", "kept", "told"])
 def test_given_a_disk_put_back_when_all_have_restarted_then_nothing_is_decided_twice(
-        dropped: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    dropped: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
     # Mutants: a disk forgets what was heard of others; decided values come without it
     if dropped == "kept":
         monkeypatch.setattr(Register, "disks", lambda _: [])
@@ -285,7 +292,7 @@
     trio.run(story, clock=trio.testing.MockClock(autojump_threshold=0))
     # Then the next fetch goes on where the first one was
     whole = [at for peer, at in asked if peer == "three"][-5:]
-    assert whole == [at * parcel.PIECE for at in (2, 3, 4, 5, 6)][:len(whole)]
+    assert whole == [at * parcel.PIECE for at in (2, 3, 4, 5, 6)][: len(whole)]
     assert ("three", 0) not in asked and ("one", 0) in asked
 
 
@@ -311,14 +318,16 @@
 
 
 def test_given_a_register_in_doubt_when_it_is_asked_for_a_vote_then_it_is_silent_and_news_reaches_its_disk(
-        tmp_path: Path) -> None:
+    tmp_path: Path,
+) -> None:
     lasting = Store(str(tmp_path), 64)
 
     async def story() -> None:
         async with trio.open_nursery() as nursery:
             peers: Any = SimpleNamespace(nursery=nursery)
-            register = Register("a:1", ("a:1", "b:1", "c:1"), True, lasting, peers, Random(1),
-                                lambda *_, **__: None)
+            register = Register(
+                "a:1", ("a:1", "b:1", "c:1"), True, lasting, peers, Random(1), lambda *_, **__: None
+            )
             prepare = {"kind": "prepare", "slot": 1, "ballot": [1, "b:1"]}
             register.witness.doubt(1)
             with pytest.raises(StoreError):
@@ -355,8 +364,15 @@
     name = shelf.put(random.randbytes(2 * parcel.PIECE))
     part, other = Part(name), shelf.put(random.randbytes(2 * parcel.PIECE))
     good = shelf.piece(name, 0)
-    for bad in ({}, {**good, "form": 5}, {**good, "size": -1}, {**good, "size": parcel.MOST + 1},
-                {**good, "size": 3}, {**good, "bytes": "text"}, {**good, "bytes": b""}):
+    for bad in (
+        {},
+        {**good, "form": 5},
+        {**good, "size": -1},
+        {**good, "size": parcel.MOST + 1},
+        {**good, "size": 3},
+        {**good, "bytes": "text"},
+        {**good, "bytes": b""},
+    ):
         with pytest.raises((KeyError, TypeError, ValueError)):
             part.take(bad)
     with pytest.raises(Lacking):
@@ -386,7 +402,8 @@
 
 @pytest.mark.parametrize("checked", [True, False])
 def test_given_a_snapshot_torn_anywhere_when_loaded_then_it_is_never_taken_for_whole(
-        tmp_path: Path, checked: bool, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, checked: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
     # Given two generations, of which the newer was torn in its document, by whatever has no checksum (mutant)
     states: list[dict[str, Any]] = [{"disk": "first", "n": n, "document": os.urandom(40_000)} for n in (1, 2)]
     if not checked:
@@ -398,7 +415,7 @@
     start = content.index(states[1]["document"][:64])
     for _ in range(40):
         at = start + random.randrange(39_000)
-        data.write_bytes(content[:at] + bytes(512) + content[at + 512:])
+        data.write_bytes(content[:at] + bytes(512) + content[at + 512 :])
         found, faults = Store(str(tmp_path), 64).load()
         if found != states[0] or not any(fault.lost for fault in faults):
             wrong.append((at, faults))
@@ -406,10 +423,12 @@
     assert bool(wrong) is not checked
 
 
-@pytest.mark.parametrize(("size", "cut", "fits"), [(1_200_000, False, True), (700_000, True, False),
-                                                   (20_000, False, True)])
+@pytest.mark.parametrize(
+    ("size", "cut", "fits"), [(1_200_000, False, True), (700_000, True, False), (20_000, False, True)]
+)
 def test_given_a_thin_link_when_an_answer_takes_longer_than_its_time_then_it_counts_if_it_keeps_moving(
-        size: int, cut: bool, fits: bool) -> None:
+    size: int, cut: bool, fits: bool
+) -> None:
     # Given an answer that takes 4.8 s on its way, to a question that has 1 s
     found = list[Any]()
 
@@ -437,4 +456,3 @@
     fine(story, 1, zones=1, limiters=1, servers=1)
     # Then it comes whole, or is given up as soon as it stands still
     assert (found[0] is not None) is fits
-
--- a/tests/stories/test_mixed.py
+++ b/tests/stories/test_mixed.py
@@ -58,7 +58,8 @@
 
 @pytest.mark.parametrize("newer", [False, True])
 def test_given_a_large_document_when_it_is_told_then_it_is_lean_only_where_no_older_text_can_take_it(
-        newer: bool) -> None:
+    newer: bool,
+) -> None:
     value = replace(chain(3, newer), document=b"x" * 5000)
     lean, _ = parcel.Shelf().slim({"kind": "accept", "value": value.pack()}, set())
     if newer:
@@ -89,11 +90,14 @@
 
 
 def test_given_two_limiters_that_take_each_other_for_older_when_they_ask_then_they_know_better(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     monkeypatch.setattr(questions, "opened", lambda address: SimpleNamespace())
     core = SimpleNamespace(asked=lambda *given: None)
-    limiters = [questions.Questions(Address(f"10.0.0.{n}", 7661), cast(Any, core), cast(Any, None), 5 + n)
-                for n in range(2)]
+    limiters = [
+        questions.Questions(Address(f"10.0.0.{n}", 7661), cast(Any, core), cast(Any, None), 5 + n)
+        for n in range(2)
+    ]
     for n, one in enumerate(limiters):
         one.older.add(f"10.0.0.{1 - n}")
     for n in (0, 1, 0):
@@ -106,15 +110,21 @@
 
 @pytest.mark.parametrize("seed", [61, 62])
 def test_given_a_core_when_its_machines_are_renewed_one_after_the_other_then_orders_go_on_all_along(
-        seed: int) -> None:
+    seed: int,
+) -> None:
     sent: list[dict[str, Any]] = []
 
     async def operate(world: World, each: int = 2) -> None:
         for at in world.supervisors():
             for _ in range(each):
                 number = len(sent) + 2
-                sent.append(world.configuration(number, number - 1, routes={
-                    **MANY, "read": (f"/read{number}/", "nullipotent", "alpha")}))
+                sent.append(
+                    world.configuration(
+                        number,
+                        number - 1,
+                        routes={**MANY, "read": (f"/read{number}/", "nullipotent", "alpha")},
+                    )
+                )
                 assert await world.replace(sent[-1], at=[at]) == 200
             for again in (sent[0], sent[-1]):
                 assert await world.replace(again, at=[at]) == 200
--- a/tests/stories/test_orders.py
+++ b/tests/stories/test_orders.py
@@ -73,10 +73,18 @@
 
 def test_given_a_state_of_an_older_text_when_loaded_then_its_orders_are_known_or_unsure() -> None:
     def state(versions: range) -> dict[str, Any]:
-        value = {**chain(0)[0].pack(), "slot": 70, "version": versions[-1],
-                 "taken": [[n, order(n, n - 1).digest] for n in versions]}
-        return {"disk": core.FIRST, "decided": value, "promised": [0, ""],
-                "accepted": [[3, "a:1"], {**value, "slot": 71}]}
+        value = {
+            **chain(0)[0].pack(),
+            "slot": 70,
+            "version": versions[-1],
+            "taken": [[n, order(n, n - 1).digest] for n in versions],
+        }
+        return {
+            "disk": core.FIRST,
+            "decided": value,
+            "promised": [0, ""],
+            "accepted": [[3, "a:1"], {**value, "slot": 71}],
+        }
 
     loaded = Acceptor.restore("a:1", state(range(7, 71)))
     assert loaded.decided is not None and loaded.accepted is not None
@@ -89,7 +97,8 @@
 
 
 def test_given_a_backup_when_a_core_is_restored_from_it_then_it_remembers_the_same_orders(
-        tmp_path: Path) -> None:
+    tmp_path: Path,
+) -> None:
     early, later = order(99, 98), order(9, 3)
     value = orders.bar(chain(80)[-1], early)
     assert isinstance(value, Value)
@@ -102,12 +111,26 @@
     assert told == [Ruling.TAKEN, Ruling.TAKEN, Ruling.REFUSED, Ruling.REFUSED]
 
 
-@pytest.mark.parametrize("packed", [
-    5, [1], [1, b"", b"", b""], [-1, b"", b""], [1 << 32, b"", b""], ["1", b"", b""], [0, b"x", b""],
-    [0, "", b""], [0, b"", bytes(12 * (taken.BARRED + 1))], [0, bytes(12), b""],
-    [5, b"\0\0\0\5" + bytes(8), b""], [0, b"\0\0\0\2" + bytes(8) + b"\0\0\0\1" + bytes(8), b""],
-    [[0, b"x"]], [[2, b"x"], [1, b"x"]], [[1, "x"]],
-])
+@pytest.mark.parametrize(
+    "packed",
+    [
+        5,
+        [1],
+        [1, b"", b"", b""],
+        [-1, b"", b""],
+        [1 << 32, b"", b""],
+        ["1", b"", b""],
+        [0, b"x", b""],
+        [0, "", b""],
+        [0, b"", bytes(12 * (taken.BARRED + 1))],
+        [0, bytes(12), b""],
+        [5, b"\0\0\0\5" + bytes(8), b""],
+        [0, b"\0\0\0\2" + bytes(8) + b"\0\0\0\1" + bytes(8), b""],
+        [[0, b"x"]],
+        [[2, b"x"], [1, b"x"]],
+        [[1, "x"]],
+    ],
+)
 def test_given_what_is_no_memory_when_read_then_it_is_refused(packed: Any) -> None:
     with pytest.raises((TypeError, ValueError)):
         Taken.unpack(packed)
@@ -131,35 +154,52 @@
 FOUR = tuple(order(2 + at % 2, 0, b"%d" % at) for at in range(4))  # on one version, by two numbers
 
 
-@pytest.mark.parametrize(("case", "copies", "states", "depth"), [
-    (order_chain.RACE, 3, 4_025, 18), (order_chain.CHAIN, 2, 1_490, 17), (order_chain.BELOW, 2, 243, 11),
-    ((*order_chain.AHEAD, Order(2, 0, b"four")), 1, 8_568, 19),
-])
+@pytest.mark.parametrize(
+    ("case", "copies", "states", "depth"),
+    [
+        (order_chain.RACE, 3, 4_025, 18),
+        (order_chain.CHAIN, 2, 1_490, 17),
+        (order_chain.BELOW, 2, 243, 11),
+        ((*order_chain.AHEAD, Order(2, 0, b"four")), 1, 8_568, 19),
+    ],
+)
 def test_given_copies_of_orders_when_every_state_of_their_calls_is_looked_at_then_each_has_one_answer(
-        case: order_chain.Case, copies: int, states: int, depth: int) -> None:
+    case: order_chain.Case, copies: int, states: int, depth: int
+) -> None:
     assert order_chain.search(case, copies) == Found(states, depth, True)
 
 
-@pytest.mark.parametrize(("case", "copies", "states"), [
-    (order_chain.RACE, 2, 350), (FOUR, 1, 945), (tuple(order(2, 0, b"%d" % n) for n in range(4)), 1, 238)])
+@pytest.mark.parametrize(
+    ("case", "copies", "states"),
+    [(order_chain.RACE, 2, 350), (FOUR, 1, 945), (tuple(order(2, 0, b"%d" % n) for n in range(4)), 1, 238)],
+)
 def test_given_like_orders_when_states_that_differ_by_which_is_which_are_one_then_the_search_finds_the_same(
-        case: order_chain.Case, copies: int, states: int) -> None:
+    case: order_chain.Case, copies: int, states: int
+) -> None:
     whole, few = order_chain.search(case, copies), order_chain.search(case, copies, like=True)
     assert few == replace(whole, states=states) and few.ended
 
 
-@pytest.mark.parametrize(("lacks", "case", "copies", "rule"), [
-    (lacks, case, copies, rule) for lacks, case, copies, rule in order_chain.MUTANTS
-    if case == order_chain.RACE] + [("any base", FOUR, 1, order_chain.TWO_ON_ONE)])
+@pytest.mark.parametrize(
+    ("lacks", "case", "copies", "rule"),
+    [
+        (lacks, case, copies, rule)
+        for lacks, case, copies, rule in order_chain.MUTANTS
+        if case == order_chain.RACE
+    ]
+    + [("any base", FOUR, 1, order_chain.TWO_ON_ONE)],
+)
 def test_given_like_orders_and_a_guard_dropped_when_few_states_are_looked_at_then_it_is_found_as_deep(
-        lacks: str, case: order_chain.Case, copies: Any, rule: str) -> None:
+    lacks: str, case: order_chain.Case, copies: Any, rule: str
+) -> None:
     whole, few = (order_chain.search(case, copies, (lacks,), denied=False, like=one) for one in (False, True))
     assert (few.broken, few.path) == (whole.broken, whole.path) and few.broken == rule
 
 
 @pytest.mark.parametrize(("lacks", "case", "copies", "rule"), order_chain.MUTANTS)
 def test_given_a_guard_dropped_when_states_of_calls_are_looked_at_then_an_operator_sees_the_break(
-        lacks: str, case: order_chain.Case, copies: Any, rule: str) -> None:
+    lacks: str, case: order_chain.Case, copies: Any, rule: str
+) -> None:
     assert order_chain.search(case, copies, (lacks,), denied=False).broken == rule
 
 
@@ -167,16 +207,19 @@
     assert {row[0] for row in order_chain.MUTANTS} == set(GUARDS)
 
 
-@pytest.mark.parametrize(("case", "states", "depth"), [
-    (order_states.RACE, 38_752, 17), (order_states.CHAIN, 58_766, 19)])
+@pytest.mark.parametrize(
+    ("case", "states", "depth"), [(order_states.RACE, 38_752, 17), (order_states.CHAIN, 58_766, 19)]
+)
 def test_given_two_proposers_when_every_state_is_looked_at_then_each_order_has_one_answer(
-        case: order_states.Case, states: int, depth: int) -> None:
+    case: order_states.Case, states: int, depth: int
+) -> None:
     assert order_states.search(case, Bounds()) == Found(states, depth, True)
 
 
 @pytest.mark.parametrize(("lacks", "case", "bounds", "rule", "deep"), order_states.MUTANTS)
 def test_given_a_guard_dropped_when_states_of_acceptors_are_looked_at_then_the_rule_that_breaks_is_named(
-        lacks: tuple[str, ...], case: order_states.Case, bounds: Bounds, rule: str, deep: bool) -> None:
+    lacks: tuple[str, ...], case: order_states.Case, bounds: Bounds, rule: str, deep: bool
+) -> None:
     assert order_states.search(case, bounds, lacks, 40_000, deep=deep, only=rule).broken == rule
 
 
@@ -185,10 +228,22 @@
     assert changes > 300 and life.again > 500 and life.unsure > 200
 
 
-@pytest.mark.parametrize(("lacks", "seed"), [
-    ("forgets", 0), ("no bar", 1), ("bar unread", 2), ("bar let go", 0), ("bar evicted", 16),
-    ("not looked up", 0), ("looked up once", 0), ("by number", 0), ("any base", 0), ("given up", 0),
-    ("not anew", 0)])
+@pytest.mark.parametrize(
+    ("lacks", "seed"),
+    [
+        ("forgets", 0),
+        ("no bar", 1),
+        ("bar unread", 2),
+        ("bar let go", 0),
+        ("bar evicted", 16),
+        ("not looked up", 0),
+        ("looked up once", 0),
+        ("by number", 0),
+        ("any base", 0),
+        ("given up", 0),
+        ("not anew", 0),
+    ],
+)
 def test_given_a_guard_dropped_when_a_life_of_orders_is_played_then_it_is_seen(lacks: str, seed: int) -> None:
     with pytest.raises(order_lives.Denied):
         order_lives.play(seed, 40_000, (lacks,))
@@ -197,10 +252,12 @@
 # ---- the real programs ----
 
 
-@pytest.mark.parametrize(("seed", "kept", "barred", "patience"), [
-    (1, taken.KEPT, taken.BARRED, early.PATIENCE), (2, 8, 2, 0.0)])
+@pytest.mark.parametrize(
+    ("seed", "kept", "barred", "patience"), [(1, taken.KEPT, taken.BARRED, early.PATIENCE), (2, 8, 2, 0.0)]
+)
 def test_given_orders_doubled_and_answers_lost_when_the_core_is_harmed_then_each_order_has_one_answer(
-        seed: int, kept: int, barred: int, patience: float) -> None:
+    seed: int, kept: int, barred: int, patience: float
+) -> None:
     broken, figures = order_days.played(seed, 20, (), kept, barred, patience)
     assert not broken, f"seed {seed}: {broken}"
     assert figures["taken"] > 15 and figures["again"] > 15 and (figures["unclear"] > 50) == (kept == 8)
@@ -213,7 +270,8 @@
 
 @pytest.mark.parametrize("seed", [31])
 def test_given_a_hundred_later_changes_when_an_order_is_sent_again_then_it_is_acknowledged_again(
-        seed: int) -> None:
+    seed: int,
+) -> None:
     async def story(world: World) -> None:
         sent = []
         for number in range(2, 102):
@@ -227,7 +285,8 @@
 
 @pytest.mark.parametrize("seed", [51, 52])
 def test_given_orders_on_one_that_comes_a_moment_later_when_they_wait_for_it_then_one_of_them_is_taken(
-        seed: int) -> None:
+    seed: int,
+) -> None:
     async def story(world: World) -> None:
         told = list[int]()
 
@@ -258,7 +317,8 @@
 
 @pytest.mark.parametrize("seed", [53, 54])
 def test_given_an_order_whose_base_is_sent_again_only_later_when_it_comes_again_then_it_is_taken(
-        seed: int) -> None:
+    seed: int,
+) -> None:
     async def story(world: World) -> None:
         async with trio.open_nursery() as nursery:
             told = list[int]()
@@ -275,8 +335,9 @@
     fine(story, seed, limiters=1, servers=1)
 
 
-def test_given_more_early_orders_than_there_is_room_for_when_they_come_then_places_and_memory_are_bounded(
-) -> None:
+def test_given_more_early_orders_than_there_is_room_for_when_they_come_then_places_and_memory_are_bounded() -> (
+    None
+):
     first, many = early.Early(), [order(n + 1, n) for n in range(9, 10 + early.KNOWN)]
     assert [first.begin() for _ in range(early.ROOM + 1)] == [True] * early.ROOM + [False]
     first.end()
@@ -289,7 +350,8 @@
 
 @pytest.mark.parametrize("seed", [41, 42])
 def test_given_an_order_refused_before_its_base_came_when_its_copy_is_late_then_it_is_not_taken(
-        seed: int) -> None:
+    seed: int,
+) -> None:
     async def story(world: World) -> None:
         late, others = world.supervisors()[0], world.supervisors()[1:]
         ahead = world.configuration(3, 2)
--- a/tests/stories/test_overload.py
+++ b/tests/stories/test_overload.py
@@ -29,7 +29,9 @@
 LENGTH = 4.0  # s of it
 CONVERGENCE_S, ACKNOWLEDGE_S = 4.0, 5.0
 QUESTIONS: dict[str, dict[str, Any]] = {
-    "news": {"op": "news", "have": {}}, "experience": {"op": "experience", "limiter": "none"}}
+    "news": {"op": "news", "have": {}},
+    "experience": {"op": "experience", "limiter": "none"},
+}
 
 
 async def worked(self: Turns) -> None:
@@ -126,7 +128,8 @@
 
 @pytest.mark.parametrize("seed", [401, 402])
 def test_given_a_crowd_after_a_mass_kill_when_operators_call_and_servers_leave_then_these_come_first(
-        seed: int) -> None:
+    seed: int,
+) -> None:
     with mock.patch.object(Turns, "worked", worked):
         world, seen = crowded(seed, fine)
     assert len(seen.shed) > len(seen.served) / 4 and median(seen.shed) < 0.05 and max(seen.shed) < 0.7
@@ -185,15 +188,27 @@
         assert line.come("late", Rank.REST, 0.0) == (False, ["late"])
 
 
-@pytest.mark.parametrize(("name", "body", "rank"), [
-    ("servers.pulse", b'{"mode":"stable"}', Rank.BEAT), ("servers.departure", b"", Rank.DRAIN),
-    ("servers.pulse", b'{"mode": "decaying"}', Rank.DRAIN), ("setpoint.adjust", b"", Rank.OPERATOR),
-    ("what", b"", Rank.REST)])
+@pytest.mark.parametrize(
+    ("name", "body", "rank"),
+    [
+        ("servers.pulse", b'{"mode":"stable"}', Rank.BEAT),
+        ("servers.departure", b"", Rank.DRAIN),
+        ("servers.pulse", b'{"mode": "decaying"}', Rank.DRAIN),
+        ("setpoint.adjust", b"", Rank.OPERATOR),
+        ("what", b"", Rank.REST),
+    ],
+)
 def test_given_a_call_when_it_comes_then_it_has_its_rank(name: str, body: bytes, rank: Rank) -> None:
     assert of_call(name, body) is rank
 
 
 def test_given_a_question_when_it_comes_then_control_planes_and_the_agreement_are_before_limiters() -> None:
-    found = [of_question("agree", False), of_question("hold", False), of_question("news", True),
-             of_question("news", False), of_question("experience", False), of_question([], False)]
+    found = [
+        of_question("agree", False),
+        of_question("hold", False),
+        of_question("news", True),
+        of_question("news", False),
+        of_question("experience", False),
+        of_question([], False),
+    ]
     assert found == [Rank.OPERATOR, Rank.DRAIN, Rank.DRAIN, Rank.NEWS, Rank.REST, Rank.REST]
--- a/tests/stories/test_power_back.py
+++ b/tests/stories/test_power_back.py
@@ -24,7 +24,8 @@
 
 @pytest.mark.parametrize(("seed", "gone"), [(2, 0), (8, 0), (4, 1)])
 def test_given_starts_spread_over_time_when_half_of_the_core_is_up_then_it_is_proved_and_limiters_are_ready(
-        seed: int, gone: int) -> None:
+    seed: int, gone: int
+) -> None:
     times, broken = day(seed, 1, 0.4, gone)
     assert not broken, broken
     assert max(times["proved, after it and half of the core"]) < PROVED, times
@@ -47,7 +48,8 @@
 
 
 def test_given_that_most_disks_were_wiped_when_the_newest_is_to_be_proved_then_they_are_asked_at_a_pace(
-        tmp_path: Path) -> None:
+    tmp_path: Path,
+) -> None:
     # Given members whose disks are others by now: they answer at once, and that proves nothing
     asked: list[float] = []
 
@@ -66,8 +68,15 @@
     async def story() -> None:
         peers = Wiped()
         async with trio.open_nursery() as peers.nursery:
-            register = Register(SEEDS[0], SEEDS, True, Store(str(tmp_path), 64), cast(Any, peers), Random(1),
-                                lambda *_, **__: None)
+            register = Register(
+                SEEDS[0],
+                SEEDS,
+                True,
+                Store(str(tmp_path), 64),
+                cast(Any, peers),
+                Random(1),
+                lambda *_, **__: None,
+            )
             await register.begin()
             with trio.move_on_after(3.0):
                 await register.confirm()
--- a/tests/stories/test_renewed_tries.py
+++ b/tests/stories/test_renewed_tries.py
@@ -39,8 +39,18 @@
 def sent(core: Core) -> tuple[Request, Attempt]:
     """A repeatable request, whose first try is out."""
     now = core.clock.now()
-    request = Request(core.next_id(), now + 5.0, mock.Mock(), b"GET", b"/pages/1", [], b"", mark=b"one",
-                      route=core.configuration.route(demo.HOST, "/pages/1"), came=now)
+    request = Request(
+        core.next_id(),
+        now + 5.0,
+        mock.Mock(),
+        b"GET",
+        b"/pages/1",
+        [],
+        b"",
+        mark=b"one",
+        route=core.configuration.route(demo.HOST, "/pages/1"),
+        came=now,
+    )
     core.arrived(request, now)
     (attempt,) = request.out.values()
     return request, attempt
@@ -48,7 +58,8 @@
 
 @pytest.mark.parametrize(("mode", "again"), [(STABLE, True), (DECAYING, False), (GONE, False)])
 def test_given_a_dropped_connection_when_its_server_leaves_meanwhile_then_no_try_goes_there_again(
-        mode: str, again: bool) -> None:
+    mode: str, again: bool
+) -> None:
     # Given a try at the first of two servers, on a connection that had idled
     core = core_with(record("s-1", 1))
     request, attempt = sent(core)
--- a/tests/stories/test_rollout.py
+++ b/tests/stories/test_rollout.py
@@ -99,7 +99,8 @@
 
 @pytest.mark.parametrize("part, machines", [(0.4, 1), (1.0, 3)], ids=["server", "zone"])
 def test_given_machines_are_lost_at_the_changed_site_then_a_good_policy_goes_on(
-        part: float, machines: int) -> None:
+    part: float, machines: int
+) -> None:
     one = world(LONGER)
     one.outside = model.crash("site-00", 90.0, part)
 
@@ -115,7 +116,8 @@
 
 @pytest.mark.parametrize("excused", [24.0, 0.0], ids=["excused", "mutant"])
 def test_given_a_zone_is_lost_then_only_what_its_loss_excuses_keeps_a_good_policy(
-        excused: float, monkeypatch: pytest.MonkeyPatch) -> None:
+    excused: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.setattr(driver, "EXCUSED", excused)
     ends = {rollout.play(("longer time, zone lost", 5, seed)).end for seed in range(3)}
     assert ends == ({"done"} if excused else {"halted"})  # the mutant is seen
@@ -241,7 +243,8 @@
 
 @pytest.mark.parametrize(("seed", "least"), enumerate((3, 1, 3, 0, 5, 5, 3, 2)))  # over 20 in all
 def test_given_the_driver_dies_at_any_moment_then_another_goes_on_and_no_step_is_done_twice(
-        seed: int, least: int) -> None:
+    seed: int, least: int
+) -> None:
     random, one = Random(seed), world(LONGER, seed)
     one.lose_answers = True
     while duty.running(one.document) and one.now < 4000:
@@ -300,7 +303,8 @@
 
 @pytest.mark.parametrize("fenced", [True, False], ids=["fenced", "mutant"])
 def test_given_a_driver_is_cut_off_before_its_first_step_then_only_fencing_keeps_it_from_it(
-        fenced: bool) -> None:
+    fenced: bool,
+) -> None:
     one = world(LONGER)
     until_time(one, 30)
     first = driving(one)
@@ -414,9 +418,17 @@
     assert not seen.on and tables[0].word(0, 100.0) is None
 
 
-@pytest.mark.parametrize("counted, status, harm", [
-    ("out.served", 404, "wrong"), ("out.error", 500, "wrong"), ("out.failed", 504, "vanished"),
-    ("out.overdue", 503, "refused"), ("refused.quota", 429, "refused"), ("refused.401", 401, "denied")])
+@pytest.mark.parametrize(
+    "counted, status, harm",
+    [
+        ("out.served", 404, "wrong"),
+        ("out.error", 500, "wrong"),
+        ("out.failed", 504, "vanished"),
+        ("out.overdue", 503, "refused"),
+        ("refused.quota", 429, "refused"),
+        ("refused.401", 401, "denied"),
+    ],
+)
 def test_each_end_of_a_request_is_one_harm(counted: str, status: int, harm: str) -> None:
     seen = Seen()
     seen.ended("buy", 1.0, counted, status, 0.1)
@@ -441,21 +453,31 @@
 """
 
 
-@pytest.mark.parametrize("old, new, fault", [
-    ('"10.0.0.1:8407"', '"tartu:8407"', "sites[0].controls[0]: expected HOST:PORT"),
-    ("once = true", "once = 1", "kinds[0].once: 1 is not of type 'boolean'"),
-    ("once = true", "late = 0.9", "kinds[0].late: 0.9 is greater"),
-    ('name = "try"', 'nome = "try"', "file: 'name' is a required"),
-    ('name = "try"', "name =", "file: expected TOML"),
-    ('"change.json"', '"nowhere.json"', "nowhere.json: file: cannot be read"),
-    ("[[kinds]]", "watch.window_s = 2\n[[kinds]]", "watch.window_s: expected at least five times poll_s"),
-    ("[[sites]]", '[[sites]]\nwave = 2\nname = "x"\ncontrols = ["10.0.0.2:1"]\n[[sites]]',
-     "sites[1].wave: expected"),
-    ("[[sites]]", '[[sites]]\nname = "tartu"\ncontrols = ["10.0.0.2:1"]\n[[sites]]',
-     "sites[1].name: sites[0] has this name"),
-])
+@pytest.mark.parametrize(
+    "old, new, fault",
+    [
+        ('"10.0.0.1:8407"', '"tartu:8407"', "sites[0].controls[0]: expected HOST:PORT"),
+        ("once = true", "once = 1", "kinds[0].once: 1 is not of type 'boolean'"),
+        ("once = true", "late = 0.9", "kinds[0].late: 0.9 is greater"),
+        ('name = "try"', 'nome = "try"', "file: 'name' is a required"),
+        ('name = "try"', "name =", "file: expected TOML"),
+        ('"change.json"', '"nowhere.json"', "nowhere.json: file: cannot be read"),
+        ("[[kinds]]", "watch.window_s = 2\n[[kinds]]", "watch.window_s: expected at least five times poll_s"),
+        (
+            "[[sites]]",
+            '[[sites]]\nwave = 2\nname = "x"\ncontrols = ["10.0.0.2:1"]\n[[sites]]',
+            "sites[1].wave: expected",
+        ),
+        (
+            "[[sites]]",
+            '[[sites]]\nname = "tartu"\ncontrols = ["10.0.0.2:1"]\n[[sites]]',
+            "sites[1].name: sites[0] has this name",
+        ),
+    ],
+)
 def test_a_fault_of_a_plan_is_named_with_file_and_place(
-        tmp_path: Path, old: str, new: str, fault: str) -> None:
+    tmp_path: Path, old: str, new: str, fault: str
+) -> None:
     (tmp_path / "change.json").write_bytes(orjson.dumps({**LONGER, "setpointSeq": "00000009"}))
     file = tmp_path / "plan.toml"
     file.write_text(PLAN)
@@ -468,10 +490,13 @@
 
 def test_what_a_change_brings_its_undoing_takes_back() -> None:
     before = model.first_document()
-    added = {"apply": {"elements": [*GOOD["longer time"]["apply"]["elements"], model.route("new")]},
-             "remove": {"loads": ["desk"]}}
+    added = {
+        "apply": {"elements": [*GOOD["longer time"]["apply"]["elements"], model.route("new")]},
+        "remove": {"loads": ["desk"]},
+    }
     put: Callable[[dict[str, Any], bytes], dict[str, Any]] = lambda document, body: changes.apply(  # noqa: E731
-        document, changes.read_change("adjust", body))
+        document, changes.read_change("adjust", body)
+    )
     after = put(before, plan.body(added, 1, 2))
     assert by_name(after) != by_name(before)
     again = put(after, plan.body(plan.undo(added, before), 2, 3))
--- a/tests/stories/test_settings_file.py
+++ b/tests/stories/test_settings_file.py
@@ -47,7 +47,8 @@
 
 
 def test_given_a_file_that_stays_when_looked_at_then_it_is_read_once_and_nothing_is_said(
-        program: Program, monkeypatch: pytest.MonkeyPatch) -> None:
+    program: Program, monkeypatch: pytest.MonkeyPatch
+) -> None:
     reads = list[str]()
 
     def counted(path: str) -> Boot:
@@ -93,16 +94,17 @@
     assert program.lines == [{"state": "taken"}]
 
 
-@pytest.mark.parametrize("half", [OTHER[:300], OTHER[:-len(OTHER) // 3], "", "\0rubbish\n", None])
+@pytest.mark.parametrize("half", [OTHER[:300], OTHER[: -len(OTHER) // 3], "", "\0rubbish\n", None])
 def test_given_half_a_file_that_rests_then_the_old_stay_it_is_said_once_and_the_whole_is_taken_later(
-        program: Program, half: str | None) -> None:
+    program: Program, half: str | None
+) -> None:
     program.looks()
     if half is None:
         program.path.unlink()
     else:
         program.path.write_text(half)
     program.looks(9)
-    line, = program.lines
+    (line,) = program.lines
     assert (line["state"], line["step"]) == ("kept the old", "settings")
     assert str(program.path) in line["place"]
     assert not program.taken
--- a/tests/stories/test_standing.py
+++ b/tests/stories/test_standing.py
@@ -233,8 +233,17 @@
     def __init__(self, nursery: trio.Nursery, sources: int = 2) -> None:
         self.clock, self.put = At(), list[Told]()
         me = Limiter("edge-1", 1, "10.0.0.9", "north")
-        self.follower = Follower(me, [HERE, NEAR][:sources], 7660, self.clock, self.put.append, Random(1),
-                                 lambda *_, **__: None, nursery, Seen())
+        self.follower = Follower(
+            me,
+            [HERE, NEAR][:sources],
+            7660,
+            self.clock,
+            self.put.append,
+            Random(1),
+            lambda *_, **__: None,
+            nursery,
+            Seen(),
+        )
         for source in self.follower.sources.values():
             source.link = cast(Link, Peer(lambda *_: None))
 
@@ -252,8 +261,9 @@
 def value(slot: int, version: int) -> dict[str, Any]:
     members = [[address, core.FIRST] for address in MEMBERS]
     document = VALUE["document"].replace(b'"00000001"', b'"%08x"' % version)
-    return Value.unpack({"slot": slot, "members": members, "version": version, "document": document,
-                         "taken": []}).pack()
+    return Value.unpack(
+        {"slot": slot, "members": members, "version": version, "document": document, "taken": []}
+    ).pack()
 
 
 def test_given_a_limiter_that_starts_when_one_that_is_cut_off_answers_first_then_its_word_waits() -> None:
--- a/tests/stories/test_state.py
+++ b/tests/stories/test_state.py
@@ -30,8 +30,11 @@
     def __init__(self, folders: dict[str, Path], nursery: trio.Nursery, first: bool = False) -> None:
         self.nursery = nursery
         self.registers = {
-            address: Register(address, ADDRESSES, first, Store(str(folder), 64), self, Random(1),
-                              lambda *_, **__: None) for address, folder in folders.items()}
+            address: Register(
+                address, ADDRESSES, first, Store(str(folder), 64), self, Random(1), lambda *_, **__: None
+            )
+            for address, folder in folders.items()
+        }
 
     def reaches(self, address: str) -> bool:
         return True
@@ -57,7 +60,8 @@
 
 
 def test_given_a_register_that_begins_on_a_slow_disk_when_messages_come_then_one_write_goes_on_at_a_time(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     going, most, slow, run = [0], [0], [trio.Event()], trio.to_thread.run_sync
 
     async def counted(save: Any, *given: Any) -> Any:
@@ -139,7 +143,8 @@
 
 
 def test_given_a_core_lost_its_power_when_a_backup_is_restored_then_it_goes_on_from_there(
-        tmp_path: Path, old: dict[str, Path]) -> None:
+    tmp_path: Path, old: dict[str, Path]
+) -> None:
     file, new = tmp_path / "backup", folders(tmp_path / "new")
     one = old[ADDRESSES[1]]
     older = min(store.GENERATIONS, key=lambda name: store.look(one / name).counter)
@@ -157,7 +162,8 @@
 
 
 def test_given_disks_of_the_old_core_when_the_new_one_is_up_then_they_follow_and_none_counts(
-        tmp_path: Path, old: dict[str, Path]) -> None:
+    tmp_path: Path, old: dict[str, Path]
+) -> None:
     file, new = tmp_path / "backup", folders(tmp_path / "new")
     backup.export(str(old[ADDRESSES[0]]), str(file))
     lives(old, 4, 5, 6)  # the old core went on beyond the backup
@@ -179,7 +185,8 @@
 
 
 def test_given_one_start_when_it_is_used_otherwise_then_it_is_refused(
-        tmp_path: Path, old: dict[str, Path], monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, old: dict[str, Path], monkeypatch: pytest.MonkeyPatch
+) -> None:
     file, other = tmp_path / "backup", tmp_path / "other"
     backup.export(str(old[ADDRESSES[0]]), str(file))
     start = backup.begin(str(file), ADDRESSES)
@@ -201,7 +208,8 @@
 
 
 def test_given_a_folder_that_holds_something_when_restored_into_then_nothing_is_written(
-        tmp_path: Path, old: dict[str, Path]) -> None:
+    tmp_path: Path, old: dict[str, Path]
+) -> None:
     file, folder = tmp_path / "backup", old[ADDRESSES[2]]
     backup.export(str(folder), str(file))
     before = content(folder)
@@ -209,12 +217,19 @@
     assert done.exit_code == 1 and "not empty" in done.stderr and content(folder) == before
 
 
-@pytest.mark.parametrize(("change", "step"), [
-    (lambda whole: whole[:-1], "length"), (lambda whole: whole + b"x", "length"),
-    (lambda whole: whole[:-9] + b"x" + whole[-8:], "digest"), (lambda whole: whole[:9], "form"),
-    (lambda whole: whole[:27] + blake2b(b"", digest_size=32).digest(), "length")])
+@pytest.mark.parametrize(
+    ("change", "step"),
+    [
+        (lambda whole: whole[:-1], "length"),
+        (lambda whole: whole + b"x", "length"),
+        (lambda whole: whole[:-9] + b"x" + whole[-8:], "digest"),
+        (lambda whole: whole[:9], "form"),
+        (lambda whole: whole[:27] + blake2b(b"", digest_size=32).digest(), "length"),
+    ],
+)
 def test_given_a_backup_that_was_changed_when_restored_then_it_is_refused_by_its_step(
-        tmp_path: Path, old: dict[str, Path], change: Any, step: str) -> None:
+    tmp_path: Path, old: dict[str, Path], change: Any, step: str
+) -> None:
     file = tmp_path / "backup"
     backup.export(str(old[ADDRESSES[0]]), str(file))
     file.write_bytes(change(file.read_bytes()))
@@ -223,7 +238,8 @@
 
 
 def test_given_folders_well_torn_broken_and_missing_when_checked_then_each_is_told(
-        tmp_path: Path, old: dict[str, Path]) -> None:
+    tmp_path: Path, old: dict[str, Path]
+) -> None:
     folder = old[ADDRESSES[0]]
     well = run("check", folder)
     assert well.exit_code == 0 and well.stdout.count("the seal fits") == 2
@@ -246,8 +262,14 @@
     one = tmp_path / "one"
     value = replace(genesis(ADDRESSES), version=1)
     waiting = replace(value, slot=1, version=2)
-    Store(str(one), 64).save({"disk": "first", "decided": value.pack(), "promised": [4, "a"],
-                              "accepted": [[4, "a"], waiting.pack()]})
+    Store(str(one), 64).save(
+        {
+            "disk": "first",
+            "decided": value.pack(),
+            "promised": [4, "a"],
+            "accepted": [[4, "a"], waiting.pack()],
+        }
+    )
     file = tmp_path / "backup"
     backup.export(str(one), str(file))
     told = run("restore", file, tmp_path / "x", "--members", ",".join(ADDRESSES))
