--- a/tests/stories/world/fleet.py
+++ b/tests/stories/world/fleet.py
@@ -44,8 +44,15 @@
 RESTART = 0.5  # s until a process that ended is started again
 UNFORESEEN = ("core.error", "clients.error", "servers.error", "calls.error", "peer.unfit")
 MARGINS: dict[str, float | bool] = {
-    "contactMs": 3000, "settlingMs": 2500, "toleranceS": 6, "setpointMs": 2500, "retryRatio": 0.2,
-    "retryWindowS": 10, "retrySlack": 64, "quotaWindowS": 5}
+    "contactMs": 3000,
+    "settlingMs": 2500,
+    "toleranceS": 6,
+    "setpointMs": 2500,
+    "retryRatio": 0.2,
+    "retryWindowS": 10,
+    "retrySlack": 64,
+    "quotaWindowS": 5,
+}
 HOST = "shop.example"
 Story = Callable[["World"], Awaitable[None]]
 
@@ -118,8 +125,9 @@
         stack.enter_context(mock.patch.object(halts, "pause", pause))
         stack.enter_context(mock.patch.object(trio, "open_signal_receiver", signals))
         stack.enter_context(mock.patch.object(trio.to_thread, "run_sync", run_sync))
-        stack.enter_context(mock.patch.object(control_plane, "Store",
-                                              lambda folder, _: current.get().store.at(folder)))
+        stack.enter_context(
+            mock.patch.object(control_plane, "Store", lambda folder, _: current.get().store.at(folder))
+        )
         stack.enter_context(mock.patch.object(register, "secrets", SimpleNamespace(token_hex=token_hex)))
         stack.enter_context(mock.patch.object(settings, "read_boot", lambda _: current.get().boot))
         for program in (data_plane, control_plane):
@@ -205,9 +213,17 @@
 class World:
     """A day. All chance comes from `seed`."""
 
-    def __init__(self, seed: int, agenda: Agenda, zones: int = 3, limiters: int = 2, servers: int = 2,
-                 tenants: dict[str, tuple[float, float]] | None = None, controls: int = 1,
-                 experience: bool = False) -> None:
+    def __init__(
+        self,
+        seed: int,
+        agenda: Agenda,
+        zones: int = 3,
+        limiters: int = 2,
+        servers: int = 2,
+        tenants: dict[str, tuple[float, float]] | None = None,
+        controls: int = 1,
+        experience: bool = False,
+    ) -> None:
         """`controls`: of the core, in a zone; `experience`: do limiters share what they see of servers?"""
         self.random, self.seed, self.policy = Random(seed), seed, replace(DEFAULT, on=experience, probes=2)
         self.controls = controls
@@ -239,21 +255,44 @@
             return boot_file.Address(host, port) if wanted else None
 
         return Boot(
-            node=f"edge-{host}", function="f", machine_class="edge",
-            serves=("edge",) if data else ("supervisor",), ip=host, zone=process.machine.zone, region="r",
-            zones={zone: "r" for zone in self.zones}, front=at(FRONT, data), readiness=at(READINESS, data),
-            control=at(CONTROL, not data), port_range=PORTS, initial_peers=tuple(self.peers),
-            initial_condition=process.initial, loss_counted=not data, memory_mb=300.0, descriptors=3000,
-            bandwidth_mbps=1000.0, storage_mb=64.0, state_dir="" if process.disk is None else "/data",
-            pulse=1.5, margins=MARGINS, lost_machines=1, lost_zones=0, lost_regions=0, cores=2.0,
-            cpu_fraction=0.75)
+            node=f"edge-{host}",
+            function="f",
+            machine_class="edge",
+            serves=("edge",) if data else ("supervisor",),
+            ip=host,
+            zone=process.machine.zone,
+            region="r",
+            zones={zone: "r" for zone in self.zones},
+            front=at(FRONT, data),
+            readiness=at(READINESS, data),
+            control=at(CONTROL, not data),
+            port_range=PORTS,
+            initial_peers=tuple(self.peers),
+            initial_condition=process.initial,
+            loss_counted=not data,
+            memory_mb=300.0,
+            descriptors=3000,
+            bandwidth_mbps=1000.0,
+            storage_mb=64.0,
+            state_dir="" if process.disk is None else "/data",
+            pulse=1.5,
+            margins=MARGINS,
+            lost_machines=1,
+            lost_zones=0,
+            lost_regions=0,
+            cores=2.0,
+            cpu_fraction=0.75,
+        )
 
     def process(self, host: str, role: str) -> Process:
         return next(one for one in self.processes if one.machine.host == host and one.role == role)
 
     def of(self, role: str, zone: str = "") -> list[Process]:
-        return [one for one in self.processes if one.role == role and one.wanted
-                and zone in ("", one.machine.zone)]
+        return [
+            one
+            for one in self.processes
+            if one.role == role and one.wanted and zone in ("", one.machine.zone)
+        ]
 
     @property
     def core(self) -> list[str]:
@@ -280,8 +319,9 @@
         """A server starts; `ways`: its fields that differ."""
         self.named += 1
         machine = self.network.machine(host, zone)
-        server = Server(self.network, self.judge, machine, f"i-{self.named}", service, self.supervisors(),
-                        1.5, port=port)
+        server = Server(
+            self.network, self.judge, machine, f"i-{self.named}", service, self.supervisors(), 1.5, port=port
+        )
         for name, value in ways.items():
             setattr(server, name, value)
         self.servers[server.name] = server
@@ -293,31 +333,82 @@
 
     # ---- configurations ----
 
-    def elements(self, routes: dict[str, tuple[str, str, str]] | None = None,
-                 tenants: dict[str, tuple[float, float]] | None = None,
-                 keys: dict[str, list[str]] | None = None) -> list[dict[str, Any]]:
+    def elements(
+        self,
+        routes: dict[str, tuple[str, str, str]] | None = None,
+        tenants: dict[str, tuple[float, float]] | None = None,
+        keys: dict[str, list[str]] | None = None,
+    ) -> list[dict[str, Any]]:
         """`routes`: prefix, variant and service by name."""
-        routes = routes or {"read": ("/read/", "nullipotent", "alpha"),
-                            "write": ("/write/", "mutating", "alpha"),
-                            "other": ("/other/", "nullipotent", "beta")}
+        routes = routes or {
+            "read": ("/read/", "nullipotent", "alpha"),
+            "write": ("/write/", "mutating", "alpha"),
+            "other": ("/other/", "nullipotent", "beta"),
+        }
         tenants = self.tenants if tenants is None else tenants
         return [
-            *({"elementKind": "trajectories", "header": {"label": name}, "reference": {
-                "plant": HOST, "pathPrefix": prefix, "variant": variant, "cutoffMs": 1500, "targetMs": 400,
-                "precedence": 1, "subsystem": service, "trials": 2, "unguarded": False}}
-              for name, (prefix, variant, service) in routes.items()),
-            *({"elementKind": "subsystems", "header": {"label": name}, "reference": {
-                "probe": "/probe", "connectionCeiling": 140, "protocol": "h1", "encryption": False}}
-              for name in ("alpha", "beta")),
-            *({"elementKind": "loads", "header": {"label": name}, "reference": {
-                "credentials": (keys or {}).get(name, [f"key-{name}"]), "precedence": 1, "rateS": rate,
-                "surge": surge}} for name, (rate, surge) in tenants.items()),
-            {"elementKind": "saturations", "header": {}, "reference": {
-                "headBytes": 16384, "payloadBytes": 1 << 20, "headMs": 3000, "quiescentMs": 15000}}]
+            *(
+                {
+                    "elementKind": "trajectories",
+                    "header": {"label": name},
+                    "reference": {
+                        "plant": HOST,
+                        "pathPrefix": prefix,
+                        "variant": variant,
+                        "cutoffMs": 1500,
+                        "targetMs": 400,
+                        "precedence": 1,
+                        "subsystem": service,
+                        "trials": 2,
+                        "unguarded": False,
+                    },
+                }
+                for name, (prefix, variant, service) in routes.items()
+            ),
+            *(
+                {
+                    "elementKind": "subsystems",
+                    "header": {"label": name},
+                    "reference": {
+                        "probe": "/probe",
+                        "connectionCeiling": 140,
+                        "protocol": "h1",
+                        "encryption": False,
+                    },
+                }
+                for name in ("alpha", "beta")
+            ),
+            *(
+                {
+                    "elementKind": "loads",
+                    "header": {"label": name},
+                    "reference": {
+                        "credentials": (keys or {}).get(name, [f"key-{name}"]),
+                        "precedence": 1,
+                        "rateS": rate,
+                        "surge": surge,
+                    },
+                }
+                for name, (rate, surge) in tenants.items()
+            ),
+            {
+                "elementKind": "saturations",
+                "header": {},
+                "reference": {
+                    "headBytes": 16384,
+                    "payloadBytes": 1 << 20,
+                    "headMs": 3000,
+                    "quiescentMs": 15000,
+                },
+            },
+        ]
 
     def configuration(self, number: int, prior: int, **parts: Any) -> dict[str, Any]:
-        return {"setpointSeq": f"{number:08x}", "priorVersion": f"{prior:08x}",
-                "elements": self.elements(**parts)}
+        return {
+            "setpointSeq": f"{number:08x}",
+            "priorVersion": f"{prior:08x}",
+            "elements": self.elements(**parts),
+        }
 
     # ---- a day ----
 
@@ -342,8 +433,9 @@
             for n in range(self.servers_each):
                 for s, service in enumerate(("alpha", "beta")):
                     self.serve(service, zone, f"10.{z}.{s + 1}.{n + 1}")
-            self.clients[zone] = [Client(self.outside(f"10.{z}.9.{n}", zone, f"client {z} {n}"), self.judge)
-                                  for n in range(4)]
+            self.clients[zone] = [
+                Client(self.outside(f"10.{z}.9.{n}", zone, f"client {z} {n}"), self.judge) for n in range(4)
+            ]
         await trio.sleep(0.3)
         assert await self.replace(self.configuration(1, 0)) == 200
         with trio.fail_after(15.0):
@@ -397,8 +489,9 @@
             chosen = elsewhere or hosts or self.edges
         return Address(self.random.choice(chosen), FRONT)
 
-    async def ask(self, zone: str, path: str, key: str = "key-plain", *, front: str = "", tries: int = 2,
-                  **how: Any) -> Asked:
+    async def ask(
+        self, zone: str, path: str, key: str = "key-plain", *, front: str = "", tries: int = 2, **how: Any
+    ) -> Asked:
         """A request with the tries that its client makes."""
         client = self.random.choice(self.clients[zone])
         with self.being(client.life):
@@ -412,8 +505,15 @@
                     return asked
                 await trio.sleep(0.1)
 
-    async def traffic(self, rate: float, seconds: float, path: str = "/read/", key: str = "key-plain",
-                      zones: list[str] | None = None, **how: Any) -> None:
+    async def traffic(
+        self,
+        rate: float,
+        seconds: float,
+        path: str = "/read/",
+        key: str = "key-plain",
+        zones: list[str] | None = None,
+        **how: Any,
+    ) -> None:
         """`rate` requests a second over the zones, each in a task of its own; ends when all have ended."""
         until = now() + seconds
         how = {"mutating": path == "/write/", **how}
@@ -425,12 +525,14 @@
 
     def usual(self, seconds: float, rate: float = 30.0) -> None:
         """Reads and writes of the plain tenant go on beside the story."""
+
         async def both() -> None:
             self.busy += 1
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self.traffic, rate * 0.6, seconds)
                 nursery.start_soon(self.traffic, rate * 0.4, seconds, "/write/")
             self.busy -= 1
+
         self.nursery.start_soon(both)
 
     async def quiet(self) -> None:
--- a/tests/stories/world/judge.py
+++ b/tests/stories/world/judge.py
@@ -78,19 +78,27 @@
         return self.known[key]
 
     def parts(self, kind: str) -> dict[str, dict[str, Any]]:
-        found: dict[str, dict[str, Any]] = self.once((kind,), lambda: {
-            one["header"].get("label", ""): one["reference"] for one in self.document["elements"]
-            if one["elementKind"] == kind})
+        found: dict[str, dict[str, Any]] = self.once(
+            (kind,),
+            lambda: {
+                one["header"].get("label", ""): one["reference"]
+                for one in self.document["elements"]
+                if one["elementKind"] == kind
+            },
+        )
         return found
 
     def route(self, host: str, path: str) -> dict[str, Any] | None:
-        begin = path[:path.rfind("/") + 1]  # prefixes end with a slash
+        begin = path[: path.rfind("/") + 1]  # prefixes end with a slash
         found: dict[str, Any] | None = self.once((host, begin), lambda: self.longest(host, begin))
         return found
 
     def longest(self, host: str, path: str) -> dict[str, Any] | None:
-        fits = [one for one in self.parts("trajectories").values()
-                if one["plant"] == host and path.startswith(one["pathPrefix"])]
+        fits = [
+            one
+            for one in self.parts("trajectories").values()
+            if one["plant"] == host and path.startswith(one["pathPrefix"])
+        ]
         fits.sort(key=lambda each: len(str(each["pathPrefix"])))
         return fits[-1] if fits else None
 
@@ -101,8 +109,12 @@
         return {str(one["subsystem"]) for one in route["distribution"] if one["gain"] > 0}
 
     def tenant(self, key: str) -> str | None:
-        found: str | None = self.once(("holder", "of", key), lambda: next(
-            (label for label, one in self.parts("loads").items() if key in one["credentials"]), None))
+        found: str | None = self.once(
+            ("holder", "of", key),
+            lambda: next(
+                (label for label, one in self.parts("loads").items() if key in one["credentials"]), None
+            ),
+        )
         return found
 
 
@@ -147,8 +159,9 @@
     def in_touch(self, at: float, *hosts: str) -> bool:
         """No trouble there or in the core in the `contactMs` before."""
         mine = {CORE, *hosts}
-        return not any(one.begin <= at and one.end >= at - CONTACT and one.hosts & mine
-                       for one in self.troubles)
+        return not any(
+            one.begin <= at and one.end >= at - CONTACT and one.hosts & mine for one in self.troubles
+        )
 
     def answer(self, asked: Asked, status: int, headers: dict[str, str], body: bytes) -> None:
         asked.status, asked.answered = status, self.now()
@@ -222,8 +235,11 @@
     def maybe(self, at: float, until: float) -> list[Version]:
         """The versions that may be in force for a request of that time."""
         sure = max((one.number for one in self.versions if one.taken + SETPOINT < at), default=0)
-        return [one for one in self.versions if one.number >= sure and one.sent <= until
-                and (one.taken < math.inf or not one.refused)]
+        return [
+            one
+            for one in self.versions
+            if one.number >= sure and one.sent <= until and (one.taken < math.inf or not one.refused)
+        ]
 
     def in_force(self, asked: Asked, one: Ran) -> None:
         if not self.in_touch(asked.at, asked.limiter):
@@ -238,40 +254,62 @@
         if asked.status not in (401, 403, 404) or not self.in_touch(asked.at, asked.limiter):
             return
         maybe = self.maybe(asked.at, asked.answered)
-        if maybe and all(one.route(asked.host, asked.path) is not None and one.tenant(asked.key) is not None
-                         for one in maybe):
+        if maybe and all(
+            one.route(asked.host, asked.path) is not None and one.tenant(asked.key) is not None
+            for one in maybe
+        ):
             self.fault("CONFIG", f"{asked.id} was answered {asked.status} by an older version")
 
     def refused_though_allowed(self) -> None:
-        found = [one for one in self.asked.values()
-                 if 300 <= one.status < 500 and one.status not in (*PROMISES, 409)
-                 and self.in_touch(one.at, one.limiter) and self.permitted(one)]
+        found = [
+            one
+            for one in self.asked.values()
+            if 300 <= one.status < 500
+            and one.status not in (*PROMISES, 409)
+            and self.in_touch(one.at, one.limiter)
+            and self.permitted(one)
+        ]
         if len(found) > 5 + len(self.asked) / 500:
             self.fault("DENIED", f"{len(found)} proper requests, such as {found[0].id}: {found[0].status}")
 
     def permitted(self, asked: Asked) -> bool:
         maybe = self.maybe(asked.at, asked.answered or asked.at)
-        return bool(maybe) and all(one.route(asked.host, asked.path) is not None
-                                   and one.tenant(asked.key) is not None for one in maybe)
+        return bool(maybe) and all(
+            one.route(asked.host, asked.path) is not None and one.tenant(asked.key) is not None
+            for one in maybe
+        )
 
     def lost(self, asked: Asked, arrived: list[Ran]) -> None:
         """Around a SIGTERM of the machine that took it: broken off, or an own answer put in its place."""
-        near = any(at <= asked.answered and asked.at <= at + TOLERANCE + 1.0
-                   for at in self.planned[asked.limiter])
-        if not near or any(one.begin <= asked.answered and one.end >= asked.at - CONTACT
-                           and one.hosts & {CORE, asked.limiter} for one in self.troubles):
+        near = any(
+            at <= asked.answered and asked.at <= at + TOLERANCE + 1.0 for at in self.planned[asked.limiter]
+        )
+        if not near or any(
+            one.begin <= asked.answered
+            and one.end >= asked.at - CONTACT
+            and one.hosts & {CORE, asked.limiter}
+            for one in self.troubles
+        ):
             return
         worked = [one for one in arrived if not one.turned and one.done < math.inf]
-        if asked.cut and asked.limiter_heard and (
-                worked or (not arrived and asked.answered > asked.at + LOSS_SLACK)):
+        if (
+            asked.cut
+            and asked.limiter_heard
+            and (worked or (not arrived and asked.answered > asked.at + LOSS_SLACK))
+        ):
             self.fault("LOST", f"{asked.id} was cut off at {asked.limiter} in a planned end: {asked.why}")
         elif asked.status >= 500 and any(asked.answered < one.done - 0.001 for one in worked):
             self.fault("LOST", f"{asked.id} was answered {asked.status} while {worked[0].server} worked")
 
     def recover(self) -> None:
         """A quarter of what was served before must be served again; tenants within a limit can't tell."""
-        free = {key for one in self.versions for load in one.parts("loads").values()
-                for key in load["credentials"] if not load.get("rateS")}
+        free = {
+            key
+            for one in self.versions
+            for load in one.parts("loads").values()
+            for key in load["credentials"]
+            if not load.get("rateS")
+        }
         sent = [one for one in self.asked.values() if one.key in free and self.permitted(one)]
         before = [200 <= one.status < 300 for one in sent if one.at < self.back]
         after = [200 <= one.status < 300 for one in sent if one.at > self.back + RECOVERY]
@@ -285,12 +323,19 @@
             fits = [one for one in self.versions if not one.refused or one.taken < math.inf]
             if asked.id in runs:
                 one, at = runs[asked.id][0], runs[asked.id][0].at
-                by = [each.number for each in fits if one.service in each.services(asked.host, asked.path)
-                      and (not asked.key or each.tenant(asked.key))]
+                by = [
+                    each.number
+                    for each in fits
+                    if one.service in each.services(asked.host, asked.path)
+                    and (not asked.key or each.tenant(asked.key))
+                ]
             elif asked.status in (401, 404):
                 at = asked.answered
-                by = [each.number for each in fits if each.route(asked.host, asked.path) is None
-                      or each.tenant(asked.key) is None]
+                by = [
+                    each.number
+                    for each in fits
+                    if each.route(asked.host, asked.path) is None or each.tenant(asked.key) is None
+                ]
             else:
                 continue
             life = max((begun for begun in self.begun[asked.limiter] if begun <= at), default=0.0)
@@ -335,8 +380,11 @@
         def key(one: dict[str, Any]) -> tuple[str, str]:
             return one["elementKind"], one["header"].get("label", "")
 
-        if not any(sorted(one.document["elements"], key=key) == sorted(document["elements"], key=key)
-                   and not (one.refused and one.taken == math.inf) for one in same):
+        if not any(
+            sorted(one.document["elements"], key=key) == sorted(document["elements"], key=key)
+            and not (one.refused and one.taken == math.inf)
+            for one in same
+        ):
             self.fault("CONFIG", f"version {number} is not what was sent, or was refused")
 
     def quotas(self) -> list[Quota]:
@@ -347,8 +395,12 @@
                 rate, surge = load.get("rateS", 0), load.get("surge", 0)
                 before = limits.get(label, (rate, surge))
                 limits[label] = (max(rate, before[0]), max(surge, before[1]))
-        holders = {key: label for one in self.versions for label, load in one.parts("loads").items()
-                   for key in load["credentials"]}
+        holders = {
+            key: label
+            for one in self.versions
+            for label, load in one.parts("loads").items()
+            for key in load["credentials"]
+        }
         times: dict[str, list[float]] = defaultdict(list)
         tries: dict[str, list[tuple[float, bool]]] = defaultdict(list)
         there: set[str] = set()
@@ -359,14 +411,19 @@
         for asked in self.asked.values():
             if asked.id in there or asked.status == 429:
                 tries[holders.get(asked.key, "")].append((asked.at, asked.id in there))
-        return [figures(label, rate, surge, times[label], tries[label])
-                for label, (rate, surge) in limits.items() if rate]
+        return [
+            figures(label, rate, surge, times[label], tries[label])
+            for label, (rate, surge) in limits.items()
+            if rate
+        ]
 
     def quota(self) -> None:
         for one in self.quotas():
             if one.most > one.allowed:
-                self.fault("QUOTA", f"{one.tenant} ran {one.most} in {WINDOW} s to {one.at:.3f}, "
-                           f"{one.allowed:.0f} may")
+                self.fault(
+                    "QUOTA",
+                    f"{one.tenant} ran {one.most} in {WINDOW} s to {one.at:.3f}, " f"{one.allowed:.0f} may",
+                )
 
     def budget(self, arrivals: dict[str, list[Ran]]) -> None:
         further: dict[str, list[float]] = defaultdict(list)
@@ -380,8 +437,10 @@
             each, all_of = sorted(times), sorted(first[service])
             for n, at in enumerate(each):
                 count = n + 1 - bisect_left(each, at - RETRY_WINDOW)
-                most = max(bisect_left(all_of, at - back) - bisect_left(all_of, at - back - RETRY_WINDOW)
-                           for back in (0.0, RETRY_WINDOW / 2, RETRY_WINDOW))
+                most = max(
+                    bisect_left(all_of, at - back) - bisect_left(all_of, at - back - RETRY_WINDOW)
+                    for back in (0.0, RETRY_WINDOW / 2, RETRY_WINDOW)
+                )
                 if count > self.ratio * most + self.slack:
                     return self.fault("BUDGET", f"{service}: {count} further arrivals for {most}")
 
--- a/tests/stories/world/loop.py
+++ b/tests/stories/world/loop.py
@@ -173,8 +173,10 @@
 
     with ExitStack() as stack:
         for owner, name, what in (
-                (trio_run, "unrolled_run", rounds), (trio, "current_time", lambda: agenda().time),
-                (trio, "sleep", lambda seconds: agenda().sleep(seconds)),
-                (trio, "sleep_until", lambda deadline: agenda().sleep_until(deadline))):
+            (trio_run, "unrolled_run", rounds),
+            (trio, "current_time", lambda: agenda().time),
+            (trio, "sleep", lambda seconds: agenda().sleep(seconds)),
+            (trio, "sleep_until", lambda deadline: agenda().sleep_until(deadline)),
+        ):
             stack.enter_context(mock.patch.object(owner, name, what))
         yield
--- a/tests/stories/world/network.py
+++ b/tests/stories/world/network.py
@@ -210,7 +210,7 @@
             raise OSError(errno.EBADF, "closed")
         if self.error or self.ended:
             raise OSError(self.error or errno.EPIPE, "connection")
-        taken = data[:self.network.bite(min(len(data), WINDOW - self.flight - len(self.peer.inbox)))]
+        taken = data[: self.network.bite(min(len(data), WINDOW - self.flight - len(self.peer.inbox)))]
         if taken:
             self.put(DATA, taken)
         return len(taken)
@@ -270,7 +270,7 @@
         delay = self.network.delay(self.near, self.far)
         size = SEGMENT if min(self.near.speed, self.far.speed) < math.inf else WINDOW
         for at in range(0, max(1, len(data)), size):
-            part = data[at:at + size]
+            part = data[at : at + size]
             self.last = max(self.last, self.near.carry(len(part), self.far, delay))
             self.out.append((self.last, kind, part))
             self.flight += len(part)
@@ -304,8 +304,9 @@
             self.fail(errno.ECONNRESET)
         elif self.closed or not self.life.alive:
             if kind == DATA and self.network.passes(self.near, self.far):
-                self.network.timeline.at(now() + self.network.delay(self.near, self.far),
-                                         lambda: self.peer.fail(errno.ECONNRESET))
+                self.network.timeline.at(
+                    now() + self.network.delay(self.near, self.far), lambda: self.peer.fail(errno.ECONNRESET)
+                )
         elif kind == FIN:
             self.eof = True
         else:
--- a/tests/stories/world/people.py
+++ b/tests/stories/world/people.py
@@ -103,10 +103,25 @@
 class Server:
     """One life of a server, on a machine that may get another afterwards."""
 
-    def __init__(self, network: Network, judge: Judge, machine: Machine, name: str, service: str,
-                 supervisors: list[Address], pulse: float, capacity: int = 8, port: int = 8080) -> None:
+    def __init__(
+        self,
+        network: Network,
+        judge: Judge,
+        machine: Machine,
+        name: str,
+        service: str,
+        supervisors: list[Address],
+        pulse: float,
+        capacity: int = 8,
+        port: int = 8080,
+    ) -> None:
         self.network, self.judge, self.machine, self.name, self.service = (
-            network, judge, machine, name, service)
+            network,
+            judge,
+            machine,
+            name,
+            service,
+        )
         self.supervisors, self.pulse, self.capacity = list(supervisors), pulse, capacity
         self.address = Address(machine.host, port)
         self.life = Life(network, machine, name)
@@ -145,11 +160,18 @@
 
     def document(self) -> bytes:
         self.calls += 1
-        return orjson.dumps({
-            "address": str(self.address),
-            "observation": {"subsystem": self.service, "setpointSeq": "v1", "zone": self.machine.zone,
-                            "capacity": self.capacity},
-            "stateEstimate": {"mode": self.mode, "callCount": self.calls, "warmupMs": 0}})
+        return orjson.dumps(
+            {
+                "address": str(self.address),
+                "observation": {
+                    "subsystem": self.service,
+                    "setpointSeq": "v1",
+                    "zone": self.machine.zone,
+                    "capacity": self.capacity,
+                },
+                "stateEstimate": {"mode": self.mode, "callCount": self.calls, "warmupMs": 0},
+            }
+        )
 
     async def beat(self) -> None:
         while True:
@@ -298,8 +320,19 @@
         self.life, self.judge, self.random = life, judge, life.random
         self.idle: dict[Address, list[Talk]] = {}
 
-    async def ask(self, front: Address, host: str, path: str, key: str = "", *, mutating: bool = False,
-                  body: bytes = b"", wait: float = 2.0, fresh: bool = False, patience: float = 0.0) -> Asked:
+    async def ask(
+        self,
+        front: Address,
+        host: str,
+        path: str,
+        key: str = "",
+        *,
+        mutating: bool = False,
+        body: bytes = b"",
+        wait: float = 2.0,
+        fresh: bool = False,
+        patience: float = 0.0,
+    ) -> Asked:
         """One try, told to the judge; `patience`: s that it listens beyond the time that it tells."""
         name = f"{self.random.getrandbits(64):016x}"
         method = "POST" if mutating else "GET"
@@ -355,13 +388,25 @@
         self.random = life.random
         self.reading = 1.0  # s that it waits for a configuration to come
 
-    async def replace(self, document: dict[str, Any], *, at: list[Address] | None = None, valid: bool = True,
-                      limit: float = 10.0) -> int:
+    async def replace(
+        self,
+        document: dict[str, Any],
+        *,
+        at: list[Address] | None = None,
+        valid: bool = True,
+        limit: float = 10.0,
+    ) -> int:
         version = self.note(document, document, valid)
         return await self.send("replace", document, version, at, limit)
 
-    async def adjust(self, change: dict[str, Any], whole: dict[str, Any], *, at: list[Address] | None = None,
-                     limit: float = 10.0) -> int:
+    async def adjust(
+        self,
+        change: dict[str, Any],
+        whole: dict[str, Any],
+        *,
+        at: list[Address] | None = None,
+        limit: float = 10.0,
+    ) -> int:
         """`whole`: what the change makes of the version that it builds on."""
         version = self.note(change, whole, True)
         return await self.send("adjust", change, version, at, limit)
@@ -374,8 +419,9 @@
         self.judge.versions.append(Version(number, int(sent["priorVersion"], 16), whole, now(), valid))
         return self.judge.versions[-1]
 
-    async def send(self, kind: str, document: dict[str, Any], version: Version, at: list[Address] | None,
-                   limit: float) -> int:
+    async def send(
+        self, kind: str, document: dict[str, Any], version: Version, at: list[Address] | None, limit: float
+    ) -> int:
         """200, or the status that refused it; 0 where no clear answer came in time."""
         body, pause = orjson.dumps(document), 0.1
         with trio.move_on_after(limit):
@@ -383,8 +429,11 @@
                 for address in at or self.random.sample(self.supervisors, len(self.supervisors)):
                     status = 0
                     with suppress(Cut):
-                        status = (await call(address, f"/v1/rpc?call=setpoint.{kind}", body,
-                                             1.0 + len(body) / SLOWEST)).status
+                        status = (
+                            await call(
+                                address, f"/v1/rpc?call=setpoint.{kind}", body, 1.0 + len(body) / SLOWEST
+                            )
+                        ).status
                     if status == 200:
                         version.taken = min(version.taken, now())
                         return 200
--- a/tests/stories/world/quota.py
+++ b/tests/stories/world/quota.py
@@ -30,8 +30,9 @@
     return max(((n + 1 - bisect_left(each, at - WINDOW), at) for n, at in enumerate(each)), default=(0, 0.0))
 
 
-def figures(tenant: str, rate: float, surge: float, ran: list[float],
-            asked: list[tuple[float, bool]]) -> Quota:
+def figures(
+    tenant: str, rate: float, surge: float, ran: list[float], asked: list[tuple[float, bool]]
+) -> Quota:
     """`ran`: when its requests ran; `asked`: each try that ran, or was refused for the quota, with its
     moment and True if it ran. A single bucket of `surge`, filled at `rate`, is led past the same tries."""
     level, last, fits, refused, over = surge, 0.0, 0, 0, 0
--- a/tests/stories/world/spans.py
+++ b/tests/stories/world/spans.py
@@ -36,14 +36,18 @@
             member = Member(f"{process.machine.host}:{PORTS[0]}", state["disk"])
             held.append((member, Value.unpack(state["decided"])))
     members = max((value for _, value in held), key=lambda value: value.slot).members
-    return members, frozenset(member for member, value in held
-                              if value.members == members and member in members)
+    return members, frozenset(
+        member for member, value in held if value.members == members and member in members
+    )
 
 
 def voters(world: World) -> frozenset[Member]:
     """Those that are up, with the disk that they have."""
-    return frozenset(Member(f"{one.machine.host}:{PORTS[0]}", state["disk"]) for one in world.of("control")
-                     if up(one) and (state := on_disk(one)) is not None)
+    return frozenset(
+        Member(f"{one.machine.host}:{PORTS[0]}", state["disk"])
+        for one in world.of("control")
+        if up(one) and (state := on_disk(one)) is not None
+    )
 
 
 def margin(world: World) -> int:
--- a/tests/stories/world/tally.py
+++ b/tests/stories/world/tally.py
@@ -89,8 +89,13 @@
             self.note(near, far, "nothing new" if said.get("none") else "news", size)
             for part in PARTS:
                 if part in said:
-                    self.note(near, far, f"part {part}", len(msgpack.packb(said[part])),
-                              len(said[part]) if isinstance(said[part], list) else 1)
+                    self.note(
+                        near,
+                        far,
+                        f"part {part}",
+                        len(msgpack.packb(said[part])),
+                        len(said[part]) if isinstance(said[part], list) else 1,
+                    )
 
     def datagram(self, near: Life, data: bytes) -> None:
         kind, _, rows = msgpack.unpackb(data)
@@ -98,8 +103,13 @@
             what = "word of an end" if kind == END else "count answer"
             return self.note("data", "data", what, len(data), len(rows))
         words = [row for row in rows if row[2] == 0]
-        self.note("data", "data", "count word" if len(words) == len(rows) else "count question", len(data),
-                  len(rows))
+        self.note(
+            "data",
+            "data",
+            "count word" if len(words) == len(rows) else "count question",
+            len(data),
+            len(rows),
+        )
         for row in words:
             self.note("data", "data", "word NEAR" if row[3] == NEAR else "word AWAY, BYE", 0)
 
@@ -136,7 +146,11 @@
             return end  # type: ignore[no-any-return]
 
         with ExitStack() as stack:
-            for owner, name, new in ((End, "put", put_too), (Datagrams, "sendto", sendto_too),
-                                     (frames.Frames, "write", write_too), (network, "connect", connect_too)):
+            for owner, name, new in (
+                (End, "put", put_too),
+                (Datagrams, "sendto", sendto_too),
+                (frames.Frames, "write", write_too),
+                (network, "connect", connect_too),
+            ):
                 stack.enter_context(mock.patch.object(owner, name, new))
             yield
--- a/tests/stories/world/wire.py
+++ b/tests/stories/world/wire.py
@@ -59,7 +59,7 @@
                 raise Unfit(f"no head: {bytes(self.came[:80])!r}")
             if self.server or found[2][0] != 49:  # of 1xx the answer is yet to come
                 return self.whole(found)
-            del self.came[:end + 4]
+            del self.came[: end + 4]
 
     def whole(self, found: re.Match[bytes]) -> Message | None:
         fields = found[4] if self.server else found[3]
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -265,8 +265,11 @@
 def test_limiters_that_know_nothing_do_not_all_take_the_first_server() -> None:
     """Two hundred limiters, one request each: the fleet shares them, none is jammed."""
     servers = tuple(server(f"s{n}") for n in range(50))
-    taken = [a.server for seed in range(200) for a in attempts(Gateway(
-        Counter(), settings(limiters=200), servers, seed=seed).ask(1000.0, plan=3))]
+    taken = [
+        a.server
+        for seed in range(200)
+        for a in attempts(Gateway(Counter(), settings(limiters=200), servers, seed=seed).ask(1000.0, plan=3))
+    ]
     assert len(taken) == 200
     assert max(taken.count(s.name) for s in servers) <= 14  # four each on the average
 
@@ -334,7 +337,8 @@
         for _, gate, act in [d for d in due if d[0] <= now]:
             gate.end(act.id, now, name=act.server, took=0.9)
         due = [d for d in due if d[0] > now] + [
-            (now + 0.9, gates[step % 200], act) for act in attempts(gates[step % 200].ask(now, plan=3))]
+            (now + 0.9, gates[step % 200], act) for act in attempts(gates[step % 200].ask(now, plan=3))
+        ]
         most, went = max(most, len(due)), went + sum(act.id == gates[step % 200].last for _, _, act in due)
     assert went >= 5 and most <= 80  # 200 with a request always let out by each
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -44,7 +44,8 @@
 
 @pytest.mark.parametrize("part", capacity.PARTS)
 def test_given_a_small_site_when_each_part_is_measured_then_it_has_figures(
-        part: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    part: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
     def once(work: Callable[[], Any], *_: object) -> float:
         work()
         return 1.0
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -40,11 +40,20 @@
     document = orjson.dumps(demo.first_configuration())
     value = Value(4, (Member("127.0.0.1:7660", "first"), Member("127.0.0.9:7660", "x")), 1, document)
     server = Server("s-1", "127.0.0.1:80", "pages", "north", 4, 7, "decaying")
-    return {"show": {"address": str(address), "zone": "north", "disk": "first", "slot": 4, "version": 1,
-                     "members": [list(member) for member in value.members],
-                     "controls": [["127.0.0.9:7660", "south", 1e9]],
-                     "limiters": [one.pack() for one in LIMITERS], "servers": [server.pack(0.0)]},
-            "news": {"life": 1, "value": value.pack()}}
+    return {
+        "show": {
+            "address": str(address),
+            "zone": "north",
+            "disk": "first",
+            "slot": 4,
+            "version": 1,
+            "members": [list(member) for member in value.members],
+            "controls": [["127.0.0.9:7660", "south", 1e9]],
+            "limiters": [one.pack() for one in LIMITERS],
+            "servers": [server.pack(0.0)],
+        },
+        "news": {"life": 1, "value": value.pack()},
+    }
 
 
 @pytest.fixture
@@ -109,8 +118,11 @@
     configuration = tmp_path / "first.json"
     configuration.write_text(json.dumps(demo.first_configuration()))
     settings = System(tmp_path, net="127.0.0").settings("control-plane", 1)
-    for kind, file in (("deploy", ROOT / "deploy" / "system.toml"), ("configuration", configuration),
-                       ("settings", settings)):
+    for kind, file in (
+        ("deploy", ROOT / "deploy" / "system.toml"),
+        ("configuration", configuration),
+        ("settings", settings),
+    ):
         result = run("check", kind, file)
         assert (result.exit_code, result.output) == (0, f"{file}: no fault found\n")
 
@@ -126,8 +138,11 @@
     faults = json.loads(result.output)["faults"]
     places = [re.search(r"elements\S+(?=:)", fault) for fault in faults]
     assert result.exit_code == 1 and {found.group() for found in places if found} == {
-        "elements[0].reference.cutoffMs", "elements[0].reference.variant",
-        "elements[1].reference.subsystem", "elements[5].reference.credentials[0]"}
+        "elements[0].reference.cutoffMs",
+        "elements[0].reference.variant",
+        "elements[1].reference.subsystem",
+        "elements[5].reference.credentials[0]",
+    }
     assert demo.SMALL_KEY not in result.output
     document["setpointSeq"] = "7"
     file.write_text(json.dumps(document))
@@ -145,14 +160,22 @@
     assert "expected more than 00000001" in run("check", "configuration", change, "--on", base).output
 
 
-@pytest.mark.parametrize("text, wanted", [
-    ('build = 1\n[roles]', "roles: {} should be non-empty"),
-    ('build = "x"\n[roles.a]\nrun = "env python3"\non = "edge"\ncount = 1\nshare = 1.0\nserves = ["edge"]',
-     "roles.a: expected either share"),
-    ('build = "x"\n[roles.a]\nrun = "p"\non = "core"\ncount = 1\nserves = ["edge"]', "roles.a.on"),
-    ('build = "x"\n[roles.a]\nrun = "p"\non = "edge"\ncount = 1\nserves = ["edge"]', "no role serves 'sup"),
-    ("build =", "expected TOML"),
-])
+@pytest.mark.parametrize(
+    "text, wanted",
+    [
+        ("build = 1\n[roles]", "roles: {} should be non-empty"),
+        (
+            'build = "x"\n[roles.a]\nrun = "env python3"\non = "edge"\ncount = 1\nshare = 1.0\nserves = ["edge"]',
+            "roles.a: expected either share",
+        ),
+        ('build = "x"\n[roles.a]\nrun = "p"\non = "core"\ncount = 1\nserves = ["edge"]', "roles.a.on"),
+        (
+            'build = "x"\n[roles.a]\nrun = "p"\non = "edge"\ncount = 1\nserves = ["edge"]',
+            "no role serves 'sup",
+        ),
+        ("build =", "expected TOML"),
+    ],
+)
 def test_a_fault_of_a_deploy_file_is_named(tmp_path: Path, text: str, wanted: str) -> None:
     file = tmp_path / "system.toml"
     file.write_text(text)
@@ -175,14 +198,23 @@
         return json.loads(run("show", view, "--control", control, "--json").output)
 
     assert [(row["member"], row["silent_s"], row["state"], row["may_go"]) for row in rows("members")] == [
-        ("127.0.0.1:7660", None, "silent", False), ("127.0.0.9:7660", None, "silent", False)]
+        ("127.0.0.1:7660", None, "silent", False),
+        ("127.0.0.9:7660", None, "silent", False),
+    ]
     assert rows("versions")[0]["version"] == "00000001" and rows("versions")[0]["state"] == "up"
     assert rows("servers")[0]["state"] == "decaying"
     assert [row["limiter"] for row in rows("limiters")] == ["edge-1", "edge-2", "edge-3"]
     caller = Caller("edge-2", 0.0)
     caller.listed([one.node for one in LIMITERS], 0.0)
-    assert rows("holders") == [{"tenant": "corner-shop", "holder": caller.holder("corner-shop"),
-                                "rate_s": 5.0, "surge": 5.0, "share_s": 1.667}]
+    assert rows("holders") == [
+        {
+            "tenant": "corner-shop",
+            "holder": caller.holder("corner-shop"),
+            "rate_s": 5.0,
+            "surge": 5.0,
+            "share_s": 1.667,
+        }
+    ]
     text = run("show", "limiters", "--control", control).output.splitlines()
     assert text[0].split() == ["limiter", "zone", "host", "life"] and len(text) == 4
 
@@ -199,8 +231,11 @@
 def test_a_change_goes_on_to_another_until_the_answer_is_clear(called: Any, tmp_path: Path) -> None:
     file, here = tmp_path / "change.json", f"127.0.0.1:{called.server_port}"
     file.write_bytes(demo.changed(2, "news", 1))
-    called.answers += [(503, b"", ""), (307, b"", f"http://{here}/v1/rpc?call=setpoint.adjust"),
-                       (200, b'{"setpointSeq":"00000002"}', "")]
+    called.answers += [
+        (503, b"", ""),
+        (307, b"", f"http://{here}/v1/rpc?call=setpoint.adjust"),
+        (200, b'{"setpointSeq":"00000002"}', ""),
+    ]
     result = run("--log", tmp_path / "log", "config", "adjust", "--control", here, file)
     assert (result.exit_code, result.output[:22]) == (0, "version 00000002 taken")
     assert called.seen == [file.read_bytes()] * 3
@@ -222,8 +257,9 @@
 
 
 def test_the_programs_start_without_the_command_lines_libraries() -> None:
-    code = ("import sys, finchshelf.dataplane.__main__, finchshelf.controlplane.__main__\n"
-            "print(*sys.modules)")
+    code = (
+        "import sys, finchshelf.dataplane.__main__, finchshelf.controlplane.__main__\n" "print(*sys.modules)"
+    )
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
     assert not {"click", "pythonjsonlogger", "jsonschema", "finchshelf.cli"} & set(done.stdout.split())
 
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -10,13 +10,18 @@
 from finchshelf.drill.__main__ import Drill
 from finchshelf.drill.codec import WireError
 
-SETUP = json.dumps({
-    "balancers": 2, "me": 0, "unknown": [1, 2],
-    "ceilings": {"cancel": True, "try-limit": 3, "retry-after": True, "max-retry-after": 500.0},
-    "family-info": {"may-count": True, "count-wait": 30.0, "most-units": 2},
-    "lanes": [{"aim": 1000.0, "deadline": 4000.0, "semantics": "retryable", "worth": 1.0, "name": "x"}],
-    "contracts": [{"refill": 5.0, "most-at-once": 10.0, "price": 1.0, "name": "p"}],
-    "rules": {"fall": 1000.0, "fall-multiple": 2.0, "cold-from": 0.2, "warm-up": 9000.0}})
+SETUP = json.dumps(
+    {
+        "balancers": 2,
+        "me": 0,
+        "unknown": [1, 2],
+        "ceilings": {"cancel": True, "try-limit": 3, "retry-after": True, "max-retry-after": 500.0},
+        "family-info": {"may-count": True, "count-wait": 30.0, "most-units": 2},
+        "lanes": [{"aim": 1000.0, "deadline": 4000.0, "semantics": "retryable", "worth": 1.0, "name": "x"}],
+        "contracts": [{"refill": 5.0, "most-at-once": 10.0, "price": 1.0, "name": "p"}],
+        "rules": {"fall": 1000.0, "fall-multiple": 2.0, "cold-from": 0.2, "warm-up": 9000.0},
+    }
+)
 START = f"""BEGIN_BATCH sim-time=5000.0
 OPEN_INSTANCE limiter=3 nonce64=42 setup={SETUP}
 REGISTER buffer=0 rows=1
@@ -60,9 +65,11 @@
 
 
 def test_events_for_ended_requests_are_ignored() -> None:
-    late = ("BEGIN_BATCH sim-time=6000\nREPLY limiter=3 id=5 n=0 server=server_a reason=OK took=1 settled=1\n"
-            "HANGUP limiter=3 id=5\nTOTAL limiter=3 cname=1 reason=OK sum=2 took=1\n"
-            "FIRED limiter=3 tag=9\nEOF_BATCH\n")
+    late = (
+        "BEGIN_BATCH sim-time=6000\nREPLY limiter=3 id=5 n=0 server=server_a reason=OK took=1 settled=1\n"
+        "HANGUP limiter=3 id=5\nTOTAL limiter=3 cname=1 reason=OK sum=2 took=1\n"
+        "FIRED limiter=3 tag=9\nEOF_BATCH\n"
+    )
     assert play(START + late).splitlines() == ["FINISHED", "FINISHED"]
 
 
@@ -71,26 +78,29 @@
         play(START + "BEGIN_BATCH sim-time=5001\nDETACH limiter=3\nEOF_BATCH\n" + ORDER)
 
 
-@pytest.mark.parametrize(("text", "expected"), [
-    ("HELLO\n", "BEGIN_BATCH"),
-    ("BEGIN_BATCH sim-time=soon\n", "a number"),
-    ("BEGIN_BATCH sim-time=nan\n", "a number"),
-    ("BEGIN_BATCH\n", "sim-time"),
-    (START + ORDER.replace("ORDER ", "BESTEL "), "unknown message"),
-    (START + ORDER.replace("id=77", "id=x7"), "integer for id"),
-    (START + ORDER.replace("cls=0", "cls=5"), "cls below 1"),
-    (START + ORDER.replace("tier=0", "tier=-1"), "tier below 1"),
-    (START + ORDER.replace("id=77 ", ""), "id=INTEGER"),
-    (START + ORDER.replace("limiter=3", "limiter=4"), "OPEN_INSTANCE of limiter 4"),
-    (START.replace('"aim": 1000.0', '"aim": "fast"'), "number for lanes[0].aim"),
-    (START.replace('"retryable"', '"maybe"'), "one of retryable"),
-    (START.replace("setup={", "setup={{"), "JSON object"),
-    (START.replace("condition=0", "condition=7"), "condition 0, 1 or 2"),
-    (START.replace("form=2", "form=9"), "form 0 to 3"),
-    (START.replace("version=1 buffer=0", "version=1 buffer=4"), "REGISTER buffer=4"),
-    (START.replace("M server", "N server"), "list entry M"),
-    (START + "BEGIN_BATCH sim-time=5001\nFIRED limiter=3 tag\nEOF_BATCH\n", "name=value"),
-])
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [
+        ("HELLO\n", "BEGIN_BATCH"),
+        ("BEGIN_BATCH sim-time=soon\n", "a number"),
+        ("BEGIN_BATCH sim-time=nan\n", "a number"),
+        ("BEGIN_BATCH\n", "sim-time"),
+        (START + ORDER.replace("ORDER ", "BESTEL "), "unknown message"),
+        (START + ORDER.replace("id=77", "id=x7"), "integer for id"),
+        (START + ORDER.replace("cls=0", "cls=5"), "cls below 1"),
+        (START + ORDER.replace("tier=0", "tier=-1"), "tier below 1"),
+        (START + ORDER.replace("id=77 ", ""), "id=INTEGER"),
+        (START + ORDER.replace("limiter=3", "limiter=4"), "OPEN_INSTANCE of limiter 4"),
+        (START.replace('"aim": 1000.0', '"aim": "fast"'), "number for lanes[0].aim"),
+        (START.replace('"retryable"', '"maybe"'), "one of retryable"),
+        (START.replace("setup={", "setup={{"), "JSON object"),
+        (START.replace("condition=0", "condition=7"), "condition 0, 1 or 2"),
+        (START.replace("form=2", "form=9"), "form 0 to 3"),
+        (START.replace("version=1 buffer=0", "version=1 buffer=4"), "REGISTER buffer=4"),
+        (START.replace("M server", "N server"), "list entry M"),
+        (START + "BEGIN_BATCH sim-time=5001\nFIRED limiter=3 tag\nEOF_BATCH\n", "name=value"),
+    ],
+)
 def test_malformed_input_gets_one_plain_line(text: str, expected: str) -> None:
     run = start_process(text)
     assert run.returncode != 0
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -16,8 +16,11 @@
 
 ROOT = Path(__file__).parent.parent
 PACKAGES = "transport", "metrics", "controlplane", "dataplane", "experience", "rollout", "cli"
-FILES = [ROOT / "finchshelf" / "program.py", ROOT / "finchshelf" / "invariants.py",
-         *(path for package in PACKAGES for path in (ROOT / "finchshelf" / package).glob("*.py"))]
+FILES = [
+    ROOT / "finchshelf" / "program.py",
+    ROOT / "finchshelf" / "invariants.py",
+    *(path for package in PACKAGES for path in (ROOT / "finchshelf" / package).glob("*.py")),
+]
 
 
 def logged(path: Path) -> set[tuple[str, bool]]:
@@ -45,7 +48,8 @@
 
 @pytest.mark.parametrize("numbers, number", [(events.NUMBERS, 101), ({}, 0), (None, None)])
 def test_a_line_has_its_number_where_the_program_has_numbers(
-        numbers: dict[str, int] | None, number: int | None) -> None:
+    numbers: dict[str, int] | None, number: int | None
+) -> None:
     reading, writing = os.pipe()
     Telemetry("edge-1", writing, numbers).log("start", slot=3)
     line = orjson.loads(os.read(reading, 4096))
@@ -55,11 +59,15 @@
 
 def test_each_error_of_a_group_is_one_plain_line_with_its_step_and_peer() -> None:
     inner = [StoreError("save", "/data", "full"), OSError(98, "Address already in use"), KeyError("life")]
-    group = ExceptionGroup("all", [PeerError("hold", "10.0.0.4:7660", "no\nanswer"),
-                                   ExceptionGroup("inner", inner)])
+    group = ExceptionGroup(
+        "all", [PeerError("hold", "10.0.0.4:7660", "no\nanswer"), ExceptionGroup("inner", inner)]
+    )
     assert [program.plain(error) for error in program.leaves(group)] == [
-        "hold at 10.0.0.4:7660: no answer", "save: /data: full",
-        "cannot serve: [Errno 98] Address already in use", "KeyError: 'life'"]
+        "hold at 10.0.0.4:7660: no answer",
+        "save: /data: full",
+        "cannot serve: [Errno 98] Address already in use",
+        "KeyError: 'life'",
+    ]
     inner[1].add_note("listen at 10.0.0.1:7660")
     assert program.plain(inner[1]).startswith("cannot serve: listen at 10.0.0.1:7660: [Errno 98]")
     assert program.fields(group.exceptions[0]) == {"step": "hold", "peer": "10.0.0.4:7660"}
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -88,16 +88,18 @@
     usual = 400 / (10 + 30 * 0.3)  # a second for each that is warm, if all carry their part
     most = free.fall_multiple * free.cold_share * usual * free.fall_span
     for times in (late[f"c{n}"] for n in range(30)):
-        assert all(later - at > free.fall_span for at, later in zip(times, times[int(most):], strict=False))
+        assert all(later - at > free.fall_span for at, later in zip(times, times[int(most) :], strict=False))
 
 
 def test_logs_of_a_fleet_are_put_together_whatever_is_in_them(
-        tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
     (tmp_path / "n0.log").write_bytes(
         b'0.1 {"at":10.0,"node":"n0","event":"start"}\n'
         b'1.1 {"at":11.0,"node":"n0","event":"tally","in.requests":5,"out.served":3,"refused.delay":2,'
         b'"servers.opened":1,"servers.reused":2,"counter.ok":4}\n'
-        b'{"at":11.2,"node":"n0","event":"breaker","state":"open"}\n{"at":12.0,"node":"n0","ev')
+        b'{"at":11.2,"node":"n0","event":"breaker","state":"open"}\n{"at":12.0,"node":"n0","ev'
+    )
     other = b'{"at":11.5,"node":"n1","event":"tally","in.requests":1}\nno log\n[1]\n'
     (tmp_path / "n1.log").write_bytes(other)
     (tmp_path / "n2.log").write_bytes(b"")
@@ -106,8 +108,9 @@
     assert lines[0].startswith("   0 s  tries 0") and "starts 1" in lines[0]
     assert lines[1].startswith("   1 s  tries 6, served 3") and "(reused 67%)" in lines[1]
     assert "breakers open 1" in lines[1] and "refused: delay 2; attempts: -; counter: ok 4" in lines[1]
-    assert lines[2] == "2 nodes, each: median, most, all" and any(line.split() == [
-        "in.requests", "3", "5", "6"] for line in lines)
+    assert lines[2] == "2 nodes, each: median, most, all" and any(
+        line.split() == ["in.requests", "3", "5", "6"] for line in lines
+    )
     assert [line.split(":")[0] for line in lines[-3:]] == ["n0.log", "n1.log", "n2.log"]
     assert fleet_log.main([str(tmp_path / "none")]) == 2
 
@@ -155,14 +158,23 @@
             if step in (2000, 3500) and random.random() < 0.7:
                 gate.restart(now)
                 lives[n] += 1
-                gate.feed(i.Members(i.ListKind.FULL, tuple(
-                    server(s, i.ServerState.DRAINING if s in told[n] else i.ServerState.READY, cell=c)
-                    for s, c in cells.items())), now)
+                gate.feed(
+                    i.Members(
+                        i.ListKind.FULL,
+                        tuple(
+                            server(s, i.ServerState.DRAINING if s in told[n] else i.ServerState.READY, cell=c)
+                            for s, c in cells.items()
+                        ),
+                    ),
+                    now,
+                )
             if step % 800 == 400 + n:  # one server more drains; each limiter hears of it at its own time
                 name = f"s{step // 800}"
                 told[n].add(name)
-                gate.feed(i.Members(i.ListKind.CHANGES, (
-                    server(name, i.ServerState.DRAINING, cell=cells[name]),)), now)
+                gate.feed(
+                    i.Members(i.ListKind.CHANGES, (server(name, i.ServerState.DRAINING, cell=cells[name]),)),
+                    now,
+                )
         due.sort(key=lambda item: item[0])
         while due and due[0][0] <= now:
             _, n, life, act, status = due.pop(0)
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -60,9 +60,16 @@
     if listed is not None:
         (folder / FILE).write_text(listed)
     plain = {name: value for name, value in os.environ.items() if not name.startswith("PYTEST_")}
-    done = subprocess.run([sys.executable, "-m", "pytest", *words], cwd=folder, check=False,
-                          env={**plain, "PYTHONPATH": str(ROOT)}, stdin=subprocess.DEVNULL,
-                          stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True)
+    done = subprocess.run(
+        [sys.executable, "-m", "pytest", *words],
+        cwd=folder,
+        check=False,
+        env={**plain, "PYTHONPATH": str(ROOT)},
+        stdin=subprocess.DEVNULL,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+    )
     return Run(done.returncode, done.stdout)
 
 
@@ -71,7 +78,8 @@
 
 @WAYS
 def test_only_listed_failures_are_passed_over_and_they_are_printed(
-        tmp_path: Path, way: tuple[str, ...]) -> None:
+    tmp_path: Path, way: tuple[str, ...]
+) -> None:
     seen = run(tmp_path, "good bad unmade word", line("bad") + line("unmade") + line("word[a | b]"), *way)
     assert seen.status == 0 and seen.closing == "1 passed, 3 xfailed", seen.text
     for test in ("bad", "unmade", "word[a | b]"):
@@ -107,7 +115,8 @@
 
 @pytest.mark.parametrize(("test", "way"), [("torn", ()), ("gone", ("-n", "1"))])
 def test_a_listed_test_that_harms_more_than_itself_fails_the_run(
-        tmp_path: Path, test: str, way: tuple[str, ...]) -> None:
+    tmp_path: Path, test: str, way: tuple[str, ...]
+) -> None:
     seen = run(tmp_path, f"good {test}", line(test), *way)
     assert seen.status == 1 and f"test_{test}: failed, not only as listed" in seen.text, seen.text
 
@@ -126,13 +135,16 @@
     assert "passed" not in seen.text
 
 
-@pytest.mark.parametrize(("text", "wanted"), [
-    (line("bad") + "tests/x.py::test_y | no issue\n", "line 2: expected `test id | cause | issue`"),
-    ("tests/x.py::test_y |  | issue 7\n", "line 1: expected"),
-    ("tests/x.py | a whole file | issue 7\n", "line 1: expected"),
-    (line("bad") + line("bad"), "line 2: checks/test_all.py::test_bad is listed twice"),
-    ("".join(map(line, "abcd")), "4 lines, 3 at most"),
-])
+@pytest.mark.parametrize(
+    ("text", "wanted"),
+    [
+        (line("bad") + "tests/x.py::test_y | no issue\n", "line 2: expected `test id | cause | issue`"),
+        ("tests/x.py::test_y |  | issue 7\n", "line 1: expected"),
+        ("tests/x.py | a whole file | issue 7\n", "line 1: expected"),
+        (line("bad") + line("bad"), "line 2: checks/test_all.py::test_bad is listed twice"),
+        ("".join(map(line, "abcd")), "4 lines, 3 at most"),
+    ],
+)
 def test_a_line_that_cannot_be_used_is_named(tmp_path: Path, text: str, wanted: str) -> None:
     file = tmp_path / FILE
     file.write_text(text)
@@ -145,5 +157,4 @@
     file = tmp_path / FILE
     assert read(file) == []
     file.write_text("a.py::test[x | y] | late | issue 1\n\na.py::other | early | issue 2")
-    assert read(file) == [Red("a.py::test[x | y]", "late", "issue 1"),
-                          Red("a.py::other", "early", "issue 2")]
+    assert read(file) == [Red("a.py::test[x | y]", "late", "issue 1"), Red("a.py::other", "early", "issue 2")]
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -45,7 +45,12 @@
 
 def test_files_import_only_what_stands_below_them() -> None:
     here = "finchshelf.admission."
-    below = {"breaker": set(), "quotas": {"interface", "breaker"}, "servers": {"interface"},
-             "limiter": {"interface", "breaker", "quotas", "servers"}}
+    below = {
+        "breaker": set(),
+        "quotas": {"interface", "breaker"},
+        "servers": {"interface"},
+        "limiter": {"interface", "breaker", "quotas", "servers"},
+    }
     assert {path.stem: imported(path) for path in POLICY} == {
-        name: {here + other for other in others} for name, others in below.items()}
+        name: {here + other for other in others} for name, others in below.items()
+    }
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -19,9 +19,18 @@
 from finchshelf.transport.exchange import Clock
 from finchshelf.transport.telemetry import Telemetry
 
-WORDS = [("9100/metrics", MetricsPlace(9100, "/metrics")), ('"9100/a/b"', MetricsPlace(9100, "/a/b")),
-         ("9100", None), ("/metrics", None), ("9100/", None), ("0/metrics", None), ("70000/metrics", None),
-         ("9100/a b", None), ("9100/a?b", None), ("x/metrics", None)]
+WORDS = [
+    ("9100/metrics", MetricsPlace(9100, "/metrics")),
+    ('"9100/a/b"', MetricsPlace(9100, "/a/b")),
+    ("9100", None),
+    ("/metrics", None),
+    ("9100/", None),
+    ("0/metrics", None),
+    ("70000/metrics", None),
+    ("9100/a b", None),
+    ("9100/a?b", None),
+    ("x/metrics", None),
+]
 
 
 def settings(folder: Path, **more: str) -> Path:
@@ -40,7 +49,8 @@
 
 @pytest.mark.parametrize(("text", "place"), WORDS)
 def test_the_settings_name_a_port_and_a_path_or_a_clear_error(
-        text: str, place: MetricsPlace | None, tmp_path: Path) -> None:
+    text: str, place: MetricsPlace | None, tmp_path: Path
+) -> None:
     path = str(settings(tmp_path, metrics=text))
     if place is not None:
         assert read_boot(path).metrics == place and not check_boot(path)
@@ -60,10 +70,16 @@
     for seconds in (0.0005, 0.003, 0.003, 20.0):
         telemetry.observe("request", "out.served", seconds)
     found = told(telemetry)
-    assert [(one.labels["event"], one.value) for one in found["finchshelf_events"].samples
-            if one.name.endswith("_total")] == [("in.requests", 7.0)]
-    rows = {one.labels["le"]: one.value for one in found["finchshelf_request_seconds"].samples
-            if one.name.endswith("_bucket")}
+    assert [
+        (one.labels["event"], one.value)
+        for one in found["finchshelf_events"].samples
+        if one.name.endswith("_total")
+    ] == [("in.requests", 7.0)]
+    rows = {
+        one.labels["le"]: one.value
+        for one in found["finchshelf_request_seconds"].samples
+        if one.name.endswith("_bucket")
+    }
     assert rows["0.001"] == 1 and rows["0.005"] == 3 and rows["10.0"] == 3 and rows["+Inf"] == 4
     assert [one.value for one in found["finchshelf_state"].samples] == [3.0]
 
@@ -73,9 +89,11 @@
     telemetry = Telemetry("edge-1", sink=-1)
     assert not telemetry.monitor.check(False, invariants.SINGLE_RUN, trial="t1")
     assert telemetry.monitor.check(True, invariants.TRIALS_BOUND)
-    rows = {one.labels["invariant"]: one.value
-            for one in told(telemetry)["finchshelf_invariant_violations"].samples
-            if one.name.endswith("_total")}
+    rows = {
+        one.labels["invariant"]: one.value
+        for one in told(telemetry)["finchshelf_invariant_violations"].samples
+        if one.name.endswith("_total")
+    }
     assert rows == {one.name: float(one is invariants.SINGLE_RUN) for one in invariants.CATALOGUE}
     assert telemetry.count["invariant.violated"] == 1
 
@@ -99,8 +117,7 @@
     return int(top.split()[1]), body
 
 
-def test_the_listener_answers_on_its_path_alone_and_a_port_that_is_taken_ends_nothing(
-        tmp_path: Path) -> None:
+def test_the_listener_answers_on_its_path_alone_and_a_port_that_is_taken_ends_nothing(tmp_path: Path) -> None:
     async def story() -> None:
         taken = await net.listen(Address("127.0.0.1", 0))
         port = taken.getsockname()[1]
--- a/tests/test_node_clients.py
+++ b/tests/test_node_clients.py
@@ -97,40 +97,53 @@
         assert not w.node.core.live and not w.node.core.out
 
 
-@pytest.mark.parametrize(("text", "code"), [
-    (b"\x00\x01\x02\r\n\r\n", 400),
-    (b"GET / HTTP/1.1\r\nHost: x\r\n\r\n", 400),
-    (call(drop="X-Call-Id"), 400),
-    (call(drop="X-Budget-Ms"), 400),
-    (call(drop="X-Call-Class"), 400),
-    (call(plan="nobody"), 400),
-    (call(path="/post/00000000b4d65521"), 400),
-    (call(path="/look/b4d65521"), 400),
-    (call(path="/look/00000000b4d6552z"), 400),
-    (call(method="POST"), 400),
-    (call("post", drop="Idempotency-Key"), 400),
-    (call(drop="X-Budget-Ms", extra=("X-Budget-Ms: -5",)), 400),
-    (call(drop="X-Metering", extra=("X-Metering: units=many",)), 400),
-    (b"GET /look/x HTTP/1.1\r\nHost: x\r\nX-Long: " + b"x" * 70000, 400),
-    (call("post")[:-21] + b"Content-Length: 33554433\r\n\r\n", 413),
-    # the head alone is enough to refuse these
-    (call("post")[:-21] + b"Content-Length: 60000000\r\n\r\n", 413),
-    (call("post")[:-21] + b"Content-Length: -1\r\n\r\n", 400),
-    (call("post", body=b"0\r\n\r\n" + call(), extra=("Transfer-Encoding: chunked",)), 400),
-    (call("post", body=b"0\r\n\r\n" + call(), extra=("transfer-encoding:chunked",)), 400),
-    (call(extra=("Transfer-Encoding: chunked",)).replace(b"HTTP/1.1", b"HTTP/1.0", 1), 400),
-    (call(extra=("X-Call-Id: 1234567812345678",)), 400),
-    (call(extra=("X-Contract: small",)), 400),
-    (call(extra=("X-Metering: units=1,spread=1,first=0",)), 400),
-    (call(drop="X-Call-Id", extra=("X-Call-Id: " + "1" * 65,)), 400),
-    (call(path="/look/0000000200000000"), 400),
-    (call(path="/look/ffffffffffffffff"), 400),
-    *((call(drop="X-Metering", extra=("X-Metering: " + text,)), 400) for text in (
-        "units=0,spread=1,first=0", "units=5,spread=1,first=0", "units=-1,spread=1,first=0",
-        "units=1e3,spread=1,first=0", "units=nan,spread=1,first=0", "units=1,spread=2,first=0",
-        "units=1,spread=0,first=0", "units=1,spread=1,first=1", "units=1,spread=1,first=-1",
-        "units=1,spread=x,first=0")),
-])
+@pytest.mark.parametrize(
+    ("text", "code"),
+    [
+        (b"\x00\x01\x02\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nHost: x\r\n\r\n", 400),
+        (call(drop="X-Call-Id"), 400),
+        (call(drop="X-Budget-Ms"), 400),
+        (call(drop="X-Call-Class"), 400),
+        (call(plan="nobody"), 400),
+        (call(path="/post/00000000b4d65521"), 400),
+        (call(path="/look/b4d65521"), 400),
+        (call(path="/look/00000000b4d6552z"), 400),
+        (call(method="POST"), 400),
+        (call("post", drop="Idempotency-Key"), 400),
+        (call(drop="X-Budget-Ms", extra=("X-Budget-Ms: -5",)), 400),
+        (call(drop="X-Metering", extra=("X-Metering: units=many",)), 400),
+        (b"GET /look/x HTTP/1.1\r\nHost: x\r\nX-Long: " + b"x" * 70000, 400),
+        (call("post")[:-21] + b"Content-Length: 33554433\r\n\r\n", 413),
+        # the head alone is enough to refuse these
+        (call("post")[:-21] + b"Content-Length: 60000000\r\n\r\n", 413),
+        (call("post")[:-21] + b"Content-Length: -1\r\n\r\n", 400),
+        (call("post", body=b"0\r\n\r\n" + call(), extra=("Transfer-Encoding: chunked",)), 400),
+        (call("post", body=b"0\r\n\r\n" + call(), extra=("transfer-encoding:chunked",)), 400),
+        (call(extra=("Transfer-Encoding: chunked",)).replace(b"HTTP/1.1", b"HTTP/1.0", 1), 400),
+        (call(extra=("X-Call-Id: 1234567812345678",)), 400),
+        (call(extra=("X-Contract: small",)), 400),
+        (call(extra=("X-Metering: units=1,spread=1,first=0",)), 400),
+        (call(drop="X-Call-Id", extra=("X-Call-Id: " + "1" * 65,)), 400),
+        (call(path="/look/0000000200000000"), 400),
+        (call(path="/look/ffffffffffffffff"), 400),
+        *(
+            (call(drop="X-Metering", extra=("X-Metering: " + text,)), 400)
+            for text in (
+                "units=0,spread=1,first=0",
+                "units=5,spread=1,first=0",
+                "units=-1,spread=1,first=0",
+                "units=1e3,spread=1,first=0",
+                "units=nan,spread=1,first=0",
+                "units=1,spread=2,first=0",
+                "units=1,spread=0,first=0",
+                "units=1,spread=1,first=1",
+                "units=1,spread=1,first=-1",
+                "units=1,spread=x,first=0",
+            )
+        ),
+    ],
+)
 @trio_test
 async def test_bad_input_gets_its_answer_and_harms_nobody_else(text: bytes, code: int) -> None:
     async with world(always(ok(b"well"))) as w:
--- a/tests/test_node_core.py
+++ b/tests/test_node_core.py
@@ -109,8 +109,10 @@
 
 def test_all_events_of_a_turn_have_one_time_and_news_is_first() -> None:
     core, _, told = made(lambda event: [])
-    gone = Listed(i.Members(i.ListKind.CHANGES, (
-        i.Server("s0", 0, 0, 0, i.ServerState.DRAINING, 1.0, 0.0),)), {"s0": ADDRESS})
+    gone = Listed(
+        i.Members(i.ListKind.CHANGES, (i.Server("s0", 0, 0, 0, i.ServerState.DRAINING, 1.0, 0.0),)),
+        {"s0": ADDRESS},
+    )
     core.turn([exchange(core, []), exchange(core, []), gone])
     batch = told.events[1:]
     assert [type(event) for event, _ in batch] == [i.Members, i.Request, i.Request]
@@ -133,8 +135,13 @@
 
 def test_refusal_is_429_with_a_time_and_failure_502() -> None:
     answers: list[Answer] = []
-    core, _, _ = made(lambda e: [i.Refuse(e.id, 0.25)] if isinstance(e, i.Request) and e.id % 2 else
-                      [i.Fail(e.id)] if isinstance(e, i.Request) else [])
+    core, _, _ = made(
+        lambda e: [i.Refuse(e.id, 0.25)]
+        if isinstance(e, i.Request) and e.id % 2
+        else [i.Fail(e.id)]
+        if isinstance(e, i.Request)
+        else []
+    )
     core.turn([exchange(core, answers), exchange(core, answers)])
     assert [a.status for a in answers] == [429, 502]
     assert dict(answers[0].headers)[b"Retry-After"] == b"0.250"
--- a/tests/test_node_counter.py
+++ b/tests/test_node_counter.py
@@ -68,13 +68,26 @@
 
 def test_amounts_are_decimal_without_exponent() -> None:
     assert [number(x) for x in (1.0, -2.5, 0.0, 123456789.0, 0.000001)] == [
-        b"1", b"-2.5", b"0", b"123456789", b"0.000001"]
-
-
-@pytest.mark.parametrize(("answer", "expected"), [
-    (b"busy\r\n", i.Status.FULL), (b"error\r\n", i.Status.ERROR), (b"ok 5e0\r\n", i.Status.OK),
-    (b"ok much\r\n", i.Status.TIMEOUT), (b"ok nan\r\n", i.Status.TIMEOUT), (b"hello\r\n", i.Status.TIMEOUT),
-    (None, i.Status.TIMEOUT)])
+        b"1",
+        b"-2.5",
+        b"0",
+        b"123456789",
+        b"0.000001",
+    ]
+
+
+@pytest.mark.parametrize(
+    ("answer", "expected"),
+    [
+        (b"busy\r\n", i.Status.FULL),
+        (b"error\r\n", i.Status.ERROR),
+        (b"ok 5e0\r\n", i.Status.OK),
+        (b"ok much\r\n", i.Status.TIMEOUT),
+        (b"ok nan\r\n", i.Status.TIMEOUT),
+        (b"hello\r\n", i.Status.TIMEOUT),
+        (None, i.Status.TIMEOUT),
+    ],
+)
 @trio_test
 async def test_every_answer_is_what_it_means(answer: bytes | None, expected: i.Status) -> None:
     async def say(_: str) -> bytes | None:
--- a/tests/test_node_discovery.py
+++ b/tests/test_node_discovery.py
@@ -21,8 +21,11 @@
 
 
 def news(core: Kept) -> list[tuple[i.ListKind, list[tuple[str, i.ServerState]]]]:
-    return [(item.members.kind, [(s.name, s.state) for s in item.members.servers])
-            for item in core.queue if isinstance(item, Listed)]
+    return [
+        (item.members.kind, [(s.name, s.state) for s in item.members.servers])
+        for item in core.queue
+        if isinstance(item, Listed)
+    ]
 
 
 NEAR = entry("s0", config().listen, up_since_ms=1500, locality="there", cell=3)
@@ -56,9 +59,11 @@
         agent.change(entry("s0", settings.listen, "DELETED"))
         await until(lambda: len(agent.targets) == 4)
         assert agent.targets[-1] == "/v1/servers?after=3&wait_ms=5000"
-        assert news(core) == [(i.ListKind.FULL, [("s0", i.ServerState.READY)]),
-                              (i.ListKind.CHANGES, [("s0", i.ServerState.DRAINING)]),
-                              (i.ListKind.CHANGES, [("s0", i.ServerState.GONE)])]
+        assert news(core) == [
+            (i.ListKind.FULL, [("s0", i.ServerState.READY)]),
+            (i.ListKind.CHANGES, [("s0", i.ServerState.DRAINING)]),
+            (i.ListKind.CHANGES, [("s0", i.ServerState.GONE)]),
+        ]
         assert agent.connections == 1
         nursery.cancel_scope.cancel()
 
@@ -116,7 +121,8 @@
 
 @pytest.mark.parametrize("seed", [1, 2])
 def test_forty_limiters_that_start_at_once_do_not_keep_discovery_from_answering(
-        seed: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """Danger: asked again and again by all, it works on calls that nobody waits for, and answers none."""
     service, random = Crowded(), Random(seed)
     monkeypatch.setattr(Discovery, "get", lambda self, target: service.get(self, target))
@@ -221,23 +227,33 @@
         request = i.Request(1000, 0, 2, 7, w.node.core.clock.now() + 4.0)
         headers = [(b"Host", b"x"), (b"X-Call-Id", b"1")]
         w.node.core.put(Exchange(request, answers.append, b"GET", b"/look/0000000000000007", headers, b""))
-        drained = listed({"revision": 2, "complete": False, "members": [
-            entry("s0", w.servers[0].address, "DRAINING")]}, config())[1]
+        drained = listed(
+            {"revision": 2, "complete": False, "members": [entry("s0", w.servers[0].address, "DRAINING")]},
+            config(),
+        )[1]
         w.node.core.put(drained)
         await until(lambda: answers)
         assert answers[0].status == 429 and not w.servers[0].got
 
 
-@pytest.mark.parametrize("raw", [
-    None, [], {}, {"revision": 1, "complete": True}, {"revision": "1", "complete": True, "members": []},
-    {"revision": 1, "complete": 1, "members": []},
-    {"revision": 1, "complete": True, "members": [{"id": "a"}]},
-    {"revision": 1, "complete": True, "members": ["a"]},
-    {"revision": 1, "complete": True, "members": [{**NEAR, "cell": float("inf")}]},
-    {"revision": 1, "complete": True, "members": [entry("a", config().listen, "ASLEEP")]},
-    {"revision": 1, "complete": True, "members": [{**NEAR, "host_port": "some.name:80"}]},
-    {"revision": 1, "complete": True, "members": [{**NEAR, "size": "large"}]},
-    {"revision": 1, "complete": True, "members": [{**NEAR, "id": 7}]}])
+@pytest.mark.parametrize(
+    "raw",
+    [
+        None,
+        [],
+        {},
+        {"revision": 1, "complete": True},
+        {"revision": "1", "complete": True, "members": []},
+        {"revision": 1, "complete": 1, "members": []},
+        {"revision": 1, "complete": True, "members": [{"id": "a"}]},
+        {"revision": 1, "complete": True, "members": ["a"]},
+        {"revision": 1, "complete": True, "members": [{**NEAR, "cell": float("inf")}]},
+        {"revision": 1, "complete": True, "members": [entry("a", config().listen, "ASLEEP")]},
+        {"revision": 1, "complete": True, "members": [{**NEAR, "host_port": "some.name:80"}]},
+        {"revision": 1, "complete": True, "members": [{**NEAR, "size": "large"}]},
+        {"revision": 1, "complete": True, "members": [{**NEAR, "id": 7}]},
+    ],
+)
 def test_what_is_no_list_is_refused_whole(raw: object) -> None:
     with pytest.raises(BadList):
         listed(raw, config())
--- a/tests/test_node_large.py
+++ b/tests/test_node_large.py
@@ -22,7 +22,7 @@
         await got.stream.send_all(head)
         end = cut or len(body)
         for place in range(0, end, 65536):
-            await got.stream.send_all(body[place:min(end, place + 65536)])
+            await got.stream.send_all(body[place : min(end, place + 65536)])
         done.append(True)
         return None if cut or b"close" in head else b""
 
@@ -79,10 +79,17 @@
 @trio_test
 async def test_chunked_and_close_ended_answers_are_served_whole() -> None:
     body, done = body_of(300_000), list[bool]()
-    chunked = b"".join(b"%x\r\n%s\r\n" % (len(body[n:n + 70000]), body[n:n + 70000])
-                       for n in range(0, len(body), 70000)) + b"0\r\n\r\n"
-    plans = [written(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", chunked, done),
-             written(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", body, done)]
+    chunked = (
+        b"".join(
+            b"%x\r\n%s\r\n" % (len(body[n : n + 70000]), body[n : n + 70000])
+            for n in range(0, len(body), 70000)
+        )
+        + b"0\r\n\r\n"
+    )
+    plans = [
+        written(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", chunked, done),
+        written(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", body, done),
+    ]
     for plan in plans:
         async with world(plan) as w:
             client = await w.client()
@@ -109,6 +116,6 @@
         request = call()
         for n in range(12):  # the last piece 2.2 s after the first
             await trio.sleep(0.2 if n else 0.0)
-            await stream.send_all(request[n * len(request) // 12:(n + 1) * len(request) // 12])
+            await stream.send_all(request[n * len(request) // 12 : (n + 1) * len(request) // 12])
         head, got, _ = await read_answer(stream)
         assert head.startswith(b"HTTP/1.1 200") and got == b"here"
--- a/tests/test_node_life.py
+++ b/tests/test_node_life.py
@@ -51,8 +51,10 @@
         assert self.process.stderr is not None
         while data := await self.process.stderr.receive_some():
             *whole, rest = (rest + data).split(b"\n")
-            self.lines += [json.loads(line) if line.startswith(b"{") else {"event": "plain", "text": line}
-                           for line in whole]
+            self.lines += [
+                json.loads(line) if line.startswith(b"{") else {"event": "plain", "text": line}
+                for line in whole
+            ]
 
     def said(self, event: str) -> list[dict[str, Any]]:
         return [line for line in self.lines if line["event"] == event]
@@ -67,12 +69,15 @@
     command = f"ulimit -n {descriptors}; " if descriptors else ""
     return await trio.lowlevel.open_process(
         ["/bin/sh", "-c", f"{command}exec {sys.executable} -m finchshelf"],
-        stderr=subprocess.PIPE, env={**os.environ, "BALANCER_CONFIG": str(path), "TMPDIR": str(path.parent)})
+        stderr=subprocess.PIPE,
+        env={**os.environ, "BALANCER_CONFIG": str(path), "TMPDIR": str(path.parent)},
+    )
 
 
 @asynccontextmanager
-async def running(tmp_path: Path, gate: trio.Event, descriptors: int = 0, server: Listening | None = None,
-                  **extra: Any) -> AsyncIterator[Run]:
+async def running(
+    tmp_path: Path, gate: trio.Event, descriptors: int = 0, server: Listening | None = None, **extra: Any
+) -> AsyncIterator[Run]:
     async def plan(got: Got) -> bytes | None:
         if got.target.startswith(b"/post"):
             await gate.wait()
@@ -86,8 +91,11 @@
         discovery = Discovery([entry(f"s{n}", server.address) for n, server in enumerate(servers)])
         await discovery.start(nursery)
         path = tmp_path / "config.json"
-        path.write_text(json.dumps({**config_object(discovery.address, counter.address,
-                                                    sockets=descriptors or 256), **extra}))
+        path.write_text(
+            json.dumps(
+                {**config_object(discovery.address, counter.address, sockets=descriptors or 256), **extra}
+            )
+        )
         run = Run(await spawn(path, descriptors), servers, path, discovery, counter)
         nursery.start_soon(run.read_log)
         try:
@@ -198,15 +206,26 @@
 
 def start(environ: dict[str, str]) -> subprocess.CompletedProcess[str]:
     plain = {key: value for key, value in os.environ.items() if not key.startswith("BALANCER_")}
-    return subprocess.run([sys.executable, "-O", "-m", "finchshelf"], env={**plain, **environ},
-                          capture_output=True, text=True, check=False, timeout=20)
-
-
-@pytest.mark.parametrize(("text", "said"), [
-    (None, "BALANCER_CONFIG"), ("", "JSON object"), ("[1]", "JSON object"),
-    (json.dumps({**config_object(), "listen": "localhost:80"}), "numeric HOST:PORT for listen"),
-    (json.dumps({**config_object(), "settings": {"lanes": 3}}), "a list for lanes"),
-])
+    return subprocess.run(
+        [sys.executable, "-O", "-m", "finchshelf"],
+        env={**plain, **environ},
+        capture_output=True,
+        text=True,
+        check=False,
+        timeout=20,
+    )
+
+
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        (None, "BALANCER_CONFIG"),
+        ("", "JSON object"),
+        ("[1]", "JSON object"),
+        (json.dumps({**config_object(), "listen": "localhost:80"}), "numeric HOST:PORT for listen"),
+        (json.dumps({**config_object(), "settings": {"lanes": 3}}), "a list for lanes"),
+    ],
+)
 def test_bad_configuration_is_one_plain_line(tmp_path: Path, text: str | None, said: str) -> None:
     path = tmp_path / "config.json"
     if text is not None:
@@ -226,12 +245,19 @@
     assert run.returncode == 1 and "cannot listen" in run.stderr.splitlines()[-1]
 
 
-@pytest.mark.parametrize(("change", "said"), [
-    ({"name": 3}, "text for name"), ({"seed": "xyz"}, "hex digits"), ({"limits": []}, "objects for limits"),
-    ({"limits": {"sockets": 3}}, "limits.sockets"), ({"counter": None}, "address for counter"),
-    ({"counter": "127.0.0.1"}, "HOST:PORT for counter"), ({"discovery": "127.0.0.1:99999"}, "for discovery"),
-    ({"settings": {"lanes": [{}], "family-info": {}}}, "name for lanes[0].name"),
-])
+@pytest.mark.parametrize(
+    ("change", "said"),
+    [
+        ({"name": 3}, "text for name"),
+        ({"seed": "xyz"}, "hex digits"),
+        ({"limits": []}, "objects for limits"),
+        ({"limits": {"sockets": 3}}, "limits.sockets"),
+        ({"counter": None}, "address for counter"),
+        ({"counter": "127.0.0.1"}, "HOST:PORT for counter"),
+        ({"discovery": "127.0.0.1:99999"}, "for discovery"),
+        ({"settings": {"lanes": [{}], "family-info": {}}}, "name for lanes[0].name"),
+    ],
+)
 def test_every_part_of_the_configuration_is_checked(change: dict[str, Any], said: str) -> None:
     with pytest.raises(ConfigError, match=said.replace("[", r"\[").replace("]", r"\]")):
         read({**config_object(), **change}, {})
--- a/tests/test_node_move.py
+++ b/tests/test_node_move.py
@@ -33,7 +33,8 @@
 
 @trio_test
 async def test_requests_end_under_the_settings_they_came_under(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     gate = trio.Event()
 
     async def held(got: Got) -> bytes | None:
@@ -61,7 +62,8 @@
 
 @trio_test
 async def test_equal_settings_and_files_of_no_use_change_nothing(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     async with world(good) as made:
         core = made.node.core
         before = core.limiter
@@ -74,7 +76,8 @@
 
 @trio_test
 async def test_what_drains_gets_nothing_after_the_switch_and_beliefs_are_kept(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     async with world(good, good, good) as made:
         client, core = await made.client(), made.node.core
         assert (await client.ask(call())).status == 200
@@ -100,9 +103,17 @@
 
 @trio_test
 async def test_ceiling_starts_with_half_its_slack_after_the_switch(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    plan = {"refill": 50.0, "most-at-once": 100.0, "price": 1.0, "name": "team", "never-over-rate": 0.5,
-            "ceiling-burst": 8.0, "hard-slack": 4.0}
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    plan = {
+        "refill": 50.0,
+        "most-at-once": 100.0,
+        "price": 1.0,
+        "name": "team",
+        "never-over-rate": 0.5,
+        "ceiling-burst": 8.0,
+        "hard-slack": 4.0,
+    }
     async with world(good) as made:
         client = await made.client()
         switch(made, tmp_path, monkeypatch, contracts=[plan])
@@ -125,20 +136,30 @@
         servers.update(i.Members(i.ListKind.FULL, now), 10.0)
         servers.inherit(former)
         assert [(h.slow, h.failed, h.tokens) for h in map(servers.table.__getitem__, "abd")] == [
-            (1.0, 0.0, 0), (3.0, 0.5, -1), (1.0, 0.0, 0)]  # a has started anew, d is another
+            (1.0, 0.0, 0),
+            (3.0, 0.5, -1),
+            (1.0, 0.0, 0),
+        ]  # a has started anew, d is another
     assert new.typical == 0.4 != other.typical  # other classes, other times
 
 
-@pytest.mark.parametrize(("change", "said"), [
-    ({"lanes": [{k: v for k, v in SETTINGS["lanes"][0].items() if k != "deadline"}]}, "lanes[0].deadline"),
-    ({"lanes": [{**SETTINGS["lanes"][0], "deadline": 0.0}]}, "positive"),
-    ({"ceilings": {**SETTINGS["ceilings"], "try-limit": 0}}, "try-limit"),
-    ({"ceilings": {k: v for k, v in SETTINGS["ceilings"].items() if k != "cancel"}}, "ceilings.cancel"),
-    ({"rules": None}, "rules"),
-])
+@pytest.mark.parametrize(
+    ("change", "said"),
+    [
+        (
+            {"lanes": [{k: v for k, v in SETTINGS["lanes"][0].items() if k != "deadline"}]},
+            "lanes[0].deadline",
+        ),
+        ({"lanes": [{**SETTINGS["lanes"][0], "deadline": 0.0}]}, "positive"),
+        ({"ceilings": {**SETTINGS["ceilings"], "try-limit": 0}}, "try-limit"),
+        ({"ceilings": {k: v for k, v in SETTINGS["ceilings"].items() if k != "cancel"}}, "ceilings.cancel"),
+        ({"rules": None}, "rules"),
+    ],
+)
 @trio_test
 async def test_a_broken_file_changes_nothing_and_is_counted(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, change: dict[str, Any], said: str) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, change: dict[str, Any], said: str
+) -> None:
     async with world(good) as made:
         before = made.node.core.limiter
         switch(made, tmp_path, monkeypatch, **change)
@@ -151,7 +172,8 @@
 
 @trio_test
 async def test_a_dropped_class_is_still_read_for_a_moment(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     async with world(good) as made:
         client, core = await made.client(), made.node.core
         lanes = [{**SETTINGS["lanes"][0], "name": "new"}, *SETTINGS["lanes"][1:]]  # look is dropped
--- a/tests/test_node_operator.py
+++ b/tests/test_node_operator.py
@@ -31,8 +31,15 @@
 def test_calls_are_read_strictly() -> None:
     assert parse(b"HEALTH\r\n") == ("HEALTH", "")
     assert parse(b"offline s-1\n") == ("OFFLINE", "s-1")
-    bad_ones = (b"", b"HEALTH now", b"OFFLINE", b"ONLINE a b", b"REBOOT s-1", b"\x00\xffHEALTH",
-                b"ONLINE " + b"x" * 200)
+    bad_ones = (
+        b"",
+        b"HEALTH now",
+        b"OFFLINE",
+        b"ONLINE a b",
+        b"REBOOT s-1",
+        b"\x00\xffHEALTH",
+        b"ONLINE " + b"x" * 200,
+    )
     for bad in bad_ones:
         assert isinstance(parse(bad), str), bad
 
@@ -72,7 +79,8 @@
 @pytest.mark.parametrize("others", [MOST_CALLERS - 1, MOST_CALLERS])
 @trio_test
 async def test_callers_that_have_their_answer_make_room_first_and_harm_nobody(
-        others: int, tmp_path: Path) -> None:
+    others: int, tmp_path: Path
+) -> None:
     """Danger: a write to one whose answer was its last ended the node."""
     async with world(always(ok()), keep=str(tmp_path)) as w:
         assert w.node.operator is not None
--- a/tests/test_node_servers.py
+++ b/tests/test_node_servers.py
@@ -46,8 +46,9 @@
     server: Server
     number: int = 0
 
-    def start(self, limit: float = 5.0, address: Address | None = None, body: bytes = b"",
-              server: str = "s0") -> Attempt:
+    def start(
+        self, limit: float = 5.0, address: Address | None = None, body: bytes = b"", server: str = "s0"
+    ) -> Attempt:
         self.number += 1
         now = self.core.clock.now()
         request = i.Request(self.number, 0, 0, 7, now + limit)
@@ -64,8 +65,9 @@
         assert isinstance(ended, Ended) and not self.core.queue
         return ended
 
-    async def run(self, limit: float = 5.0, address: Address | None = None, body: bytes = b"",
-                  server: str = "s0") -> Ended:
+    async def run(
+        self, limit: float = 5.0, address: Address | None = None, body: bytes = b"", server: str = "s0"
+    ) -> Ended:
         await trio.sleep(2 * REST)
         self.start(limit, address, body, server)
         return await self.end()
@@ -94,6 +96,7 @@
 
 def without_end(answer: bytes) -> Plan:
     """Says that and no more, with the connection open."""
+
     async def plan(got: Got) -> bytes | None:
         await got.stream.send_all(answer)
         return await never(got)
@@ -101,36 +104,54 @@
     return plan
 
 
-@pytest.mark.parametrize(("plan", "expected", "kept"), [
-    (always(ok(b"yes")), i.Status.OK, True),
-    (always(ok(b"yes", b"Connection: close")), i.Status.OK, False),
-    (always(status(500)), i.Status.ERROR, True),
-    (always(status(404)), i.Status.ERROR, True),
-    (always(status(503)), i.Status.ERROR, True),
-    (always(status(503, b"X-Rejected: 1")), i.Status.FULL, True),
-    (always(status(504, b"X-Rejected: 1")), i.Status.FULL, True),
-    (always(status(500, b"X-Rejected: 1")), i.Status.ERROR, True),
-    (always(None), i.Status.RESET, False),
-    (break_off, i.Status.RESET, False),
-    (break_hard, i.Status.RESET, False),
-    (always(b"\x00nonsense\r\n\r\n"), i.Status.RESET, False),
-    # no length: it ends with its connection, and this one never does
-    (without_end(b"HTTP/1.1 200 OK\r\nServer: x\r\n\r\nall or not"), i.Status.TIMEOUT, False),
-    # spoilt: two lengths, one that no answer has; the connection stays open behind them
-    (without_end(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nyes!"),
-     i.Status.RESET, False),
-    (without_end(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
-     i.Status.RESET, False),
-    (without_end(b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n"), i.Status.RESET, False),
-    (without_end(b"HTTP/1.1 200 OK\r\nContent-Length: -3\r\n\r\nyes"), i.Status.RESET, False),
-    (without_end(b"HTTP/1.1 102 X\r\n\r\n" * 40), i.Status.RESET, False),
-    # good, with more than belongs to it
-    (always(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 X\r\nA: b\r\n\r\n" + ok(b"yes")), i.Status.OK, True),
-    (always(ok(b"yes") + ok(b"yes")), i.Status.OK, False),
-    (always(ok(b"yes") + b"\x00\x01noise"), i.Status.OK, False),
-    (always(ok(b"yes", b"X-Load-Report: \x01\xff=,;;", b"X-Meter: 1_0", b"X-Settled: 99999999")),
-     i.Status.OK, True),
-])
+@pytest.mark.parametrize(
+    ("plan", "expected", "kept"),
+    [
+        (always(ok(b"yes")), i.Status.OK, True),
+        (always(ok(b"yes", b"Connection: close")), i.Status.OK, False),
+        (always(status(500)), i.Status.ERROR, True),
+        (always(status(404)), i.Status.ERROR, True),
+        (always(status(503)), i.Status.ERROR, True),
+        (always(status(503, b"X-Rejected: 1")), i.Status.FULL, True),
+        (always(status(504, b"X-Rejected: 1")), i.Status.FULL, True),
+        (always(status(500, b"X-Rejected: 1")), i.Status.ERROR, True),
+        (always(None), i.Status.RESET, False),
+        (break_off, i.Status.RESET, False),
+        (break_hard, i.Status.RESET, False),
+        (always(b"\x00nonsense\r\n\r\n"), i.Status.RESET, False),
+        # no length: it ends with its connection, and this one never does
+        (without_end(b"HTTP/1.1 200 OK\r\nServer: x\r\n\r\nall or not"), i.Status.TIMEOUT, False),
+        # spoilt: two lengths, one that no answer has; the connection stays open behind them
+        (
+            without_end(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nyes!"),
+            i.Status.RESET,
+            False,
+        ),
+        (
+            without_end(
+                b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+            ),
+            i.Status.RESET,
+            False,
+        ),
+        (without_end(b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n"), i.Status.RESET, False),
+        (without_end(b"HTTP/1.1 200 OK\r\nContent-Length: -3\r\n\r\nyes"), i.Status.RESET, False),
+        (without_end(b"HTTP/1.1 102 X\r\n\r\n" * 40), i.Status.RESET, False),
+        # good, with more than belongs to it
+        (
+            always(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 X\r\nA: b\r\n\r\n" + ok(b"yes")),
+            i.Status.OK,
+            True,
+        ),
+        (always(ok(b"yes") + ok(b"yes")), i.Status.OK, False),
+        (always(ok(b"yes") + b"\x00\x01noise"), i.Status.OK, False),
+        (
+            always(ok(b"yes", b"X-Load-Report: \x01\xff=,;;", b"X-Meter: 1_0", b"X-Settled: 99999999")),
+            i.Status.OK,
+            True,
+        ),
+    ],
+)
 @trio_test
 async def test_what_comes_back_is_what_it_means(plan: Plan, expected: i.Status, kept: bool) -> None:
     async with bench(plan) as b:
--- a/tests/test_node_uploads.py
+++ b/tests/test_node_uploads.py
@@ -135,7 +135,7 @@
 
 async def pieces(client: Client, data: bytes | memoryview, size: int = 1 << 20) -> None:
     for place in range(0, len(data), size):
-        await client.send(data[place:place + size])
+        await client.send(data[place : place + size])
 
 
 @trio_test
@@ -148,7 +148,7 @@
         assert (reply.status, reply.body) == (200, hashlib.sha256(BIG).hexdigest().encode())
         await client.send(post(-1))
         for place in range(0, len(BIG), 70_000):
-            part = BIG[place:place + 70_000]
+            part = BIG[place : place + 70_000]
             await client.send(b"%x\r\n%s\r\n" % (len(part), part))
         await client.send(b"0\r\n\r\n")
         assert (await client.receive()).body == reply.body
@@ -165,9 +165,9 @@
     # Turned away unread, while only the window has come: the other attempt gets the whole body.
     async with place(after(0, status(503, b"X-Rejected: 1")), takes_all) as w:
         client = await w.client()
-        await client.send(post(size) + BIG[:WINDOW + 1])
+        await client.send(post(size) + BIG[: WINDOW + 1])
         await until(lambda: len(met(w)) == 2)
-        await client.send(BIG[WINDOW + 1:size])
+        await client.send(BIG[WINDOW + 1 : size])
         assert (await client.receive()).body == hashlib.sha256(BIG[:size]).hexdigest().encode()
         assert outcomes(w) == [(i.Status.FULL, True), (i.Status.OK, False)]
     # The connection breaks after bytes that are gone: it never ran, and it is the last attempt.
@@ -212,7 +212,7 @@
         sent = 0
         while sent < size:
             await upload.read(min(size, sent + 50_000))
-            await upload.stream.send_all(BIG[sent:upload.size])
+            await upload.stream.send_all(BIG[sent : upload.size])
             sent = upload.size
         return b""
 
@@ -241,7 +241,8 @@
 
 @leaping
 async def test_who_falls_behind_the_least_rate_is_cut_off_but_not_for_its_server(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     monkeypatch.setattr(dialect, "LIMITS", replace(dialect.LIMITS, slow_read=0.5))
     monkeypatch.setattr(connection, "LEAST_RATE", 1e9)  # no credit for what came quickly
     gate = trio.Event()
@@ -257,7 +258,7 @@
         held, slow = await w.client(), await w.client()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(pieces, held, post(len(BIG)) + BIG)  # far more than sockets hold
-            await slow.send(post(200_000) + BIG[:WINDOW + 1])
+            await slow.send(post(200_000) + BIG[: WINDOW + 1])
             for _ in range(20):
                 await trio.sleep(0.05)
                 await go_on_sending(slow, b"x" * 100)
@@ -342,7 +343,7 @@
         assert (await client.receive()).status == 413
         await until(lambda: outcomes(w) == [(i.Status.CANCELLED, False)])
         tiny = await w.client()  # chunks of a byte keep a node busy
-        await tiny.send(post(-1) + b"%x\r\n%s\r\n" % (WINDOW + 1, BIG[:WINDOW + 1]) + b"1\r\nx\r\n" * 9000)
+        await tiny.send(post(-1) + b"%x\r\n%s\r\n" % (WINDOW + 1, BIG[: WINDOW + 1]) + b"1\r\nx\r\n" * 9000)
         assert (await tiny.receive()).status == 413
         look = await w.client()  # what is safe to repeat has no body
         await look.send(call(extra=("Content-Length: 100000",)) + BIG[:100_000])
@@ -413,8 +414,12 @@
 
 
 def test_what_can_not_be_sent_again_is_given_up_at_once_and_honestly() -> None:
-    for cls, state, refused in ((1, i.Status.FULL, True), (1, i.Status.RESET, False),
-                                (2, i.Status.UNREACHABLE, True), (2, i.Status.TIMEOUT, False)):
+    for cls, state, refused in (
+        (1, i.Status.FULL, True),
+        (1, i.Status.RESET, False),
+        (2, i.Status.UNREACHABLE, True),
+        (2, i.Status.TIMEOUT, False),
+    ):
         for again in (True, False):
             g = Gateway(Counter())
             act = attempts(g.ask(1000.0, cls=cls))[0]
@@ -449,7 +454,7 @@
         await until(lambda: met(w))
         for _ in range(30):  # of no length known: up to 1,024 s may pass until the last byte
             client = await w.client()
-            await client.send(post(-1, plan="free") + b"%x\r\n" % 100_000 + BIG[:WINDOW + 1])
+            await client.send(post(-1, plan="free") + b"%x\r\n" % 100_000 + BIG[: WINDOW + 1])
             assert (await client.receive()).status == 200
             await client.stream.aclose()
         assert len(w.node.core.ends) <= 8 + 4 * 2 + 1
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -50,7 +50,8 @@
 
 @pytest.mark.parametrize(("most", "status", "within"), [(1e9, 200, 18.0), (1 << 20, 0, 6.0)])
 def test_given_4_mb_and_2_mbit_s_when_the_body_moves_then_it_is_sent_and_given_up_when_it_stands_still(
-        most: float, status: int, within: float, monkeypatch: pytest.MonkeyPatch) -> None:
+    most: float, status: int, within: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
     link = Thin(most)
     monkeypatch.setattr(socket, "create_connection", lambda *_, **__: link)
     told = operator.once(Address("10.0.0.1", 1), "/v1/rpc?call=setpoint.replace", bytes(4 << 20), 5.0)
@@ -59,7 +60,8 @@
 
 
 def test_given_many_large_bodies_over_thin_links_when_they_come_together_then_some_are_sent_on_and_others_go(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     monkeypatch.setattr(calls, "MOST_HELD", 2 << 20)
     found, took = list[int](), list[float]()
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -32,13 +32,22 @@
 
 def test_adapter_carries_messages_and_bears_garbage() -> None:
     said = peers.encode((i.Use(7, 0, 2, False),)).hex()
-    setup = ('{"balancers": 2, "lanes": [{"name": "a", "semantics": "retryable",'
-             ' "worth": 1}], "contracts": [{"name": "b", "refill": 10, "most-at-once": 20, "price": 1}],'
-             ' "ceilings": {"peers": true}, "family-info": {"inbox-per-s": 40}}')
-    lines = ["BEGIN_BATCH sim-time=1000", f"OPEN_INSTANCE limiter=0 nonce64=1 setup={setup}",
-             "REGISTER buffer=0 rows=1", "M server=s", "ROSTER_CHANGE limiter=0 form=2 version=1 buffer=0",
-             f"WHISPER limiter=0 neighbour=1 body={said}", "WHISPER limiter=0 neighbour=1 body=-",
-             "WHISPER limiter=0 neighbour=1 body=68692037", "EOF_BATCH"]
+    setup = (
+        '{"balancers": 2, "lanes": [{"name": "a", "semantics": "retryable",'
+        ' "worth": 1}], "contracts": [{"name": "b", "refill": 10, "most-at-once": 20, "price": 1}],'
+        ' "ceilings": {"peers": true}, "family-info": {"inbox-per-s": 40}}'
+    )
+    lines = [
+        "BEGIN_BATCH sim-time=1000",
+        f"OPEN_INSTANCE limiter=0 nonce64=1 setup={setup}",
+        "REGISTER buffer=0 rows=1",
+        "M server=s",
+        "ROSTER_CHANGE limiter=0 form=2 version=1 buffer=0",
+        f"WHISPER limiter=0 neighbour=1 body={said}",
+        "WHISPER limiter=0 neighbour=1 body=-",
+        "WHISPER limiter=0 neighbour=1 body=68692037",
+        "EOF_BATCH",
+    ]
     sink, drill = io.StringIO(), Drill()
     drill.run(io.StringIO("\n".join(lines) + "\n"), sink)
     assert sink.getvalue() == "FINISHED\n"
@@ -50,7 +59,9 @@
     gate = Gateway(Counter(), settings(me=1, **TOLD))
     gate.feed(i.Request(1, 0, 0, 7, 1004.0, 2, 3, False, 3), 1000.0)  # comes through 3, 0 and 1
     assert [(act.to, act.uses) for act in tells(gate)] == [
-        (3, (i.Use(7, 0, 2, True),)), (0, (i.Use(7, 0, 2, True),))]
+        (3, (i.Use(7, 0, 2, True),)),
+        (0, (i.Use(7, 0, 2, True),)),
+    ]
     alone = Gateway(Counter(), settings(me=1, limiters=4))
     alone.feed(i.Request(1, 0, 0, 7, 1004.0, 2, 3, False, 3), 1000.0)
     assert not tells(alone)  # messages are not allowed
--- a/tests/test_planned_end.py
+++ b/tests/test_planned_end.py
@@ -52,12 +52,17 @@
 
 @pytest.mark.parametrize("again", [signal.SIGTERM, signal.SIGUSR1])
 def test_given_a_data_plane_that_ends_when_it_is_signalled_again_then_it_still_answers(
-        again: signal.Signals, tmp_path: Path) -> None:
+    again: signal.Signals, tmp_path: Path
+) -> None:
     host, settings = f"{network()}.1", tmp_path / "settings"
     settings.write_text(SETTINGS.format(host, FRONT, READINESS, INNER, INNER + 10))
-    process = subprocess.Popen([sys.executable, "-m", "finchshelf.dataplane"], stdout=subprocess.PIPE,
-                               stderr=subprocess.STDOUT, text=True,
-                               env={**os.environ, "FINCHSHELF_BOOT": str(settings)})
+    process = subprocess.Popen(
+        [sys.executable, "-m", "finchshelf.dataplane"],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+        env={**os.environ, "FINCHSHELF_BOOT": str(settings)},
+    )
     try:
         heard(process, "start")
         # One answer shows that it waits for signals: it answers nobody before
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -37,8 +37,13 @@
 """
 
 
-async def run_keeper(address: str, seeds: tuple[str, ...], folder: Path, first: bool,
-                     task_status: trio.TaskStatus[tuple[keeper.Keeper, trio.CancelScope]]) -> None:
+async def run_keeper(
+    address: str,
+    seeds: tuple[str, ...],
+    folder: Path,
+    first: bool,
+    task_status: trio.TaskStatus[tuple[keeper.Keeper, trio.CancelScope]],
+) -> None:
     with trio.CancelScope() as scope:
         async with trio.open_nursery() as nursery:
             one = keeper.Keeper(address, seeds, folder, first, nursery, Telemetry(address))
@@ -61,7 +66,8 @@
 
 
 def test_keepers_hand_the_duty_over_and_a_wiped_one_is_a_member_again(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     # Danger: a lease no longer than a driver's turn would make each keeper take the duty from the other.
     monkeypatch.setattr(duty, "LEASE", 1.6)  # eight turns of PLAN's driver, as by its own figures
     monkeypatch.setattr(keeper, "TURN", 0.2)
@@ -100,13 +106,21 @@
             ended = await until(left, lambda document: document["state"]["phase"] == "aborted")
             assert words.text(ended).startswith("try: aborted")
             asked = [word for one in left for word in ("--keeper", str(one))]
-            seen = {name: await trio.to_thread.run_sync(run, name, *asked, "--json")
-                    for name in ("status", "history", "watch", "pause")}
+            seen = {
+                name: await trio.to_thread.run_sync(run, name, *asked, "--json")
+                for name in ("status", "history", "watch", "pause")
+            }
             assert {name: found.exit_code for name, found in seen.items()} == {
-                "status": 0, "history": 0, "watch": 1, "pause": 1}
+                "status": 0,
+                "history": 0,
+                "watch": 1,
+                "pause": 1,
+            }
             assert json.loads(seen["status"].output)["sites"][0]["state"] == "waiting"
             assert [line["event"] for line in json.loads(seen["history"].output)[0]["history"]] == [
-                "rollout.halted", "rollout.ended"]
+                "rollout.halted",
+                "rollout.ended",
+            ]
             assert "no roll-out is under way" in seen["pause"].output
             nursery.cancel_scope.cancel()
 
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -26,8 +26,14 @@
 
 
 class Reader:
-    limits = Limits(most_request=100_000, most_head=400, slow_read=0.3, silent=0.3, kept=0.6,
-                    kept_headers=((b"Keep-Alive", b"timeout=1"),))
+    limits = Limits(
+        most_request=100_000,
+        most_head=400,
+        slow_read=0.3,
+        silent=0.3,
+        kept=0.6,
+        kept_headers=((b"Keep-Alive", b"timeout=1"),),
+    )
     health_target = None
 
     def head(self, event: h11.Request) -> dict[bytes, bytes]:
@@ -35,10 +41,27 @@
             raise BadRequest("head", 431)
         return headers_once(event, frozenset((b"host",)))
 
-    def call(self, event: h11.Request, body: bytes, number: int, came: float,
-             reply: Callable[[Answer], None], stream: Body | None, coming: float) -> Exchange:
-        return Exchange(number, came + 5.0, reply, event.method, event.target, list(event.headers), body,
-                        stream=stream, wait=5.0)
+    def call(
+        self,
+        event: h11.Request,
+        body: bytes,
+        number: int,
+        came: float,
+        reply: Callable[[Answer], None],
+        stream: Body | None,
+        coming: float,
+    ) -> Exchange:
+        return Exchange(
+            number,
+            came + 5.0,
+            reply,
+            event.method,
+            event.target,
+            list(event.headers),
+            body,
+            stream=stream,
+            wait=5.0,
+        )
 
 
 class Dialect:
@@ -160,7 +183,9 @@
 
 
 def test_the_transport_needs_nothing_of_the_node_or_the_module() -> None:
-    look = ("import sys, finchshelf.transport.clients, finchshelf.transport.servers\n"
-            "import finchshelf.transport.telemetry\n"
-            "print([m for m in sys.modules if m.startswith('finchshelf.node') or m.endswith('.logic')])")
+    look = (
+        "import sys, finchshelf.transport.clients, finchshelf.transport.servers\n"
+        "import finchshelf.transport.telemetry\n"
+        "print([m for m in sys.modules if m.startswith('finchshelf.node') or m.endswith('.logic')])"
+    )
     assert subprocess.run([sys.executable, "-c", look], capture_output=True, check=True).stdout == b"[]\n"
--- a/tests/world.py
+++ b/tests/world.py
@@ -16,18 +16,38 @@
 CEILING = i.Plan(1.0, rate=10.0, burst=20.0, ceiling_rate=20.0, ceiling_burst=40.0, ceiling_slack=4.0)
 FREE = i.Plan(1.0)
 BASE = i.Settings(
-    me=0, limiters=2, zone=0, classes=(SAFE, KEYED, UNSAFE), plans=(RATE, OPEN, CEILING, FREE),
-    counter=True, counter_wait=0.03, max_units=4, settles_later=False, meter_period=0.0, ask_discovery=False,
-    cancel=True, parallel=False, probes=True, retry_after=True, max_retry_after=0.5, max_attempts=4,
-    answer_slack=0.008, cold_share=0.2, warm_up=10.0, fall_multiple=2.0, fall_span=1.0)
+    me=0,
+    limiters=2,
+    zone=0,
+    classes=(SAFE, KEYED, UNSAFE),
+    plans=(RATE, OPEN, CEILING, FREE),
+    counter=True,
+    counter_wait=0.03,
+    max_units=4,
+    settles_later=False,
+    meter_period=0.0,
+    ask_discovery=False,
+    cancel=True,
+    parallel=False,
+    probes=True,
+    retry_after=True,
+    max_retry_after=0.5,
+    max_attempts=4,
+    answer_slack=0.008,
+    cold_share=0.2,
+    warm_up=10.0,
+    fall_multiple=2.0,
+    fall_span=1.0,
+)
 
 
 def settings(**changes: Any) -> i.Settings:
     return replace(BASE, **changes)
 
 
-def server(name: str, state: i.ServerState = i.ServerState.READY, started: float = 0.0, cell: int = 0,
-           zone: int = 0) -> i.Server:
+def server(
+    name: str, state: i.ServerState = i.ServerState.READY, started: float = 0.0, cell: int = 0, zone: int = 0
+) -> i.Server:
     return i.Server(name, zone, 0, cell, state, 1.0, started)
 
 
@@ -82,15 +102,32 @@
         self.log += done
         return done
 
-    def ask(self, now: float, plan: int = 0, cls: int = 0, customer: int = 7, units: int = 1,
-            until: float | None = None, points: int = 2, rid: int | None = None) -> list[i.Action]:
+    def ask(
+        self,
+        now: float,
+        plan: int = 0,
+        cls: int = 0,
+        customer: int = 7,
+        units: int = 1,
+        until: float | None = None,
+        points: int = 2,
+        rid: int | None = None,
+    ) -> list[i.Action]:
         self.ids += 1
         self.last = rid if rid is not None else self.ids + self.seed * 1_000_000
         end = now + 4.0 if until is None else until
         return self.feed(i.Request(self.last, cls, plan, customer, end, units, points), now)
 
-    def end(self, rid: int, now: float, status: i.Status = i.Status.OK, attempt: int = 0, name: str = "a",
-            took: float = 0.1, true_units: int = 0) -> list[i.Action]:
+    def end(
+        self,
+        rid: int,
+        now: float,
+        status: i.Status = i.Status.OK,
+        attempt: int = 0,
+        name: str = "a",
+        took: float = 0.1,
+        true_units: int = 0,
+    ) -> list[i.Action]:
         final = status is i.Status.OK
         return self.feed(i.Outcome(rid, attempt, name, status, took, final, 0, true_units), now)
 
