--- a/benchmarks/experience.py
+++ b/benchmarks/experience.py
@@ -332,12 +332,8 @@
             cell.board.tried(server, one.name, number, well, self.now)
         for server, number in message["bids"]:
             if cell.board.bid(server, one.name, number, self.now):
-                self.carry(
-                    cell.zone,
-                    one.zone,
-                    [server, number],
-                    lambda s=server, n=number: one.steering.granted(s, n),
-                )  # type: ignore[misc]
+                granted = partial(one.steering.granted, server, number)
+                self.carry(cell.zone, one.zone, [server, number], granted)
         if not cell.look_due:
             cell.look_due = True
             self.after(max(0.0, cell.looked + LOOKS - self.now), lambda: self.look(address))
--- a/check.sh
+++ b/check.sh
@@ -3,6 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 ruff check .
+ruff format --check --quiet . || { echo "check.sh: ruff format . changes files" >&2; exit 1; }
 # Types are checked beside the tests; pytest's closing line stays the last one where nothing is found.
 found=$(mktemp)
 mypy >"$found" 2>&1 &
--- a/finchshelf/dataplane/failures.py
+++ b/finchshelf/dataplane/failures.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from dataclasses import asdict, dataclass
 from typing import Any
@@ -18,6 +19,8 @@
 MOST_KEPT = 128
 MOST_IN_A_LINE = 16  # failures in one log line: a line is at most 4 KiB
 SERVED = "out.served"
+BEYOND_QUOTA = "refused.quota"  # as its plan says: in masses, and it would push out what has to be explained
+LOG_EVERY_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,6 +50,7 @@
     def __init__(self, telemetry: Telemetry) -> None:
         self.telemetry = telemetry
         self.kept: deque[Failure] = deque(maxlen=MOST_KEPT)
+        self.logged = -math.inf
 
     def tried(self, request: Request, attempt: Attempt, status: Status, now: float) -> None:
         """A try of the request ended."""
@@ -58,7 +62,7 @@
         """The request got its final answer; `status` 0: its client left before."""
         held = now - request.came
         self.telemetry.observe("request", why, held)
-        if why == SERVED:
+        if why in (SERVED, BEYOND_QUOTA):
             return
         failure = Failure(
             request.mark.decode("latin-1"),
@@ -71,6 +75,10 @@
             tuple(request.ends),
         )
         self.kept.append(failure)
+        if now - self.logged < LOG_EVERY_S:
+            self.telemetry.count["request.failed"] += 1
+            return
+        self.logged = now
         self.telemetry.rare("request.failed", **asdict(failure))
 
     def tell(self) -> None:
--- a/finchshelf/soak/__main__.py
+++ b/finchshelf/soak/__main__.py
@@ -14,7 +14,7 @@
 import click
 
 from finchshelf.soak.mutants import MUTANTS
-from finchshelf.soak.plan import draw
+from finchshelf.soak.plan import DENSE, USUAL, draw
 from finchshelf.soak.seed import Verdict, play
 
 LENGTH_S = 45.0
@@ -61,18 +61,22 @@
     default=None,
     help="Drop this guard of the programs: the soak must find it.",
 )
+@click.option("--dense", is_flag=True, help="Two to five troubles at once, little calm in between.")
 @click.option("--plan", "only_plan", is_flag=True, help="Print what would happen and play nothing.")
-def main(seeds: str, length_s: float, jobs: int, keep: Path, mutant: str | None, only_plan: bool) -> None:
+def main(
+    seeds: str, length_s: float, jobs: int, keep: Path, mutant: str | None, dense: bool, only_plan: bool
+) -> None:
     """Real processes under troubles drawn from seeds, judged by what clients, servers and operators saw."""
+    pace = DENSE if dense else USUAL
     if only_plan:
         for seed in span(seeds):
-            for trouble in draw(seed, length_s).troubles:
+            for trouble in draw(seed, length_s, pace).troubles:
                 click.echo(f"{seed} {trouble}")
         return
     struck, overlaps, broken = Counter[str](), Counter[str](), list[int]()
     with ProcessPoolExecutor(jobs) as pool:
         for done in as_completed(
-            [pool.submit(play, seed, length_s, keep, mutant or "") for seed in span(seeds)]
+            [pool.submit(play, seed, length_s, keep, pace, mutant or "") for seed in span(seeds)]
         ):
             verdict = done.result()
             struck.update(verdict.struck)
--- a/finchshelf/soak/clients.py
+++ b/finchshelf/soak/clients.py
@@ -17,7 +17,7 @@
 
 from finchshelf.soak import judge, wire
 from finchshelf.soak.ledger import End, Ledger, Sent
-from finchshelf.soak.servers import SEAL, body_of, status_of
+from finchshelf.soak.servers import SEAL, body_of, body_of_request, status_of
 from finchshelf.soak.wire import Ended, Message, Wire
 from finchshelf.transport.address import Address
 
@@ -30,6 +30,7 @@
 UNSAFE_SHARE = 0.35
 KEPT = 6  # connections that a data plane's clients keep
 MISSES = 2
+LARGE, LARGE_SHARE = (70_000, 300_000), 0.05  # bytes of a body that is streamed, and how many POSTs have one
 BURST = 4.0  # times the usual
 
 
@@ -117,6 +118,10 @@
             self.now(),
             self.now() + DEADLINE_S,
         )
+        if method == "POST":
+            row.size = (
+                random.randint(*LARGE) if random.random() < LARGE_SHARE else len(body_of_request(trial, 0))
+            )
         self.ledger.sent.append(row)
         try:
             connection = connection or await self.connect(edge)
@@ -154,7 +159,7 @@
                 await self.rest(connection, row.edge, fine)
 
     def request(self, row: Sent) -> tuple[h11.Request, bytes]:
-        body = f"body of {row.trial}".encode() if row.method == "POST" else b""
+        body = body_of_request(row.trial, row.size) if row.method == "POST" else b""
         headers = [
             ("Host", HOST),
             ("Trial-Id", row.trial),
@@ -184,10 +189,9 @@
         row.retry_after = told.headers.get("retry-after", "")
         if row.status != 200:
             return
-        size = len(f"body of {row.trial}") if row.method == "POST" else 0
         row.answered_by = told.body.split(b" ", 1)[0].decode("latin-1")
         row.body_fits = (
-            told.body == body_of(row.answered_by, row.trial, row.method, row.path, size)
+            told.body == body_of(row.answered_by, row.trial, row.method, row.path, row.size)
             and told.headers.get("server-seal") == SEAL
             and told.headers.get("trial-id") == row.trial
         )
--- a/finchshelf/soak/cuts.py
+++ b/finchshelf/soak/cuts.py
@@ -1,4 +1,4 @@
-"""Which machines can't reach which addresses now, told to the gates of the soak's processes by files.
+"""Which machines can't reach which addresses now, and whose disk is in trouble: told to the gates by files.
 
 Owns these files. Cuts overlap: an address is reached again once the last cut that holds it has ended.
 """
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+DISK, FULL, STALLED = "disk=", "full", "stalled"  # a word on a machine's disk, and what it may say
 Pair = tuple[int, str]  # a machine's number, and an address that it can't reach
 
 
@@ -17,6 +18,7 @@
 class Cuts:
     folder: Path
     held: Counter[Pair] = field(default_factory=Counter)
+    disks: dict[int, str] = field(default_factory=dict)  # what is wrong with a machine's disk
 
     def path(self, machine: int | str) -> Path:
         return self.folder / f"gate-{machine}"
@@ -30,12 +32,19 @@
         self.held = +self.held
         self.write()
 
+    def disk(self, machine: int, trouble: str) -> None:
+        """What is wrong with that machine's disk from now on; nothing by an empty text."""
+        self.disks[machine] = trouble
+        self.write()
+
     def write(self) -> None:
         """Each file whole or not at all: a gate may read it at any moment."""
-        for machine in {machine for machine, _ in self.held} | self.written():
-            addresses = sorted({address for number, address in self.held if number == machine})
+        for machine in {machine for machine, _ in self.held} | self.written() | self.disks.keys():
+            words = sorted({address for number, address in self.held if number == machine})
+            if trouble := self.disks.get(machine):
+                words.append(DISK + trouble)
             waiting = self.path(f"{machine}.new")
-            waiting.write_text("".join(f"{address}\n" for address in addresses))
+            waiting.write_text("".join(f"{word}\n" for word in words))
             waiting.replace(self.path(machine))
 
     def written(self) -> set[int]:
--- a/finchshelf/soak/gate.py
+++ b/finchshelf/soak/gate.py
@@ -17,7 +17,9 @@
 
 import trio
 
+from finchshelf.agreement.store import Store, StoreError
 from finchshelf.dataplane import questions
+from finchshelf.soak.cuts import DISK, FULL, STALLED
 from finchshelf.transport import net
 from finchshelf.transport.address import Address
 
@@ -31,8 +33,9 @@
 
     def __init__(self, path: str, own: str) -> None:
         self.path, self.own = path, own
-        self.looked, self.stamp = 0.0, 0
+        self.looked, self.stamp = 0.0, (0, 0, 0)
         self.cut: frozenset[str] = frozenset()
+        self.disk = ""  # what is wrong with the disk: `FULL`, `STALLED` or nothing
 
     def closed(self, peer: str) -> bool:
         now = time.monotonic()
@@ -43,13 +46,26 @@
 
     def look(self) -> None:
         try:
-            stamp = os.stat(self.path).st_mtime_ns
+            found = os.stat(self.path)
+            # A time alone has the kernel's ticks of some ms: each file is a new one, so its number tells.
+            stamp = found.st_mtime_ns, found.st_ino, found.st_size
             if stamp != self.stamp:
                 with open(self.path, encoding="ascii") as file:
-                    self.cut = frozenset(file.read().split())
+                    words = frozenset(file.read().split())
+                self.cut = frozenset(word for word in words if not word.startswith(DISK))
+                self.disk = next((word.removeprefix(DISK) for word in words if word.startswith(DISK)), "")
                 self.stamp = stamp
         except OSError:
-            self.cut = frozenset()
+            self.cut, self.disk = frozenset(), ""
+
+    def write_disk(self, folder: str) -> None:
+        """Before a write, in its thread: what the disk does with it now."""
+        self.look()
+        while self.disk == STALLED:
+            time.sleep(LOOK_S)
+            self.look()
+        if self.disk == FULL:
+            raise StoreError("write", folder, "no space left on the soak's disk")
 
     async def passes(self, peer: str, limit_s: float = float("inf")) -> None:
         """Returns once that peer can be reached; TimeoutError after `limit_s`."""
@@ -137,6 +153,13 @@
         sock.bind((address.host, address.port))
         return sock
 
+    former = Store.save
+
+    def save(self: Store, state: dict[str, Any]) -> None:
+        gate.write_disk(self.folder)
+        former(self, state)
+
+    Store.save = save  # type: ignore[method-assign]
     net.Stream = GatedStream  # type: ignore[misc]
     net.connect = connect
     questions.opened = opened
--- a/finchshelf/soak/judge.py
+++ b/finchshelf/soak/judge.py
@@ -19,6 +19,7 @@
 IN_FORCE_S = 2.5  # from an acknowledgement until the version is in force everywhere
 ACKNOWLEDGE_S = 5.0  # for an order in a calm time
 RECOVERED_S = 8.0  # after the last trouble until the end, where service is whole; the margin is 15 s
+LEAST_OWED = 20  # requests from which a share says something
 LEAST_SERVED = 0.97  # of the requests in that time
 LOSS_SLACK_S = 0.2
 OVER_DEADLINE_S = 0.6
@@ -60,6 +61,7 @@
             self.orders,
             self.reads,
             self.in_force,
+            self.served,
             self.recovered,
             self.own_words,
         )
@@ -286,6 +288,23 @@
 
     # ---- the whole ----
 
+    def served(self) -> Iterator[Breach]:
+        """In calm times, with no trouble among servers and clients either, almost all is served."""
+        owed = [
+            one
+            for one in self.ledger.sent
+            if one.end is not End.LEFT
+            and one.tenant != LIMITED_TENANT
+            and one.route in FIRST_ROUTES
+            and not self.any_trouble(one)
+        ]
+        served = sum(one.status == 200 for one in owed)
+        if len(owed) >= LEAST_OWED and served < LEAST_SERVED * len(owed):
+            yield Breach("SERVED", f"{served} of {len(owed)} in calm times: {unserved(owed)}")
+
+    def any_trouble(self, one: Sent) -> bool:
+        return any(other.at < one.ended and other.until > one.at - CONTACT_S for other in self.ledger.struck)
+
     def recovered(self) -> Iterator[Breach]:
         last = max((one.until for one in self.ledger.struck), default=0.0)
         since = last + RECOVERED_S
@@ -298,11 +317,11 @@
             and one.route in FIRST_ROUTES
         ]
         served = sum(one.status == 200 for one in owed)
-        if len(owed) >= 20 and served < LEAST_SERVED * len(owed):
-            ends = Counter(f"{one.end} {one.status}" for one in owed if one.status != 200)
+        if len(owed) >= LEAST_OWED and served < LEAST_SERVED * len(owed):
+            ends = unserved(owed)
             yield Breach(
                 "RECOVER",
-                f"{served} of {len(owed)} served {RECOVERED_S:g} s after the last trouble: " f"{dict(ends)}",
+                f"{served} of {len(owed)} served {RECOVERED_S:g} s after the last trouble: " f"{ends}",
             )
 
     def own_words(self) -> Iterator[Breach]:
@@ -315,8 +334,8 @@
 
 
 FIRST_ROUTES = frozenset(("read", "buy"))
-TOUCHING = frozenset(map(str, (*plans.ON_CONTROL, *plans.ON_EDGE, *plans.ON_LINKS)))
-CORE_WIDE = frozenset(map(str, (*plans.ON_CONTROL, plans.Kind.HALVES_CUT)))
+TOUCHING = frozenset(map(str, (*plans.ON_CONTROL, *plans.ON_EDGE, *plans.ON_LINKS, *plans.ON_DISKS)))
+CORE_WIDE = frozenset(map(str, (*plans.ON_CONTROL, *plans.ON_DISKS, plans.Kind.HALVES_CUT)))
 
 
 def touches(struck: Struck, machine: int) -> bool:
@@ -334,6 +353,11 @@
     return any(one.kind in kinds and one.at < sent.ended and one.until > sent.at - 1.0 for one in struck)
 
 
+def unserved(rows: list[Sent]) -> dict[str, int]:
+    """How those that were not served ended."""
+    return dict(Counter(f"{one.end} {one.status}" for one in rows if one.status != 200))
+
+
 def densest(times: list[float], window_s: float) -> int:
     """The most of these moments within any window of that length."""
     ordered, start, most = sorted(times), 0, 0
--- a/finchshelf/soak/ledger.py
+++ b/finchshelf/soak/ledger.py
@@ -41,6 +41,7 @@
     answered_by: str = ""  # the server's life that the body names
     body_fits: bool = True
     retry_after: str = ""
+    size: int = 0  # bytes of its body
 
 
 @dataclass(frozen=True, slots=True)
--- a/finchshelf/soak/plan.py
+++ b/finchshelf/soak/plan.py
@@ -14,7 +14,6 @@
 MACHINES = 5  # all run a control plane and a data plane
 START_S = 3.0  # of calm traffic before the first trouble
 TAIL_S = 11.0  # of calm at the end: recovery is judged there
-GROUP_EVERY_S = (5.0, 9.0)  # between the starts of two groups of troubles
 OVERLAP_S = 1.2  # in which the troubles of one group start
 DISK_REST_S = 9.0  # from one loss of a disk to the next: the new member has been named and has learned
 
@@ -32,6 +31,8 @@
     MACHINE_CUT = "machine-cut"  # from all others of the system
     EDGE_SERVERS_CUT = "edge-servers-cut"  # a machine from some servers
     HALVES_CUT = "halves-cut"  # the machines with a disk in two parts
+    DISK_FULL = "disk-full"  # refuses every write
+    DISK_STALL = "disk-stall"  # hangs until the span ends
     SETTINGS_RELOAD = "settings-reload"  # SIGHUP
     SERVER_CRASH = "server-crash"
     SERVER_DRAIN = "server-drain"
@@ -52,6 +53,7 @@
 ON_CONTROL = (Kind.CONTROL_KILL, Kind.CONTROL_WIPE, Kind.CONTROL_TERM, Kind.CONTROL_PAUSE, Kind.CORE_KILL)
 ON_EDGE = (Kind.EDGE_KILL, Kind.EDGE_TERM, Kind.EDGE_PAUSE, Kind.EDGES_KILL)
 ON_LINKS = (Kind.MACHINE_CUT, Kind.EDGE_SERVERS_CUT, Kind.HALVES_CUT)
+ON_DISKS = (Kind.DISK_FULL, Kind.DISK_STALL)
 ON_SERVERS = (
     Kind.SERVER_CRASH,
     Kind.SERVER_DRAIN,
@@ -63,7 +65,18 @@
     Kind.SERVERS_FULL,
 )
 KINDS: tuple[Kind, ...] = tuple(Kind)
-UNPLANNED = frozenset((*ON_CONTROL, *ON_EDGE, *ON_LINKS)) - {Kind.EDGE_TERM, Kind.CONTROL_TERM}
+
+
+@dataclass(frozen=True, slots=True)
+class Pace:
+    """How close troubles come: how many start together, and the time between two such groups."""
+
+    together: tuple[int, ...]
+    every_s: tuple[float, float]
+
+
+USUAL = Pace((1, 2, 2, 3, 3), (5.0, 9.0))
+DENSE = Pace((2, 3, 3, 4, 5), (2.5, 5.0))
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,14 +107,14 @@
         return [one for one in self.troubles if one.at_s <= moment_s < one.until_s]
 
 
-def draw(seed: int, length_s: float) -> Plan:
-    """The plan of that seed: groups of one to three troubles that overlap, calm in between."""
-    random = Random(f"soak {seed}")
+def draw(seed: int, length_s: float, pace: Pace = USUAL) -> Plan:
+    """The plan of that seed and pace: groups of troubles that overlap, some calm in between."""
+    random = Random(f"soak {seed}" if pace is USUAL else f"soak {seed} {pace}")
     troubles: list[Trouble] = []
     last_disk_s = -DISK_REST_S
     moment_s = START_S
     while moment_s < length_s - TAIL_S:
-        for _ in range(random.choice((1, 2, 2, 3, 3))):
+        for _ in range(random.choice(pace.together)):
             at_s = round(moment_s + random.uniform(0.0, OVERLAP_S), 2)
             kind = random.choice(KINDS)
             if kind is Kind.CONTROL_WIPE and at_s - last_disk_s < DISK_REST_S:
@@ -109,7 +122,7 @@
             if kind is Kind.CONTROL_WIPE:
                 last_disk_s = at_s
             troubles.append(drawn(random, kind, at_s))
-        moment_s += random.uniform(*GROUP_EVERY_S)
+        moment_s += random.uniform(*pace.every_s)
     return Plan(seed, length_s, tuple(sorted(troubles, key=lambda one: one.at_s)))
 
 
@@ -122,6 +135,8 @@
         return Trouble(at_s, kind, min(span_s, 1.5), tuple(range(1, CORE + 1)))
     if kind is Kind.EDGES_KILL:
         return Trouble(at_s, kind, min(span_s, 1.5), tuple(random.sample(range(1, MACHINES + 1), 3)))
+    if kind in ON_DISKS:
+        return Trouble(at_s, kind, span_s, (random.randint(1, CORE),))
     if kind is Kind.HALVES_CUT:
         return Trouble(at_s, kind, span_s, tuple(random.sample(range(1, CORE + 1), random.choice((1, 2)))))
     if kind in (*ON_CONTROL, *ON_EDGE, *ON_LINKS, Kind.SETTINGS_RELOAD):
--- a/finchshelf/soak/seed.py
+++ b/finchshelf/soak/seed.py
@@ -29,7 +29,7 @@
 from finchshelf.soak.judge import Breach, Judge
 from finchshelf.soak.ledger import Ledger
 from finchshelf.soak.operators import Office
-from finchshelf.soak.plan import CORE, MACHINES, Plan
+from finchshelf.soak.plan import CORE, MACHINES, USUAL, Pace, Plan
 from finchshelf.soak.servers import Server, Yard, status_of
 from finchshelf.soak.troubles import Hands
 from finchshelf.transport.address import Address
@@ -221,7 +221,7 @@
             (self.folder / f"{name}.jsonl").write_text("".join(json.dumps(row) + "\n" for row in rows))
 
 
-def play(seed: int, length_s: float, keep: Path | None, mutant: str = "") -> Verdict:
+def play(seed: int, length_s: float, keep: Path | None, pace: Pace = USUAL, mutant: str = "") -> Verdict:
     """One seed; `mutant`: the guard that the programs lack, by its name.
 
     `keep`: a folder in which those that fail leave their logs; none is kept without it."""
@@ -229,7 +229,7 @@
         if keep is not None:
             keep.mkdir(parents=True, exist_ok=True)
         folder = Path(tempfile.mkdtemp(prefix=f"seed-{seed}-", dir=keep))
-        one = Seed(plans.draw(seed, length_s), folder, mutant)
+        one = Seed(plans.draw(seed, length_s, pace), folder, mutant)
         stack.callback(one.system.end)
         try:
             trio.run(one.run)
--- a/finchshelf/soak/servers.py
+++ b/finchshelf/soak/servers.py
@@ -57,7 +57,13 @@
     return f"{server} {trial} {method} {path} {size}\n".encode()
 
 
-@dataclass(slots=True)
+def body_of_request(trial: str, size: int) -> bytes:
+    """What a client sends: its name, over and over, to that many bytes; just once at least."""
+    one = f"body of {trial} ".encode()
+    return (one * (size // len(one) + 1))[: max(size, len(one))]
+
+
+@dataclass(slots=True, eq=False)
 class Server:
     """One life of one server."""
 
@@ -206,7 +212,7 @@
         request, headers = message.head, message.headers
         assert isinstance(request, h11.Request)
         method, path = request.method.decode(), request.target.decode()
-        wanted = b"" if method == "GET" else f"body of {headers.get('trial-id', '')}".encode()
+        wanted = b"" if method == "GET" else body_of_request(headers.get("trial-id", ""), len(message.body))
         self.yard.ledger.ran.append(
             Ran(
                 headers.get("trial-id", ""),
--- a/finchshelf/soak/troubles.py
+++ b/finchshelf/soak/troubles.py
@@ -72,6 +72,8 @@
             Kind.MACHINE_CUT: self.machine_cut,
             Kind.EDGE_SERVERS_CUT: self.servers_cut,
             Kind.HALVES_CUT: self.halves_cut,
+            Kind.DISK_FULL: self.disk_full,
+            Kind.DISK_STALL: self.disk_stall,
             Kind.SETTINGS_RELOAD: self.reload,
             Kind.SERVER_CRASH: self.server_crash,
             Kind.SERVER_DRAIN: self.server_drain,
@@ -194,19 +196,37 @@
         pairs = [(machine, address) for machine in trouble.machines for address in addresses]
         return await self.cut(pairs, trouble.span_s)
 
+    # ---- disks ----
+
+    async def disk_full(self, trouble: Trouble) -> bool:
+        return await self.disk(trouble, links.FULL)
+
+    async def disk_stall(self, trouble: Trouble) -> bool:
+        return await self.disk(trouble, links.STALLED)
+
+    async def disk(self, trouble: Trouble, state: str) -> bool:
+        for machine in trouble.machines:
+            self.cuts.disk(machine, state)
+        await trio.sleep(trouble.span_s)
+        for machine in trouble.machines:
+            self.cuts.disk(machine, "")
+        return True
+
     # ---- servers ----
 
     def struck(self, trouble: Trouble) -> list[Server]:
         return [self.servers[at % len(self.servers)] for at in trouble.servers]
 
     async def renew(self, server: Server) -> None:
-        """Another life of a server, in the place of one that has gone."""
+        """Another life of a server, in the place of one that has gone; nothing if it has one already."""
+        if server not in self.servers:
+            return
         fresh = Server(self.yard, server.service, server.zone, server.ip)
         self.servers[self.servers.index(server)] = fresh
         await fresh.start()
 
     async def server_crash(self, trouble: Trouble) -> bool:
-        struck = self.struck(trouble)
+        struck = [server for server in self.struck(trouble) if not server.ended]
         for server in struck:
             server.crash()
         await trio.sleep(trouble.span_s)
--- a/tests/stories/test_core_contact.py
+++ b/tests/stories/test_core_contact.py
@@ -363,9 +363,7 @@
     fine(story, 80, limiters=2, controls=1)
 
 
-def test_given_one_cut_off_for_long_that_answers_first_then_a_limiter_that_reaches_all_waits_for_the_others() -> (
-    None
-):
+def test_given_one_cut_off_for_long_that_answers_first_then_a_limiter_that_reaches_all_waits() -> None:
     seen = list[int]()
 
     async def story(world: World) -> None:
--- a/tests/stories/test_core_cuts.py
+++ b/tests/stories/test_core_cuts.py
@@ -47,9 +47,7 @@
     fine(story, seed, limiters=3, controls=2)
 
 
-def test_given_a_machine_of_the_settings_is_gone_when_all_are_killed_then_limiters_follow_whoever_comes_up() -> (
-    None
-):
+def test_given_a_seed_is_gone_when_all_are_killed_then_limiters_follow_whoever_comes_up() -> None:
     led = list[float]()
 
     async def story(world: World) -> None:
--- a/tests/stories/test_core_moves.py
+++ b/tests/stories/test_core_moves.py
@@ -294,9 +294,7 @@
     )
 
 
-def test_given_many_drains_when_their_ids_are_forgotten_then_the_drains_are_not_and_most_are_asked_again() -> (
-    None
-):
+def test_given_many_drains_when_their_ids_are_forgotten_then_the_drains_are_not() -> None:
     cells, most, at = Cells("10.0.0.1:7660", "north", 1.5, 1, 0.0), [True], [0.0]
     asked: list[str] = []
 
--- a/tests/stories/test_many_changes.py
+++ b/tests/stories/test_many_changes.py
@@ -106,9 +106,7 @@
     fine(story, 3, limiters=1, servers=1)
 
 
-def test_given_an_old_and_a_new_configuration_on_their_way_when_a_data_plane_starts_then_it_waits_for_the_new() -> (
-    None
-):
+def test_given_two_configurations_on_their_way_when_a_data_plane_starts_then_it_waits_for_the_new() -> None:
     # Given a control plane that is behind and cut off from the others for longer than it keeps silent
     async def story(world: World) -> None:
         assert isinstance(world, Thin)
--- a/tests/stories/test_orders.py
+++ b/tests/stories/test_orders.py
@@ -335,9 +335,7 @@
     fine(story, seed, limiters=1, servers=1)
 
 
-def test_given_more_early_orders_than_there_is_room_for_when_they_come_then_places_and_memory_are_bounded() -> (
-    None
-):
+def test_given_more_early_orders_than_there_is_room_for_then_places_and_memory_are_bounded() -> None:
     first, many = early.Early(), [order(n + 1, n) for n in range(9, 10 + early.KNOWN)]
     assert [first.begin() for _ in range(early.ROOM + 1)] == [True] * early.ROOM + [False]
     first.end()
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -165,7 +165,8 @@
     [
         ("build = 1\n[roles]", "roles: {} should be non-empty"),
         (
-            'build = "x"\n[roles.a]\nrun = "env python3"\non = "edge"\ncount = 1\nshare = 1.0\nserves = ["edge"]',
+            'build = "x"\n[roles.a]\nrun = "env python3"\non = "edge"\ncount = 1\nshare = 1.0\n'
+            'serves = ["edge"]',
             "roles.a: expected either share",
         ),
         ('build = "x"\n[roles.a]\nrun = "p"\non = "core"\ncount = 1\nserves = ["edge"]', "roles.a.on"),
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,8 +12,9 @@
 
 import pytest
 
+from finchshelf.agreement.store import StoreError
 from finchshelf.soak import seed as seeds
-from finchshelf.soak.cuts import Cuts, both_ways
+from finchshelf.soak.cuts import FULL, Cuts, both_ways
 from finchshelf.soak.gate import Gate, GatedDatagrams
 from finchshelf.soak.judge import Judge
 from finchshelf.soak.ledger import End, Leaving, Ledger, Order, Ran, Read, Sent, Struck
@@ -143,6 +144,7 @@
         "RECOVER",
         lambda one: one.sent.extend(sent(f"c{n}", at=30.0, status=503, ended=30.1) for n in range(30)),
     ),
+    ("SERVED", lambda one: one.sent.extend(sent(f"c{n}", status=503) for n in range(30))),
     ("INVARIANT", lambda one: one.violations.update({"single-run": 1})),
     ("FAULT", lambda one: one.faults.append("a line")),
     ("FAULT", lambda one: one.own_ends.append("data-plane-1")),
@@ -196,6 +198,17 @@
     assert all(reached(one, other) for one in ip for other in ip)
 
 
+def test_a_disk_that_is_full_refuses_until_it_has_room(tmp_path: Path) -> None:
+    cuts = Cuts(tmp_path)
+    gate = Gate(str(cuts.path(1)), "127.0.0.1")
+    gate.write_disk("/data")
+    cuts.disk(1, FULL)
+    with pytest.raises(StoreError):
+        gate.write_disk("/data")
+    cuts.disk(1, "")
+    gate.write_disk("/data")
+
+
 def test_datagrams_behind_a_cut_are_lost_both_ways(tmp_path: Path) -> None:
     path = tmp_path / "gate"
     GatedDatagrams.gate = Gate(str(path), "127.0.0.1")
@@ -227,4 +240,4 @@
     assert verdict.served > 100 and verdict.orders > 3 and verdict.struck, verdict
 
 
-SHORT_SEED, SHORT_S = 5, 18.0
+SHORT_SEED, SHORT_S = 8, 18.0
