--- /dev/null
+++ b/tests/stories/test_timers.py
@@ -0,0 +1,85 @@
+"""A periodic look or a timer that fails costs what it is about: the program goes on, and the fault is told."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from random import Random
+from typing import Any, cast
+from unittest import mock
+
+import pytest
+import trio
+from trio.testing import MockClock
+
+from finchshelf.controlplane.sweeps import MEND, SWEEP, Sweeps
+from finchshelf.dataplane.core import Core
+from finchshelf.dataplane.dialect import Request
+from finchshelf.transport.exchange import Answer
+from finchshelf.transport.telemetry import Telemetry
+
+DEADLINE_S = 0.2
+HEDGE, END = "hedge", "end"
+
+
+def run(story: Callable[[], Awaitable[None]]) -> None:
+    trio.run(story, clock=MockClock(autojump_threshold=0))
+
+
+def request_of(number: int, answers: list[tuple[int, int]]) -> Request:
+    def reply(answer: Answer) -> None:
+        answers.append((number, answer.status))
+
+    return Request(number, DEADLINE_S, reply, b"GET", b"/", [], b"", mark=b"one")
+
+
+def test_given_a_timer_that_fails_when_others_are_due_then_all_requests_are_answered() -> None:
+    async def story() -> None:
+        # Given a data plane's core with two open requests
+        clock: Any = mock.Mock(now=trio.current_time)
+        core = Core("edge-1", "north", clock, Telemetry("edge-1", sink=-1), Random(1), 0.2, 0.0)
+        core.servers, core.clients, core.counting.wire = mock.Mock(), mock.Mock(), mock.Mock()
+        answers = list[tuple[int, int]]()
+        for number in (1, 2):
+            core.live[number] = request_of(number, answers)
+            core.timer(DEADLINE_S, END, number)
+        # When the hedge of the first can't be carried out
+        core.timer(DEADLINE_S / 2, HEDGE, 1)
+        with mock.patch.object(core, "hedge", side_effect=KeyError("no such server")):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(core.run)
+                await trio.sleep(DEADLINE_S * 2)
+                nursery.cancel_scope.cancel()
+        # Then that one is answered as failed, the other at its deadline, and the fault is told
+        assert answers == [(1, 502), (2, 503)]
+        assert core.telemetry.count["core.error"] == 1
+
+    run(story)
+
+
+@pytest.mark.parametrize(("task", "fails", "every"), [("sweep", "look", SWEEP), ("mend", "mend_once", MEND)])
+def test_given_a_look_that_fails_when_the_next_is_due_then_it_is_made_and_the_fault_told(
+    task: str, fails: str, every: float
+) -> None:
+    async def story() -> None:
+        # Given a control plane's sweeps
+        told = list[str]()
+        news: Any = mock.Mock(log=lambda event, **_: told.append(event))
+        clock: Any = mock.Mock(now=trio.current_time)
+        sweeps = Sweeps(news, mock.Mock(), mock.Mock(), mock.Mock(), clock, Random(1))
+        looks = list[float]()
+
+        def look(*_: object) -> Any:
+            looks.append(trio.current_time())
+            raise ValueError("a row that nobody thought of")
+
+        # When each look fails
+        words = (("10.0.0.1:7660",),) if task == "mend" else ()
+        with mock.patch.object(sweeps, fails, look, create=True):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(cast(Any, getattr(sweeps, task)), *words)
+                await trio.sleep(every * 6)
+                nursery.cancel_scope.cancel()
+        # Then the program goes on, looks again and tells it
+        assert len(looks) >= 3 and set(told) == {"sweep.error"}
+
+    run(story)
