--- a/finchshelf/controlplane/sweeps.py
+++ b/finchshelf/controlplane/sweeps.py
@@ -6,10 +6,13 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Iterator
+from contextlib import contextmanager
 from random import Random
 
 import trio
 
+from finchshelf import program
 from finchshelf.agreement.membership import on_duty
 from finchshelf.controlplane.asking import Asking
 from finchshelf.controlplane.news import News
@@ -39,9 +42,10 @@
         joined = False
         while True:
             await trio.sleep(SWEEP)
-            before, joined = joined, self.look(self.clock.now())
-            if joined != before:
-                self.news.wake()
+            with self.told("sweep"):
+                before, joined = joined, self.look(self.clock.now())
+                if joined != before:
+                    self.news.wake()
 
     def look(self, now: float) -> bool:
         """One look; whether this one may speak for the core."""
@@ -75,26 +79,40 @@
         next where that one doesn't come to it."""
         while True:
             await trio.sleep(MEND * (0.75 + 0.5 * self.random.random()))
-            now, decided, me = self.clock.now(), self.register.decided, self.register.me
-            members = {member.address for member in decided.members} if decided else set[str]()
-            for address in self.cells.forget(members | set(seeds), now):
-                self.asking.members.forget(address)
-                self.register.witness.forget(address)
-            for address in sorted(members | set(seeds)):
-                control = self.cells.meet(address)
-                if control is not None:
-                    self.asking.follow(control)
-            if decided is None or self.cells.young(self.cells.address, now):
-                continue  # Danger: who has only just come up takes all others for silent
-            silent = self.cells.silent(me, now)
-            # Danger: were the duty a new member's, nobody would do it until that one is no longer young.
-            voters = [
-                m.address
-                for m in decided.members
-                if silent.get(m, math.inf) <= 1.0 and not self.cells.young(m.address, now)
-            ]
-            candidates = self.cells.candidates(me, self.asking.counted)
-            due = self.repair.due(silent, candidates, self.news.going)
-            self.due = min(self.due, now) if due else math.inf
-            if on_duty(self.cells.address, voters, now - self.due):
-                await self.repair.mend(silent, candidates, self.news.going)
+            with self.told("mend"):
+                await self.mend_once(seeds)
+
+    @contextmanager
+    def told(self, step: str) -> Iterator[None]:
+        """An error in a look is logged, and the next look is made.
+
+        Danger: one record would end each control plane that holds it, again at each start."""
+        try:
+            yield
+        except Exception as error:
+            self.news.log("sweep.error", step=step, error=repr(error), at_line=program.where(error))
+
+    async def mend_once(self, seeds: tuple[str, ...]) -> None:
+        now, decided, me = self.clock.now(), self.register.decided, self.register.me
+        members = {member.address for member in decided.members} if decided else set[str]()
+        for address in self.cells.forget(members | set(seeds), now):
+            self.asking.members.forget(address)
+            self.register.witness.forget(address)
+        for address in sorted(members | set(seeds)):
+            control = self.cells.meet(address)
+            if control is not None:
+                self.asking.follow(control)
+        if decided is None or self.cells.young(self.cells.address, now):
+            return  # Danger: who has only just come up takes all others for silent
+        silent = self.cells.silent(me, now)
+        # Danger: were the duty a new member's, nobody would do it until that one is no longer young.
+        voters = [
+            m.address
+            for m in decided.members
+            if silent.get(m, math.inf) <= 1.0 and not self.cells.young(m.address, now)
+        ]
+        candidates = self.cells.candidates(me, self.asking.counted)
+        due = self.repair.due(silent, candidates, self.news.going)
+        self.due = min(self.due, now) if due else math.inf
+        if on_duty(self.cells.address, voters, now - self.due):
+            await self.repair.mend(silent, candidates, self.news.going)
--- a/finchshelf/dataplane/core.py
+++ b/finchshelf/dataplane/core.py
@@ -7,10 +7,7 @@
 
 from __future__ import annotations
 
-import heapq
-import math
 import traceback
-from dataclasses import dataclass, field
 from random import Random
 from typing import Any
 
@@ -25,10 +22,12 @@
 from finchshelf.dataplane.counting import Counting, Told
 from finchshelf.dataplane.dialect import MISDIRECTED, Reader, Request
 from finchshelf.dataplane.failures import Failures
+from finchshelf.dataplane.news import News
 from finchshelf.dataplane.steering import Steering
+from finchshelf.dataplane.timers import Due, Timer, Timers
 from finchshelf.dataplane.tries import Next, Tried
 from finchshelf.experience.policy import DEFAULT, Policy
-from finchshelf.membership.records import Limiter, Server
+from finchshelf.membership.records import Server
 from finchshelf.rollout.evidence import SAFE, Seen
 from finchshelf.transport.address import Address
 from finchshelf.transport.clients import Clients
@@ -38,22 +37,10 @@
 from finchshelf.transport.servers import Servers
 from finchshelf.transport.telemetry import Telemetry
 
+OF_REQUESTS = (Due.HEDGE, Due.END)  # timers whose number is a request's
 NOTHING: Headers = [(b"Content-Length", b"0")]
 
 
-@dataclass(slots=True)
-class News:
-    """What a control plane told; None where it told nothing of that kind."""
-
-    servers: list[Server]
-    limiters: dict[str, Limiter] | None = None
-    configuration: Configuration | None = None
-    whole: frozenset[str] | None = None
-    verdicts: list[Any] = field(default_factory=list)
-    usual: dict[str, float] = field(default_factory=dict)  # s that routes take, as others know it
-    slot: int = 0  # of the decided value that the configuration is from
-
-
 Item = Request | Ended | Arrived | ClientGone | Told | News | Probed
 
 
@@ -90,10 +77,10 @@
         self.addresses: dict[str, Address] = {}
         self.mailbox: Mailbox[Any] = Mailbox()
         self.live: dict[int, Request] = {}
-        self.timers: list[tuple[float, int, str, int]] = []
+        self.timers = Timers()
         self.halts = Halts(clock, telemetry)
         self.seen = Seen()
-        self.last = self.ticks = 0
+        self.last = 0
         self.servers: Servers
         self.clients: Clients
 
@@ -112,11 +99,10 @@
     # ---- the task itself ----
 
     async def run(self) -> None:
-        self.timer(self.clock.now() + self.counting.caller.pace(), "beat", 0)
-        self.timer(self.clock.now() + CHECK_EVERY_S, "check", 0)
+        self.timers.add(self.clock.now() + self.counting.caller.pace(), Due.COUNT_BEAT)
+        self.timers.add(self.clock.now() + CHECK_EVERY_S, Due.CHECK)
         while True:
-            wait = max(0.0, self.timers[0][0] - self.clock.now()) if self.timers else math.inf
-            until = trio.current_time() + wait
+            until = trio.current_time() + self.timers.wait(self.clock.now())
             items = await self.mailbox.take(until)
             if items and self.halted(self.clock.now()):
                 items = await self.caught_up(items)
@@ -126,9 +112,11 @@
                 except Exception as error:  # Danger: one event that can't be taken would end every request
                     self.fault(item, error)
             now = self.clock.now()
-            while self.timers and self.timers[0][0] <= now:
-                _, _, kind, number = heapq.heappop(self.timers)
-                self.tick(kind, number, now)
+            for timer in self.timers.due(now):
+                try:
+                    self.tick(timer, now)
+                except Exception as error:  # Danger: one timer would end the program with all its requests
+                    self.fault(self.live.get(timer.number) if timer.due in OF_REQUESTS else None, error)
             self.counting.wire.flush()
 
     async def caught_up(self, items: list[Item]) -> list[Item]:
@@ -146,30 +134,34 @@
         if isinstance(request, Request):
             self.answer(request, plain(502), "out.failed")
 
-    def timer(self, at: float, kind: str, number: int) -> None:
-        self.ticks += 1
-        heapq.heappush(self.timers, (at, self.ticks, kind, number))
-
-    def tick(self, kind: str, number: int, now: float) -> None:
-        if kind == "count":
-            self.counting.overdue(number, now)
-        elif kind == "beat":
-            self.counting.beat(now)
-        elif kind == "check":
+    def timer(self, at: float, due: Due, number: int) -> None:
+        self.timers.add(at, due, number)
+
+    def tick(self, timer: Timer, now: float) -> None:
+        if timer.due is Due.COUNT_ANSWER:
+            self.counting.overdue(timer.number, now)
+        elif timer.due is Due.COUNT_BEAT:
+            try:
+                self.counting.beat(now)
+            finally:
+                self.timers.add(now + self.counting.caller.pace(), Due.COUNT_BEAT)
+        elif timer.due is Due.CHECK:
+            self.timers.add(now + CHECK_EVERY_S, Due.CHECK)
             self.checks.overdue(self.live.values(), now)
-            self.timer(now + CHECK_EVERY_S, "check", 0)
-        elif kind == "hedge":
-            request = self.live.get(number)
-            if request is not None:
-                self.hedge(request, now)
-        elif kind == "end":
-            request = self.live.get(number)
-            if request is not None and now < request.until + tries.OVERDUE:
-                self.timer(request.until + tries.OVERDUE, "end", number)  # its body was still coming
-            elif request is not None:
-                self.count["overdue"] += 1
-                may_have = request.may_have_run or request.out
-                self.finish(request, plain(504 if may_have else 503), "out.overdue")
+        elif (request := self.live.get(timer.number)) is None:
+            return
+        elif timer.due is Due.HEDGE:
+            self.hedge(request, now)
+        elif timer.due is Due.END:
+            self.overdue(request, now)
+
+    def overdue(self, request: Request, now: float) -> None:
+        """A request's time is up: it gets the last answer that is true of it."""
+        if now < request.until + tries.OVERDUE:
+            return self.timers.add(request.until + tries.OVERDUE, Due.END, request.id)  # its body still came
+        self.count["overdue"] += 1
+        may_have = request.may_have_run or request.out
+        self.finish(request, plain(504 if may_have else 503), "out.overdue")
 
     def take(self, item: Item, now: float) -> None:
         if isinstance(item, Request):
@@ -207,7 +199,7 @@
             return self.answer(request, plain(503), "refused.late")
         request.service = self.service(request.route)
         self.budget.arrived(request.service)
-        self.timer(request.until + tries.OVERDUE, "end", request.id)
+        self.timers.add(request.until + tries.OVERDUE, Due.END, request.id)
         self.counting.begin(request, now)
 
     def service(self, route: Route) -> str:
@@ -228,7 +220,7 @@
             )
         if request.route.repeatable and request.route.trials > 1 and request.stream is None:
             usual = self.choice.usual.get(request.route.label, request.route.target)
-            self.timer(now + tries.hedge_after(request.route.target, usual), "hedge", request.id)
+            self.timers.add(now + tries.hedge_after(request.route.target, usual), Due.HEDGE, request.id)
 
     def attempt(self, request: Request, now: float) -> bool:
         assert request.route is not None
--- a/finchshelf/dataplane/counting.py
+++ b/finchshelf/dataplane/counting.py
@@ -19,6 +19,7 @@
 from finchshelf.dataplane.checks import GrantChecks, QuotaMargins
 from finchshelf.dataplane.dialect import Request
 from finchshelf.dataplane.questions import Questions
+from finchshelf.dataplane.timers import Due
 from finchshelf.membership.records import Limiter
 from finchshelf.transport.exchange import Port
 
@@ -51,7 +52,7 @@
     def configuration(self) -> Configuration: ...
     @property
     def live(self) -> Mapping[int, Request]: ...
-    def timer(self, at: float, kind: str, number: int) -> None: ...
+    def timer(self, at: float, due: Due, number: int) -> None: ...
     def send(self, request: Request, now: float) -> None: ...
     def refuse(self, request: Request, after: float, counted: str) -> None: ...
 
@@ -137,7 +138,7 @@
             return self.local(request, now)
         number = self.wire.ask(limiter.host, tenant.label, 1.0, self.caller.state(holder))
         self.questions[number] = Question(request, holder, (limiter.host, self.wire.port), now)
-        self.owner.timer(now + BUDGET, "count", number)
+        self.owner.timer(now + BUDGET, Due.COUNT_ANSWER, number)
 
     def answered(self, item: Told, now: float) -> None:
         question = self.questions.get(item.number)
@@ -163,7 +164,7 @@
             del self.questions[number]
         elif question is not None:
             question.late = True
-            self.owner.timer(now + LATER, "count", number)
+            self.owner.timer(now + LATER, Due.COUNT_ANSWER, number)
             self.count["count.late"] += 1
             self.telemetry.observe("count_question", "late", now - question.sent)
             if self.caller.failed(question.holder, now):
@@ -201,7 +202,6 @@
                 self.add(tenant, 0.0, self.me, state)
             elif holder in self.hosts:
                 self.wire.ask(self.hosts[holder], tenant, 0.0, state)
-        self.owner.timer(now + self.caller.pace(), "beat", 0)
 
     def leave(self) -> None:
         """Let in nothing from now on, and say so to all: what is set aside for this limiter is free."""
--- a/finchshelf/dataplane/follower.py
+++ b/finchshelf/dataplane/follower.py
@@ -17,7 +17,7 @@
 from finchshelf.agreement import parcel
 from finchshelf.agreement.core import Value
 from finchshelf.configuration.document import Configuration, read_configuration
-from finchshelf.dataplane.core import News
+from finchshelf.dataplane.news import News
 from finchshelf.experience.times import EACH as EACH_TIMES
 from finchshelf.experience.times import changed, read_times
 from finchshelf.membership import contact, rendezvous
--- a/finchshelf/events.py
+++ b/finchshelf/events.py
@@ -224,6 +224,13 @@
         "votes for nothing and serves what it knew. `peer`; `form`: what it reads.",
         "Renew that machine, or put the newer text back on it.",
     ),
+    Event(
+        409,
+        "sweep.error",
+        "A look at silent servers (`step` sweep) or at the core's members (`mend`) met an error of ours; the "
+        "program goes on and looks again.",
+        REPORT,
+    ),
     Event(
         501,
         "configuration",
--- a/finchshelf/soak/seed.py
+++ b/finchshelf/soak/seed.py
@@ -35,8 +35,8 @@
 from finchshelf.transport.address import Address
 
 METRICS = {"control-plane": 9101, "data-plane": 9102}
-STARTS_S = 12.0  # for the first configuration to be taken
-READY_S = 8.0
+STARTS_S = 40.0  # for the first configuration to be taken: ten programs start at once
+READY_S = 20.0
 SCRAPE_S = 2.0
 LAST_READ_S = 3.0
 SERVERS = (("pages", 5), ("orders", 5))
@@ -231,11 +231,12 @@
         folder = Path(tempfile.mkdtemp(prefix=f"seed-{seed}-", dir=keep))
         one = Seed(plans.draw(seed, length_s, pace), folder, mutant)
         stack.callback(one.system.end)
+        verdict = Verdict(seed, [], folder=str(folder))
         try:
             trio.run(one.run)
             verdict = one.verdict()
-        except NotStarted as error:
-            verdict = Verdict(seed, [Breach("START", str(error))], folder=str(folder))
+        except* NotStarted as group:
+            verdict.breaches.append(Breach("START", str(group.exceptions[0])))
         one.system.end()
         if verdict.fine or keep is None:
             remove(folder)
--- a/tests/stories/crossing.py
+++ b/tests/stories/crossing.py
@@ -19,8 +19,9 @@
 from trio._core import _run as trio_run
 
 from finchshelf.configuration.document import read_configuration
-from finchshelf.dataplane.core import Core, News
+from finchshelf.dataplane.core import Core
 from finchshelf.dataplane.dialect import Reader, Words
+from finchshelf.dataplane.news import News
 from finchshelf.membership.records import Server as Listed
 from finchshelf.transport import halts, net
 from finchshelf.transport.address import Address
--- a/tests/stories/test_bad_input.py
+++ b/tests/stories/test_bad_input.py
@@ -41,8 +41,8 @@
 from finchshelf.controlplane.resources import Departure, Observe, Pulse, Resources
 from finchshelf.controlplane.turns import Turns
 from finchshelf.dataplane.core import Core
-from finchshelf.dataplane.core import News as Told
 from finchshelf.dataplane.follower import Follower, Source
+from finchshelf.dataplane.news import News as Told
 from finchshelf.dataplane.questions import Questions
 from finchshelf.membership.records import Limiter
 from finchshelf.rollout.evidence import Seen
--- a/tests/stories/test_fleet_stories.py
+++ b/tests/stories/test_fleet_stories.py
@@ -21,9 +21,10 @@
 from finchshelf.dataplane import dialect, tries
 from finchshelf.dataplane.budget import Budget
 from finchshelf.dataplane.choice import Choice
-from finchshelf.dataplane.core import Core, News
+from finchshelf.dataplane.core import Core
 from finchshelf.dataplane.dialect import Words
 from finchshelf.dataplane.idling import UNTOLD, Idling
+from finchshelf.dataplane.news import News
 from finchshelf.membership.records import DECAYING, GONE, Server
 from finchshelf.transport.clients import Clients
 from finchshelf.transport.exchange import Attempt, Clock, Ended
--- a/tests/stories/test_renewed_tries.py
+++ b/tests/stories/test_renewed_tries.py
@@ -15,8 +15,9 @@
 from finchshelf.admission.outcome import Status
 from finchshelf.cli import demo
 from finchshelf.configuration.document import read_configuration
-from finchshelf.dataplane.core import Core, News
+from finchshelf.dataplane.core import Core
 from finchshelf.dataplane.dialect import Request
+from finchshelf.dataplane.news import News
 from finchshelf.membership.records import DECAYING, GONE, STABLE, Server
 from finchshelf.transport.exchange import Attempt, Clock, Ended
 from finchshelf.transport.telemetry import Telemetry
--- a/tests/stories/test_standing.py
+++ b/tests/stories/test_standing.py
@@ -23,8 +23,8 @@
 from finchshelf.controlplane.sweeps import Sweeps
 from finchshelf.controlplane.turns import Turns
 from finchshelf.dataplane.choice import MOST_TOMBSTONES, Choice
-from finchshelf.dataplane.core import News as Told
 from finchshelf.dataplane.follower import Follower
+from finchshelf.dataplane.news import News as Told
 from finchshelf.membership import contact
 from finchshelf.membership.records import Limiter, Server
 from finchshelf.rollout.evidence import Seen
