--- a/benchmarks/rollout_world.py
+++ b/benchmarks/rollout_world.py
@@ -20,9 +20,10 @@
 from finchshelf.agreement import core
 from finchshelf.configuration import change as changes
 from finchshelf.rollout import driver as drivers
-from finchshelf.rollout import duty, plan
-from finchshelf.rollout.driver import Adjust, Ask, Driver, Log, Observe, Save
+from finchshelf.rollout import duty, messages, plan
+from finchshelf.rollout.driver import Driver
 from finchshelf.rollout.evidence import AT, FIELDS
+from finchshelf.rollout.messages import Adjust, Ask, Log, Observe, Save
 
 KINDS = {"status": 25.0, "confirm": 15.0, "release": 12.0}  # requests a second, in a usual hour
 ONCE = ("confirm", "release")
@@ -264,12 +265,12 @@
         self.gone, self.fenced = False, True
         self.stalled: list[Adjust] = []  # sent, and on its way for long
 
-    def feed(self, event: drivers.Event) -> None:
+    def feed(self, event: messages.Event) -> None:
         todo = list(self.driver.take(event))
         while todo and not self.gone:
             todo += self.obey(todo.pop(0))
 
-    def obey(self, order: drivers.Order) -> list[drivers.Order]:
+    def obey(self, order: messages.Order) -> list[messages.Order]:
         world = self.world
         if isinstance(order, Log):
             world.logged.append((world.now, order.event, str(order.fields.get("site", ""))))
@@ -279,20 +280,20 @@
             if (made is None or made == duty.FENCED) and self.fenced:
                 self.gone = True
                 return []
-            return self.driver.take(drivers.Saved(order.revision))
+            return self.driver.take(messages.Saved(order.revision))
         name = order.site.name
         place = world.places[name]
         if isinstance(order, Ask):
-            return self.driver.take(drivers.Told(name, place.evidence() if place.up else None))
+            return self.driver.take(messages.Told(name, place.evidence() if place.up else None))
         if isinstance(order, Observe):
-            return self.driver.take(drivers.Observed(name, place.version, orjson.dumps(place.document)))
+            return self.driver.take(messages.Observed(name, place.version, orjson.dumps(place.document)))
         if self.me in world.slow:
             self.stalled.append(order)
-            return self.driver.take(drivers.Answered(name, order.version, 0))
+            return self.driver.take(messages.Answered(name, order.version, 0))
         status = place.adjust(order.body, world.now)
         if world.lose_answers and world.random.random() < 0.5:
             status = 0
-        return self.driver.take(drivers.Answered(name, order.version, status))
+        return self.driver.take(messages.Answered(name, order.version, status))
 
 
 class World:
@@ -364,7 +365,7 @@
                 return
             document = duty.read(self.keepers.acceptors[me].decided)
             hand.feed(
-                drivers.Tick(self.now, self.now, document["paused"], document["abort"], document["leave"])
+                messages.Tick(self.now, self.now, document["paused"], document["abort"], document["leave"])
             )
             return
         document = duty.read(self.keepers.acceptors[me].decided)
--- a/finchshelf/cli/keeper.py
+++ b/finchshelf/cli/keeper.py
@@ -27,8 +27,9 @@
 from finchshelf.controlplane.register import Register, Unsettled
 from finchshelf.controlplane.repair import Repair
 from finchshelf.rollout import driver as drivers
-from finchshelf.rollout import duty, plan
-from finchshelf.rollout.driver import Adjust, Ask, Driver, Log, Observe, Save
+from finchshelf.rollout import duty, messages, plan
+from finchshelf.rollout.driver import Driver
+from finchshelf.rollout.messages import Adjust, Ask, Log, Observe, Save
 from finchshelf.rollout.plan import Site
 from finchshelf.transport import frames, net
 from finchshelf.transport.address import Address, address_of
@@ -52,29 +53,29 @@
         self.gone = False
 
     async def turn(self, document: duty.Document) -> None:
-        tick = drivers.Tick(
+        tick = messages.Tick(
             trio.current_time(),
             round(time.time(), 3),
             document["paused"],
             document["abort"],
             document["leave"],
         )
-        happened: list[drivers.Event] = [tick]
+        happened: list[messages.Event] = [tick]
         for _ in range(ROUNDS):
             if self.gone or not happened:
                 return
             happened = await self.obey([order for event in happened for order in self.driver.take(event)])
 
-    async def obey(self, orders: list[drivers.Order]) -> list[drivers.Event]:
+    async def obey(self, orders: list[messages.Order]) -> list[messages.Event]:
         """What is to be written is written first; then sites are asked and called, all at once."""
-        found: list[drivers.Event] = []
+        found: list[messages.Event] = []
         for order in orders:
             if isinstance(order, Log):
                 self.keeper.log(order.event, **order.fields)
             elif isinstance(order, Save):
                 if not await self.write(order.state):
                     return []
-                found.append(drivers.Saved(order.revision))
+                found.append(messages.Saved(order.revision))
         async with trio.open_nursery() as nursery:
             for order in orders:
                 if isinstance(order, Ask | Observe | Adjust):
@@ -87,20 +88,20 @@
         self.gone = self.gone or made is None or made == duty.FENCED
         return not self.gone
 
-    async def reach(self, order: Ask | Observe | Adjust, found: list[drivers.Event]) -> None:
+    async def reach(self, order: Ask | Observe | Adjust, found: list[messages.Event]) -> None:
         site = order.site
         if isinstance(order, Ask):
-            found.append(drivers.Told(site.name, await self.evidence(site, order.aims)))
+            found.append(messages.Told(site.name, await self.evidence(site, order.aims)))
         elif isinstance(order, Observe):
             status, body = await self.call(site, "setpoint.observe", b"")
             if status == 200:
                 version = int(orjson.loads(body)["setpointSeq"], 16)
-                found.append(drivers.Observed(site.name, version, body))
+                found.append(messages.Observed(site.name, version, body))
             else:
-                found.append(drivers.Observed(site.name, 0 if status == 404 else -1))
+                found.append(messages.Observed(site.name, 0 if status == 404 else -1))
         else:
             status, _ = await self.call(site, "setpoint.adjust", order.body)
-            found.append(drivers.Answered(site.name, order.version, status))
+            found.append(messages.Answered(site.name, order.version, status))
 
     async def call(self, site: Site, name: str, body: bytes) -> tuple[int, bytes]:
         """The operator's call at one control plane after the other: the first clear answer."""
--- a/finchshelf/rollout/driver.py
+++ b/finchshelf/rollout/driver.py
@@ -12,101 +12,37 @@
 from __future__ import annotations
 
 import math
-from collections import deque
 from copy import deepcopy
-from dataclasses import dataclass, field
 from typing import Any
 
 import orjson
 
 from finchshelf.rollout import plan as plans
-from finchshelf.rollout.evidence import AT, FIELDS, Sums, Totals
+from finchshelf.rollout.evidence import AT, FIELDS, Totals
+from finchshelf.rollout.messages import (
+    Adjust,
+    Answered,
+    Ask,
+    Event,
+    Log,
+    Observe,
+    Observed,
+    Order,
+    Save,
+    State,
+    Tick,
+    Told,
+)
 from finchshelf.rollout.plan import Plan, Site
 from finchshelf.rollout.statistics import BACK_S, Growth, Verdict, lift
+from finchshelf.rollout.watched import GRACE, SPANS, Watched
 
 ENDED = ("done", "halted", "aborted")
 SILENT = 30.0  # s without any word of a changed site: what happens there is not known, so it goes back
-GRACE = 8.0  # s after a loss of machines in which harm is taken for the loss's
 EXCUSED = 24.0  # s of a watch that losses may excuse in all: a policy that fells machines is not excused
-SPANS = (1, 3, 10)  # intervals beside over which what grew is looked at; the highest counts
 RATE_OVER = 10  # intervals over which a site's rate is taken
 REPEATS = 0.001  # of a kind whose clients repeat by themselves, more than before
 KEPT = 200  # lines of history
-State = dict[str, Any]
-
-
-@dataclass(frozen=True)
-class Tick:
-    now: float
-    wall: float = 0.0
-    paused: bool = False
-    abort: bool = False
-    leave: bool = False  # sites that can't be taken back are left as they are
-
-
-@dataclass(frozen=True)
-class Told:
-    """Evidence of one site, `None` where nobody there answered."""
-
-    site: str
-    answer: dict[str, Any] | None
-
-
-@dataclass(frozen=True)
-class Observed:
-    site: str
-    version: int  # -1: nobody answered
-    document: bytes = b""
-
-
-@dataclass(frozen=True)
-class Answered:
-    """The end of a call of the operator's kind; `status` 0: no clear answer."""
-
-    site: str
-    version: int
-    status: int
-
-
-@dataclass(frozen=True)
-class Saved:
-    revision: int
-
-
-Event = Tick | Told | Observed | Answered | Saved
-
-
-@dataclass(frozen=True)
-class Save:
-    revision: int
-    state: State
-
-
-@dataclass(frozen=True)
-class Ask:
-    site: Site
-    aims: dict[str, float]
-
-
-@dataclass(frozen=True)
-class Observe:
-    site: Site
-
-
-@dataclass(frozen=True)
-class Adjust:
-    site: Site
-    version: int
-    body: bytes
-
-
-@dataclass(frozen=True)
-class Log:
-    event: str
-    fields: dict[str, Any]
-
-
-Order = Save | Ask | Observe | Adjust | Log
 
 
 def begin(plan: Plan) -> State:
@@ -124,28 +60,6 @@
     }
 
 
-@dataclass
-class Watched:
-    """What the driver keeps in mind of one site: lost with it, and gathered anew by the next."""
-
-    sums: Sums = field(default_factory=Sums)
-    heard: bool = False
-    at: float = 0.0  # when it was heard last
-    news: bool = False
-    last: dict[str, Totals] = field(default_factory=dict)
-    past: dict[str, Totals] = field(default_factory=dict)  # before a change, without losses of machines
-    pen: deque[dict[str, Totals]] = field(default_factory=deque)  # too new to be past: a loss is known late
-    deltas: deque[dict[str, Totals]] = field(default_factory=lambda: deque(maxlen=max(SPANS)))
-    tests: dict[tuple[str, str], Growth] = field(default_factory=dict)
-    since: float = 0.0  # when the watch began
-    machines: int = 0
-    disturbed: float = -1e9
-    excused: float = 0.0
-    peak: float = 0.0
-    taken: dict[str, int] = field(default_factory=dict)  # since the change
-    version: int = -1
-
-
 class Driver:
     compare = True  # False only in a test that shows what the comparison with other sites is for
 
@@ -283,19 +197,8 @@
     # ---- evidence ----
 
     def told(self, event: Told) -> None:
-        mind = self.mind[event.site]
-        if event.answer is None:
-            return
-        mind.sums.take(event.answer)
-        mind.at, mind.news = self.now, True
-        mind.version = int(event.answer["version"])
-        machines = int(event.answer["machines"])
-        if machines < mind.machines:
-            mind.disturbed = self.now
-            mind.pen.clear()
-            for test in mind.tests.values():
-                test.take_back()
-        mind.machines = machines
+        if event.answer is not None:
+            self.mind[event.site].take(event.answer, self.now)
 
     def totals(self, site: Site) -> dict[str, Totals]:
         return {route: self.mind[site.name].sums.totals(route) for route in self.plan.routes(site)}
@@ -314,22 +217,13 @@
                 continue
             mind.news = False
             now = self.totals(site)
-            if not mind.heard:
-                mind.heard = True
-                mind.last = row.get("at", now) if row["state"] == "watching" else now
-            mind.deltas.append(
-                {
-                    route: [max(0, a - b) for a, b in zip(now[route], mind.last[route], strict=True)]
-                    for route in now
-                }
+            mind.interval(
+                now,
+                row.get("at", now) if row["state"] == "watching" else now,
+                row["state"] == "waiting",
+                self.now,
+                self.back,
             )
-            mind.last = now
-            if row["state"] == "waiting" and self.now - mind.disturbed > GRACE:
-                mind.pen.append(mind.deltas[-1])
-                if len(mind.pen) > self.back:
-                    for route, delta in mind.pen.popleft().items():
-                        before = mind.past.get(route, [0] * len(FIELDS))
-                        mind.past[route] = [a + b for a, b in zip(before, delta, strict=True)]
         under_way = {
             (one.system, self.row(one.name)["version"])
             for one in self.plan.sites
@@ -417,9 +311,7 @@
     def watch(self, name: str) -> None:
         """The tests of a site begin."""
         mind, row = self.mind[name], self.row(name)
-        mind.since, mind.at, mind.tests, mind.taken = self.now, self.now, {}, {}
-        mind.peak = mind.excused = 0.0
-        mind.deltas.clear()
+        mind.begin(self.now)
         for route, kind in self.plan.routes(self.sites[name]).items():
             past = row["past"][route]
             for harm in self.tested(kind, past):
