Names with units and meanings; the register's parts no longer import in a circle

Need: names that a newcomer must be told (`FAR`, `COLD`, `ONCE`, `AGAIN`, `ALONE`, `APART`, `TOUCH`, `Event.means`) and the circle of register, rounds and witnessing. Change: they say what they are and their unit; the register's parts take it as a typed protocol (`controlplane/peers.py`). No decision differs.

--- a/finchshelf/controlplane/register.py
+++ b/finchshelf/controlplane/register.py
@@ -12,7 +12,7 @@
 from contextlib import suppress
 from dataclasses import replace
 from random import Random
-from typing import Any, Protocol
+from typing import Any
 
 import trio
 
@@ -23,7 +23,8 @@
 from finchshelf.agreement.standing import Standing, Witness
 from finchshelf.agreement.store import Store, StoreError
 from finchshelf.controlplane.chain import ChainChecks
-from finchshelf.controlplane.rounds import READ, Rounds, slots_of
+from finchshelf.controlplane.peers import Peers
+from finchshelf.controlplane.rounds import READ_S, Rounds, slots_of
 from finchshelf.controlplane.witnessing import Witnessing
 from finchshelf.invariants import Monitor
 from finchshelf.transport.frames import Message, PeerError
@@ -43,18 +44,6 @@
         self.step = step
 
 
-class Peers(Protocol):
-    nursery: trio.Nursery
-
-    async def agree(self, address: str, message: Message, limit: float) -> Message: ...
-
-    def reaches(self, address: str) -> bool: ...
-
-    def takes(self, document: bytes) -> float: ...
-
-    async def document(self, name: bytes, address: str) -> bytes | None: ...
-
-
 class Writing:
     """A save of one acceptor under way, for those that wait for it."""
 
@@ -82,7 +71,7 @@
         self.decided_event = trio.Event()
         self.decided_at = -math.inf  # when the newest decided value came to be known here
         self.witness = Witness()
-        self.witnessing = Witnessing(self, self.give_up)
+        self.witnessing = Witnessing(self, self.give_up, lambda: self.rounds.met)
         self.acceptor = self.restored(seeds, first_start)
         self.members = self.decided.members if self.decided else ()
         self.renewed = self.decided is not None and self.decided.taken.renewed()
@@ -169,7 +158,7 @@
                 # Who is behind gets the newest with the news, once; an attempt would bring one from each.
                 if max(slots) <= decided.slot:
                     with suppress(Unsettled):
-                        await self.change(lambda _: Refusal("confirm"), READ + ASK, "confirm")
+                        await self.change(lambda _: Refusal("confirm"), READ_S + ASK, "confirm")
                         break
             with trio.move_on_after(CONFIRM):
                 await event.wait()
--- a/finchshelf/controlplane/rounds.py
+++ b/finchshelf/controlplane/rounds.py
@@ -6,23 +6,19 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 import trio
 
 from finchshelf.agreement import core
 from finchshelf.agreement.core import Decided, Member, Proposer, Refused, Retry, Value
+from finchshelf.controlplane.peers import Asker
 from finchshelf.transport.frames import Message
 
-if TYPE_CHECKING:
-    from finchshelf.controlplane.register import Register
-
-READ = 0.3  # s for the answers to a read
-AGAIN = 0.1  # s until one that could not answer is asked again, where nobody is heard that was silent
+READ_S = 0.3  # s for the answers to a read
+ASK_AGAIN_S = 0.1  # s until one that could not answer is asked again, where nobody is heard that was silent
 
 
 class Rounds:
-    def __init__(self, register: Register) -> None:
+    def __init__(self, register: Asker) -> None:
         self.register = register
         self.met = trio.Event()  # another member that was silent is heard again
 
@@ -98,10 +94,10 @@
                 # one that is silent, it would be asked as fast as it answers, for as long as it is none.
                 if slots_of({member: states.get(member, {})}) or not again:
                     return
-                with trio.move_on_after(AGAIN):
+                with trio.move_on_after(ASK_AGAIN_S):
                     await met.wait()
 
-        with trio.move_on_after(READ):
+        with trio.move_on_after(READ_S):
             async with trio.open_nursery() as nursery:
                 for member in decided.members:
                     nursery.start_soon(ask, member)
--- a/finchshelf/controlplane/sweeps.py
+++ b/finchshelf/controlplane/sweeps.py
@@ -67,11 +67,11 @@
         that it is decided, and no limiter would hear of it before the next change."""
         accepted = self.register.acceptor.accepted
         if accepted is None or accepted is not self.doubted:
-            self.doubted, self.since = accepted, now + contact.DOUBT * (1 + self.random.random())
+            self.doubted, self.since = accepted, now + contact.UNDECIDED_S * (1 + self.random.random())
             return False
         if now < self.since:
             return False
-        self.since = now + 2 * contact.DOUBT
+        self.since = now + 2 * contact.UNDECIDED_S
         return True
 
     async def mend(self, seeds: tuple[str, ...]) -> None:
--- a/finchshelf/controlplane/witnessing.py
+++ b/finchshelf/controlplane/witnessing.py
@@ -7,22 +7,20 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import trio
 
 from finchshelf.agreement import core
 from finchshelf.agreement.core import Member
+from finchshelf.controlplane.peers import Asker
 from finchshelf.transport.frames import Message
 
-if TYPE_CHECKING:
-    from finchshelf.controlplane.register import Register
-
 # rows that are read: a core may be begun with more members than it grows to; who tells is one more
 MOST_ROWS = 256
-WITNESS = 0.3  # s for the members' words on this one's disk
+WORDS_S = 0.3  # s for the members' words on this one's disk
 REACH_S = 0.01  # until a member to which no connection has come up is taken for unreachable, for reads only
-AGAIN = 0.1  # s until they are asked again, where too few answered
+ASK_AGAIN_S = 0.1  # s until they are asked again, where too few answered
 
 
 class Witnessing:
@@ -33,8 +31,11 @@
     start would be late by it.
     """
 
-    def __init__(self, register: Register, give_up: Callable[[], Awaitable[None]]) -> None:
-        self.register, self.give_up = register, give_up
+    def __init__(
+        self, register: Asker, give_up: Callable[[], Awaitable[None]], met: Callable[[], trio.Event]
+    ) -> None:
+        """`met`: the event of another member that was silent being heard again."""
+        self.register, self.give_up, self.met = register, give_up, met
         self.readable = trio.Event()
 
     async def allow_read(self, limit: float) -> bool:
@@ -50,14 +51,14 @@
         register = self.register
         while register.witness.doubted:
             members = register.decided.members if register.decided is not None else ()
-            met = register.rounds.met
+            met = self.met()
             words = await self.words([one for one in members if one.address != register.address])
             if register.witness.put_back(words):
                 await self.give_up()
             elif len(words) + 1 >= core.majority(len(members)):
                 register.witness.trust()
             else:
-                with trio.move_on_after(AGAIN):
+                with trio.move_on_after(ASK_AGAIN_S):
                     await met.wait()
         self.readable.set()
 
@@ -70,12 +71,12 @@
         async def ask(member: Member) -> None:
             nonlocal answered
             while True:
-                met = register.rounds.met
+                met = self.met()
                 reply = await register.send(member, {"kind": "read", "me": list(register.me)})
                 if reply is not None and reply.get("kind") == "state":
                     break
                 # Danger: one that comes up while another is waited for would be asked only in the next round.
-                with trio.move_on_after(AGAIN):
+                with trio.move_on_after(ASK_AGAIN_S):
                     await met.wait()
             found.append(int(reply.get("saw", -1)))
             silent.discard(member)
@@ -94,7 +95,7 @@
             self.readable.set()
 
         # Danger: the first to answer may be one that has itself just come up; all are waited for.
-        with trio.move_on_after(WITNESS):
+        with trio.move_on_after(WORDS_S):
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(release_reads)
                 async with trio.open_nursery() as questions:
--- a/finchshelf/dataplane/choice.py
+++ b/finchshelf/dataplane/choice.py
@@ -25,14 +25,16 @@
 TIME_SMOOTH, TIME_LEAST, TIME_MOST = 0.1, 0.5, 4.0
 ROUTE_SMOOTH = 0.03  # weight of one answer in a route's usual time
 FAIL_SMOOTH, FAIL_FORGET, FAIL_COST = 0.3, 4.0, 8.0  # weight of an end in failures, s to 1/e, times its cost
-FAR = 1.1  # cost of another zone's server, as a multiple: bytes between zones are paid for
-COLD = 2.0  # of one that still warms up
-FILL = 0.3  # cost of a server with all slots taken but one, over an empty one
-ONCE = 4.0  # power of a lowered share for what can't be sent again: its failure is its client's
+OTHER_ZONE_COST = 1.1  # cost of another zone's server, as a multiple: bytes between zones are paid for
+WARMING_COST = 2.0  # of one that still warms up
+FULL_COST = 0.3  # cost of a server with all slots taken but one, over an empty one
+UNREPEATABLE_SHARE_POWER = (
+    4.0  # power of a lowered share for what can't be sent again: its failure is its client's
+)
 MOST_TOMBSTONES = 4096  # servers gone that are remembered: more than end while a cut lasts
 NOISE = 0.05  # spread of the cost: limiters that know the same must not all take the same
 # s that a server whose connections do not come up is left alone, first and at most
-AWAY, AWAY_MOST = 0.5, 4.0
+LEFT_ALONE_S, LEFT_ALONE_MOST_S = 0.5, 4.0
 
 
 @dataclass(slots=True)
@@ -139,7 +141,7 @@
         usable = [known for known in all_of if known.record.usable()]
         # Danger: whoever calls all servers lost at once is mistaken more likely than right. They are used.
         usable = usable or [known for known in all_of if known.record.mode == STABLE]
-        best, spared, waits = self.best(usable, now, tried, ONCE if once else 1.0, queue)
+        best, spared, waits = self.best(usable, now, tried, UNREPEATABLE_SHARE_POWER if once else 1.0, queue)
         if spared and (best is None or waits):
             # Danger: steering that makes requests wait, or refuses them, while there is room. A lowered
             # server is used before the rest has a queue, one that all left before a request is refused, and
@@ -177,10 +179,10 @@
     def cost(self, known: Known, held: float, now: float) -> float:
         record, slots = known.record, known.record.capacity
         wait = max(0.0, held + 1 - slots) / slots
-        cost = known.time * (1 + wait + FILL * min(held, slots) / slots)
+        cost = known.time * (1 + wait + FULL_COST * min(held, slots) / slots)
         cost *= 1 + FAIL_COST * known.failing(now)
-        cost *= COLD if now < record.warm_at else 1.0
-        return cost if record.zone == self.zone else cost * FAR
+        cost *= WARMING_COST if now < record.warm_at else 1.0
+        return cost if record.zone == self.zone else cost * OTHER_ZONE_COST
 
     # ---- what is learnt ----
 
@@ -211,7 +213,7 @@
             return
         if status is Status.UNREACHABLE:
             known.silent += 1
-            known.away = min(AWAY_MOST, max(AWAY, known.away * 2))
+            known.away = min(LEFT_ALONE_MOST_S, max(LEFT_ALONE_S, known.away * 2))
             known.away_until = now + known.away * (0.75 + 0.5 * self.random.random())
         else:
             known.silent, known.away = 0, 0.0
--- a/finchshelf/events.py
+++ b/finchshelf/events.py
@@ -18,8 +18,8 @@
 
     number: int
     name: str
-    means: str
-    do: str
+    meaning: str
+    action: str
     rare: bool = False
 
 
@@ -354,7 +354,7 @@
     """The catalogue as the table of `docs/events.md`."""
     rows = ["| number | event | means | do |", "| --- | --- | --- | --- |"]
     rows += [
-        f"| {one.number} | `{one.name}`{' *' if one.rare else ''} | {one.means} | {one.do} |"
+        f"| {one.number} | `{one.name}`{' *' if one.rare else ''} | {one.meaning} | {one.action} |"
         for one in CATALOGUE
     ]
     return "\n".join(rows)
--- a/finchshelf/membership/contact.py
+++ b/finchshelf/membership/contact.py
@@ -4,9 +4,9 @@
 the steady clock's time is handed in. It must never take an answer for younger than it is.
 
 Invariant: what a control plane says as current at `t`, more than half of the members that it knows of said
-at `t - CURRENT` or later; what a limiter goes by as current at `t`, a control plane said at `t - TOUCH` or
-later. So `CURRENT + TOUCH` after a cut nothing acts as current that the other side has left behind
-(`docs/control.md`).
+at `t - CONTROL_LEASE_S` or later; what a limiter goes by as current at `t`, a control plane said at
+`t - LIMITER_LEASE_S` or later. So after a cut, once both have passed, nothing acts as current that the other
+side has left behind (`docs/control.md`).
 """
 
 from __future__ import annotations
@@ -15,17 +15,21 @@
 from math import inf
 
 DRIFT = 0.001  # of two steady clocks, one against the other, at most
-CURRENT = 1.1  # s after contact in which a control plane's word is the core's, and it acknowledges drains
+CONTROL_LEASE_S = (
+    1.1  # s after contact in which a control plane's word is the core's, and it acknowledges drains
+)
 # s after which callers are sent elsewhere: by now those beyond the cut name this one no more, and take the
 # servers that only it hears for silent
-APART = 2.0
-TOUCH = 1.4  # s for which a limiter goes by the word of a control plane: longer than one question waits
-SETTLE = 1.5  # s in which a limiter that starts waits for the answer of a second control plane
+OUT_OF_CONTACT_S = 2.0
+LIMITER_LEASE_S = (
+    1.4  # s for which a limiter goes by the word of a control plane: longer than one question waits
+)
+SETTLE_S = 1.5  # s in which a limiter that starts waits for the answer of a second control plane
 # s without contact after which a core is taken for lost for good: a limiter that starts goes by what is told
 # behind the cut: then old is better than nothing. Danger: before that, the others may live beyond the cut and
 # decide; so it is longer than two of the cuts that operators met (16 to 22 s)
-ALONE = 45.0
-DOUBT = 0.4  # s that a value may stay accepted with no word on whether it is decided
+CUT_OFF_START_S = 45.0
+UNDECIDED_S = 0.4  # s that a value may stay accepted with no word on whether it is decided
 
 
 def spoke(sent: float, held: float) -> float:
@@ -48,17 +52,17 @@
 
 def current(last: float, now: float) -> bool:
     """May a control plane whose last contact that was call its word the core's?"""
-    return now - last <= CURRENT * (1 - DRIFT)
+    return now - last <= CONTROL_LEASE_S * (1 - DRIFT)
 
 
 def apart(last: float, now: float) -> bool:
     """Is it to send its callers elsewhere?"""
-    return now - last > APART
+    return now - last > OUT_OF_CONTACT_S
 
 
 def believed(said: float, now: float) -> bool:
     """Does a limiter still go by a control plane's word that it is in contact?"""
-    return now - said < TOUCH * (1 - DRIFT)
+    return now - said < LIMITER_LEASE_S * (1 - DRIFT)
 
 
 def out(words: Iterable[tuple[float, float]], now: float) -> float:
@@ -83,5 +87,5 @@
     Danger: two that are cut off together both tell what the others have left behind."""
     majority = 2 * len(set(members) & set(answered)) > len(members) > 0
     if told or majority:
-        return len(answered) >= 2 or since > SETTLE
-    return bool(answered) and max(since, lost) > ALONE
+        return len(answered) >= 2 or since > SETTLE_S
+    return bool(answered) and max(since, lost) > CUT_OFF_START_S
--- a/tests/stories/contact_model.py
+++ b/tests/stories/contact_model.py
@@ -17,7 +17,7 @@
 from finchshelf.membership import contact
 
 BETWEEN, WAIT, MORE, AFTER = 0.4, 1.0, 1.0, 0.3  # s, as control planes and limiters ask
-BOUND = contact.CURRENT + contact.TOUCH
+BOUND = contact.CONTROL_LEASE_S + contact.LIMITER_LEASE_S
 HARMS = ["cut", "cut", "one way", "one way", "freeze", "restart", "limiter", "heal"]
 HARMS_LONG = ["cut", "one way", "restart", "limiter", "limiter", "limiter", "freeze"]
 Rules = SimpleNamespace
@@ -56,7 +56,8 @@
     "a control plane's lease ends": {"current": lambda last, now: last > -inf},
     "a limiter's lease ends": {"believed": lambda said, now: said > -inf},
     "a limiter begins by the core's word, or that of more than half": {
-        "may_begin": lambda members, answered, told, since, lost: len(answered) >= 2 or since > contact.SETTLE
+        "may_begin": lambda members, answered, told, since, lost: len(answered) >= 2
+        or since > contact.SETTLE_S
     },
 }
 
@@ -75,14 +76,18 @@
         "out": lambda words, now: now - max((at for _, at in words), default=now)
     },
     "who has come up anew was in contact until then": {
-        "alone": lambda last, began, now: now - last if last > -inf else 2 * contact.ALONE
+        "alone": lambda last, began, now: now - last if last > -inf else 2 * contact.CUT_OFF_START_S
     },
 }
 
 
 LAX: dict[str, dict[str, Any]] = {  # found where clocks drift as much as they may
-    "a control plane's lease allows for drift": {"current": lambda last, now: now - last <= contact.CURRENT},
-    "a limiter's lease allows for drift": {"believed": lambda said, now: now - said < contact.TOUCH},
+    "a control plane's lease allows for drift": {
+        "current": lambda last, now: now - last <= contact.CONTROL_LEASE_S
+    },
+    "a limiter's lease allows for drift": {
+        "believed": lambda said, now: now - said < contact.LIMITER_LEASE_S
+    },
     "the time that an answer was held allows for drift": {
         "spoke": lambda sent, held: sent + held * (1 + contact.DRIFT)
     },
@@ -312,7 +317,7 @@
             node = self.nodes[name]
             age = self.left_behind(node.slot)
             node.touched = self.time if self.joined(node) else node.touched
-            if not node.frozen and age > contact.CURRENT and self.joined(node):
+            if not node.frozen and age > contact.CONTROL_LEASE_S and self.joined(node):
                 raise Stale(f"{name} tells of slot {node.slot}, left behind for {age:.3f} s")
         for name in self.limiters:
             node = self.nodes[name]
@@ -321,7 +326,7 @@
             now = self.clock(node)
             for other, (said, joined, slot, at) in node.words.items():
                 if joined and self.rule.believed(said, now):
-                    if self.time - at > contact.TOUCH:
+                    if self.time - at > contact.LIMITER_LEASE_S:
                         raise Stale(f"{name} goes by {other}'s word of {self.time - at:.3f} s before")
                     age = self.left_behind(slot)
                     self.oldest = max(self.oldest, age)
@@ -346,8 +351,11 @@
             return
         age = node.started - self.decided[node.slot + 1]
         alone = self.time - min(node.started, max(self.nodes[one].touched for one in node.answered))
-        self.long_alone += age > contact.CURRENT
-        if age > contact.CURRENT and alone < contact.ALONE * (1 - 2 * contact.DRIFT) - contact.CURRENT - 0.1:
+        self.long_alone += age > contact.CONTROL_LEASE_S
+        if (
+            age > contact.CONTROL_LEASE_S
+            and alone < contact.CUT_OFF_START_S * (1 - 2 * contact.DRIFT) - contact.CONTROL_LEASE_S - 0.1
+        ):
             raise Stale(
                 f"{node.name} begins by slot {node.slot}, left behind for {age:.3f} s, "
                 f"{alone:.3f} s after a contact"
--- a/tests/stories/test_core_contact.py
+++ b/tests/stories/test_core_contact.py
@@ -160,7 +160,7 @@
         for host in {*inside}:
             world.kill(host, "data", 0.2)
         # Until then who starts there serves nothing
-        await trio.sleep(contact.ALONE - 8.0)
+        await trio.sleep(contact.CUT_OFF_START_S - 8.0)
         before = len(world.judge.ran)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(partial(world.traffic, 60.0, CUT_S, key="key-hot", zones=[zone]))
@@ -222,7 +222,7 @@
 def test_given_a_zone_cut_off_with_the_holder_of_a_count_then_it_holds_it_no_longer_than_its_leases(
     way: str,
 ) -> None:
-    assert 0.0 < held_on(way, 76) < contact.CURRENT + contact.TOUCH
+    assert 0.0 < held_on(way, 76) < contact.CONTROL_LEASE_S + contact.LIMITER_LEASE_S
 
 
 def held_on(way: str, seed: int) -> float:
@@ -332,8 +332,8 @@
         world.kill(limiter, "data", 0.2)
         # Then one that runs goes on, one that starts begins once the core has been away for `ALONE`
         assert await served_after(world, running, 0.5) < 0.5
-        await served_after(world, limiter, 2 * contact.ALONE)
-        assert contact.ALONE - 0.5 < now() - began < contact.ALONE + 1.0
+        await served_after(world, limiter, 2 * contact.CUT_OFF_START_S)
+        assert contact.CUT_OFF_START_S - 0.5 < now() - began < contact.CUT_OFF_START_S + 1.0
         # And from then on without delay
         world.kill(limiter, "data", 0.2)
         assert await served_after(world, limiter, 5.0) < 2.0
@@ -341,8 +341,8 @@
         hosts = sorted({one.machine.host for one in world.processes if one.wanted})
         assert left in hosts
         await world.power_off(*hosts, back=0.5)
-        took = await served_after(world, limiter, 2 * contact.ALONE)
-        assert contact.ALONE - 1.0 < took < contact.ALONE + 3.0
+        took = await served_after(world, limiter, 2 * contact.CUT_OFF_START_S)
+        assert contact.CUT_OFF_START_S - 1.0 < took < contact.CUT_OFF_START_S + 3.0
 
     world = play(story, 79, limiters=2, controls=1)
     assert [line for line in world.judge.verdict() if "nobody tells" not in line] == []
@@ -372,7 +372,7 @@
         heal = apart(world, lost)
         await trio.sleep(1.0)
         assert await world.replace(world.configuration(2, 1, routes=NEW), at=world.supervisors()[1:]) == 200
-        await trio.sleep(contact.ALONE + 3.0)
+        await trio.sleep(contact.CUT_OFF_START_S + 3.0)
         # When one starts in the zone of the machine cut off, where that one answers first
         began = now()
         world.kill(limiter, "data", 0.2)
--- a/tests/stories/test_core_losses.py
+++ b/tests/stories/test_core_losses.py
@@ -23,7 +23,8 @@
 from finchshelf.controlplane.leaving import known, leave
 from finchshelf.controlplane.memory import Memory
 from finchshelf.controlplane.news import News
-from finchshelf.controlplane.register import Peers, Register
+from finchshelf.controlplane.peers import Peers
+from finchshelf.controlplane.register import Register
 from finchshelf.controlplane.repair import Repair
 from finchshelf.membership.records import Server as Record
 from finchshelf.transport.address import Address
--- a/tests/stories/test_core_moves.py
+++ b/tests/stories/test_core_moves.py
@@ -28,7 +28,8 @@
 from finchshelf.controlplane import cells as tables
 from finchshelf.controlplane.cells import Cells
 from finchshelf.controlplane.news import News
-from finchshelf.controlplane.register import Peers, Register
+from finchshelf.controlplane.peers import Peers
+from finchshelf.controlplane.register import Register
 from finchshelf.controlplane.resources import Pulse
 from finchshelf.invariants import Monitor
 from finchshelf.membership.records import DECAYING, GONE
--- a/tests/stories/test_fleet_stories.py
+++ b/tests/stories/test_fleet_stories.py
@@ -23,7 +23,7 @@
 from finchshelf.dataplane.choice import Choice
 from finchshelf.dataplane.core import Core
 from finchshelf.dataplane.dialect import Words
-from finchshelf.dataplane.idling import UNTOLD, Idling
+from finchshelf.dataplane.idling import UNTOLD_S, Idling
 from finchshelf.dataplane.news import News
 from finchshelf.membership.records import DECAYING, GONE, Server
 from finchshelf.transport.clients import Clients
@@ -501,13 +501,13 @@
 @pytest.mark.parametrize(
     ("tries", "once", "again"),
     [
-        ([], UNTOLD, math.inf),
+        ([], UNTOLD_S, math.inf),
         ([(0.1, 0, 400), (3.0, 0, 40)], 4.0, math.inf),  # an age at which it went well is known to go well
         ([(0.1, 0, 400), (1.3, 1, 20)], 1.0, math.inf),  # one reset is enough for what can't go again
         ([(0.1, 0, 400), (1.3, 9, 20)], 1.0, 1.0),
         (
             [(0.1, 20, 400), (1.3, 1, 20)],
-            UNTOLD,
+            UNTOLD_S,
             math.inf,
         ),  # young ones are reset as often: it has another cause
         ([(1.3, 1, 1000)], 2.0, math.inf),
@@ -522,9 +522,9 @@
         for n in range(all_of):
             idling.ended("alpha", idle, n < lost, 1.0)
     assert (idling.most("alpha", True), idling.most("alpha", False)) == (once, again)
-    assert idling.most("beta", True) == UNTOLD
+    assert idling.most("beta", True) == UNTOLD_S
     idling.ended("alpha", 0.1, False, 2000.0)  # what was long ago counts no more
-    assert idling.most("alpha", True) == UNTOLD
+    assert idling.most("alpha", True) == UNTOLD_S
 
 
 # ---- quotas ----
--- a/tests/stories/test_standing.py
+++ b/tests/stories/test_standing.py
@@ -188,7 +188,7 @@
             seen.append(plane.sweeps.doubtful(plane.clock.now()))
             plane.clock.time += 0.25
         first = seen.index(True)
-        assert contact.DOUBT <= 0.25 * first <= 2 * contact.DOUBT + 0.25 and not seen[first + 1]
+        assert contact.UNDECIDED_S <= 0.25 * first <= 2 * contact.UNDECIDED_S + 0.25 and not seen[first + 1]
 
     soon(story)
 
@@ -288,7 +288,7 @@
         limiter = Followed(nursery, sources=1)
         nursery.start_soon(limiter.follower.run)
         limiter.take(HERE, {"core": False, "value": value(3, 1)})
-        limiter.clock.time += contact.ALONE - 0.5
+        limiter.clock.time += contact.CUT_OFF_START_S - 0.5
         await trio.sleep(1.0)
         assert not limiter.versions()
         limiter.clock.time += 1.0
@@ -300,7 +300,7 @@
 
 def test_given_those_reached_have_been_cut_off_for_long_then_a_limiter_that_starts_need_not_wait() -> None:
     async def story(nursery: trio.Nursery) -> None:
-        long, short = int(contact.ALONE * 1010), 3000  # ms
+        long, short = int(contact.CUT_OFF_START_S * 1010), 3000  # ms
 
         def told(words: dict[str, int], then: float = 0.0) -> list[int]:
             limiter = Followed(nursery, sources=len(words))
@@ -312,7 +312,7 @@
 
         assert told({HERE: long}) == [1]
         # And it waits where they were not, or where nothing more was heard after that word
-        assert told({HERE: short}) == [] and told({HERE: long - 1000}, contact.TOUCH + 1.0) == []
+        assert told({HERE: short}) == [] and told({HERE: long - 1000}, contact.LIMITER_LEASE_S + 1.0) == []
         # The last contact of any counts
         assert contact.out([(100.0, 50.0), (80.0, 79.0)], 100.0) == 21.0 and contact.out([], 100.0) == 0.0
 
