--- a/finchshelf/events.py
+++ b/finchshelf/events.py
@@ -18,8 +18,8 @@
 
     number: int
     name: str
-    means: str
-    do: str
+    meaning: str
+    action: str
     rare: bool = False
 
 
@@ -224,6 +224,13 @@
         "votes for nothing and serves what it knew. `peer`; `form`: what it reads.",
         "Renew that machine, or put the newer text back on it.",
     ),
+    Event(
+        409,
+        "sweep.error",
+        "A look at silent servers (`step` sweep) or at the core's members (`mend`) met an error of ours; the "
+        "program goes on and looks again.",
+        REPORT,
+    ),
     Event(
         501,
         "configuration",
@@ -347,7 +354,7 @@
     """The catalogue as the table of `docs/events.md`."""
     rows = ["| number | event | means | do |", "| --- | --- | --- | --- |"]
     rows += [
-        f"| {one.number} | `{one.name}`{' *' if one.rare else ''} | {one.means} | {one.do} |"
+        f"| {one.number} | `{one.name}`{' *' if one.rare else ''} | {one.meaning} | {one.action} |"
         for one in CATALOGUE
     ]
     return "\n".join(rows)
