--- a/finchshelf/cli/system.py
+++ b/finchshelf/cli/system.py
@@ -55,6 +55,11 @@
     process: subprocess.Popen[bytes]
     log: Path
     killed: bool = False
+    logged: int = 0  # bytes in its log before this life
+
+    def has_started(self) -> bool:
+        """Did this life say that it listens?"""
+        return b'"event":"start"' in self.log.read_bytes()[self.logged :]
 
     def last_lines(self) -> str:
         return self.log.read_text(errors="replace")[-600:]
@@ -146,6 +151,7 @@
             "FINCHSHELF_BOOT": str(self.settings(role, machine, first)),
             "PYTHONPATH": os.pathsep.join(paths),
         }
+        logged = path.stat().st_size if path.exists() else 0
         with path.open("ab") as sink:
             process = subprocess.Popen(
                 [sys.executable, *options, "-m", *started, *words],
@@ -155,7 +161,7 @@
                 stderr=sink,
             )
         log("child.started", child=name, pid=process.pid)
-        self.children[name] = Child(name, process, path)
+        self.children[name] = Child(name, process, path, logged=logged)
         return self.children[name]
 
     def kill(self, name: str) -> None:
--- a/finchshelf/soak/troubles.py
+++ b/finchshelf/soak/troubles.py
@@ -143,6 +143,8 @@
                 self.ledger.faults.append(f"{name}: still there {ENDS_S:g} s after SIGTERM")
                 child.process.kill()
                 child.process.wait()
+            elif child.process.returncode == -signal.SIGTERM and not child.has_started():
+                pass  # it was still loading: it listened nowhere, and nothing was lost
             elif child.process.returncode != 0:
                 self.ledger.faults.append(f"{name}: status {child.process.returncode} after SIGTERM")
         await trio.sleep(FRESH_S)
