A stale refusal is told to come again; SIGHUP is ignored before any library loads

Cause: (DENIED) a request carries the verdict of the configuration that read it; when news are taken before it, as all are after a halt, the check for "no configuration yet" passes and the old verdict goes out as 404 or 401. Class: a decision by one version carried out under another. (SIGHUP) the first line of `main` ran after the libraries had loaded. Class: a guard that begins too late. Change: a request knows the version that read it; refused by another than the one in force, it gets 503 with the time to come back.

--- a/benchmarks/start_cost.py
+++ b/benchmarks/start_cost.py
@@ -45,8 +45,8 @@
     "orjson",
     "msgpack",
     "lmdb",
-    "finchshelf.dataplane.__main__",
-    "finchshelf.controlplane.__main__",
+    "finchshelf.dataplane.process",
+    "finchshelf.controlplane.process",
     "finchshelf.__main__",
     "click",
     "pythonjsonlogger.json",
@@ -210,7 +210,7 @@
     print("\n| loading | alone s | after the data plane s |\n| --- | --- | --- |")
     for module in LOADED:
         alone = [loading(module, "") for _ in range(plays)]
-        after = [loading(module, "finchshelf.dataplane.__main__") for _ in range(plays)]
+        after = [loading(module, "finchshelf.dataplane.process") for _ in range(plays)]
         print(f"| `{module}` | {cell(alone, '.3f')} | {cell(after, '.3f')} |")
     print("\n| writer | microseconds a line |\n| --- | --- |")
     ours, theirs = lines_cost(plays)
--- a/finchshelf/dataplane/core.py
+++ b/finchshelf/dataplane/core.py
@@ -37,6 +37,8 @@
 from finchshelf.transport.servers import Servers
 from finchshelf.transport.telemetry import Telemetry
 
+STARTING_S = 0.2  # after which whoever came before the first configuration may come again
+STALE_S = 0.001  # the same for who was refused by a configuration that is no longer in force
 OF_REQUESTS = (Due.HEDGE, Due.END)  # timers whose number is a request's
 NOTHING: Headers = [(b"Content-Length", b"0")]
 
@@ -192,7 +194,11 @@
         if self.seen.on:
             self.seen.add(request.route.label if request.route is not None else "", "taken")
         if self.configuration.version == 0:
-            return self.answer(request, refusal(503, 0.2), "refused.starting")
+            return self.answer(request, refusal(503, STARTING_S), "refused.starting")
+        if request.verdict and request.version != self.configuration.version:
+            # Danger: read before the news and decided after them, as after a halt, it would be refused by
+            # what is no longer in force, or by nothing at all. It has not run: its client may ask again.
+            return self.answer(request, refusal(503, STALE_S), "refused.stale")
         if request.route is None or request.verdict:
             return self.answer(request, plain(request.verdict or 404), f"refused.{request.verdict}")
         if now >= request.until:  # it came during a halt: its client has given up, so nobody is asked
--- a/finchshelf/dataplane/dialect.py
+++ b/finchshelf/dataplane/dialect.py
@@ -41,6 +41,7 @@
 
     route: Route | None = None
     tenant: Tenant | None = None
+    version: int = 0  # of the configuration that it was read by
     verdict: int = 0  # status of the answer that it gets at once: no such route, no such key
     rank: float = 0.0  # by precedence of its tenant, then of its route: 0 the highest, 1 the lowest
     service: str = ""
@@ -130,6 +131,7 @@
             trial,
             route=route,
             tenant=tenant,
+            version=where.version,
             verdict=verdict,
             came=came,
             rank=where.rank(tenant, route) if route is not None else 0.0,
--- a/finchshelf/program.py
+++ b/finchshelf/program.py
@@ -9,7 +9,6 @@
 
 import os
 import secrets
-import signal
 import sys
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 
@@ -110,7 +109,6 @@
 
 def main(serve: Serve) -> int:
     """Run a program to its end: 0 as planned, 1 by an error, 2 without settings that can be used."""
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # Danger: it ends whoever does not listen yet
     try:
         boot = read_boot(os.environ.get("FINCHSHELF_BOOT", ""))
     except SettingsError as error:
--- a/finchshelf/soak/child.py
+++ b/finchshelf/soak/child.py
@@ -8,25 +8,26 @@
 
 import importlib
 import os
+import signal
 import sys
 
-from finchshelf.configuration.boot import read_boot
-from finchshelf.soak.gate import Gate, install
-
 PROGRAMS = ("dataplane", "controlplane")
 
 
 def main() -> int:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # as the programs do before they load anything
     name = sys.argv.pop(1) if len(sys.argv) > 1 else ""
     if name not in PROGRAMS:
         print(f"soak.child: expected one of {', '.join(PROGRAMS)}", file=sys.stderr)
         return 2
+    from finchshelf.configuration.boot import read_boot
+    from finchshelf.soak.gate import Gate, install
+
     boot = read_boot(os.environ["FINCHSHELF_BOOT"])
     install(Gate(os.environ["FINCHSHELF_GATE"], boot.ip))
     if mutant := os.environ.get("FINCHSHELF_MUTANT"):
         importlib.import_module("finchshelf.soak.mutants").MUTANTS[mutant].apply()
-    program = importlib.import_module(f"finchshelf.{name}.__main__")
-    return int(program.main())
+    return int(importlib.import_module(f"finchshelf.{name}.process").main())
 
 
 if __name__ == "__main__":
--- a/tests/stories/test_experience.py
+++ b/tests/stories/test_experience.py
@@ -21,10 +21,10 @@
 from finchshelf.cli import show
 from finchshelf.cli.demo import Demo
 from finchshelf.cli.system import INNER, Child
-from finchshelf.dataplane.__main__ import switched
 from finchshelf.dataplane.choice import Choice
 from finchshelf.dataplane.core import Core
 from finchshelf.dataplane.news import News
+from finchshelf.dataplane.process import switched
 from finchshelf.dataplane.steering import Steering
 from finchshelf.experience.board import Board
 from finchshelf.experience.digest import Digest, Kind, kind
--- a/tests/stories/world/fleet.py
+++ b/tests/stories/world/fleet.py
@@ -23,9 +23,9 @@
 from finchshelf import program as settings
 from finchshelf.configuration import boot as boot_file
 from finchshelf.configuration.boot import Boot
-from finchshelf.controlplane import __main__ as control_plane
+from finchshelf.controlplane import process as control_plane
 from finchshelf.controlplane import register
-from finchshelf.dataplane import __main__ as data_plane
+from finchshelf.dataplane import process as data_plane
 from finchshelf.dataplane import questions
 from finchshelf.experience.policy import DEFAULT
 from finchshelf.transport import halts, net
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -258,9 +258,7 @@
 
 
 def test_the_programs_start_without_the_command_lines_libraries() -> None:
-    code = (
-        "import sys, finchshelf.dataplane.__main__, finchshelf.controlplane.__main__\n" "print(*sys.modules)"
-    )
+    code = "import sys, finchshelf.dataplane.process, finchshelf.controlplane.process\n" "print(*sys.modules)"
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
     assert not {"click", "pythonjsonlogger", "jsonschema", "finchshelf.cli"} & set(done.stdout.split())
 
