The present node too ignores SIGHUP before it loads; the soak wipes one disk at a time

Cause: the same gap as in the system's programs, found by looking for it elsewhere. In the soak, a wipe could come while the member wiped before was cut off or still starting: more than the system promises to bear. Change: `finchshelf/__main__.py` ignores SIGHUP and loads `node/process.py`. A disk is emptied only where all three machines with one say that they are members; else its program is only killed. Reading of figures is `soak/figures.py`.

--- a/benchmarks/start_cost.py
+++ b/benchmarks/start_cost.py
@@ -47,7 +47,7 @@
     "lmdb",
     "finchshelf.dataplane.process",
     "finchshelf.controlplane.process",
-    "finchshelf.__main__",
+    "finchshelf.node.process",
     "click",
     "pythonjsonlogger.json",
     "jsonschema",
--- a/finchshelf/soak/seed.py
+++ b/finchshelf/soak/seed.py
@@ -18,23 +18,22 @@
 
 import orjson
 import trio
-from prometheus_client.parser import text_string_to_metric_families
 
 from finchshelf.cli.system import CONTROL, FRONT, READINESS, System
+from finchshelf.soak import figures
 from finchshelf.soak import judge as judges
 from finchshelf.soak import plan as plans
-from finchshelf.soak import wire
 from finchshelf.soak.clients import Crowd, Platform, Route
 from finchshelf.soak.cuts import Cuts
 from finchshelf.soak.judge import Breach, Judge
 from finchshelf.soak.ledger import Ledger
 from finchshelf.soak.operators import Office
 from finchshelf.soak.plan import CORE, MACHINES, USUAL, Pace, Plan
-from finchshelf.soak.servers import Server, Yard, status_of
+from finchshelf.soak.servers import Server, Yard
 from finchshelf.soak.troubles import Hands
 from finchshelf.transport.address import Address
 
-METRICS = {"control-plane": 9101, "data-plane": 9102}
+METRICS = {"control-plane": figures.CONTROL_PORT, "data-plane": figures.EDGE_PORT}
 STARTS_S = 40.0  # for the first configuration to be taken: ten programs start at once
 READY_S = 20.0
 SCRAPE_S = 2.0
@@ -73,7 +72,7 @@
         self.random, self.ledger = Random(f"soak actors {plan.seed}"), Ledger()
         self.cuts = Cuts(folder)
         self.system = System(folder, MACHINES, core=CORE, launcher="finchshelf.soak.child")
-        self.system.extra = {role: {"metrics": f"{port}/metrics"} for role, port in METRICS.items()}
+        self.system.extra = {role: {"metrics": f"{port}{figures.PATH}"} for role, port in METRICS.items()}
         self.system.env = {"FINCHSHELF_GATE": str(folder / "gate-{machine}")}
         if mutant:
             self.system.env["FINCHSHELF_MUTANT"] = mutant
@@ -164,16 +163,8 @@
 
     async def scrape_one(self, name: str, address: Address) -> None:
         pid = self.system.children[name].process.pid
-        told = await wire.call(address.host, address.port, "GET", "/metrics", b"", 1.0)
-        if told is None or status_of(told) != 200:
-            return
-        for family in text_string_to_metric_families(told.body.decode()):
-            if family.name == "finchshelf_invariant_violations":
-                self.scraped[f"{name} {pid}"] = {
-                    one.labels["invariant"]: one.value
-                    for one in family.samples
-                    if one.name.endswith("_total")
-                }
+        if found := await figures.violations(address):
+            self.scraped[f"{name} {pid}"] = found
 
     def read_logs(self) -> None:
         """Violations by metric, and lines that must not come, of all lives of all programs."""
--- a/finchshelf/soak/troubles.py
+++ b/finchshelf/soak/troubles.py
@@ -15,6 +15,7 @@
 
 from finchshelf.cli.system import System
 from finchshelf.soak import cuts as links
+from finchshelf.soak import figures
 from finchshelf.soak.clients import BURST, Crowd
 from finchshelf.soak.cuts import Cuts
 from finchshelf.soak.ledger import Ledger, Struck
@@ -118,7 +119,18 @@
         return await self.kill(CONTROL, trouble)
 
     async def control_wipe(self, trouble: Trouble) -> bool:
-        return await self.kill(CONTROL, trouble, wipe=True)
+        """Where the member whose disk was lost before does not count again, the disk is kept: the system
+        bears the loss of one at a time."""
+        return await self.kill(CONTROL, trouble, wipe=await self.all_count())
+
+    async def all_count(self) -> bool:
+        """Does each machine with a disk say that it is a member, and holds the newest?"""
+        asked = [figures.state(address) for address in self.system.each(figures.CONTROL_PORT)[:CORE]]
+        for one in asked:
+            state = await one
+            if not (state.get("is_member") and state.get("proved_newest") and not state.get("disk_in_doubt")):
+                return False
+        return True
 
     async def edge_kill(self, trouble: Trouble) -> bool:
         return await self.kill(EDGE, trouble)
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -21,9 +21,9 @@
 import trio
 import trio.testing
 
-from finchshelf.__main__ import Node, serve
 from finchshelf.node import config as configuration
 from finchshelf.node.config import Config
+from finchshelf.node.process import Node, serve
 from finchshelf.transport.address import Address
 from finchshelf.transport.exchange import Clock
 from finchshelf.transport.telemetry import Telemetry
--- a/tests/test_node_move.py
+++ b/tests/test_node_move.py
@@ -10,9 +10,9 @@
 import pytest
 import trio
 
-from finchshelf.__main__ import reload
 from finchshelf.admission import interface as i
 from finchshelf.admission.servers import Servers
+from finchshelf.node.process import reload
 from tests.stand_ins import SETTINGS, Got, World, call, config_object, entry, ok, trio_test, until, world
 from tests.world import server, settings
 
--- a/tests/test_node_upgrade.py
+++ b/tests/test_node_upgrade.py
@@ -11,8 +11,8 @@
 
 import trio
 
-from finchshelf.__main__ import another
 from finchshelf.node.core import OVERLAP, Core
+from finchshelf.node.process import another
 from finchshelf.transport import net
 from finchshelf.transport.address import Address
 from finchshelf.transport.exchange import Clock
