The check that every request ends goes by its own moment, not by a late turn's

Change: the check looks at what was due by its own moment: timers before that have been carried out.

--- a/finchshelf/dataplane/core.py
+++ b/finchshelf/dataplane/core.py
@@ -149,7 +149,8 @@
                 self.timers.add(now + self.counting.caller.pace(), Due.COUNT_BEAT)
         elif timer.due is Due.CHECK:
             self.timers.add(now + CHECK_EVERY_S, Due.CHECK)
-            self.checks.overdue(self.live.values(), now)
+            # Danger: after a halt it is late itself. Only the timers before its own moment were carried out.
+            self.checks.overdue(self.live.values(), timer.at)
         elif (request := self.live.get(timer.number)) is None:
             return
         elif timer.due is Due.HEDGE:
--- a/tests/stories/test_timers.py
+++ b/tests/stories/test_timers.py
@@ -56,6 +56,21 @@
     run(story)
 
 
+def test_given_a_halt_when_the_check_of_open_requests_is_late_then_it_calls_none_overdue_by_that() -> None:
+    # Given a request whose end comes just after the check's own moment
+    clock: Any = mock.Mock(now=lambda: 0.0)
+    core = Core("edge-1", "north", clock, Telemetry("edge-1", sink=-1), Random(1), 0.2, 0.0)
+    core.servers, core.clients, answers = mock.Mock(), mock.Mock(), list[tuple[int, int]]()
+    core.live[1] = request_of(1, answers)
+    core.timer(DEADLINE_S / 2, Due.CHECK, 0)
+    core.timer(DEADLINE_S, Due.END, 1)
+    # When the program stood still for seconds, and both are due
+    for timer in core.timers.due(9.0):
+        core.tick(timer, 9.0)
+    # Then the request is answered, and no invariant is violated
+    assert answers == [(1, 503)] and not core.telemetry.monitor.violations
+
+
 @pytest.mark.parametrize(("task", "fails", "every"), [("sweep", "look", SWEEP), ("mend", "mend_once", MEND)])
 def test_given_a_look_that_fails_when_the_next_is_due_then_it_is_made_and_the_fault_told(
     task: str, fails: str, every: float
