--- a/finchshelf/cli/deploy.py
+++ b/finchshelf/cli/deploy.py
@@ -15,6 +15,7 @@
 MOST_ROLES = 2  # on one machine
 
 TEXT = {"type": "string", "minLength": 1}
+PACKAGE = {"type": "string", "pattern": "^[a-z0-9][a-z0-9.+-]+$"}  # a Debian package's name
 ROLE = {
     "type": "object",
     "required": ["run", "on", "serves"],
@@ -34,6 +35,7 @@
     "required": ["build", "roles"],
     "properties": {
         "build": TEXT,
+        "packages": {"type": "array", "items": PACKAGE, "uniqueItems": True},
         "roles": {"type": "object", "minProperties": 1, "additionalProperties": ROLE},
     },
     "additionalProperties": False,
