A failed timer calls its request's tries off; a contradiction is counted once

Cause: a request whose timer failed was answered 502 while a try of it stayed out, so its server went on for a client that had its answer. An answer left only after all that counts it: an error there left the client without one. `one-value-per-slot` looked at a value that the acceptor keeps, so one break counted again with each later message. Change: a fault finishes the request (answer, then its tries called off); the answer goes first; each contradiction is counted and logged once, with its own slot.

--- a/finchshelf/controlplane/chain.py
+++ b/finchshelf/controlplane/chain.py
@@ -17,14 +17,19 @@
     def __init__(self, monitor: Monitor, address: str) -> None:
         self.monitor, self.address = monitor, address
         self.read_slot = -1  # the newest slot that a read or an acknowledgement of this life leaned on
+        self.contradicted: Value | None = None  # the contradiction counted last: each counts once
 
     def learned(self, before: Value | None, after: Value | None, contradiction: Value | None) -> None:
-        """The decided values before and after a message; `contradiction`: another one heard for this slot."""
-        if contradiction is not None and after is not None:
+        """The decided values before and after a message; `contradiction`: another one heard for a slot.
+
+        The acceptor keeps the contradiction that it heard last, so it comes here with each later message."""
+        if contradiction is not None and after is not None and contradiction != self.contradicted:
+            self.contradicted = contradiction
             self.monitor.check(
                 False,
                 invariants.ONE_VALUE_PER_SLOT,
-                slot=after.slot,
+                slot=contradiction.slot,
+                known_slot=after.slot,
                 version=after.version,
                 heard=contradiction.version,
                 members=[one.address for one in after.members],
--- a/finchshelf/dataplane/core.py
+++ b/finchshelf/dataplane/core.py
@@ -134,7 +134,8 @@
         self.telemetry.rare("core.error", error=repr(error), trace=traceback.format_exc(limit=-4))
         request = item.attempt.exchange if isinstance(item, Ended) else item
         if isinstance(request, Request):
-            self.answer(request, plain(502), "out.failed")
+            # Danger: a try of it may still be out. Its server would go on for a client that has its answer.
+            self.finish(request, plain(502), "out.failed")
 
     def timer(self, at: float, due: Due, number: int) -> None:
         self.timers.add(at, due, number)
@@ -381,6 +382,8 @@
     def answer(self, request: Request, answer: Answer, counted: str) -> None:
         if self.live.pop(request.id, None) is None:
             return
+        # Danger: the answer goes first. An error in what only counts it would leave the client without one.
+        request.reply(answer)
         self.count[counted] += 1
         self.checks.answering(request, answer.status, counted)
         self.failures.ended(request, counted, answer.status, self.clock.now())
@@ -393,7 +396,6 @@
                 answer.status,
                 self.clock.now() - request.came,
             )
-        request.reply(answer)
 
     def cancel(self, request: Request) -> None:
         for attempt in request.out.values():
--- a/tests/stories/test_timers.py
+++ b/tests/stories/test_timers.py
@@ -12,10 +12,11 @@
 from trio.testing import MockClock
 
 from finchshelf.controlplane.sweeps import MEND, SWEEP, Sweeps
-from finchshelf.dataplane.core import Core
+from finchshelf.dataplane.core import Core, plain
 from finchshelf.dataplane.dialect import Request
 from finchshelf.dataplane.timers import Due
-from finchshelf.transport.exchange import Answer
+from finchshelf.transport.address import Address
+from finchshelf.transport.exchange import Answer, Attempt
 from finchshelf.transport.telemetry import Telemetry
 
 DEADLINE_S = 0.2
@@ -56,6 +57,33 @@
     run(story)
 
 
+def test_given_a_timer_that_fails_while_a_try_is_out_when_it_is_answered_then_the_try_is_called_off() -> None:
+    # Given a request with one try at a server
+    clock: Any = mock.Mock(now=lambda: 0.0)
+    core = Core("edge-1", "north", clock, Telemetry("edge-1", sink=-1), Random(1), 0.2, 0.0)
+    core.servers, core.clients, answers = mock.Mock(), mock.Mock(), list[tuple[int, int]]()
+    request = core.live[1] = request_of(1, answers)
+    attempt = Attempt(request, 0, "i-1", Address("127.0.0.1", 1), DEADLINE_S, 0.0, DEADLINE_S, 0.0)
+    request.out[attempt.number] = attempt
+    # When its timer fails
+    core.fault(request, KeyError("no such server"))
+    # Then its client has an answer that promises nothing, and no server goes on for it
+    assert answers == [(1, 502)] and attempt.cancelled
+
+
+def test_given_an_error_in_what_counts_an_answer_when_it_is_given_then_the_client_has_it() -> None:
+    clock: Any = mock.Mock(now=lambda: 0.0)
+    core = Core("edge-1", "north", clock, Telemetry("edge-1", sink=-1), Random(1), 0.2, 0.0)
+    answers = list[tuple[int, int]]()
+    request = core.live[1] = request_of(1, answers)
+    with (
+        mock.patch.object(core.failures, "ended", side_effect=KeyError("a cause that nobody thought of")),
+        pytest.raises(KeyError),
+    ):
+        core.answer(request, plain(503), "refused.room")
+    assert answers == [(1, 503)]
+
+
 def test_given_a_halt_when_the_check_of_open_requests_is_late_then_it_calls_none_overdue_by_that() -> None:
     # Given a request whose end comes just after the check's own moment
     clock: Any = mock.Mock(now=lambda: 0.0)
