--- a/benchmarks/target.py
+++ b/benchmarks/target.py
@@ -12,11 +12,6 @@
 
 LIMITERS = 560
 SIZES = (50, 150, LIMITERS)
-CONTROLS, ZONES = 5, 4
-REQUESTS, CHANGES, RESTARTS = 62_000, 890, 750  # a second at peak, a day, a day
-CORE_PART, MEMORY_MB, BYTES_S = 0.018, 128.0, 27_000.0  # what a limiter may spend on control
-ADDED_S, IN_FORCE_S = 0.0066, 15.0
-DAY = 86_400.0
 
 
 @dataclass(frozen=True)
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -8,10 +8,9 @@
 
 import pytest
 
-from benchmarks import capacity, changes, scale
+from benchmarks import capacity, changes
 from benchmarks.target import LIMITERS, SIZES, Line, Site, document, fit, row
 from finchshelf.configuration import change
-from finchshelf.configuration.boot import read_boot
 
 
 def test_given_points_on_a_line_when_it_is_fitted_then_it_is_found_with_nothing_left_over() -> None:
@@ -60,19 +59,3 @@
     kinds = {key[2] for key in count.bytes}
     assert {"accept asked", "learn asked", "value told", "news asked"} <= kinds
     assert cost > 0 and size > 1000 and count.parts["zip"] > 0
-
-
-def test_given_a_scale_run_when_settings_are_written_then_each_program_can_read_them(tmp_path: Any) -> None:
-    fleet = scale.Fleet(Site(50), tmp_path, {0}, Site(50))
-    control = read_boot(fleet.boot("control-0", f"{fleet.net}.1.1", "zone-0", "supervisor"))
-    data = read_boot(fleet.boot("real-0", f"{fleet.net}.2.1", "zone-3", "edge"))
-    assert control.control is not None and control.loss_counted and control.state_dir
-    assert data.front is not None and not data.state_dir and data.region == "region-1"
-    assert control.port_range == data.port_range and len(data.initial_peers) == 3
-    assert all(host.startswith("127.") for host, _ in fleet.controls)
-    assert not fleet.processes
-
-
-def test_given_what_hollow_ones_said_when_a_span_is_read_then_only_its_seconds_count() -> None:
-    assert scale.of_all([1.0, 2.0, 3.0, 4.0], 0.5) == 3.0 and scale.of_all([7.0], 0.99) == 7.0
-    assert math.isnan(scale.of_all([], 0.5))
