A member whose disk takes no writes for 5 s is replaced by agreement

Cause: a member whose disk refuses or hangs kept its place for good: it counts in the number that more than half is taken of and has no vote, so one loss more stops the core (docs/control.md, section 3, not promised). Change: a register knows since when no write of its disk ended well, and its questions for news say so from 1 s on; from 5 s on (`DISK_FAILED_S`) such a member counts as silent in who should be a member, is no candidate, and is one again once a write went through. A disk that refused a vote is asked again each second, so that its recovery is found.

--- a/finchshelf/agreement/membership.py
+++ b/finchshelf/agreement/membership.py
@@ -14,6 +14,8 @@
 HEARD_S = 1.0  # heard within this: several heartbeats fit, so a single lost one doesn't count
 REPLACE_S = 1.5  # silent this long, with a spare at hand: longer than a restart, well before a second loss
 REMOVE_S = 3.0  # silent this long, no spare, an odd number: removing costs a vote, so it waits longer
+# s for which a disk takes no writes until its member is as good as silent: longer than a stall that passes
+DISK_FAILED_S = 5.0
 FEWEST = 3  # below three members no single loss would be survived
 MOST = 9  # more members make each decision slower and survive nothing that the task has
 TURN_S = 0.7  # s that each before in the order has for a change that is due: longer than between two looks
@@ -73,6 +75,14 @@
     return _ordered(current, quietest, None) if quietest in leaving and not len(current) % 2 else None
 
 
+def silence(heard_s: float, disk_failing_s: float) -> float:
+    """Seconds for which a member counts as silent: nothing was heard of it, or its disk takes no writes.
+
+    Danger: a member whose disk takes nothing counts in the number that more than half is taken of and has no
+    vote. Named for good, one loss more would stop the core."""
+    return max(heard_s, disk_failing_s) if disk_failing_s >= DISK_FAILED_S else heard_s
+
+
 def may_go(members: tuple[Member, ...], voting: frozenset[Member]) -> frozenset[Member]:
     """The members that may be taken away now, one of them, so that the others go on deciding without it.
 
--- a/finchshelf/agreement/standing.py
+++ b/finchshelf/agreement/standing.py
@@ -1,8 +1,9 @@
 """What a machine that has just come up may be trusted with: decisions only, time is handed in.
 
 Owns what is known of that. Standing: was what it holds proved the newest since the start, and has anybody
-named a newer slot? Witness: has anybody heard more of its disk than that holds? It must never take a disk's
-word for it: a machine may have been down for any number of changes, or its disk put back to before them.
+named a newer slot? Witness: has anybody heard more of its disk than that holds? DiskHealth: since when does
+its disk take no writes? It must never take a disk's word for it: a machine may have been down for any number
+of changes, or its disk put back to before them.
 """
 
 from __future__ import annotations
@@ -39,6 +40,24 @@
         return slot >= 0 and not behind and (self.proved or now - self.began > UNPROVED)
 
 
+class DiskHealth:
+    """Since when this machine's own disk takes no writes: it refuses them, or one that was begun hangs."""
+
+    def __init__(self) -> None:
+        self.failing_since = math.inf
+
+    def began(self, now: float) -> None:
+        """A write begins; until it has ended well the disk may be failing since now."""
+        self.failing_since = min(self.failing_since, now)
+
+    def wrote(self) -> None:
+        self.failing_since = math.inf
+
+    def failing_s(self, now: float) -> float:
+        """Seconds for which no write has ended well, though one was begun; 0 where none is due."""
+        return max(0.0, now - self.failing_since)
+
+
 class Witness:
     """How far each member's disk was, as they told; and whether this one's own is in doubt.
 
--- a/finchshelf/controlplane/asking.py
+++ b/finchshelf/controlplane/asking.py
@@ -30,6 +30,14 @@
 HOLD = 0.6  # s for other control planes to hold a record: a server waits a second for its acknowledgement
 
 
+TOLD_S = 1.0  # s for which a disk takes no writes until the others are told
+
+
+def disk_trouble(failing_s: float) -> dict[str, int]:
+    """What a question says of the own disk; nothing while it does well."""
+    return {"failing": int(1000 * failing_s)} if failing_s >= TOLD_S else {}
+
+
 class Asking:
     def __init__(
         self,
@@ -86,6 +94,7 @@
                 "control": [cells.address, cells.zone, register.me.disk, self.counted],
                 "saved": register.saved(),
                 "form": FORM,
+                **disk_trouble(register.disk_failing_s()),
             },
             BETWEEN + 1.0,
         )
--- a/finchshelf/controlplane/cells.py
+++ b/finchshelf/controlplane/cells.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from finchshelf.agreement.core import Member
+from finchshelf.agreement.membership import silence
 from finchshelf.experience.board import Board
 from finchshelf.membership.listing import Listing
 from finchshelf.membership.records import GONE, Limiter, Server, Servers, read_server
@@ -39,6 +40,7 @@
     zone: str = ""
     disk: str = ""
     counted: bool = False
+    disk_failing_since: float = math.inf  # since when its disk takes no writes, as it says
     heard: float = -1e9
     spoke: float = -1e9  # a moment at which it had not yet answered our last question that it did answer
     life: int = 0
@@ -254,10 +256,15 @@
         control.limiters, control.own = limiters, own
         return self.merge(now)
 
-    def silent(self, me: Member, now: float) -> dict[Member, float]:
-        """Seconds since each disk was heard."""
-        found = {Member(one.address, one.disk): now - one.heard for one in self.controls.values() if one.disk}
-        return {**found, me: 0.0}
+    def silent(self, me: Member, now: float, disk_failing_s: float = 0.0) -> dict[Member, float]:
+        """Seconds for which each disk has been silent or useless; `disk_failing_s`: for which the own one
+        takes no writes."""
+        found = {
+            Member(one.address, one.disk): silence(now - one.heard, now - one.disk_failing_since)
+            for one in self.controls.values()
+            if one.disk
+        }
+        return {**found, me: silence(0.0, disk_failing_s)}
 
     def lives(self) -> dict[str, int]:
         """The newest life of each control plane that was heard."""
--- a/finchshelf/controlplane/leaving.py
+++ b/finchshelf/controlplane/leaving.py
@@ -28,7 +28,8 @@
         # Danger: alone, or behind a cut, it would wait for what can't come.
         while news.joined():
             me, now = news.register.me, news.clock.now()
-            silent, spares = news.cells.silent(me, now), news.cells.candidates(me, False)
+            silent = news.cells.silent(me, now, news.register.disk_failing_s())
+            spares = news.cells.candidates(me, False)
             # Danger: its own duty, where it is the first in the order, would name others beside it.
             news.register.leavers.hear([*me, news.cells.life], trio.current_time())
             await repair.mend(silent, spares, news.going)
--- a/finchshelf/controlplane/news.py
+++ b/finchshelf/controlplane/news.py
@@ -203,12 +203,13 @@
         elif "control" in message:
             address, zone, disk, counted = message["control"]
             place((address, zone))
-            saved = number(message.get("saved", -1))
+            saved, failing_s = number(message.get("saved", -1)), number(message.get("failing", 0)) / 1000
             if not isinstance(disk, str) or len(disk) > MOST_TEXT:
                 raise Unfit("read a question for news", "control", "expected the name of a disk")
             control = self.cells.meet(address)
             if control is not None:
                 control.zone, control.disk, control.counted = zone, disk, bool(counted)
+                control.disk_failing_since = now - failing_s if failing_s > 0 else math.inf
                 self.meet_form(address, number(message.get("form", 1)))
                 have = message.get("have", {})
                 control.has = int(have.get("rev", -1)) if have.get("life") == self.cells.life else -1
--- a/finchshelf/controlplane/register.py
+++ b/finchshelf/controlplane/register.py
@@ -20,7 +20,7 @@
 from finchshelf.agreement.backoff import Backoff
 from finchshelf.agreement.core import Acceptor, Decided, Member, Proposer, Refusal, Refused, Retry, Value
 from finchshelf.agreement.membership import Leavers
-from finchshelf.agreement.standing import Standing, Witness
+from finchshelf.agreement.standing import DiskHealth, Standing, Witness
 from finchshelf.agreement.store import Store, StoreError
 from finchshelf.controlplane.chain import ChainChecks
 from finchshelf.controlplane.peers import Peers
@@ -70,7 +70,7 @@
         self.writing: Writing | None = None
         self.decided_event = trio.Event()
         self.decided_at = -math.inf  # when the newest decided value came to be known here
-        self.witness = Witness()
+        self.witness, self.disk_health = Witness(), DiskHealth()
         self.witnessing = Witnessing(self, self.give_up, lambda: self.rounds.met)
         self.acceptor = self.restored(seeds, first_start)
         self.members = self.decided.members if self.decided else ()
@@ -242,8 +242,10 @@
         acceptor = writing.acceptor = self.acceptor
         # What others told of their disks goes along with what is written anyway.
         writing.revision, state = acceptor.revision, {**acceptor.state(), "disks": self.disks()}
+        self.disk_health.began(trio.current_time())
         try:
             await trio.to_thread.run_sync(store.save, state)
+            self.disk_health.wrote()
             acceptor.saved(writing.revision)
             writing.error = None
         except StoreError as error:
@@ -261,7 +263,10 @@
         while True:
             event = self.decided_event
             if self.store is None or self.decided is None or self.acceptor.on_disk >= self.acceptor.revision:
-                await event.wait()
+                # Danger: a vote that the disk refused is no decided value. Nothing would find out that the
+                # disk takes writes again, and its member would be replaced without need.
+                with trio.move_on_after(KEEP_AGAIN):
+                    await event.wait()
                 continue
             try:
                 await self.save()
@@ -304,6 +309,10 @@
             self.checks.voting(reply["kind"], acceptor.on_disk, wanted)
         return {**reply, "saved": self.saved()} if reply["kind"] in ("promise", "accepted") else reply
 
+    def disk_failing_s(self) -> float:
+        """Seconds for which its own disk has taken no writes; 0 where it does."""
+        return self.disk_health.failing_s(trio.current_time())
+
     def saved(self) -> int:
         """Up to where its disk has it, to be told to others; -1 while its disk is in doubt."""
         return -1 if self.witness.doubted else self.acceptor.on_disk
--- a/finchshelf/controlplane/sweeps.py
+++ b/finchshelf/controlplane/sweeps.py
@@ -104,7 +104,7 @@
                 self.asking.follow(control)
         if decided is None or self.cells.young(self.cells.address, now):
             return  # Danger: who has only just come up takes all others for silent
-        silent = self.cells.silent(me, now)
+        silent = self.cells.silent(me, now, self.register.disk_failing_s())
         # Danger: were the duty a new member's, nobody would do it until that one is no longer young.
         voters = [
             m.address
--- a/tests/stories/test_core_losses.py
+++ b/tests/stories/test_core_losses.py
@@ -16,6 +16,7 @@
 
 from finchshelf.agreement import core
 from finchshelf.agreement.core import Member, Value
+from finchshelf.agreement.membership import DISK_FAILED_S
 from finchshelf.agreement.store import Store
 from finchshelf.cli import show
 from finchshelf.configuration import boot as boot_file
@@ -87,6 +88,54 @@
     fine(story, seed, limiters=2, servers=1, controls=2)
 
 
+@pytest.mark.parametrize(("seed", "mode"), [(471, "full"), (472, "hang")])
+def test_given_a_member_whose_disk_takes_nothing_for_long_when_there_is_a_spare_then_it_is_replaced(
+    seed: int, mode: str
+) -> None:
+    """It hears, answers and has no vote: named for good, the next loss would stop the core."""
+
+    async def story(world: World) -> None:
+        failing, gone, spare = world.core[1], world.core[2], "10.2.0.9"
+        disk = world.process(failing, "control").disk
+        assert disk is not None
+        disk.mode = mode
+        assert await changed(world, 2)
+        world.bring(spare, "zone2")
+        await trio.sleep(DISK_FAILED_S + CONVERGENCE_S)
+        try:
+            named = [member.address for member in newest(world)[0]]
+            world.remove(gone)
+            taken = await changed(world, 3)
+        finally:
+            world.mend()
+        assert f"{spare}:{PORTS[0]}" in named and f"{failing}:{PORTS[0]}" not in named and taken
+        # Its disk takes writes again: it is a spare, and takes the place of the one that is gone.
+        await trio.sleep(CONVERGENCE_S)
+        named = [member.address for member in newest(world)[0]]
+        assert f"{failing}:{PORTS[0]}" in named and f"{gone}:{PORTS[0]}" not in named
+
+    fine(story, seed, limiters=2, servers=1)
+
+
+@pytest.mark.parametrize("mode", ["full", "hang"])
+def test_given_a_disk_that_takes_nothing_for_a_while_when_it_does_again_then_its_member_stays(
+    mode: str,
+) -> None:
+    async def story(world: World) -> None:
+        failing = world.core[1]
+        disk = world.process(failing, "control").disk
+        assert disk is not None
+        disk.mode = mode
+        assert await changed(world, 2)
+        world.bring("10.2.0.9", "zone2")
+        await trio.sleep(DISK_FAILED_S - 2.0)
+        world.mend()
+        await trio.sleep(2 * DISK_FAILED_S)
+        assert f"{failing}:{PORTS[0]}" in [member.address for member in newest(world)[0]]
+
+    fine(story, 473, limiters=2, servers=1)
+
+
 @pytest.mark.parametrize("seed", [413, 414])
 def test_given_the_first_in_the_order_hears_nobody_when_a_member_is_lost_then_another_mends(
     seed: int,
