Contact counts a member by its disk, not by its address alone

Cause: a wiped member answers at its address and knows nothing of what was decided. Joined to it, a machine that was long cut off had "more than half of the members" and spoke for the core by what it held; a limiter that started could begin by the two (docs/control.md, section 1, not promised). Change: a control plane says its disk in the first answer of each life; contact and a limiter's majority count members as (address, disk), the own one too. One of an older text that says none counts as before, by its questions.

--- a/benchmarks/contact_search.py
+++ b/benchmarks/contact_search.py
@@ -13,13 +13,13 @@
 from unittest import mock
 
 from finchshelf.membership import contact
-from tests.stories.contact_model import BOUND, LAX, LONG, MUTANTS, Model, Stale, rules
+from tests.stories.contact_model import BOUND, LAX, LONG, MUTANTS, WIPED, Model, Stale, rules
 
 
-def search(seeds: range, count: int, seconds: float, long: bool) -> None:
+def search(seeds: range, count: int, seconds: float, long: bool, wipes: bool) -> None:
     events, begins, oldest, decided, alone = 0, 0, 0.0, 0, 0
     for seed in seeds:
-        model = Model(seed, rules(), count, long=long)
+        model = Model(seed, rules(), count, long=long, wipes=wipes)
         try:
             model.play(seconds)
         except Stale as found:
@@ -36,12 +36,18 @@
 
 
 def mutants(seeds: range, seconds: float) -> None:
-    for table, drift in ((MUTANTS, contact.DRIFT), (LAX, 0.4), (LONG, contact.DRIFT)):
+    for table, drift in (
+        (MUTANTS, contact.DRIFT),
+        (LAX, 0.4),
+        (LONG, contact.DRIFT),
+        (WIPED, contact.DRIFT),
+    ):
         with mock.patch.object(contact, "DRIFT", drift):
             for name, other in table.items():
                 events = 0
                 for seed in seeds:
-                    model = Model(seed, rules(**other), 5 if seed % 2 else 3, long=table is LONG)
+                    count = 5 if seed % 2 else 3
+                    model = Model(seed, rules(**other), count, long=table is LONG, wipes=table is WIPED)
                     try:
                         model.play(4 * seconds if table is LONG else seconds)
                     except Stale as found:
@@ -57,7 +63,8 @@
     words.add_argument("--seeds", default="0-199")
     words.add_argument("--count", type=int, default=5)
     words.add_argument("--seconds", type=float, default=30.0)
-    words.add_argument("--long", action="store_true", help="cuts that last longer than ALONE")
+    words.add_argument("--long", action="store_true", help="cuts that last longer than CUT_OFF_START_S")
+    words.add_argument("--wipes", action="store_true", help="disks that are lost, one at a time")
     words.add_argument("--mutants", action="store_true")
     given = words.parse_args()
     first, _, last = given.seeds.partition("-")
@@ -65,7 +72,7 @@
     if given.mutants:
         mutants(seeds, given.seconds)
     else:
-        search(seeds, given.count, given.seconds, given.long)
+        search(seeds, given.count, given.seconds, given.long, given.wipes)
 
 
 if __name__ == "__main__":
--- a/finchshelf/controlplane/asking.py
+++ b/finchshelf/controlplane/asking.py
@@ -106,6 +106,8 @@
         """`spoke`: a moment at which it had not yet said all of this."""
         cells, register, joined = self.cells, self.news.register, self.news.joined()
         cells.hear(control, now)
+        if heard.disk is not None:
+            control.run_on(heard.disk)
         control.spoke = max(control.spoke, spoke)
         if heard.life != control.life:
             control.since = now
--- a/finchshelf/controlplane/cells.py
+++ b/finchshelf/controlplane/cells.py
@@ -52,6 +52,13 @@
     verdicts: int = -1
     limiters: tuple[Limiter, ...] = ()
 
+    def run_on(self, disk: str) -> None:
+        """It runs on that disk.
+
+        Danger: what it said by another disk counts for nobody: a wiped one knows nothing of what it said."""
+        if disk != self.disk:
+            self.disk, self.spoke = disk, -math.inf
+
 
 class Held:
     """Ids of the drains that more than half of the core holds, so that not each beat asks for it again.
--- a/finchshelf/controlplane/heard.py
+++ b/finchshelf/controlplane/heard.py
@@ -19,6 +19,7 @@
     Server,
     Unfit,
     is_address,
+    read_disk,
     read_server,
 )
 from finchshelf.transport.frames import Message
@@ -58,6 +59,7 @@
     controls: list[tuple[str, str]]
     verdicts: tuple[int, list[Verdict]] | None = None
     held: float = 0.0
+    disk: str | None = None  # that it runs on, told once in each life; None: not told
 
 
 def read_answer(answer: Message, now: float, known: tuple[Limiter, ...] = ()) -> Heard:
@@ -80,4 +82,5 @@
         [place(row) for row in answer.get("controls", ())],
         verdicts,
         number(answer.get("held", 0)) / 1000,
+        read_disk(answer.get("disk")),
     )
--- a/finchshelf/controlplane/news.py
+++ b/finchshelf/controlplane/news.py
@@ -64,7 +64,7 @@
         self.members = Members(nursery, cells.address)
         self.forms, self.older = Forms(cells.address), set[str]()
         self.asking = Asking(self, cells, self.members, clock, nursery, counted, random, log)
-        self.standing = Standing(cells, lambda: self.register.decided, random)
+        self.standing = Standing(cells, lambda: self.register.decided, lambda: self.register.me, random)
         self.event = trio.Event()
         self.times = Times()
         self.looking, self.look_at = False, 0.0
@@ -208,7 +208,8 @@
                 raise Unfit("read a question for news", "control", "expected the name of a disk")
             control = self.cells.meet(address)
             if control is not None:
-                control.zone, control.disk, control.counted = zone, disk, bool(counted)
+                control.zone, control.counted = zone, bool(counted)
+                control.run_on(disk)
                 control.disk_failing_since = now - failing_s if failing_s > 0 else math.inf
                 self.meet_form(address, number(message.get("form", 1)))
                 have = message.get("have", {})
@@ -247,6 +248,8 @@
             answer["rev"] = cells.servers.rev
             if rev < 0:
                 answer["whole"] = now - cells.began
+        if not same:
+            answer["disk"] = self.register.me.disk
         # Danger: in contact, but with a value not proved or known to be old, it tells none; and a limiter
         # that starts would take that for "nothing newer" than what one cut off told.
         joined = not limiter or (
--- a/finchshelf/controlplane/standing.py
+++ b/finchshelf/controlplane/standing.py
@@ -10,14 +10,20 @@
 from math import inf
 from random import Random
 
-from finchshelf.agreement.core import Value
+from finchshelf.agreement.core import Member, Value
 from finchshelf.controlplane.cells import YOUNG, Cells
 from finchshelf.membership import contact
 
 
 class Standing:
-    def __init__(self, cells: Cells, decided: Callable[[], Value | None], random: Random) -> None:
-        self.cells, self.decided = cells, decided
+    def __init__(
+        self,
+        cells: Cells,
+        decided: Callable[[], Value | None],
+        me: Callable[[], Member],
+        random: Random,
+    ) -> None:
+        self.cells, self.decided, self.me = cells, decided, me
         self.turn = random.randrange(1 << 16)  # whom a caller is sent to next
 
     def members(self) -> set[str]:
@@ -25,9 +31,10 @@
         return {member.address for member in decided.members} if decided else set()
 
     def last(self, now: float) -> float:
-        """When this one was last in contact with more than half of the core."""
-        spoken = {one.address: one.spoke for one in self.cells.controls.values()}
-        return contact.contact(self.members(), self.cells.address, spoken, now)
+        """When this one was last in contact with more than half of the core, disk by disk."""
+        decided = self.decided()
+        spoken = {Member(one.address, one.disk): one.spoke for one in self.cells.controls.values()}
+        return contact.contact(decided.members if decided else (), self.me(), spoken, now)
 
     def joined(self, now: float) -> bool:
         """May its word be called the core's?"""
--- a/finchshelf/dataplane/follower.py
+++ b/finchshelf/dataplane/follower.py
@@ -15,7 +15,7 @@
 import trio
 
 from finchshelf.agreement import parcel
-from finchshelf.agreement.core import Value
+from finchshelf.agreement.core import Member, Value
 from finchshelf.configuration.document import Configuration, read_configuration
 from finchshelf.dataplane.news import News
 from finchshelf.experience.times import EACH as EACH_TIMES
@@ -28,6 +28,7 @@
     Limiter,
     Unfit,
     is_address,
+    read_disk,
     read_server,
 )
 from finchshelf.rollout.evidence import EACH, Seen
@@ -75,6 +76,7 @@
         self.shed = False  # was the last one answered by "busy"?
         self.core = False  # was it in touch with more than half of the core, as it last said?
         self.contact = -1e9  # when it last was, as it said
+        self.disk: str | None = None  # that it runs on; None: it is of an older text and does not say
         self.told = 0  # what it knows of the counters that a roll-out watches
         self.times: dict[str, float] = {}  # and of the usual times of routes
         self.timed = -1e9
@@ -110,7 +112,7 @@
         self.answered: set[str] = set()
         self.first, self.begun = 0.0, False
         self.named = trio.Event()  # while it may not begin: a control plane names others
-        self.members: tuple[str, ...] = ()  # of the core, by the newest value that was told
+        self.members: tuple[Member, ...] = ()  # of the core, by the newest value that was told
         self.aside: Configuration | None = None  # told by who is cut off, and not gone by yet
         for address in seeds:
             self.meet(address, "")
@@ -136,9 +138,17 @@
                 )
                 words = ((one.said, one.contact) for one in self.sources.values())
                 lost = contact.out(words, now) if asked else 0.0
-                self.begun = contact.may_begin(self.members, self.answered, told, now - self.first, lost)
+                answered = {self.identity(address) for address in self.answered}
+                self.begun = contact.may_begin(self.members, answered, told, now - self.first, lost)
         return self.begun
 
+    def identity(self, address: str) -> Member:
+        """The control plane there by its disk; one that doesn't say is taken for the member named there."""
+        source = self.sources.get(address)
+        if source is not None and source.disk is not None:
+            return Member(address, source.disk)
+        return next((one for one in self.members if one.address == address), Member(address, ""))
+
     def in_touch(self) -> bool:
         """Does anyone who is in touch with more than half of the core speak to this limiter?"""
         now = self.clock.now()
@@ -274,12 +284,15 @@
             news.configuration = read_configuration(orjson.loads(value.document))
         held = WAIT if answer.get("none") else whole(answer.get("held", 0)) / 1000
         out = whole(answer.get("out", 0)) / 1000 * (1 - contact.DRIFT)
+        disk = read_disk(answer.get("disk"))
         # From here on nothing fails.
         source.heard = now
         source.said = max(source.said, min(now, contact.spoke(asked, held)))
         source.core = bool(answer.get("core", source.core and life == source.have["life"])) and not none
         if source.core or "core" in answer or life != source.have["life"]:
             source.contact = max(source.contact, now - out)
+        if disk is not None:
+            source.disk = disk
         if life != source.have["life"]:
             source.told = 0  # it came up anew and knows nothing
             source.times.clear()
@@ -315,7 +328,7 @@
         """Go by a newer value; the configuration that counts from now on, if another one does. `joined`: is
         whoever told it in contact with the core?"""
         if value is not None and value.slot > self.slot:
-            self.members = tuple(member.address for member in value.members)
+            self.members = value.members
             if configuration is not None:
                 self.document = name
             self.slot = value.slot
--- a/finchshelf/membership/contact.py
+++ b/finchshelf/membership/contact.py
@@ -11,8 +11,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Hashable, Iterable, Mapping
 from math import inf
+from typing import TypeVar
+
+# What a control plane is known by: its address together with its disk. Danger: a wiped disk answers at a
+# member's address, and knows nothing of what was decided.
+Identity = TypeVar("Identity", bound=Hashable)
 
 DRIFT = 0.001  # of two steady clocks, one against the other, at most
 CONTROL_LEASE_S = (
@@ -41,7 +46,9 @@
     return sent + max(0.0, held) * (1 - DRIFT)
 
 
-def contact(members: Collection[str], me: str, spoken: Mapping[str, float], now: float) -> float:
+def contact(
+    members: Collection[Identity], me: Identity, spoken: Mapping[Identity, float], now: float
+) -> float:
     """When more than half of the members were last in contact with this one, itself among them; -inf: never.
 
     Danger: who asks this one is no contact: behind a cut one way the others' questions still come, and what
@@ -78,7 +85,7 @@
 
 
 def may_begin(
-    members: Collection[str], answered: Collection[str], told: bool, since: float, lost: float
+    members: Collection[Identity], answered: Collection[Identity], told: bool, since: float, lost: float
 ) -> bool:
     """May a limiter that started serve by what it was told? `members`: by the newest value that it knows of,
     `answered`: control planes that did, `told`: by one in contact with the core, `since`: s since the first,
--- a/finchshelf/membership/records.py
+++ b/finchshelf/membership/records.py
@@ -89,6 +89,13 @@
     )
 
 
+def read_disk(name: Any) -> str | None:
+    """The disk that a control plane runs on, as it says; None: one of an older text does not say."""
+    if name is not None and (not isinstance(name, str) or len(name) > MOST_TEXT):
+        raise Unfit("read news", "disk", "expected the name of a disk")
+    return name
+
+
 def read_server(row: Any, now: float) -> Server:
     """A row of another of our processes.
 
--- a/tests/stories/contact_model.py
+++ b/tests/stories/contact_model.py
@@ -20,7 +20,9 @@
 BOUND = contact.CONTROL_LEASE_S + contact.LIMITER_LEASE_S
 HARMS = ["cut", "cut", "one way", "one way", "freeze", "restart", "limiter", "heal"]
 HARMS_LONG = ["cut", "one way", "restart", "limiter", "limiter", "limiter", "freeze"]
+HARMS_WIPE = ["cut", "cut", "one way", "wipe", "wipe", "limiter"]
 Rules = SimpleNamespace
+Identity = tuple[str, int]  # a control plane's name, and the number of its disk
 
 
 class Stale(Exception):
@@ -38,17 +40,23 @@
             "asked_counts": False,
             "out": contact.out,
             "alone": lambda last, began, now: now - max(last, began),
+            "counts_as": lambda identity: identity,
             **other,
         }
     )
 
 
-def one_less(members: Any, me: str, spoken: Any, now: float) -> float:
+def one_less(members: Any, me: Any, spoken: Any, now: float) -> float:
     """Half of the members, rounded down, are enough."""
     times = sorted((now if one == me else spoken.get(one, -inf) for one in members), reverse=True)
     return float(times[len(times) // 2 - 1]) if times else -inf
 
 
+WIPED: dict[str, dict[str, Any]] = {  # found where disks are lost
+    "a member counts by its disk, not by its address alone": {"counts_as": lambda identity: identity[0]},
+}
+
+
 MUTANTS: dict[str, dict[str, Any]] = {
     "an answer that was read late is old": {"spoke": lambda sent, held: inf},
     "who asks is no contact": {"asked_counts": True},
@@ -100,30 +108,42 @@
         self.rate = 1 + random.choice([-0.5, 0.5]) * contact.DRIFT
         self.origin = 1000 * random.random()
         self.later: list[Callable[[], None]] = []  # what came, and was due, while it stood still
-        self.slot, self.members = 0, tuple[str, ...]()
-        self.spoken: dict[str, float] = {}
+        self.slot, self.members = 0, tuple[Identity, ...]()
+        self.disk = 0  # the number of a control plane's disk: another after each wipe
+        self.spoken: dict[Identity, float] = {}
         # a control plane's start, by its clock; its last contact, truly
         self.began, self.touched = self.origin, 0.0
         self.waiting: list[tuple[Any, ...]] = []
         # a limiter's: by source, when it spoke as far as is known here, its word, its slot, true time then
         self.words: dict[str, tuple[float, bool, int, float]] = {}
         self.last: dict[str, float] = {}  # and when it was in contact last, as it said
-        self.answered: set[str] = set()
+        self.answered: dict[str, int] = {}  # who answered, by what disk
         self.first, self.started, self.begun = 0.0, 0.0, False
 
 
 class Model:
-    def __init__(self, seed: int, rule: Rules, count: int = 5, limiters: int = 2, long: bool = False) -> None:
-        """`long`: cuts may last longer than `ALONE`, and limiters start behind them."""
+    def __init__(
+        self,
+        seed: int,
+        rule: Rules,
+        count: int = 5,
+        limiters: int = 2,
+        long: bool = False,
+        wipes: bool = False,
+    ) -> None:
+        """`long`: cuts may last longer than `CUT_OFF_START_S`, and limiters start behind them; `wipes`: disks
+        are lost, one at a time."""
         self.random, self.rule, self.time = Random(seed), rule, 0.0
         self.longest, self.harms, self.kinds = (90.0, 4.0, HARMS_LONG) if long else (20.0, 1.5, HARMS)
+        if wipes:
+            self.kinds = HARMS_WIPE
         names = [f"c{n}:1" for n in range(count + 1)]  # the last one is a spare
         self.nodes = {name: Node(name, self.random) for name in [*names, *(f"l{n}" for n in range(limiters))]}
         self.controls, self.limiters = names, [f"l{n}" for n in range(limiters)]
         self.agenda: list[tuple[float, int, Callable[[], None]]] = []
         self.ticks = self.events = 0
         self.blocked: dict[tuple[str, str], list[Callable[[], None]]] = {}
-        self.values = [tuple(names[:-1])]  # the members, by slot
+        self.values = [tuple((name, 0) for name in names[:-1])]  # the members, by slot
         self.decided = [0.0]  # when, by slot
         # the oldest that acted as current, s; limiters that began; of those by what was left behind
         self.oldest, self.begins, self.long_alone = 0.0, 0, 0
@@ -176,12 +196,12 @@
             return
         sent, done = self.clock(node), list[bool]()
 
-        def heard(slot: int, held: float) -> None:
+        def heard(slot: int, held: float, disk: int) -> None:
             if done or node.life != life:
                 return
             done.append(True)
-            now = self.clock(node)
-            node.spoken[other] = max(node.spoken.get(other, -inf), min(now, self.rule.spoke(sent, held)))
+            now, peer = self.clock(node), (other, disk)
+            node.spoken[peer] = max(node.spoken.get(peer, -inf), min(now, self.rule.spoke(sent, held)))
             self.learn(node, slot)
             self.ask(name, other, life)
 
@@ -200,7 +220,7 @@
         """A question came to `other`: answered when there is news, or its time is over."""
         node = self.nodes[other]
         if self.rule.asked_counts and core is None:
-            node.spoken[name] = self.clock(node)
+            node.spoken[name, self.nodes[name].disk] = self.clock(node)
         began, done = self.clock(node), list[bool]()
 
         def answer(over: bool) -> None:
@@ -211,14 +231,13 @@
             done.append(True)
             node.waiting = [one for one in node.waiting if one[0] is not answer]
             held = wait if not news else int(1000 * (self.clock(node) - began)) / 1000
-            slot = node.slot
+            slot, disk = node.slot, node.disk
             if core is None:
-                self.send(other, name, lambda: heard(slot, held))
+                self.send(other, name, lambda: heard(slot, held, disk))
             else:
                 at, now = self.time, self.clock(node)
-                last = self.rule.contact(node.members, node.name, node.spoken, now)
-                out = 0.0 if joined else self.rule.alone(last, node.began, now)
-                self.send(other, name, lambda: heard(slot, held, joined, at, out))
+                out = 0.0 if joined else self.rule.alone(self.last(node), node.began, now)
+                self.send(other, name, lambda: heard(slot, held, disk, joined, at, out))
 
         node.waiting.append((answer,))
         answer(False)
@@ -226,8 +245,15 @@
             self.timer(node, wait, lambda: answer(True))
 
     def joined(self, node: Node) -> bool:
-        now = self.clock(node)
-        return bool(self.rule.current(self.rule.contact(node.members, node.name, node.spoken, now), now))
+        return bool(self.rule.current(self.last(node), self.clock(node)))
+
+    def last(self, node: Node) -> float:
+        """Its last contact with more than half of the members that it knows of, by its clock."""
+        key, spoken = self.rule.counts_as, dict[Any, float]()
+        for peer, at in node.spoken.items():
+            spoken[key(peer)] = max(spoken.get(key(peer), -inf), at)
+        members, me = [key(one) for one in node.members], key((node.name, node.disk))
+        return float(self.rule.contact(members, me, spoken, self.clock(node)))
 
     def learn(self, node: Node, slot: int) -> None:
         if slot > node.slot:
@@ -242,14 +268,22 @@
             or self.nodes[other].frozen
         )
 
+    def live(self, member: Identity) -> bool:
+        """Is that disk still there?"""
+        return self.nodes[member[0]].disk == member[1]
+
     def decide(self) -> None:
         """Anyone proposes; of the members that it can reach no more take it than are needed."""
         proposer = self.random.choice(self.controls)
-        if self.nodes[proposer].frozen:
+        if self.nodes[proposer].frozen or self.nodes[proposer].slot < 0:
             return
         while True:
             node = self.nodes[proposer]
-            near = [one for one in node.members if one == proposer or self.reaches(proposer, one)]
+            near = [
+                name
+                for name, disk in node.members
+                if self.live((name, disk)) and (name == proposer or self.reaches(proposer, name))
+            ]
             if len(near) <= len(node.members) // 2:
                 return
             newest = max(self.nodes[one].slot for one in near)
@@ -257,9 +291,13 @@
                 break
             self.learn(node, newest)
         members = list(node.members)
-        spare = next(one for one in self.controls if one not in members)
-        if self.random.random() < 0.3 and self.reaches(proposer, spare):
-            members[self.random.randrange(len(members))] = spare
+        lost = next((one for one in members if not self.live(one)), None)
+        spare = next(one for one in self.controls if one not in {name for name, _ in members})
+        if lost is not None and self.nodes[lost[0]].slot >= 0 and self.random.random() < 0.3:
+            members[members.index(lost)] = lost[0], self.nodes[lost[0]].disk
+        elif self.random.random() < 0.3 and self.reaches(proposer, spare):
+            out = lost or self.random.choice(members)
+            members[members.index(out)] = spare, self.nodes[spare].disk
         slot, need = node.slot + 1, len(node.members) // 2 + 1
         assert slot == len(self.values), "two values of one slot"
         self.values.append(tuple(members))
@@ -272,7 +310,7 @@
     def begin(self, name: str) -> None:
         node = self.nodes[name]
         node.life += 1
-        node.slot, node.members, node.words, node.answered, node.begun = -1, (), {}, set(), False
+        node.slot, node.members, node.words, node.answered, node.begun = -1, (), {}, {}, False
         node.last = {}
         node.later, node.started = [], self.time
         for other in self.controls:
@@ -284,7 +322,7 @@
             return
         sent, done = self.clock(node), list[bool]()
 
-        def heard(slot: int, held: float, joined: bool, at: float, out: float) -> None:
+        def heard(slot: int, held: float, disk: int, joined: bool, at: float, out: float) -> None:
             if done or node.life != life:
                 return
             done.append(True)
@@ -293,7 +331,7 @@
             node.words[other] = max(node.words.get(other, (-inf,))[0], said), joined, slot, at
             node.last[other] = max(node.last.get(other, -inf), now - out * (1 - contact.DRIFT))
             node.first = node.first if node.answered else now
-            node.answered.add(other)
+            node.answered[other] = disk
             self.learn(node, slot)
             self.follow(name, other, life)
 
@@ -338,12 +376,17 @@
             if (
                 not node.begun
                 and node.answered
-                and self.rule.may_begin(node.members, node.answered, told, since, lost)
+                and self.rule.may_begin(*self.counted(node), told, since, lost)
             ):
                 node.begun = True
                 self.begins += 1
                 self.begins_by_old(node)
 
+    def counted(self, node: Node) -> tuple[list[Any], set[Any]]:
+        """The members that a limiter knows of, and who answered it, as the rule counts them."""
+        key = self.rule.counts_as
+        return [key(one) for one in node.members], {key(one) for one in node.answered.items()}
+
     def begins_by_old(self, node: Node) -> None:
         """What was left behind before its start a limiter begins by only where for `ALONE` it found nobody in
         contact, or nobody whom it heard was."""
@@ -392,9 +435,27 @@
             for other in self.controls:
                 if other != node.name:
                     self.ask(node.name, other, node.life)
+        elif kind == "wipe":
+            self.wipe(random.choice(self.controls))
         else:
             self.begin(random.choice(self.limiters))
 
+    def wipe(self, name: str) -> None:
+        """A control plane comes up anew with an empty disk, if no other disk is lost and what was decided is
+        on enough of the others: one loss at a time is borne."""
+        node, newest = self.nodes[name], len(self.values) - 1
+        members = self.values[newest]
+        others = [one for one in members if self.live(one) and one[0] != name]
+        holders = [one for one in others if self.nodes[one[0]].slot == newest]
+        if len(others) < len(members) - 1 or len(others) - len(holders) > len(members) // 2:
+            return
+        node.disk, node.slot, node.members = node.disk + 1, -1, ()
+        node.life, node.spoken, node.waiting, node.later = node.life + 1, {}, [], []
+        node.began = self.clock(node)
+        for other in self.controls:
+            if other != name:
+                self.ask(name, other, node.life)
+
     def heal(self, pairs: list[tuple[str, str]]) -> None:
         for pair in pairs:
             for come in self.blocked.pop(pair, []):
--- a/tests/stories/test_contact.py
+++ b/tests/stories/test_contact.py
@@ -11,7 +11,7 @@
 import pytest
 
 from finchshelf.membership import contact
-from tests.stories.contact_model import BOUND, LAX, LONG, MUTANTS, Model, Stale, rules
+from tests.stories.contact_model import BOUND, LAX, LONG, MUTANTS, WIPED, Model, Stale, rules
 
 SECONDS, LONG_SECONDS = 30.0, 120.0
 
@@ -58,6 +58,18 @@
     assert not name and began > 2
 
 
+@pytest.mark.parametrize("name", ["", *WIPED])
+def test_given_disks_lost_one_at_a_time_then_only_a_member_by_its_disk_is_contact(name: str) -> None:
+    for seed in range(30, 60) if name else range(12):
+        try:
+            Model(seed, rules(**WIPED.get(name, {})), 5 if seed % 2 else 3, wipes=True).play(40.0)
+        except Stale as found:
+            assert name, f"seed {seed}: {found}"
+            print(f"seed {seed}: {found}")
+            return
+    assert not name, "nothing found"
+
+
 @pytest.mark.parametrize("name", ["", *LAX])
 def test_given_clocks_that_drift_much_when_a_lease_does_not_allow_for_it_then_the_model_finds_it(
     name: str,
--- a/tests/stories/test_many_changes.py
+++ b/tests/stories/test_many_changes.py
@@ -348,7 +348,7 @@
 def test_given_a_newer_configuration_on_its_way_when_it_is_settled_once_then_it_stays_so() -> None:
     follower = Follower.__new__(Follower)
     follower.clock, follower.begun, follower.answered, follower.first = Clock(), False, {"a", "b"}, 0.0
-    follower.sources, follower.members = {}, ("a", "b")
+    follower.sources, follower.members = {}, (core.Member("a", "first"), core.Member("b", "first"))
     follower.slot, follower.coming, follower.coming_since = 3, 5, follower.clock.now()
     assert not follower.settled()
     follower.slot = 5
--- a/tests/stories/test_standing.py
+++ b/tests/stories/test_standing.py
@@ -14,7 +14,7 @@
 from trio.testing import MockClock
 
 from finchshelf.agreement import core
-from finchshelf.agreement.core import Value
+from finchshelf.agreement.core import Member, Value
 from finchshelf.controlplane.cells import Cells
 from finchshelf.controlplane.news import News
 from finchshelf.controlplane.register import Register
@@ -67,12 +67,15 @@
         self.cells = Cells(HERE, "north", 1.5, 1, self.clock.now() - 60.0)
         self.news = News(self.cells, self.clock, nursery, True, Random(1), log, Turns(log))
         self.register = Register(HERE, MEMBERS, True, None, self.news.members, Random(2), log)
+        self.register.acceptor.me = Member(HERE, core.FIRST)
         self.news.register = self.register
         self.register.learn(replace(core.genesis(MEMBERS), slot=4))
         self.peers = {address: Peer(answer) for address in (NEAR, FAR)}
         self.news.members.links.update(cast(dict[str, Link], self.peers))
         for address in self.peers:
-            self.cells.meet(address)
+            control = self.cells.meet(address)
+            assert control is not None
+            control.run_on(core.FIRST)
         repair = Repair(self.register, lambda *_, **__: None)
         self.sweeps = Sweeps(self.news, self.news.asking, self.register, repair, self.clock, Random(3))
 
@@ -110,6 +113,28 @@
     soon(story)
 
 
+def test_given_a_member_that_came_up_with_an_empty_disk_then_its_answers_are_no_contact() -> None:
+    """Cut off with it from the third, this one would speak for the core by what it held."""
+
+    async def story(nursery: trio.Nursery) -> None:
+        lives = {"life": 7, "disk": core.FIRST, "held": 100}
+        plane = Plane(nursery, lambda step, _: lives if step == "news" else None)
+        await plane.ask(NEAR)
+        assert plane.news.joined()
+        # When it has another life, and another disk
+        lives |= {"life": 8, "disk": "empty"}
+        await plane.ask(NEAR)
+        assert not plane.news.joined()
+        # Then it counts once it is named by that disk
+        members = tuple(sorted([(HERE, core.FIRST), (NEAR, "empty"), (FAR, core.FIRST)]))
+        plane.register.learn(
+            replace(core.genesis(MEMBERS), slot=5, members=tuple(map(Member._make, members)))
+        )
+        assert plane.news.joined()
+
+    soon(story)
+
+
 def test_given_a_halt_when_beats_are_still_unread_then_no_server_is_called_lost() -> None:
     async def story(nursery: trio.Nursery) -> None:
         plane = Plane(nursery, lambda *_: {"life": 7, "named": 1, "held": 0})
@@ -376,6 +401,18 @@
     soon(story)
 
 
+def test_given_a_member_with_an_empty_disk_that_answers_a_limiter_itself_then_it_waits() -> None:
+    async def story(nursery: trio.Nursery) -> None:
+        limiter = Followed(nursery)
+        limiter.take(HERE, {"core": False, "value": value(3, 1), "disk": core.FIRST})
+        limiter.take(NEAR, {"core": False, "disk": "empty"})
+        assert not limiter.follower.settled()
+        limiter.take(NEAR, {"core": False, "disk": core.FIRST, "life": 6})
+        assert limiter.follower.settled()
+
+    soon(story)
+
+
 def test_given_a_word_that_lay_unread_then_a_limiter_does_not_go_by_it() -> None:
     async def story(nursery: trio.Nursery) -> None:
         limiter = Followed(nursery)
