Records of lost servers are dropped once no beat of theirs can still come

Cause: a server that crashes without departing left its record in each control plane for the program's whole life. Change: a stable one that is lost is forgotten after 60 s, as one that left is; one that had said that it leaves after 600 s, so that no late stable beat undoes a drain that was acknowledged. Behind a cut nothing is forgotten.

--- a/finchshelf/controlplane/cells.py
+++ b/finchshelf/controlplane/cells.py
@@ -15,7 +15,7 @@
 from finchshelf.agreement.membership import silence
 from finchshelf.experience.board import Board
 from finchshelf.membership.listing import Listing
-from finchshelf.membership.records import GONE, Limiter, Server, Servers, read_server
+from finchshelf.membership.records import GONE, STABLE, Limiter, Server, Servers, read_server
 
 # beats missed, and s more, after which a server is lost to whoever heard it last
 LOST_BEATS, LOST_MORE = 3.0, 0.6
@@ -27,6 +27,10 @@
 JUDGES = 2.0  # s that a control plane must have been up: unheard of others, it takes all servers for its own
 YOUNG = 2.0  # s after its start in which a control plane takes all it has not heard yet for silent
 GONE_KEPT = 60.0  # s that the record of a server that left is kept: late beats must find it
+LOST_KEPT = 60.0  # s that the record of a server that is lost is kept, for the same reason
+# s of the same where it had said that it leaves. Danger: alive behind a cut, it would be known as stable
+# again by a late beat, after its drain was acknowledged
+DRAIN_KEPT = 600.0
 # s without a beat after which a drain is no longer known as acknowledged, and how many are known at most: one
 # that is forgotten costs a round of questions at its next beat, no more
 HELD_KEPT, MOST_HELD = 30.0, 4096
@@ -94,6 +98,7 @@
         self.heard: dict[str, float] = {}  # servers that beat here last: when
         self.held = Held()
         self.left: dict[str, float] = {}  # servers that left: when
+        self.lost: dict[str, float] = {}  # servers that are lost: since when that is known here
         # limiters that ask here: until when they are listed
         self.asked: dict[str, tuple[Limiter, float]] = {}
         self.own = Listing()  # of those
@@ -144,6 +149,8 @@
                     self.heard[record.id] = now  # before this process started: to be heard from now on
                 if record.mode == GONE:
                     self.left.setdefault(record.id, now)
+                elif record.lost:
+                    self.lost[record.id] = now
         return news or self.servers.prompt > before
 
     def recall(self, rows: list[Any], now: float) -> int:
@@ -174,13 +181,25 @@
                 del self.heard[name]
             elif at < least:
                 del self.heard[name]
+                self.lost[name] = now
                 news |= self.servers.put(known.missed())
         for name, at in list(self.left.items()):
             if now - at > GONE_KEPT:
                 del self.left[name]
                 self.servers.drop(name)
+        self.drop_lost(now)
         return news
 
+    def drop_lost(self, now: float) -> None:
+        """Forget servers that have been lost for so long that no beat of theirs can still be on its way."""
+        for name, at in list(self.lost.items()):
+            known = self.servers.rows.get(name)
+            if known is None or not known.lost or known.mode == GONE:
+                del self.lost[name]  # it beats again, or left: `left` keeps that
+            elif now - at > (LOST_KEPT if known.mode == STABLE else DRAIN_KEPT):
+                del self.lost[name]
+                self.servers.drop(name)
+
     # ---- limiters ----
 
     def ask(self, limiter: Limiter, now: float) -> bool:
--- a/tests/stories/test_calls.py
+++ b/tests/stories/test_calls.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from finchshelf.controlplane.cells import Cells
+from finchshelf.controlplane.cells import DRAIN_KEPT, LOST_KEPT, Cells
 from finchshelf.membership.records import DECAYING, GONE, STABLE, Server
 from tests.stories.calling import called
 from tests.stories.slips import CALLS, without
@@ -77,3 +77,34 @@
     assert not here.silent_servers(20.0, True) and not here.servers.rows["s"].lost
     here.beat(beat(6), 21.0)  # it calls here from now on
     assert here.silent_servers(40.0, True) and here.servers.rows["s"].lost
+
+
+@pytest.mark.parametrize(("mode", "kept"), [(STABLE, LOST_KEPT), (DECAYING, DRAIN_KEPT)])
+def test_given_a_server_that_is_lost_when_no_beat_can_still_come_then_its_record_goes(
+    mode: str, kept: float
+) -> None:
+    cells = Cells("10.0.0.1:7660", "z", 1.5, 1, 0.0)
+    cells.beat(beat(5, mode), 1.0)
+    cells.silent_servers(20.0, True)
+    other = Cells("10.0.0.2:7660", "z", 1.5, 1, 0.0)
+    other.take([row.pack(20.0) for row in cells.servers.rows.values()], 20.0)
+    for table in (cells, other):
+        # A late beat changes nothing for as long as one may come, and a drain is known for much longer
+        table.silent_servers(20.0 + kept - 0.1, True)
+        table.beat(beat(4), 20.0 + kept)
+        assert not table.servers.rows["s"].usable() and table.servers.rows["s"].mode == mode
+        # Cut off, nothing is forgotten; in contact it is
+        table.silent_servers(20.0 + kept + 1.0, False)
+        assert "s" in table.servers.rows
+        table.silent_servers(20.0 + kept + 1.0, True)
+        assert not table.servers.rows and not table.lost
+
+
+def test_given_a_server_that_is_lost_when_it_beats_again_then_its_record_stays() -> None:
+    cells = Cells("10.0.0.1:7660", "z", 1.5, 1, 0.0)
+    cells.beat(beat(5), 1.0)
+    cells.silent_servers(20.0, True)
+    for count in range(6, 100):
+        cells.beat(beat(count), 20.0 + count)
+        cells.silent_servers(20.0 + count, True)
+    assert cells.servers.rows["s"].usable() and not cells.lost
