Large bodies that hardly move make room for a faster one

Cause: with 16 MiB held in all, two bodies of 8 MiB over links that hardly move shut out every other large order for minutes: the newcomer was refused. Change: where room is short the body that comes the most slowly is given up (503, its operator sends again); one that has come for under 1 s counts as fast, a whole one is no longer given up. Measured: the new test fails on the text before (the fast one got 503) and passes; the former test of four alike still ends with two read and two refused.

--- a/finchshelf/transport/calls.py
+++ b/finchshelf/transport/calls.py
@@ -6,8 +6,9 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 import h11
@@ -21,6 +22,7 @@
 
 MOST_BODY = 8 << 20
 MOST_HELD = 16 << 20  # bytes of large bodies at once, that come or are worked on: an eighth of the memory
+JUDGED_S = 1.0  # s that a large body has come until its speed is judged
 ONCE = frozenset((b"host", b"content-length", b"transfer-encoding"))
 LIMITS = Limits(most_request=MOST_BODY, most_head=16384, slow_read=5.0, silent=10.0, kept=30.0)
 
@@ -35,7 +37,28 @@
 
 
 class Full(Exception):
-    """More large bodies come than may be held."""
+    """More large bodies come than may be held, and this one is not the fastest."""
+
+
+@dataclass(slots=True, eq=False)
+class Upload:
+    """A large body as far as it came. `dropped`: it made room for a faster one."""
+
+    began: float
+    parts: list[bytes] = field(default_factory=list)
+    size: int = 0
+    dropped: bool = False
+
+    def rate(self, now: float) -> float:
+        """Bytes a second; one that has only just begun counts as fast."""
+        took = now - self.began
+        return self.size / took if took >= JUDGED_S else math.inf
+
+    def drop(self) -> int:
+        """Gives up what came; returns the bytes that are free by it."""
+        freed, self.size, self.dropped = self.size, 0, True
+        self.parts.clear()
+        return freed
 
 
 CallHandler = Callable[[Call], Awaitable[Answer]]
@@ -85,6 +108,7 @@
     ) -> None:
         self.clock, self.telemetry, self.nursery, self.handler = clock, telemetry, nursery, handler
         self.last, self.held = 0, 0
+        self.uploads: list[Upload] = []  # large bodies that come or are worked on
 
     def next_id(self) -> int:
         self.last += 1
@@ -101,9 +125,9 @@
             assert isinstance(item, Arrived | i.ClientGone)
 
     async def run(self, exchange: Exchange) -> None:
-        answer, sizes = told(500, {"error": "no handler"}), list[int]()
+        answer, upload = told(500, {"error": "no handler"}), Upload(self.clock.now())
         try:
-            body = exchange.body if exchange.stream is None else await self.whole(exchange.stream, sizes)
+            body = exchange.body if exchange.stream is None else await self.whole(exchange.stream, upload)
             if self.handler is not None:
                 answer = await self.handler(Call(exchange.method, exchange.target, body))
         except Cut:
@@ -115,20 +139,36 @@
             self.telemetry.rare("calls.error", error=repr(error), target=repr(exchange.target))
             answer = told(500, {"error": "internal"})
         finally:
-            self.held -= sum(sizes)
+            self.held -= upload.drop()
+            if upload in self.uploads:
+                self.uploads.remove(upload)
         exchange.reply(answer)
 
-    async def whole(self, stream: Body, sizes: list[int]) -> bytes:
-        """A body that came in pieces, at most `MOST_BODY` bytes of it; `sizes`: of those that count as held.
+    async def whole(self, stream: Body, upload: Upload) -> bytes:
+        """A body that came in pieces, at most `MOST_BODY` bytes of it.
 
         Danger: over thin links many come for many seconds each, and would fill the memory together."""
-        reader, parts, at = object(), list[bytes](), 0
+        reader, at = object(), 0
         stream.reader = reader
+        self.uploads.append(upload)
         while piece := await stream.take(reader, at):
-            if self.held + len(piece) > MOST_HELD:
+            while self.held + len(piece) > MOST_HELD and not upload.dropped:
+                self.make_room()
+            if upload.dropped:
                 raise Full
-            parts.append(piece)
-            sizes.append(len(piece))
+            upload.parts.append(piece)
+            upload.size += len(piece)
             self.held += len(piece)
             at += len(piece)
-        return b"".join(parts)
+        self.uploads.remove(upload)  # whole: it is worked on, and no longer given up for another
+        return b"".join(upload.parts)
+
+    def make_room(self) -> None:
+        """Gives up the body that comes the most slowly.
+
+        Danger: were the newcomer refused, two large bodies that hardly move would shut out all others for
+        minutes."""
+        now = self.clock.now()
+        slowest = min(self.uploads, key=lambda one: (one.rate(now), -one.began))
+        self.uploads.remove(slowest)
+        self.held -= slowest.drop()
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -89,3 +89,34 @@
     # Then those are taken at once; two bodies are read to their end, two are sent to another one
     assert sorted(found) == [400, 400, 503, 503] and max(took) < 0.1, (found, took)
     assert world.told("calls.full")
+
+
+def test_given_two_large_bodies_that_hardly_move_when_a_fast_one_comes_then_it_is_read(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(calls, "MOST_HELD", 1 << 20)
+    found, hosts = dict[str, int](), ["slow", "slower", "fast"]
+
+    async def story(world: World) -> None:
+        at = Address(world.core[0], CONTROL)
+
+        async def send(name: str, speed: float, size: int) -> None:
+            life = world.outside(f"10.8.0.{hosts.index(name) + 1}", "out", name)
+            life.machine.speed = speed
+            with world.being(life):
+                answer = await call(at, "/v1/rpc?call=setpoint.replace", b"{" * size, 30.0)
+                found[name] = answer.status
+
+        async with trio.open_nursery() as nursery:
+            # Given two that hold three quarters of the room for as long as they come
+            for name in ("slow", "slower"):
+                nursery.start_soon(send, name, 40_000, 600_000)
+            await trio.sleep(10.0)
+            # When one comes that is quick and needs more than what is left, then it is read to its end
+            with trio.fail_after(5.0):
+                await send("fast", 8 * SPEED, 600_000)
+            assert found["fast"] == 400
+
+    fine(story, 3, limiters=1, servers=1)
+    # Then one of the slow ones made room for it
+    assert sorted(found.values()) == [400, 400, 503]
