A holder that ends hands its counts on; words of many ends make one list a turn

Change: with its end a limiter tells each next holder what the windows hold that nobody else can hold; the next one counts that in place of what it assumed, once, only from a life that has said its end, and what it granted since stays counted. From then on the one that ends grants nothing. Ends heard in one turn are gone by together, before anything else is. A check that a limiter which has left still answers another's question moved to one that has not left: it grants no more.

--- a/finchshelf/counts/holder.py
+++ b/finchshelf/counts/holder.py
@@ -39,6 +39,7 @@
     part: float = 1.0  # of the rate: the limiters in touch
     looked: float = -1e9
     promised: float = 0.0  # when the last of those refused comes back
+    assumed: float = 0.0  # of the total: not granted here, but perhaps by a former holder
     near: dict[str, float] = field(default_factory=dict)  # limiters in touch: heard when
     away: dict[str, float] = field(default_factory=dict)  # limiters that may let in their share: since when
 
@@ -48,6 +49,12 @@
     def settle(self, now: float) -> None:
         self.total, self.at = self.drained(now), max(self.at, now)
 
+    def assume(self, total: float) -> None:
+        """A former holder may have granted that much."""
+        more = max(0.0, total - self.total)
+        self.total += more
+        self.assumed += more
+
     def hear(self, who: str, state: int, now: float) -> None:
         if state == NEAR:
             if who in self.away or who not in self.near:
@@ -129,7 +136,7 @@
             # Danger: the former holder died, or the list of limiters changed: what it granted in this window
             # is not known here. A full window grants only what drains, whatever came before.
             full = max(0.0, burst - SPARE - rate * max(0.0, now - sole))
-            count = self.counts[tenant] = Count(rate, burst, full, now, sole)
+            count = self.counts[tenant] = Count(rate, burst, full, now, sole, assumed=full)
         elif (count.rate, count.burst) != (rate, burst):
             count.settle(now)
             count.total = min(count.total, burst)
@@ -137,7 +144,7 @@
         if sole > count.sole:
             # Danger: another held it meanwhile and granted a window; this one has drained since.
             count.settle(now)
-            count.total = max(count.total, burst - SPARE)
+            count.assume(burst - SPARE)
         count.sole = sole
         count.hear(who, state, now)
         if now - count.looked > LOOK:
@@ -155,6 +162,27 @@
         for tenant, count in self.counts.items():
             count.end(who, used.get(tenant, 0.0), limiters, now)
 
+    def hand(self, now: float) -> dict[str, float]:
+        """Units in the window of each count that nobody else can hold: what its next holder must know."""
+        return {tenant: one.drained(now) for tenant, one in self.counts.items() if now >= one.sole}
+
+    def handed(self, tenant: str, total: float, rate: float, burst: float, now: float, sole: float) -> None:
+        """The former holder of this count has ended with that much in its window: no more need be assumed.
+
+        Danger: what was granted here since stays counted. Of what was assumed only the part goes that the
+        former holder did not grant, and only once: its word may come twice."""
+        count = self.counts.get(tenant)
+        if count is None:
+            self.counts[tenant] = Count(rate, burst, min(total, 2 * burst), now, sole)
+            return
+        count.settle(now)
+        if sole > count.sole:
+            count.assume(burst - SPARE)
+            count.sole = sole
+        if count.assumed > 0:
+            count.total = min(max(0.0, count.total + total - count.assumed), 2 * burst)
+            count.assumed = 0.0
+
     def after(self, tenant: str, units: float, now: float) -> float:
         """Seconds until that many units fit, one refused request after the other.
 
--- a/finchshelf/dataplane/counting.py
+++ b/finchshelf/dataplane/counting.py
@@ -20,6 +20,7 @@
 from finchshelf.dataplane.dialect import Request
 from finchshelf.dataplane.questions import Questions
 from finchshelf.dataplane.timers import Due
+from finchshelf.membership import rendezvous
 from finchshelf.membership.records import Limiter
 from finchshelf.transport.exchange import Port
 
@@ -65,6 +66,8 @@
         self.limiters: dict[str, Limiter] = {}
         self.hosts: dict[str, str] = {}  # of limiters listed of late: those just left must hear of it
         self.questions: dict[int, Question] = {}
+        self.unapplied = 0  # limiters that ended since the list was last gone by without them
+        self.given: dict[str, dict[str, float]] | None = None  # at its own end: counts by their next holder
         self.grants = GrantChecks(owner.telemetry.monitor, margins or QuotaMargins())
         self.in_touch: Callable[[], bool] = lambda: True
         self.wire: Questions
@@ -86,15 +89,38 @@
         if not self.ends.end(who, life):
             self.count["count.former"] += 1
             return
-        now = self.clock.now()
-        self.holder.end(who, used, self.caller.there(), now)
-        self.caller.ended(self.ends.names(), now)
+        # Danger: where half of a large fleet ends at one moment, a new list for each word would hold up all
+        # requests. The words that come in one turn make one list, before anything else goes by it.
+        self.unapplied += 1
+        self.holder.end(who, used, max(1, self.caller.there() - self.unapplied), self.clock.now())
         self.count["count.ended"] += 1
 
+    def apply_ends(self, now: float) -> None:
+        """Go by the list without those that ended since it was last looked at."""
+        if self.unapplied:
+            self.unapplied = 0
+            self.caller.ended(self.ends.names(), now)
+
+    def handed(self, who: str, life: int, totals: dict[str, float]) -> None:
+        """The counts of a limiter that has ended, of which this one is the next holder."""
+        now = self.clock.now()
+        self.apply_ends(now)
+        if self.ends.over.get(who) != life or not self.may_hold(now):
+            return  # Danger: kept back on its way, it would undo what was granted since
+        for tenant, total in totals.items():
+            known = self.owner.configuration.tenants.get(tenant)
+            if known is not None and known.rate > 0 and self.caller.holder(tenant) == self.me:
+                sole = self.caller.sole(tenant)
+                self.holder.handed(tenant, total, known.rate, max(1.0, known.surge), now, sole)
+                self.count["count.handed"] += 1
+
     def add(self, tenant: str, units: float, who: str, state: int) -> tuple[bool, float] | None:
         known, now = self.owner.configuration.tenants.get(tenant), self.clock.now()
-        if known is None or known.rate <= 0 or not self.may_hold(now):
-            return None  # Danger: on the other side of a cut another holder grants the whole rate
+        self.apply_ends(now)
+        # Danger: on the other side of a cut another holder grants the whole rate; and what is granted after
+        # its counts were handed on, the next holder does not know.
+        if known is None or known.rate <= 0 or self.given is not None or not self.may_hold(now):
+            return None
         fits = self.holder.add(
             tenant,
             units,
@@ -125,6 +151,7 @@
         tenant = request.tenant
         if tenant is None or tenant.rate <= 0:
             return self.owner.send(request, now)
+        self.apply_ends(now)
         # Danger: each side of a cut takes the other's limiters for gone, and would grant the whole rate. Who
         # hears nothing of more than half of the core keeps to its share of the list from before.
         holder = self.caller.ask(tenant.label, now) if self.may_hold(now) else None
@@ -194,6 +221,7 @@
 
     def beat(self, now: float) -> None:
         """What holders must hear of this limiter by now."""
+        self.apply_ends(now)
         if self.caller.closed:
             return
         limited = [name for name, one in self.owner.configuration.tenants.items() if one.rate > 0]
@@ -204,10 +232,29 @@
                 self.wire.ask(self.hosts[holder], tenant, 0.0, state)
 
     def leave(self) -> None:
-        """Let in nothing from now on, and say so to all: what is set aside for this limiter is free."""
-        for name, used in self.caller.close(self.clock.now()).items():
+        """Let in nothing from now on, and say so to all: what is set aside for this limiter is free. Its
+        counts go on to their next holders."""
+        now = self.clock.now()
+        if self.given is None:
+            self.given = self.next_holders(now)
+        for name, used in self.caller.close(now).items():
             if name in self.hosts:
                 self.wire.end(self.hosts[name], used)
+        for name, totals in self.given.items():
+            if name in self.hosts:
+                self.wire.hand(self.hosts[name], totals)
+
+    def next_holders(self, now: float) -> dict[str, dict[str, float]]:
+        """What the counts held here have in their windows, by who holds them next."""
+        found: dict[str, dict[str, float]] = {}
+        if not self.may_hold(now):
+            return found
+        others = [name for name in self.caller.limiters if name != self.me]
+        for tenant, total in self.holder.hand(now).items():
+            to = rendezvous.first(tenant, others) if self.caller.holder(tenant) == self.me else None
+            if to:
+                found.setdefault(to, {})[tenant] = total
+        return found
 
     def listed(self, limiters: dict[str, Limiter], now: float) -> bool:
         """Go by this list of limiters; False where this one is out of touch and goes on with what it has."""
--- a/finchshelf/dataplane/questions.py
+++ b/finchshelf/dataplane/questions.py
@@ -20,12 +20,13 @@
 from finchshelf.transport.exchange import Log
 
 MOST = 1400  # bytes of a datagram: more would be cut on its way
-ASK, TELL, END = 0, 1, 2
+ASK, TELL, END, HAND = 0, 1, 2, 3
 MOST_UNITS = 1e9
 # Of a number in a datagram without a life, which limiters of an older text read and write: the part that is
 # the number's. Above it stands the life that asked, for an older holder gives back numbers alone.
 NUMBER = 28
 MOST_OLDER = 1024  # hosts that are asked in that form
+HANDED = 8  # counts in a datagram: their names may be long
 BATCH = 64  # datagrams read before others have a turn
 
 
@@ -60,6 +61,7 @@
     ) -> tuple[bool, float] | None: ...
     def told(self, number: int, source: tuple[str, int], fits: bool, after: float) -> None: ...
     def ended(self, who: str, life: int, used: dict[str, float]) -> None: ...
+    def handed(self, who: str, life: int, totals: dict[str, float]) -> None: ...
 
 
 def opened(address: Address) -> socket.socket:
@@ -111,6 +113,14 @@
         if host not in self.older and len(msgpack.packb(message)) <= MOST:
             self.send(message, (host, self.port))
 
+    def hand(self, host: str, totals: dict[str, float]) -> None:
+        """Say what the windows of counts hold that are that limiter's from now on; each row counts by itself.
+
+        One of an older text can't read it, and starts with a full window as after a kill."""
+        rows = [*totals.items()]
+        for at in range(0, len(rows), HANDED):
+            self.send([HAND, self.life, rows[at : at + HANDED]], (host, self.port))
+
     def send(self, message: object, to: tuple[str, int]) -> None:
         with suppress(OSError, ValueError):  # a datagram may be lost in any case: whoever waits has a time
             self.sock.sendto(msgpack.packb(message), to)
@@ -162,6 +172,10 @@
             if not form:
                 raise ValueError("an end without a life")
             self.core.ended(source[0], form[0], {text(tenant): amount(units) for tenant, units in rows})
+        elif kind == HAND:
+            if not form:
+                raise ValueError("counts handed on without a life")
+            self.core.handed(source[0], form[0], {text(tenant): amount(units) for tenant, units in rows})
         else:
             raise ValueError(f"kind {kind!r}")
 
--- a/tests/stories/asking.py
+++ b/tests/stories/asking.py
@@ -86,6 +86,9 @@
     def ended(self, who: str, life: int, used: dict[str, float]) -> None:
         self.counting.ended(who, life, used)
 
+    def handed(self, who: str, life: int, totals: dict[str, float]) -> None:
+        self.counting.handed(who, life, totals)
+
     def told(self, number: int, source: tuple[str, int], fits: bool, after: float) -> None:
         self.counting.told(number, source, fits, after)
 
--- a/tests/stories/counts_fleet.py
+++ b/tests/stories/counts_fleet.py
@@ -17,6 +17,7 @@
 from finchshelf.counts.caller import BEAT, BUDGET, Caller
 from finchshelf.counts.ends import Ends, Row
 from finchshelf.counts.holder import AWAY, NEAR, Holder
+from finchshelf.membership import rendezvous
 
 WINDOW, OVERSHOOT, SLACK = 5.0, 0.1, 20.0  # of the rule (QUOTA)
 UNLISTED, CLOSED = 2.6, 0.7  # s until a limiter that is cut off, or killed, is off the list
@@ -117,6 +118,7 @@
             node = self.nodes[name]
             if name in self.dead or node.caller.closed:
                 return
+            to, total = self.next_holder(node)
             for copy in range(2 if self.plan.mutant != "unsaid" else 0):
                 for other, used in node.caller.close(self.now).items():
                     self.words += 1
@@ -126,6 +128,8 @@
                         lambda to, used=used: self.ended(to, name, node.life, used),  # type: ignore
                         slow * copy,
                     )
+                if to is not None:
+                    self.send(name, to, lambda new: self.handed(new, name, node.life, total), slow * copy)
             if self.plan.mutant == "goes on":
                 node.caller.closed = False
                 self.at(self.now + 6, lambda: self.dead.update({name: self.now}))
@@ -136,6 +140,24 @@
         if down < inf:
             self.at(when + down, lambda: self.again(name))
 
+    def next_holder(self, node: Node) -> tuple[str | None, float]:
+        """Who holds the count after a holder that ends, and what its window has; None: it isn't handed on."""
+        name = node.caller.me
+        totals = node.holder.hand(self.now) if name not in self.alone else {}
+        if node.caller.holder("t") != name or "t" not in totals or self.plan.mutant == "unhanded":
+            return None, 0.0
+        others = [one for one in node.caller.limiters if one != name]
+        return rendezvous.first("t", others), totals["t"]
+
+    def handed(self, to: Node, who: str, life: int, total: float) -> None:
+        if to.ends.over.get(who) == life and to.caller.holder("t") == to.caller.me:
+            rate, burst, sole = self.tenant.rate, self.tenant.surge, to.caller.sole("t")
+            to.holder.handed("t", total, rate, burst, self.now, sole)
+            if self.plan.mutant == "handed again and again":
+                to.holder.counts["t"].assumed = burst
+            if self.plan.mutant == "handed for what was granted":
+                to.holder.counts["t"].total = total
+
     def ended(self, to: Node, who: str, life: int, used: dict[str, float]) -> None:
         if self.plan.mutant == "former":
             to.ends.lives[who] = life
--- a/tests/stories/test_counts.py
+++ b/tests/stories/test_counts.py
@@ -173,6 +173,50 @@
     assert said > 0.9 > 0.75 > unsaid
 
 
+def holder_ends(fleet: Fleet, rng: Random) -> None:
+    """A holder ends in order when its window is nearly empty, all press, and its second word comes late."""
+    fleet.leave(fleet.first, 6.0, slow=0.5 + rng.random())
+    fleet.press(8.0, 6.0 + 0.2 * rng.random())
+
+
+@pytest.mark.parametrize("mutant", ["", "handed for what was granted", "handed again and again"])
+def test_given_a_holder_that_ends_when_its_counts_are_handed_on_then_no_window_breaks(mutant: str) -> None:
+    plan = Plan(rate=600, hot=0.1, skew=0, until=14, mutant=mutant)
+    worst = [play(holder_ends, seed, plan).worst() for seed in range(6)]
+    assert (max(worst) > 1.0) is bool(mutant), worst
+
+
+def test_given_a_holder_that_ends_then_a_burst_fits_at_the_next_one() -> None:
+    def story(fleet: Fleet, rng: Random) -> None:
+        fleet.leave(fleet.first, 6.0)
+        fleet.press(8.0, 6.3)  # quiet until then: the window is nearly empty
+
+    handed, unhanded = (
+        sum(
+            play(story, seed, Plan(rate=60, hot=0.1, skew=0, until=7, mutant=each)).served(6.3)
+            for seed in range(6)
+        )
+        / 6
+        for each in ("", "unhanded")
+    )
+    print(handed, unhanded)
+    assert handed > 0.9 > unhanded + 0.2
+
+
+def test_given_the_word_of_a_former_holder_then_what_was_granted_since_stays_counted() -> None:
+    holder = Holder()
+    assert sum(holder.add("t", 1, 60, 60, 10.0, "a", NEAR, sole=10.0) for _ in range(9)) == SPARE
+    holder.handed("t", 20.0, 60, 60, 10.0, 10.0)
+    assert holder.counts["t"].total == 20.0 + SPARE
+    holder.handed("t", 0.0, 60, 60, 10.0, 10.0)  # a second word
+    assert holder.counts["t"].total == 20.0 + SPARE
+    # A count from an earlier time as holder: it assumes anew, and the word takes its place
+    holder.handed("t", 30.0, 60, 60, 30.0, 29.0)
+    assert holder.counts["t"].total == 30.0
+    # Nobody is told of a count that another may hold
+    assert holder.hand(28.0) == {} and holder.hand(30.0) == {"t": 30.0}
+
+
 def test_given_a_former_life_then_its_end_and_its_words_count_for_nothing() -> None:
     ends = Ends()
     ends.listed({"a": ("h", LIFE)}, {"a"})
--- a/tests/stories/test_ended_limiters.py
+++ b/tests/stories/test_ended_limiters.py
@@ -80,8 +80,12 @@
     assert len(let) == 1 and refused == ["refused.ending", "refused.share"] and wire.ask.call_count == 2
     assert one.caller.close(99.0) == {"b": {}}
     # And what its holder did not yet read of a life that ended counts for nothing
-    one.ended("b", 1, {})
-    assert one.asked("t", 1.0, "b", NEAR, 1) is None is not one.asked("t", 1.0, "b", NEAR, 2)
+    holder = Counting("a", owner)
+    holder.listed({name: Limiter(name, 1, name, "z") for name in "ab"}, 9.0)
+    holder.ended("b", 1, {})
+    assert holder.asked("t", 1.0, "b", NEAR, 1) is None is not holder.asked("t", 1.0, "b", NEAR, 2)
+    # Nor does one that has ended itself grant anything, whoever asks
+    assert one.asked("t", 1.0, "b", NEAR, 2) is None
 
 
 def test_given_an_end_that_was_heard_then_the_next_holder_is_asked_before_the_list_says_so() -> None:
@@ -118,3 +122,61 @@
     holder.add("t", 0.0, 60.0, 60.0, 110.0, "b", NEAR, 0.0, 2)
     holder.end("b", {}, 2, 112.0)  # it may have been cut off, and there was nobody to look
     assert holder.counts["t"].total == 60.0
+
+
+def test_given_half_of_a_large_fleet_ends_at_one_moment_then_its_words_make_one_list() -> None:
+    names = [f"n{number:03d}" for number in range(560)]
+    tenants = {f"t{number}": Tenant(f"t{number}", (), 1, 60.0, 60.0) for number in range(50)}
+    telemetry = SimpleNamespace(
+        count=mock.MagicMock(), log=None, monitor=Monitor(mock.Mock()), observe=mock.Mock()
+    )
+    owner: Any = mock.Mock(
+        telemetry=telemetry,
+        configuration=SimpleNamespace(tenants=tenants),
+        clock=SimpleNamespace(now=lambda: 9.0),
+    )
+    one = Counting(names[0], owner)
+    one.wire = mock.Mock(port=1)
+    one.listed({name: Limiter(name, 1, name, "z") for name in names}, 9.0)
+    with mock.patch.object(one.caller, "renewed", wraps=one.caller.renewed) as renewed:
+        for name in names[280:]:
+            one.ended(name, 1, {})
+            one.ended(name, 1, {})  # each says it twice
+        assert renewed.call_count == 0 and one.caller.there() == 560
+        one.beat(9.0)
+        assert renewed.call_count == 1 and one.caller.there() == 280
+    assert set(one.caller.limiters) == set(names[:280])
+
+
+def test_given_counts_handed_on_then_only_the_next_holder_takes_them_from_a_life_that_ended() -> None:
+    tenants = {f"t{number}": Tenant(f"t{number}", (), 1, 60.0, 60.0) for number in range(30)}
+
+    def limiter(name: str) -> Counting:
+        telemetry = SimpleNamespace(
+            count=mock.MagicMock(), log=None, monitor=Monitor(mock.Mock()), observe=mock.Mock()
+        )
+        clock = SimpleNamespace(now=lambda: 99.0)
+        owner: Any = mock.Mock(
+            telemetry=telemetry, configuration=SimpleNamespace(tenants=tenants), clock=clock
+        )
+        made = Counting(name, owner)
+        made.wire = mock.Mock(port=1)
+        made.caller.settled = made.caller.told = 90.0
+        made.listed({one: Limiter(one, 1, one, "z") for one in "abc"}, 90.0)
+        return made
+
+    former, heirs = limiter("a"), {"b": limiter("b"), "c": limiter("c")}
+    for tenant in tenants:
+        former.add(tenant, 5.0, "b", NEAR)
+    former.leave()
+    assert former.add("t1", 1.0, "b", NEAR) is None  # it grants no more: the next holder would not know
+    hand: Any = former.wire.hand
+    told = {call.args[0]: call.args[1] for call in hand.call_args_list}
+    assert told.keys() == {"b", "c"} and not told["b"].keys() & told["c"].keys()
+    for name, heir in heirs.items():
+        heir.handed("a", 1, told[name])
+        assert not heir.holder.counts  # it has not said that it ended
+        heir.ended("a", 1, {})
+        heir.handed("a", 1, told["b"] | told["c"])
+        assert heir.holder.counts.keys() == told[name].keys()
+        assert heir.add(next(iter(told[name])), 40.0, "b", NEAR) == (True, 0.0)
