A limiter waits for a document that was named; one cut off gives no verdicts

Cause: told of a newer configuration in pieces that then could not be had, a limiter that starts forgot that it exists and began by an older one.

--- a/finchshelf/controlplane/news.py
+++ b/finchshelf/controlplane/news.py
@@ -183,7 +183,9 @@
     async def look_once(self) -> None:
         await trio.sleep(max(0.0, self.look_at - self.clock.now()))
         self.looking, began = False, self.clock.now()
-        if self.cells.judge(began):
+        # Danger: one that is cut off hears few limiters, and owns all services as far as it knows. Its
+        # verdicts would outlast the cut: the higher number wins.
+        if self.joined() and self.cells.judge(began):
             self.wake()
         # Danger: where a whole service fails, all limiters speak of all servers all the time. Judging must
         # leave this program the time for beats, news and changes, or all would take it for dead.
--- a/finchshelf/controlplane/sweeps.py
+++ b/finchshelf/controlplane/sweeps.py
@@ -54,7 +54,7 @@
         # behind a cut one way the others' questions come on, while servers beat elsewhere.
         news = self.cells.silent_servers(now, joined and not halted) | self.cells.silent_limiters(now)
         self.news.times.keep((one.node for one in self.cells.merged), now)
-        if news | self.cells.judge(now):
+        if news | (joined and self.cells.judge(now)):
             self.news.wake()
         if joined and self.doubtful(now):
             self.asking.nursery.start_soon(self.register.finish)
--- a/finchshelf/dataplane/follower.py
+++ b/finchshelf/dataplane/follower.py
@@ -107,7 +107,7 @@
         self.sources: dict[str, Source] = {}
         self.slot, self.document = -1, b""  # of the configuration in use: its digest
         self.coming = -1  # the newest slot whose document is on its way
-        self.coming_since = 0.0
+        self.newest, self.newest_since = -1, 0.0  # the newest slot that anyone named, and since when
         self.pieces = Pieces(nursery, self.piece)
         self.answered: set[str] = set()
         self.first, self.begun = 0.0, False
@@ -129,8 +129,8 @@
         if not self.begun and self.answered:
             now, told = self.clock.now(), any(one.core for one in self.sources.values())
             # Danger: one control plane is behind and tells an old configuration at once; the newest is on its
-            # way from another. Traffic would begin with old state.
-            if self.coming <= self.slot or now - self.coming_since > PATIENCE:
+            # way from another, or can't be had just now. Traffic would begin with old state.
+            if self.newest <= self.slot or now - self.newest_since > PATIENCE:
                 # Danger: one that was cut off for long may answer first, the others' word is on its way.
                 asked = all(
                     (one.failed and not one.shed) or name in self.answered
@@ -276,8 +276,10 @@
         self.taught = self.taught or bool(news.usual)
         value = parcel.unpack(answer["value"]) if "value" in answer else None
         if value is not None and (name := parcel.elsewhere(answer["value"])) and name != self.document:
+            if value.slot > self.newest:
+                self.newest, self.newest_since = value.slot, now
             if value.slot > max(self.slot, self.coming):
-                self.coming, self.coming_since = value.slot, now
+                self.coming = value.slot
                 self.nursery.start_soon(self.fetch, value, name, str(source.link.address))
             value = None
         if value is not None and value.slot > self.slot and value.document:
--- a/tests/stories/test_many_changes.py
+++ b/tests/stories/test_many_changes.py
@@ -349,11 +349,11 @@
     follower = Follower.__new__(Follower)
     follower.clock, follower.begun, follower.answered, follower.first = Clock(), False, {"a", "b"}, 0.0
     follower.sources, follower.members = {}, (core.Member("a", "first"), core.Member("b", "first"))
-    follower.slot, follower.coming, follower.coming_since = 3, 5, follower.clock.now()
+    follower.slot, follower.newest, follower.newest_since = 3, 5, follower.clock.now()
     assert not follower.settled()
     follower.slot = 5
     assert follower.settled()
-    follower.coming = 9
+    follower.newest = 9
     assert follower.settled()
 
 
--- a/tests/stories/test_standing.py
+++ b/tests/stories/test_standing.py
@@ -9,11 +9,12 @@
 from dataclasses import replace
 from random import Random
 from typing import Any, cast
+from unittest import mock
 
 import trio
 from trio.testing import MockClock
 
-from finchshelf.agreement import core
+from finchshelf.agreement import core, parcel
 from finchshelf.agreement.core import Member, Value
 from finchshelf.controlplane.cells import Cells
 from finchshelf.controlplane.news import News
@@ -23,7 +24,7 @@
 from finchshelf.controlplane.sweeps import Sweeps
 from finchshelf.controlplane.turns import Turns
 from finchshelf.dataplane.choice import MOST_TOMBSTONES, Choice
-from finchshelf.dataplane.follower import Follower
+from finchshelf.dataplane.follower import PATIENCE, Follower
 from finchshelf.dataplane.news import News as Told
 from finchshelf.membership import contact
 from finchshelf.membership.records import Limiter, Server
@@ -49,8 +50,8 @@
 class Peer:
     """A link whose peer answers by a function; None: it says nothing."""
 
-    def __init__(self, answer: Answer) -> None:
-        self.answer, self.asked = answer, list[str]()
+    def __init__(self, answer: Answer, address: str = "") -> None:
+        self.answer, self.asked, self.address = answer, list[str](), address
 
     async def ask(self, step: str, message: dict[str, Any], limit: float) -> dict[str, Any]:
         await trio.lowlevel.checkpoint()
@@ -269,8 +270,8 @@
             nursery,
             Seen(),
         )
-        for source in self.follower.sources.values():
-            source.link = cast(Link, Peer(lambda *_: None))
+        for address, source in self.follower.sources.items():
+            source.link = cast(Link, Peer(lambda *_: None, address))
 
     def take(self, address: str, answer: dict[str, Any], late: float = 0.0) -> None:
         asked = self.clock.now()
@@ -413,6 +414,38 @@
     soon(story)
 
 
+def test_given_a_newer_document_that_cannot_be_had_then_a_limiter_that_starts_waits_for_it() -> None:
+    """It is named by one, comes in pieces, and nobody gives them just now."""
+
+    async def story(nursery: trio.Nursery) -> None:
+        limiter = Followed(nursery)
+        limiter.take(HERE, {"core": True, "value": value(3, 1)})
+        named = {**value(4, 2), "document": b"", "at": [b"x" * parcel.NAME, 100_000]}
+        limiter.take(NEAR, {"core": True, "value": named})
+        for _ in range(4):
+            await trio.sleep(2.0)  # the fetch fails, and is given up for a while
+            assert not limiter.follower.settled()
+        # Where it can't be had for long, old is better than nothing
+        limiter.clock.time += PATIENCE + 0.1
+        assert limiter.follower.settled()
+
+    soon(story)
+
+
+def test_given_a_machine_cut_off_when_limiters_tell_of_servers_then_it_judges_none() -> None:
+    async def story(nursery: trio.Nursery) -> None:
+        plane = Plane(nursery, lambda *_: None)
+        with mock.patch.object(plane.cells, "judge", return_value=True) as judge:
+            for joined in (False, True):
+                with mock.patch.object(plane.news, "joined", lambda joined=joined: joined):
+                    plane.sweeps.look(plane.clock.now())
+                    plane.news.look()
+                    await trio.sleep(1.0)
+                assert judge.called is joined
+
+    soon(story)
+
+
 def test_given_a_word_that_lay_unread_then_a_limiter_does_not_go_by_it() -> None:
     async def story(nursery: trio.Nursery) -> None:
         limiter = Followed(nursery)
