Three circles of imports opened; two cores split by concern; looks at invariants counted

Change: `transport/host.py` and `controlplane/peers.py` say by protocols what a connection and the questions to others need of their owner; HostPort is `cli/options.py`; the present node's events are `node/items.py`, the data plane's table of servers with their addresses `dataplane/targets.py`. `finchshelf_invariant_looks` tells how often each was looked at.

--- a/finchshelf/cli/__main__.py
+++ b/finchshelf/cli/__main__.py
@@ -12,15 +12,15 @@
 import sys
 from contextlib import suppress
 from importlib.util import find_spec
-from ipaddress import ip_address
 from pathlib import Path
 from types import FrameType
-from typing import Any, NoReturn
+from typing import NoReturn
 
 import click
 import orjson
 
 from finchshelf.cli import deploy, logs, operator, show
+from finchshelf.cli.options import HostPort
 from finchshelf.cli.rollout import rollout
 from finchshelf.cli.state import state as state_commands
 from finchshelf.configuration import change
@@ -33,24 +33,6 @@
 AS_JSON = click.option("--json", "as_json", is_flag=True, help="JSON, for a script.")
 
 
-class HostPort(click.ParamType[Address]):
-    """A numeric address: `10.0.0.4:8407`, `[::1]:8407`."""
-
-    name = "HOST:PORT"
-
-    def convert(self, value: Any, param: click.Parameter | None, ctx: click.Context | None) -> Address:
-        if isinstance(value, Address):
-            return value
-        host, _, port = str(value).rpartition(":")
-        try:
-            plain = str(ip_address(host.strip("[]")))
-        except ValueError:
-            plain = ""  # a name would be looked up, and nothing here does that
-        if not plain or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
-            self.fail(f"{value!r}: expected HOST:PORT, both numbers", param, ctx)
-        return Address(plain, int(port))
-
-
 CONTROLS = click.option(
     "--control",
     "controls",
--- a/finchshelf/cli/state.py
+++ b/finchshelf/cli/state.py
@@ -18,6 +18,7 @@
 from finchshelf.agreement.backup import Generation
 from finchshelf.agreement.core import Acceptor, Value
 from finchshelf.agreement.store import StoreError
+from finchshelf.cli.options import HostPort
 
 FOLDER = click.Path()
 FAULTS = {
@@ -176,8 +177,6 @@
     def convert(
         self, value: Any, param: click.Parameter | None, ctx: click.Context | None
     ) -> tuple[str, ...]:
-        from finchshelf.cli.__main__ import HostPort
-
         if isinstance(value, tuple):
             return value
         found = tuple(str(HostPort().convert(part.strip(), param, ctx)) for part in str(value).split(","))
--- a/finchshelf/controlplane/asking.py
+++ b/finchshelf/controlplane/asking.py
@@ -9,7 +9,6 @@
 import math
 from collections.abc import Callable
 from random import Random
-from typing import TYPE_CHECKING
 
 import trio
 
@@ -17,14 +16,12 @@
 from finchshelf.controlplane.forms import FORM
 from finchshelf.controlplane.heard import Heard, read_answer
 from finchshelf.controlplane.members import Members
+from finchshelf.controlplane.peers import Speaker
 from finchshelf.membership import contact
 from finchshelf.membership.records import Server
 from finchshelf.transport.exchange import Clock
 from finchshelf.transport.frames import PeerError
 
-if TYPE_CHECKING:
-    from finchshelf.controlplane.news import News
-
 BETWEEN = 0.4  # s that a question between control planes waits: they judge each other's silence by it
 AFTER_FAILURE = 0.3  # s until a control plane that did not answer is asked again
 HOLD = 0.6  # s for other control planes to hold a record: a server waits a second for its acknowledgement
@@ -41,7 +38,7 @@
 class Asking:
     def __init__(
         self,
-        news: News,
+        speaker: Speaker,
         cells: Cells,
         members: Members,
         clock: Clock,
@@ -50,7 +47,7 @@
         random: Random,
         log: Callable[..., None],
     ) -> None:
-        self.news, self.cells, self.members, self.clock = news, cells, members, clock
+        self.speaker, self.cells, self.members, self.clock = speaker, cells, members, clock
         self.nursery, self.counted, self.random, self.log = nursery, counted, random, log
         self.steady: set[str] = set()
 
@@ -73,7 +70,7 @@
             self.steady.discard(control.address)
 
     async def ask_once(self, control: Control) -> None:
-        cells, register = self.cells, self.news.register
+        cells, register = self.cells, self.speaker.known
         have = {
             "life": control.life,
             "rev": control.rev,
@@ -104,7 +101,7 @@
 
     def take(self, control: Control, heard: Heard, spoke: float, now: float) -> None:
         """`spoke`: a moment at which it had not yet said all of this."""
-        cells, register, joined = self.cells, self.news.register, self.news.joined()
+        cells, register, joined = self.cells, self.speaker.known, self.speaker.joined()
         cells.hear(control, now)
         if heard.disk is not None:
             control.run_on(heard.disk)
@@ -137,12 +134,12 @@
             if met is not None:
                 met.zone = zone
                 self.follow(met)
-        if news | cells.merge(now) or joined != self.news.joined():
-            self.news.wake()
+        if news | cells.merge(now) or joined != self.speaker.joined():
+            self.speaker.wake()
 
     async def hold(self, record: Server) -> bool:
         """Do more than half of the core hold this record? Nobody is asked while this one is cut off."""
-        if not self.news.joined():
+        if not self.speaker.joined():
             return False
         held: dict[str, int] = {}  # by whom, and the newest slot that each knew then
         rows = [record.pack(self.clock.now())]
@@ -151,7 +148,7 @@
         def enough() -> bool:
             # Danger: more than half of a core that is no more may be held by nobody whom limiters ask. An
             # answer from a newer one counts once this one knows that too.
-            core, slot = self.news.standing.members(), self.slot()
+            core, slot = self.speaker.core_members(), self.slot()
             mine = self.cells.address
             return 2 * sum(one == mine or held.get(one, math.inf) <= slot for one in core) > len(core)
 
@@ -166,7 +163,7 @@
 
         async def learn() -> None:
             while True:
-                await self.news.register.decided_event.wait()
+                await self.speaker.known.decided_event.wait()
                 if enough():
                     done.set()
 
@@ -174,7 +171,7 @@
             return True
         with trio.move_on_after(HOLD):
             async with trio.open_nursery() as nursery:
-                others = sorted(self.news.standing.members() - {self.cells.address})
+                others = sorted(self.speaker.core_members() - {self.cells.address})
                 for address in others:
                     nursery.start_soon(tell, address)
                 nursery.start_soon(learn)
@@ -187,5 +184,5 @@
         return enough()
 
     def slot(self) -> int:
-        decided = self.news.register.decided
+        decided = self.speaker.known.decided
         return decided.slot if decided is not None else -1
--- a/finchshelf/controlplane/news.py
+++ b/finchshelf/controlplane/news.py
@@ -22,6 +22,7 @@
 from finchshelf.controlplane.forms import Forms
 from finchshelf.controlplane.heard import number, place
 from finchshelf.controlplane.members import Members
+from finchshelf.controlplane.peers import Known
 from finchshelf.controlplane.ranks import of_question
 from finchshelf.controlplane.register import Register
 from finchshelf.controlplane.standing import Standing
@@ -295,6 +296,14 @@
             return None
         return {"life": cells.life, **answer}
 
+    @property
+    def known(self) -> Known:
+        return self.register
+
+    def core_members(self) -> set[str]:
+        """The addresses of the core's members, by the newest value known here."""
+        return self.standing.members()
+
     def joined(self) -> bool:
         """May this one speak for the core?"""
         return self.standing.joined(self.clock.now())
--- a/finchshelf/controlplane/peers.py
+++ b/finchshelf/controlplane/peers.py
@@ -26,6 +26,45 @@
     async def document(self, name: bytes, address: str) -> bytes | None: ...
 
 
+class Known(Protocol):
+    """A register, for whoever asks other control planes what they know that it does not."""
+
+    @property
+    def me(self) -> Member: ...
+
+    @property
+    def decided(self) -> Value | None: ...
+
+    @property
+    def known(self) -> int: ...
+
+    decided_event: trio.Event
+
+    def saved(self) -> int: ...
+
+    def disk_failing_s(self) -> float: ...
+
+    def tell_newest(self, slot: int) -> None: ...
+
+    def learn(self, value: Value) -> None: ...
+
+    async def fetch(self, value: Value, name: bytes, address: str) -> None: ...
+
+
+class Speaker(Protocol):
+    """Whoever answers for this control plane: may it speak for the core, and who are that core's members?
+    `wake`: there is news."""
+
+    @property
+    def known(self) -> Known: ...
+
+    def joined(self) -> bool: ...
+
+    def core_members(self) -> set[str]: ...
+
+    def wake(self) -> None: ...
+
+
 class Asker(Protocol):
     """A register, for whoever asks its members: `address`, `me` and `decided` as it knows them now."""
 
--- a/finchshelf/dataplane/core.py
+++ b/finchshelf/dataplane/core.py
@@ -24,6 +24,7 @@
 from finchshelf.dataplane.failures import Failures
 from finchshelf.dataplane.news import News
 from finchshelf.dataplane.steering import Steering
+from finchshelf.dataplane.targets import Targets
 from finchshelf.dataplane.timers import Due, Timer, Timers
 from finchshelf.dataplane.tries import Next, Tried
 from finchshelf.experience.policy import DEFAULT, Policy
@@ -71,12 +72,12 @@
         self.random = random
         self.configuration = Configuration(0, (), {}, {}, Limits())
         self.choice, self.budget = Choice(zone, random), Budget(ratio, slack)
+        self.targets = Targets(self.choice)
         self.idling = idling.Idling()
         self.steering = Steering(me, policy, self.choice)
         self.steering.probe = self.probe
         self.failures, self.checks = Failures(telemetry), RequestChecks(telemetry.monitor)
         self.counting = Counting(me, self, quota or QuotaMargins())
-        self.addresses: dict[str, Address] = {}
         self.mailbox: Mailbox[Any] = Mailbox()
         self.live: dict[int, Request] = {}
         self.timers = Timers()
@@ -92,6 +93,10 @@
         self.last += 1
         return self.last
 
+    @property
+    def addresses(self) -> dict[str, Address]:
+        return self.targets.addresses
+
     def halted(self, now: float) -> bool:
         return self.halts.halted(now)
 
@@ -275,15 +280,10 @@
         return self.choice.table[name].record if name is not None else None
 
     def probe(self, server: str) -> bool:
-        if server in self.addresses:
-            self.servers.probe(server, self.addresses[server])
-        return server in self.addresses
+        return self.targets.probe(server, self.servers)
 
     def probe_path(self, server: str) -> str:
-        """What the service of that server says of it."""
-        known = self.choice.table.get(server)
-        service = self.configuration.services.get(known.record.service) if known is not None else None
-        return service.probe if service is not None else "/probe"
+        return self.targets.probe_path(server, self.configuration.services)
 
     def hedge(self, request: Request, now: float) -> None:
         """A repeatable request that takes long goes to a second server as well."""
@@ -318,7 +318,7 @@
         self.choice.ended(attempt.server, request.route.label, status, now - attempt.issued, load, now)
         self.count[f"tries.{item.status.value}"] += 1
         if item.used == MISDIRECTED:
-            self.gone(attempt.server)
+            self.targets.gone(attempt.server, self.servers)
         if self.seen.on and item.status is Status.OK and request.method not in SAFE:
             self.seen.ran(request.route.label, request.named())
         if request.id not in self.live:
@@ -403,26 +403,12 @@
 
     # ---- what control planes tell ----
 
-    def gone(self, server: str) -> None:
-        """Its address is another's by now."""
-        self.choice.drop(server)
-        self.addresses.pop(server, None)
-        self.servers.forget(server)
-
     def news(self, item: News, now: float) -> None:
         for record in item.servers:
-            must_go = self.choice.put(record)
-            if record.id in self.choice.table:
-                host, _, port = record.address.rpartition(":")
-                self.addresses[record.id] = Address(host, int(port))
-            else:
-                self.addresses.pop(record.id, None)
-            if must_go:
-                self.servers.forget(record.id)
+            self.targets.put(record, self.servers)
             self.steering.apply(record.id)  # a verdict may have been here before its server
         if item.whole is not None:
-            self.choice.keep(item.whole)
-            self.addresses = {name: at for name, at in self.addresses.items() if name in self.choice.table}
+            self.targets.keep(item.whole)
         if item.limiters is not None and self.counting.listed(item.limiters, now):
             self.budget.limiters = len(self.counting.caller.limiters)
             self.steering.limiters = sorted({self.me, *item.limiters})
--- a/finchshelf/invariants.py
+++ b/finchshelf/invariants.py
@@ -169,10 +169,12 @@
 
     def __init__(self, rare: Callable[..., None]) -> None:
         self.rare = rare
+        self.looks: Counter[str] = Counter()  # how often each was looked at
         self.violations: Counter[str] = Counter()
 
     def check(self, holds: bool, invariant: Invariant, **details: Any) -> bool:
         """Returns `holds`. `details` must be enough to explain a violation from the log alone."""
+        self.looks[invariant.name] += 1
         if not holds:
             self.violations[invariant.name] += 1
             RECORDER.add(Violation(invariant, details))
--- a/finchshelf/metrics/exposition.py
+++ b/finchshelf/metrics/exposition.py
@@ -25,7 +25,7 @@
         self.figures = figures
 
     def collect(self) -> Iterator[Metric]:
-        yield from (self.events(), self.violations(), self.gauges())
+        yield from (self.events(), self.violations(), self.looks(), self.gauges())
         yield from self.histograms()
 
     def events(self) -> CounterMetricFamily:
@@ -44,6 +44,15 @@
             family.add_metric([name], found[name])
         return family
 
+    def looks(self) -> CounterMetricFamily:
+        """A check that is never reached proves nothing."""
+        family = CounterMetricFamily(
+            f"{PREFIX}_invariant_looks", "How often each invariant was looked at.", labels=["invariant"]
+        )
+        for invariant in invariants.CATALOGUE:
+            family.add_metric([invariant.name], self.figures.telemetry.monitor.looks[invariant.name])
+        return family
+
     def gauges(self) -> GaugeMetricFamily:
         family = GaugeMetricFamily(f"{PREFIX}_state", "Present values.", labels=["name"])
         for name, value in sorted(self.figures.gauges().items()):
--- a/finchshelf/node/dialect.py
+++ b/finchshelf/node/dialect.py
@@ -15,7 +15,7 @@
 
 from finchshelf.admission import interface as i
 from finchshelf.node.config import Config
-from finchshelf.node.core import Exchange
+from finchshelf.node.items import Exchange
 from finchshelf.transport.address import Address
 from finchshelf.transport.bodies import Body
 from finchshelf.transport.exchange import HOP_BY_HOP, Answer, Attempt, Ended
--- a/finchshelf/node/discovery.py
+++ b/finchshelf/node/discovery.py
@@ -17,7 +17,8 @@
 
 from finchshelf.admission import interface as i
 from finchshelf.node.config import Config, ConfigError, address
-from finchshelf.node.core import Core, Listed
+from finchshelf.node.core import Core
+from finchshelf.node.items import Listed
 from finchshelf.transport import net
 from finchshelf.transport.address import Address
 
--- a/finchshelf/node/operator.py
+++ b/finchshelf/node/operator.py
@@ -16,7 +16,8 @@
 import trio
 
 from finchshelf.node.config import Config
-from finchshelf.node.core import Core, Maintenance
+from finchshelf.node.core import Core
+from finchshelf.node.items import Maintenance
 from finchshelf.transport import net
 
 MOST_LINE = 512  # bytes of a call with its end of line
--- a/finchshelf/node/process.py
+++ b/finchshelf/node/process.py
@@ -16,10 +16,11 @@
 import trio
 
 from finchshelf.node.config import Config, ConfigError, load
-from finchshelf.node.core import FOLLOW, Core, Renewal
+from finchshelf.node.core import FOLLOW, Core
 from finchshelf.node.counter import Counter
 from finchshelf.node.dialect import Reader, Words
 from finchshelf.node.discovery import Discovery
+from finchshelf.node.items import Renewal
 from finchshelf.node.operator import Operator
 from finchshelf.transport import net
 from finchshelf.transport.address import Address
--- a/finchshelf/transport/answering.py
+++ b/finchshelf/transport/answering.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 from functools import lru_cache
-from typing import TYPE_CHECKING
 
 import h11
 import trio
@@ -17,9 +16,7 @@
 from finchshelf.transport import net
 from finchshelf.transport.bodies import Body
 from finchshelf.transport.exchange import Answer, Exchange
-
-if TYPE_CHECKING:
-    from finchshelf.transport.clients import Clients
+from finchshelf.transport.host import Host
 
 SLOW_WRITE = 10.0  # s for an answer to be taken
 EMPTY = h11.EndOfMessage()
@@ -55,7 +52,7 @@
         "writing",
     )
 
-    clients: Clients
+    clients: Host
     stream: net.Stream
     http: h11.Connection
     exchange: Exchange | None
--- a/finchshelf/transport/clients.py
+++ b/finchshelf/transport/clients.py
@@ -10,7 +10,6 @@
 import errno
 import math
 from collections.abc import Callable
-from typing import Protocol
 
 import h11
 import trio
@@ -18,7 +17,8 @@
 from finchshelf.transport import net
 from finchshelf.transport.bodies import Body, Room
 from finchshelf.transport.connection import TOO_SLOW, Connection
-from finchshelf.transport.exchange import Answer, Exchange, Headers, Port
+from finchshelf.transport.exchange import Answer, Exchange, Headers
+from finchshelf.transport.host import Core
 from finchshelf.transport.reading import BadRequest, Reader
 
 LINGER = 0.3  # s that a client has to end its side after the last answer on a connection
@@ -27,13 +27,6 @@
 YOUNG, HALF, IDLE = 0.05, 1.0, 2.0  # s of silence, of half a request, of idling, from which one makes room
 
 
-class Core(Port, Protocol):
-    """What the clients' side asks of a program's core."""
-
-    def halted(self, now: float) -> bool: ...
-    def next_id(self) -> int: ...
-
-
 class Clients:
     def __init__(
         self,
--- a/finchshelf/transport/connection.py
+++ b/finchshelf/transport/connection.py
@@ -10,7 +10,6 @@
 import math
 from contextlib import suppress
 from functools import partial
-from typing import TYPE_CHECKING
 
 import h11
 import trio
@@ -20,11 +19,9 @@
 from finchshelf.transport.answering import Answering
 from finchshelf.transport.bodies import PIECE, WINDOW, Body
 from finchshelf.transport.exchange import Answer, Arrived, Headers
+from finchshelf.transport.host import Host
 from finchshelf.transport.reading import BadRequest, one_length
 
-if TYPE_CHECKING:
-    from finchshelf.transport.clients import Clients
-
 LEAST_RATE = 32768.0  # bytes a second that a body comes at, beyond that: clients send 64 kB a second
 MUTE = 10.0  # s that the client of a streamed body may send nothing, however far ahead it is
 LAST_READ = 1.5  # s that a client which still sends has to read why nothing of that is wanted
@@ -46,7 +43,7 @@
 
     __slots__ = ("ahead", "chunks", "due", "ended", "expect", "head", "mute", "parts", "size")
 
-    def __init__(self, clients: Clients, stream: net.Stream, now: float) -> None:
+    def __init__(self, clients: Host, stream: net.Stream, now: float) -> None:
         self.clients, self.stream, self.since, self.idle = clients, stream, now, True
         self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=clients.limits.most_head)
         self.head: h11.Request | None = None
--- a/tests/test_node_core.py
+++ b/tests/test_node_core.py
@@ -12,7 +12,8 @@
 import trio
 
 from finchshelf.admission import interface as i
-from finchshelf.node.core import Core, Exchange, Listed
+from finchshelf.node.core import Core
+from finchshelf.node.items import Exchange, Listed
 from finchshelf.transport.address import Address
 from finchshelf.transport.exchange import Answer, Attempt, Clock, Ended
 from finchshelf.transport.telemetry import Telemetry
--- a/tests/test_node_discovery.py
+++ b/tests/test_node_discovery.py
@@ -12,8 +12,8 @@
 
 from finchshelf.admission import interface as i
 from finchshelf.node import discovery as module
-from finchshelf.node.core import Exchange, Listed
 from finchshelf.node.discovery import BadList, Discovery, TurnedAway, listed
+from finchshelf.node.items import Exchange, Listed
 from finchshelf.transport.exchange import Answer, Clock
 from tests.stand_ins import Discovery as Agent
 from tests.stand_ins import Quiet, always, call, config, entry, ok, trio_test, until, world
--- a/tests/test_node_servers.py
+++ b/tests/test_node_servers.py
@@ -10,8 +10,9 @@
 import trio
 
 from finchshelf.admission import interface as i
-from finchshelf.node.core import Core, Exchange, Item
+from finchshelf.node.core import Core
 from finchshelf.node.dialect import Words, report
+from finchshelf.node.items import Exchange, Item
 from finchshelf.transport import net
 from finchshelf.transport.address import Address
 from finchshelf.transport.exchange import Attempt, Clock, Ended
