The demo and the roll-out's count wait for states, not for times

Cause: the demo allowed 20 s in all, 4 to 8 s a step, called a 503 a failure though its client may come again, and let its stand-in servers beat each 0.4 s: at load 32 a server counted as lost after 1.8 s, and the test failed. The test of what a data plane counts slept 1.3 s "for the next news". Change: the demo's bounds are generous (180 s in all), a 503 is tried again as the protocol has it, servers beat as deployed (1.5 s), and what fits a quota is judged by the quota rule itself, with 60 requests sent in place of 40 so that most are still beyond it. The counting test sends marks until they are counted, and takes its base from a mark's own telling.

--- a/finchshelf/cli/demo.py
+++ b/finchshelf/cli/demo.py
@@ -23,10 +23,15 @@
 from finchshelf.transport.address import Address
 from finchshelf.transport.frames import PeerError
 
-BOUND = 20.0  # s for all of it
+BOUND = 180.0  # s for all of it: 8 s on a machine with time to spare, many times that on one without
+STARTS, FOLLOWS = 60.0, 30.0  # s until programs that start answer, and until a change is in force
+TRIES, PAUSE = 5, 0.1  # of a request that is told to come back, as the protocol has it; s between two
 HOST, KEY, SMALL_KEY = "shop.example", "demo-key-of-acme", "demo-key-of-corner"
 RATE = 5  # requests a second of the small tenant, and its surge
-REQUESTS, AFTER_DRAIN, BEYOND = 120, 60, 40
+# What the rule of quotas tolerates beyond the limit: a limiter whose question goes unanswered for 20 ms, as
+# on a machine that is busy, lets in its own share.
+OVERSHOOT, SLACK = 0.1, 20
+REQUESTS, AFTER_DRAIN, BEYOND = 120, 60, 60
 SETTLE = 0.5  # s that a draining server serves on after its acknowledgement
 AT_ONCE = 12  # requests out at a time
 Say = Callable[[str], None]
@@ -97,7 +102,17 @@
     # ---- what a client does ----
 
     def request(self, front: Address, method: str, path: str, key: str = KEY) -> tuple[int, str]:
-        """One request on a connection of its own: status, and `Retry-After` of a refusal."""
+        """One request, each try on a connection of its own: status, and `Retry-After` of a refusal.
+
+        A 503 says that it has not run, and its client may come again."""
+        for _ in range(TRIES):
+            status, after = self.once(front, method, path, key)
+            if status != 503:
+                break
+            time.sleep(max(PAUSE, float(after or 0)))
+        return status, after
+
+    def once(self, front: Address, method: str, path: str, key: str) -> tuple[int, str]:
         connection = http.client.HTTPConnection(front.host, front.port, timeout=4.0)
         headers = {
             "Host": HOST,
@@ -141,7 +156,7 @@
 
     def call(self, name: str, body: bytes, wanted: int = 200) -> operator.Told:
         controls = self.alive()
-        told = operator.call(controls, name, body, max(0.1, min(6.0, self.until - time.monotonic())))
+        told = operator.call(controls, name, body, max(0.1, min(FOLLOWS, self.until - time.monotonic())))
         if told.status != wanted:
             raise Failed(f"{name}: expected {wanted}, got {told.status}: {told.body[:200]!r}")
         return told
@@ -179,7 +194,7 @@
         took = self.wait(
             "control planes answer",
             lambda: all(operator.once(one, "/v1/rpc?call=setpoint.observe", b"", 1.0)[0] for one in controls),
-            8.0,
+            STARTS,
         )
         for at in range(6):
             service = ("pages", "orders")[at % 2]
@@ -201,7 +216,7 @@
 
     def configure(self) -> str:
         told = self.call("setpoint.replace", json.dumps(first_configuration()).encode())
-        took = self.wait("limiters are ready", lambda: self.ready() and self.served("/pages/1"), 8.0)
+        took = self.wait("limiters are ready", lambda: self.ready() and self.served("/pages/1"), STARTS)
         return (
             f"version 00000001 taken by {told.by}; in force on 3 of 3 limiters " f"{took * 1000:.0f} ms later"
         )
@@ -232,7 +247,8 @@
         served = sum(status == 200 for status, _ in seen)
         told = sum(status == 429 and float(after or 0) > 0 for status, after in seen)
         words = f"{served} served, {told} told when to come back (429)"
-        if served + told != BEYOND or not 0 < served <= RATE + RATE * took + 1:
+        most = (RATE + RATE * took) * (1 + OVERSHOOT) + SLACK  # as the rule of quotas has it
+        if served + told != BEYOND or not 0 < served <= most:
             raise Failed(f"{words}, of {BEYOND} in {took:.2f} s")
         return f"a tenant of {RATE} a second sent {BEYOND} in {took:.2f} s over 3 limiters: {words}"
 
@@ -255,7 +271,7 @@
 
     def change(self) -> str:
         self.call("setpoint.adjust", changed(2, "news", 1))
-        took = self.wait("the new route", lambda: self.served("/news/1"), 4.0)
+        took = self.wait("the new route", lambda: self.served("/news/1"), FOLLOWS)
         self.call("setpoint.adjust", changed(2, "news", 1))  # the very same once more is no second change
         self.call("setpoint.adjust", changed(3, "late", 1), 412)
         return (
@@ -266,7 +282,7 @@
     def loss(self) -> str:
         self.system.kill("control-plane-1")
         self.call("setpoint.adjust", changed(4, "more", 2))
-        took = self.wait("the new route", lambda: self.served("/more/1"), 4.0)
+        took = self.wait("the new route", lambda: self.served("/more/1"), FOLLOWS)
         seen = Counter(status for status, _ in self.many(AFTER_DRAIN))
         if seen != {200: AFTER_DRAIN}:
             raise Failed(f"{dict(seen)} of {AFTER_DRAIN}")
@@ -301,7 +317,7 @@
                 and versions == ["00000004"] * len(inner)
             )
 
-        self.wait("the new member", counts_again, 8.0)
+        self.wait("the new member", counts_again, STARTS)
         return (
             f"the killed one is back with an empty disk: a member again, with version 00000004, "
             f"{time.monotonic() - began:.1f} s later"
--- a/finchshelf/cli/system.py
+++ b/finchshelf/cli/system.py
@@ -23,8 +23,10 @@
 
 FRONT, READINESS, CONTROL, INNER = 8405, 8406, 8407, 7660
 ZONES = ("north", "middle", "south")
-PULSE_MS = 400  # of the stand-in servers' beats: a person watches
-PLANNED = 8.0  # s that a child has to end by itself
+# Of the stand-in servers' beats, as deployments have it. Danger: more often, a machine that is busy for two
+# seconds would have all of its servers called lost.
+PULSE_MS = 1500
+PLANNED = 30.0  # s that a child has to end by itself
 PACKAGE = str(Path(__file__).parent.parent.parent)
 MARGINS = (
     "contactMs=3000,acknowledgeMs=5000,convergenceS=4,settlingMs=500,toleranceS=6,retryRatio=0.2,"
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -24,6 +24,8 @@
 from finchshelf.transport.frames import Link
 from finchshelf.transport.telemetry import Telemetry
 
+GENEROUS_S = 90.0  # s for a state that is waited for: the machine may be many times slower than usual
+MOST_LOOKS = 200  # at whether a word has come
 PLAN = """
 name = "try"
 change = { apply = { elements = [] } }
@@ -54,7 +56,7 @@
             await trio.sleep_forever()
 
 
-async def until(keepers: list[Address], true: Any, limit: float = 15.0) -> duty.Document:
+async def until(keepers: list[Address], true: Any, limit: float = GENEROUS_S) -> duty.Document:
     with trio.fail_after(limit):
         while True:
             answer = await keeper.say(keepers, {"word": "status"}, 2.0)
@@ -97,7 +99,7 @@
             assert second["epoch"] > first["epoch"]
             # It comes back without its disk, and counts again
             new, _ = await nursery.start(run_keeper, first["driver"], seeds, tmp_path / "new", False)
-            with trio.fail_after(15.0):
+            with trio.fail_after(GENEROUS_S):
                 while new.register.me not in new.register.members:
                     await trio.sleep(0.02)
             other = next(seed for seed in seeds if seed not in (first["driver"], second["driver"]))
@@ -158,7 +160,7 @@
     async def watched(true: Any) -> Sums:
         async with trio.open_nursery() as nursery:
             link, sums = Link(system.each(INNER)[0], nursery), Sums()
-            with trio.fail_after(12.0):
+            with trio.fail_after(GENEROUS_S):
                 while True:
                     sums.take(await link.ask("evidence", {"op": "evidence", "aims": {"read": 0.001}}, 2.0))
                     if true(sums):
@@ -170,24 +172,34 @@
     try:
         site.start()
         site.begin()
-        limit = time.monotonic() + 10.0
+        limit = time.monotonic() + GENEROUS_S
         while demo.status_of(system.each(READINESS)[0], "/v1/readiness") != 200:
             assert time.monotonic() < limit
             time.sleep(0.05)
         assert request("GET", "/pages/1", "before") == 200
         trio.run(watched, lambda sums: True)
-        time.sleep(1.3)  # the word comes with the next news
+        # The word that somebody watches comes with the news: what meets no route shows that it has.
+        for number in range(MOST_LOOKS):
+            request("GET", "/nowhere", f"look-{number}")
+            if trio.run(watched, lambda sums: True).totals("")[0]:
+                break
+            time.sleep(0.1)
+        else:
+            pytest.fail("the data plane never counted")
+        # Totals of all routes are told together: with this one, all that looked has been told.
+        assert request("GET", "/pages/1", "mark") == 200
+        looked = trio.run(watched, lambda sums: sums.totals("read")[0] == 1).totals("")[AT["denied"]]
         for trial in ("one", "two", "two"):  # a client that sends what has run once more
             assert request("POST", "/orders/1", trial) == 200
         assert request("GET", "/pages/1", "three") == 200
         assert request("GET", "/pages/1", "four", "no-such-key") == 401
         assert request("GET", "/nowhere", "five") == 404
-        sums = trio.run(watched, lambda sums: sums.totals("buy")[0] == 3 and sums.totals("read")[0] == 2)
+        sums = trio.run(watched, lambda sums: sums.totals("buy")[0] == 3 and sums.totals("read")[0] == 3)
         told = operator.call(system.each(CONTROL), "setpoint.observe", b"", 2.0)
         assert told.status == 200
     finally:
         site.close()
     buy, read = sums.totals("buy"), sums.totals("read")
     assert buy[AT["repeated"]] == 1 and sum(buy) == 4
-    assert read[AT["denied"]] == 1 and read[AT["late"]] == 1  # nothing is answered in a microsecond
-    assert sums.totals("")[AT["denied"]] == 1
+    assert read[AT["denied"]] == 1 and read[AT["late"]] == 2  # nothing is answered in a microsecond
+    assert sums.totals("")[AT["denied"]] == looked + 1
