--- a/finchshelf/cli/demo.py
+++ b/finchshelf/cli/demo.py
@@ -17,7 +17,7 @@
 from itertools import count
 from pathlib import Path
 
-from finchshelf.cli import operator, show
+from finchshelf.cli import documents, operator, show
 from finchshelf.cli.stand_ins import Server
 from finchshelf.cli.system import CONTROL, FRONT, INNER, PULSE_MS, READINESS, ZONES, System
 from finchshelf.transport.address import Address
@@ -41,55 +41,25 @@
     """A step that did not go through; says what was seen."""
 
 
-def route(label: str, prefix: str, service: str, variant: str) -> dict[str, object]:
-    return {
-        "elementKind": "trajectories",
-        "header": {"label": label},
-        "reference": {
-            "plant": HOST,
-            "pathPrefix": prefix,
-            "variant": variant,
-            "cutoffMs": 3000,
-            "targetMs": 500,
-            "subsystem": service,
-            "trials": 2,
-        },
-    }
+def route(label: str, prefix: str, service: str, variant: str) -> documents.Element:
+    return documents.route(label, HOST, prefix, service, variant)
 
 
 def first_configuration() -> dict[str, object]:
-    services = [
-        {"elementKind": "subsystems", "header": {"label": name}, "reference": {"connectionCeiling": 100}}
-        for name in ("pages", "orders")
-    ]
-    tenants = [
-        {"elementKind": "loads", "header": {"label": "acme"}, "reference": {"credentials": [KEY]}},
-        {
-            "elementKind": "loads",
-            "header": {"label": "corner-shop"},
-            "reference": {"credentials": [SMALL_KEY], "rateS": RATE, "surge": RATE},
-        },
-    ]
-    return {
-        "setpointSeq": "00000001",
-        "priorVersion": 0,
-        "elements": [
+    return documents.whole(
+        1,
+        [
             route("read", "/pages/", "pages", "nullipotent"),
             route("buy", "/orders/", "orders", "mutating"),
-            *services,
-            *tenants,
+            *map(documents.service, ("pages", "orders")),
+            documents.tenant("acme", [KEY]),
+            documents.tenant("corner-shop", [SMALL_KEY], RATE, RATE),
         ],
-    }
+    )
 
 
 def changed(version: int, label: str, prior: int) -> bytes:
-    return json.dumps(
-        {
-            "setpointSeq": f"{version:08x}",
-            "priorVersion": f"{prior:08x}",
-            "apply": {"elements": [route(label, f"/{label}/", "pages", "nullipotent")]},
-        }
-    ).encode()
+    return documents.change(version, prior, [route(label, f"/{label}/", "pages", "nullipotent")])
 
 
 class Demo:
--- a/finchshelf/soak/__main__.py
+++ b/finchshelf/soak/__main__.py
@@ -15,6 +15,7 @@
 
 from finchshelf.soak.mutants import MUTANTS
 from finchshelf.soak.plan import DENSE, USUAL, draw
+from finchshelf.soak.reach import Reached, table, together
 from finchshelf.soak.seed import Verdict, play
 
 LENGTH_S = 45.0
@@ -62,9 +63,17 @@
     help="Drop this guard of the programs: the soak must find it.",
 )
 @click.option("--dense", is_flag=True, help="Two to five troubles at once, little calm in between.")
+@click.option("--pairs", is_flag=True, help="Print how often each pair of troubles overlapped.")
 @click.option("--plan", "only_plan", is_flag=True, help="Print what would happen and play nothing.")
 def main(
-    seeds: str, length_s: float, jobs: int, keep: Path, mutant: str | None, dense: bool, only_plan: bool
+    seeds: str,
+    length_s: float,
+    jobs: int,
+    keep: Path,
+    mutant: str | None,
+    dense: bool,
+    pairs: bool,
+    only_plan: bool,
 ) -> None:
     """Real processes under troubles drawn from seeds, judged by what clients, servers and operators saw."""
     pace = DENSE if dense else USUAL
@@ -74,6 +83,7 @@
                 click.echo(f"{seed} {trouble}")
         return
     struck, overlaps, broken = Counter[str](), Counter[str](), list[int]()
+    found, torn = list[list[Reached]](), 0
     with ProcessPoolExecutor(jobs) as pool:
         for done in as_completed(
             [pool.submit(play, seed, length_s, keep, pace, mutant or "") for seed in span(seeds)]
@@ -81,10 +91,16 @@
             verdict = done.result()
             struck.update(verdict.struck)
             overlaps.update(verdict.overlaps)
+            found.append(verdict.reach)
+            torn += verdict.torn
             broken += [] if verdict.fine else [verdict.seed]
             click.echo(line(verdict))
     click.echo("struck: " + ", ".join(f"{kind} {number}" for kind, number in sorted(struck.items())))
     click.echo(f"pairs of troubles that overlapped: {len(overlaps)} kinds, {sum(overlaps.values())} times")
+    click.echo(f"files and entries changed by losses of power: {torn}")
+    if pairs:
+        click.echo(", ".join(f"{pair} {number}" for pair, number in sorted(overlaps.items())))
+    click.echo(table(together(found)))
     click.echo(f"{len(span(seeds))} seeds, {len(broken)} broken{': ' if broken else ''}{broken or ''}")
     sys.exit(1 if broken else 0)
 
--- a/finchshelf/soak/child.py
+++ b/finchshelf/soak/child.py
@@ -24,7 +24,11 @@
     from finchshelf.soak.gate import Gate, install
 
     boot = read_boot(os.environ["FINCHSHELF_BOOT"])
-    install(Gate(os.environ["FINCHSHELF_GATE"], boot.ip))
+    gate = Gate(os.environ["FINCHSHELF_GATE"], boot.ip)
+    gate.look()
+    install(gate)
+    if boot.state_dir:
+        importlib.import_module("finchshelf.soak.disks").watch(boot.state_dir)
     if mutant := os.environ.get("FINCHSHELF_MUTANT"):
         importlib.import_module("finchshelf.soak.mutants").MUTANTS[mutant].apply()
     return int(importlib.import_module(f"finchshelf.{name}.process").main())
--- a/finchshelf/soak/clients.py
+++ b/finchshelf/soak/clients.py
@@ -15,22 +15,19 @@
 import h11
 import trio
 
-from finchshelf.soak import judge, wire
+from finchshelf.soak import site, wire
+from finchshelf.soak.judge import OVER_DEADLINE_S
 from finchshelf.soak.ledger import End, Ledger, Sent
 from finchshelf.soak.servers import SEAL, body_of, body_of_request, status_of
 from finchshelf.soak.wire import Ended, Message, Wire
 from finchshelf.transport.address import Address
 
-HOST = "shop.example"
-KEYS = {"acme": "soak-key-of-acme", judge.LIMITED_TENANT: "soak-key-of-corner"}
 DEADLINE_S = 2.0
 CONNECT_S = 1.0
-REQUESTS_S = 45.0  # a second, all clients together
-LIMITED_SHARE = 0.35  # of them by the tenant with a limit: more than its rate
-UNSAFE_SHARE = 0.35
 KEPT = 6  # connections that a data plane's clients keep
 MISSES = 2
 LARGE, LARGE_SHARE = (70_000, 300_000), 0.05  # bytes of a body that is streamed, and how many POSTs have one
+LEAVES_S = (0.1, 0.4)  # after which the client of a slow request hangs up
 BURST = 4.0  # times the usual
 
 
@@ -40,6 +37,28 @@
     prefix: str
 
 
+@dataclass(frozen=True, slots=True)
+class Stream:
+    """Requests of one tenant on one route; `route` None: on those that changes have added."""
+
+    tenant: site.Tenant
+    route: site.SiteRoute | None
+    requests_s: float
+
+
+STREAMS = (
+    *(Stream(site.FREE, route, route.requests_s) for route in site.ROUTES),
+    *(Stream(tenant, site.BY_ROUTE["read"], tenant.requests_s) for tenant in site.LIMITED),
+    Stream(site.FREE, None, site.ADDED_S),
+)
+REQUESTS_S = sum(one.requests_s for one in STREAMS)
+
+
+def key_of(tenant: str) -> str:
+    """No tenant holds the key of nobody."""
+    return site.BY_TENANT[tenant].key if tenant else site.UNKNOWN_KEY
+
+
 @dataclass(slots=True)
 class Platform:
     """Which data planes get new connections."""
@@ -94,11 +113,17 @@
 
     async def one(self) -> None:
         random = self.random
-        route = random.choice(self.routes) if random.random() < 0.4 else self.routes[0]
-        if random.random() < UNSAFE_SHARE:
-            route = self.routes[1]
-        method = "POST" if route.label == "buy" else "GET"
-        tenant = judge.LIMITED_TENANT if random.random() < LIMITED_SHARE else "acme"
+        stream = random.choices(STREAMS, [one.requests_s for one in STREAMS])[0]
+        if not stream.tenant.sends(self.now()):
+            return
+        if stream.route is not None:
+            route, method = Route(stream.route.label, stream.route.prefix), stream.route.method
+        elif self.routes:
+            route, method = random.choice(self.routes), "GET"
+        else:
+            return
+        tenant = "" if random.random() < site.UNKNOWN_SHARE else stream.tenant.name
+        leaves = stream.route is not None and random.random() < stream.route.leaves
         edge = random.choice(self.platform.edges())
         self.numbers += 1
         trial = f"soak{self.numbers:08x}"
@@ -126,7 +151,7 @@
         try:
             connection = connection or await self.connect(edge)
             if connection is not None:
-                await self.send(connection, row, random.random() < self.rude_share)
+                await self.send(connection, row, random.random() < self.rude_share, leaves)
         finally:
             row.ended = row.ended or self.now()
 
@@ -134,10 +159,11 @@
         front = self.fronts[edge - 1]
         return await wire.connect(front.host, front.port, CONNECT_S)
 
-    async def send(self, connection: Wire, row: Sent, rude: bool) -> None:
+    async def send(self, connection: Wire, row: Sent, rude: bool, leaves: bool) -> None:
+        """`rude`: it sends half a request, or hangs up at once; `leaves`: it does a little later."""
         fine = False
         try:
-            with trio.move_on_after(DEADLINE_S + judge.OVER_DEADLINE_S + 0.2) as scope:
+            with trio.move_on_after(DEADLINE_S + OVER_DEADLINE_S + 0.2) as scope:
                 if rude and self.random.random() < 0.4:
                     row.end = End.LEFT
                     await connection.stream.send_all(f"{row.method} {row.path} HTTP/1.1\r\nHo".encode())
@@ -148,6 +174,10 @@
                     row.end = End.LEFT
                     await trio.sleep(self.random.uniform(0.0, 0.06))
                     return
+                if leaves:
+                    row.end = End.LEFT
+                    await trio.sleep(self.random.uniform(*LEAVES_S))
+                    return
                 fine = await self.read(connection, row)
             if scope.cancelled_caught:
                 row.end = End.TIMEOUT
@@ -161,10 +191,10 @@
     def request(self, row: Sent) -> tuple[h11.Request, bytes]:
         body = body_of_request(row.trial, row.size) if row.method == "POST" else b""
         headers = [
-            ("Host", HOST),
+            ("Host", site.HOST),
             ("Trial-Id", row.trial),
             ("Remaining-Ms", str(int(DEADLINE_S * 1000))),
-            ("Authorization", f"Token {KEYS[row.tenant]}"),
+            ("Authorization", f"Token {key_of(row.tenant)}"),
             ("Load-Name", "somebody-else"),
         ]
         if body:
--- a/finchshelf/soak/figures.py
+++ b/finchshelf/soak/figures.py
@@ -33,5 +33,9 @@
     return await fetched(address, "finchshelf_invariant_violations", "invariant")
 
 
+async def looks(address: Address) -> dict[str, float]:
+    return await fetched(address, "finchshelf_invariant_looks", "invariant")
+
+
 async def state(address: Address) -> dict[str, float]:
     return await fetched(address, "finchshelf_state", "name")
--- a/finchshelf/soak/gate.py
+++ b/finchshelf/soak/gate.py
@@ -19,11 +19,12 @@
 
 from finchshelf.agreement.store import Store, StoreError
 from finchshelf.dataplane import questions
-from finchshelf.soak.cuts import DISK, FULL, STALLED
+from finchshelf.soak.cuts import CLOCK, DISK, FULL, LINK, SLOW, STALLED
 from finchshelf.transport import net
 from finchshelf.transport.address import Address
 
 LOOK_S = 0.02  # between two looks at the file
+SLOW_LINK_S, SLOW_DISK_S = 0.08, 0.25  # that bytes on a slow link, and a write on a slow disk, take longer
 SILENCE_S = 1.5  # that written bytes may stay unacknowledged
 MOST_DATAGRAM = 65536
 
@@ -35,7 +36,9 @@
         self.path, self.own = path, own
         self.looked, self.stamp = 0.0, (0, 0, 0)
         self.cut: frozenset[str] = frozenset()
-        self.disk = ""  # what is wrong with the disk: `FULL`, `STALLED` or nothing
+        self.slow: frozenset[str] = frozenset()
+        self.off_s = 0.0  # that the time of day is off
+        self.disk = ""  # what is wrong with the disk: `FULL`, `STALLED`, `SLOW` or nothing
 
     def closed(self, peer: str) -> bool:
         now = time.monotonic()
@@ -52,11 +55,13 @@
             if stamp != self.stamp:
                 with open(self.path, encoding="ascii") as file:
                     words = frozenset(file.read().split())
-                self.cut = frozenset(word for word in words if not word.startswith(DISK))
-                self.disk = next((word.removeprefix(DISK) for word in words if word.startswith(DISK)), "")
+                self.cut = frozenset(word for word in words if "=" not in word)
+                self.slow = frozenset(word.removeprefix(LINK) for word in words if word.startswith(LINK))
+                self.disk = said(words, DISK)
+                self.off_s = float(said(words, CLOCK) or 0.0)
                 self.stamp = stamp
         except OSError:
-            self.cut, self.disk = frozenset(), ""
+            self.cut, self.slow, self.disk = frozenset(), frozenset(), ""
 
     def write_disk(self, folder: str) -> None:
         """Before a write, in its thread: what the disk does with it now."""
@@ -64,6 +69,8 @@
         while self.disk == STALLED:
             time.sleep(LOOK_S)
             self.look()
+        if self.disk == SLOW:
+            time.sleep(SLOW_DISK_S)
         if self.disk == FULL:
             raise StoreError("write", folder, "no space left on the soak's disk")
 
@@ -76,6 +83,10 @@
             await trio.sleep(LOOK_S)
 
 
+def said(words: frozenset[str], prefix: str) -> str:
+    return next((word.removeprefix(prefix) for word in words if word.startswith(prefix)), "")
+
+
 class GatedStream(net.Stream):
     """A stream whose bytes wait while its peer can't be reached."""
 
@@ -92,6 +103,8 @@
         while True:
             await self.readable()
             await self.gate.passes(self.peer)
+            if self.peer in self.gate.slow:
+                await trio.sleep(SLOW_LINK_S)
             if self.sock.fileno() < 0:
                 raise trio.ClosedResourceError
             try:
@@ -160,6 +173,8 @@
         former(self, state)
 
     Store.save = save  # type: ignore[method-assign]
+    time_of_day = time.time
+    time.time = lambda: time_of_day() + gate.off_s
     net.Stream = GatedStream  # type: ignore[misc]
     net.connect = connect
     questions.opened = opened
--- a/finchshelf/soak/judge.py
+++ b/finchshelf/soak/judge.py
@@ -9,9 +9,11 @@
 
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
+from functools import partial
 
+from finchshelf.soak import bounds, site
 from finchshelf.soak import plan as plans
+from finchshelf.soak.breach import MOST_SHOWN, Breach, told
 from finchshelf.soak.ledger import End, Ledger, Sent, Struck
 
 CONTACT_S = 4.0  # since the last trouble until a machine counts as calm; the margin is 3 s
@@ -23,22 +25,8 @@
 LEAST_SERVED = 0.97  # of the requests in that time
 LOSS_SLACK_S = 0.2
 OVER_DEADLINE_S = 0.6
-MOST_SHOWN = 5  # examples of one breach
 PROMISES = frozenset((408, 421, 429, 503))
-RATE, SURGE = 20.0, 20.0  # of the tenant with a limit
-QUOTA_WINDOW_S, OVERSHOOT, QUOTA_SLACK = 5.0, 0.1, 20.0
-RETRY_WINDOW_S, RETRY_RATIO, RETRY_SLACK = 10.0, 0.2, 64
 UNSAFE = "POST"
-LIMITED_TENANT = "corner-shop"
-
-
-@dataclass(frozen=True, slots=True)
-class Breach:
-    rule: str
-    what: str
-
-    def __str__(self) -> str:
-        return f"{self.rule}: {self.what}"
 
 
 class Judge:
@@ -48,14 +36,14 @@
 
     def breaches(self) -> list[Breach]:
         rules: tuple[Callable[[], Iterator[Breach]], ...] = (
+            *(partial(rule, self.ledger) for rule in bounds.EVERYWHERE),
+            *(partial(rule, self.ledger, self.calm) for rule in bounds.IN_TOUCH),
             self.twice,
             self.refused,
             self.mixed,
             self.unasked,
             self.trials,
             self.drained,
-            self.quota,
-            self.retries,
             self.lost_at_end,
             self.unanswered,
             self.orders,
@@ -72,8 +60,10 @@
     def calm(self, machine: int, since: float, until: float) -> bool:
         """Was that machine untouched, and the core as well, from `CONTACT_S` before `since` to `until`?"""
         return not any(
-            one.at < until and one.until > since - CONTACT_S and touches(one, machine)
+            begin < until and end > since - CONTACT_S
             for one in self.ledger.struck
+            if touches(one, machine)
+            for begin, end in spans(one, machine)
         )
 
     def all_calm(self, since: float, until: float) -> bool:
@@ -144,26 +134,6 @@
                 late.append(f"{one.trial} at {one.server} {one.at - leaving.acknowledged:.2f} s after")
         yield from told("DRAIN", late, "sent to servers that had left")
 
-    def quota(self) -> Iterator[Breach]:
-        times = sorted(one.at for one in self.ledger.ran if one.ran and one.tenant == LIMITED_TENANT)
-        most = (RATE * QUOTA_WINDOW_S + SURGE) * (1 + OVERSHOOT) + QUOTA_SLACK
-        worst = densest(times, QUOTA_WINDOW_S)
-        if worst > most:
-            yield Breach("QUOTA", f"{worst} requests in {QUOTA_WINDOW_S:g} s, {most:g} allowed")
-
-    def retries(self) -> Iterator[Breach]:
-        first: set[str] = set()
-        again: defaultdict[str, list[float]] = defaultdict(list)
-        for one in sorted(self.ledger.ran, key=lambda row: row.at):
-            if one.trial in first:
-                again[one.service].append(one.at)
-            first.add(one.trial)
-        for service, times in again.items():
-            worst = densest(times, RETRY_WINDOW_S)
-            asked = densest([one.at for one in self.ledger.sent], RETRY_WINDOW_S)
-            if worst > RETRY_RATIO * asked + RETRY_SLACK:
-                yield Breach("BUDGET", f"{worst} further arrivals at {service} in {RETRY_WINDOW_S:g} s")
-
     def lost_at_end(self) -> Iterator[Breach]:
         """Around a planned end of a calm machine a request that was read has its answer."""
         ran = {one.trial: one.at for one in self.ledger.ran if one.ran}
@@ -271,6 +241,7 @@
             if (
                 order is not None
                 and one.status in (401, 403, 404)
+                and one.tenant
                 and self.calm(one.edge, one.at, one.ended)
                 and one.at > order.acknowledged + IN_FORCE_S
             ):
@@ -282,7 +253,10 @@
         denied = [
             one.trial
             for one in self.ledger.sent
-            if one.route not in known and one.status in (401, 403, 404) and one.route in FIRST_ROUTES
+            if one.route not in known
+            and one.status in (401, 403, 404)
+            and one.route in site.BY_ROUTE
+            and one.tenant
         ]
         yield from told("DENIED", denied, "refused though every version allows them")
 
@@ -294,8 +268,8 @@
             one
             for one in self.ledger.sent
             if one.end is not End.LEFT
-            and one.tenant != LIMITED_TENANT
-            and one.route in FIRST_ROUTES
+            and one.tenant == site.FREE.name
+            and one.route in site.FIRST_ROUTES
             and not self.any_trouble(one)
         ]
         served = sum(one.status == 200 for one in owed)
@@ -313,8 +287,8 @@
             for one in self.ledger.sent
             if one.at > since
             and one.end is not End.LEFT
-            and one.tenant != LIMITED_TENANT
-            and one.route in FIRST_ROUTES
+            and one.tenant == site.FREE.name
+            and one.route in site.FIRST_ROUTES
         ]
         served = sum(one.status == 200 for one in owed)
         if len(owed) >= LEAST_OWED and served < LEAST_SERVED * len(owed):
@@ -333,18 +307,32 @@
             yield Breach("FAULT", f"{end} ended by itself")
 
 
-FIRST_ROUTES = frozenset(("read", "buy"))
-TOUCHING = frozenset(map(str, (*plans.ON_CONTROL, *plans.ON_EDGE, *plans.ON_LINKS, *plans.ON_DISKS)))
-CORE_WIDE = frozenset(map(str, (*plans.ON_CONTROL, *plans.ON_DISKS, plans.Kind.HALVES_CUT)))
+# The host's own lateness counts as trouble of all machines: a bound of time can't be judged by a late clock.
+EVERYBODYS = frozenset(map(str, (*plans.ON_ALL, plans.HOST_LATE)))
+TOUCHING = EVERYBODYS | frozenset(
+    map(str, (*plans.ON_CONTROL, *plans.ON_EDGE, *plans.ON_LINKS, *plans.ON_DISKS, *plans.ON_CLOCKS))
+)
+BETWEEN_ALL = (plans.Kind.HALVES_CUT, plans.Kind.LINK_SLOW)
+CORE_WIDE = frozenset(map(str, (*plans.ON_CONTROL, *plans.ON_DISKS, *plans.ON_CLOCKS, *BETWEEN_ALL)))
+# One machine of the core apart: the others are in touch again a while after it began, and after it ended.
+ONE_APART = frozenset(map(str, (plans.Kind.MACHINE_CUT, plans.Kind.DRAIN_CUT)))
 
 
 def touches(struck: Struck, machine: int) -> bool:
     """Does that trouble touch this machine, or the core that it must be in touch with?"""
     if struck.kind not in TOUCHING:
         return False
+    if struck.kind in EVERYBODYS:
+        return True
     core = any(one <= plans.CORE for one in struck.machines)
-    on_core = core and (struck.kind in CORE_WIDE or struck.kind == plans.Kind.MACHINE_CUT)
-    return machine in struck.machines or on_core
+    return machine in struck.machines or (core and struck.kind in CORE_WIDE | ONE_APART)
+
+
+def spans(struck: Struck, machine: int) -> list[tuple[float, float]]:
+    """When that trouble touches this machine; moments where the core is cut or joined elsewhere."""
+    if struck.kind in ONE_APART and machine not in struck.machines:
+        return [(struck.at, struck.at), (struck.until, struck.until)]
+    return [(struck.at, struck.until)]
 
 
 def server_trouble(struck: list[Struck], sent: Sent) -> bool:
@@ -356,18 +344,3 @@
 def unserved(rows: list[Sent]) -> dict[str, int]:
     """How those that were not served ended."""
     return dict(Counter(f"{one.end} {one.status}" for one in rows if one.status != 200))
-
-
-def densest(times: list[float], window_s: float) -> int:
-    """The most of these moments within any window of that length."""
-    ordered, start, most = sorted(times), 0, 0
-    for at, moment in enumerate(ordered):
-        while moment - ordered[start] > window_s:
-            start += 1
-        most = max(most, at - start + 1)
-    return most
-
-
-def told(rule: str, examples: list[str], what: str) -> Iterator[Breach]:
-    if examples:
-        yield Breach(rule, f"{len(examples)} {what}: {', '.join(examples[:MOST_SHOWN])}")
--- a/finchshelf/soak/ledger.py
+++ b/finchshelf/soak/ledger.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -61,6 +62,18 @@
     key_passed: bool
     body_fits: bool
     status: int
+    remaining_s: float = -1.0  # that it was handed; below 0: none
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """A long piece of work of a server; `broken`: its connection closed meanwhile, and it ended by that."""
+
+    trial: str
+    server: str
+    began: float
+    ended: float
+    broken: bool
 
 
 @dataclass(slots=True)
@@ -118,6 +131,10 @@
     reads: list[Read] = field(default_factory=list)
     leavings: list[Leaving] = field(default_factory=list)
     struck: list[Struck] = field(default_factory=list)
+    works: list[Work] = field(default_factory=list)
+    slips: Counter[str] = field(default_factory=Counter)  # answers that servers lost, garbled, gave twice
+    looks: Counter[str] = field(default_factory=Counter)  # at invariants, by name
+    torn: int = 0  # files and entries that losses of power changed
     violations: dict[str, int] = field(default_factory=dict)  # by invariant and program
     faults: list[str] = field(default_factory=list)  # lines of the programs' logs that must not come
     own_ends: list[str] = field(default_factory=list)  # programs that ended by themselves
--- a/finchshelf/soak/operators.py
+++ b/finchshelf/soak/operators.py
@@ -15,9 +15,9 @@
 import h11
 import trio
 
-from finchshelf.soak import wire
-from finchshelf.soak.clients import HOST, KEYS, Route
-from finchshelf.soak.judge import LIMITED_TENANT, RATE, SURGE
+from finchshelf.cli import documents
+from finchshelf.soak import site, wire
+from finchshelf.soak.clients import Route
 from finchshelf.soak.ledger import Ledger, Order, Read
 from finchshelf.soak.servers import followed, status_of
 from finchshelf.transport.address import Address
@@ -27,47 +27,24 @@
 GIVES_UP_S = 12.0
 ROUTES_KEPT = 4  # routes that changes add; older ones are left alone
 CLEAR = frozenset((200, 400, 409, 412, 413, 422))
-SERVICES = ("pages", "orders")
 
 
-def route(label: str, prefix: str, service: str, variant: str) -> dict[str, Any]:
-    return {
-        "elementKind": "trajectories",
-        "header": {"label": label},
-        "reference": {
-            "plant": HOST,
-            "pathPrefix": prefix,
-            "variant": variant,
-            "cutoffMs": 2500,
-            "targetMs": 500,
-            "subsystem": service,
-            "trials": 2,
-        },
-    }
+def added(label: str, service: str) -> documents.Element:
+    return documents.route(label, site.HOST, f"/{label}/", service, site.NULLIPOTENT)
 
 
 def first_configuration() -> dict[str, Any]:
-    services = [
-        {"elementKind": "subsystems", "header": {"label": name}, "reference": {"connectionCeiling": 100}}
-        for name in SERVICES
-    ]
-    tenants: list[dict[str, Any]] = [
-        {"elementKind": "loads", "header": {"label": name}, "reference": {"credentials": [key]}}
-        for name, key in KEYS.items()
-    ]
-    for tenant in tenants:
-        if tenant["header"]["label"] == LIMITED_TENANT:
-            tenant["reference"] |= {"rateS": RATE, "surge": SURGE}
-    return {
-        "setpointSeq": "00000001",
-        "priorVersion": 0,
-        "elements": [
-            route("read", "/pages/", "pages", "nullipotent"),
-            route("buy", "/orders/", "orders", "mutating"),
-            *services,
-            *tenants,
+    return documents.whole(
+        1,
+        [
+            *(
+                documents.route(one.label, site.HOST, one.prefix, one.service, one.variant)
+                for one in site.ROUTES
+            ),
+            *(documents.service(one.name) for one in site.SERVICES),
+            *(documents.tenant(one.name, [one.key], one.rate, one.surge) for one in site.TENANTS),
         ],
-    }
+    )
 
 
 @dataclass(slots=True)
@@ -113,13 +90,8 @@
         self.numbers += 1
         self.highest += 1
         order = Order(self.highest, prior, f"r{self.numbers}", True, self.now(), service=service)
-        body = {
-            "setpointSeq": f"{order.version:08x}",
-            "priorVersion": f"{prior:08x}",
-            "apply": {"elements": [route(order.label, f"/{order.label}/", service, "nullipotent")]},
-        }
         self.ledger.orders.append(order)
-        return order, json.dumps(body).encode()
+        return order, documents.change(order.version, prior, [added(order.label, service)])
 
     async def change(self, prior: int) -> None:
         order, body = self.made(prior, "pages")
@@ -127,7 +99,7 @@
         if order.acknowledged:
             self.newest = max(self.newest, order.version)
             self.routes.append(Route(order.label, f"/{order.label}/"))
-            del self.routes[2:-ROUTES_KEPT]
+            del self.routes[:-ROUTES_KEPT]
             if self.random.random() < 0.3:
                 # Sent again with no other change made since: it must not be refused.
                 await self.send(order, "setpoint.adjust", body, SILENT_S)
@@ -135,14 +107,9 @@
             await self.catch_up()
 
     async def bad_change(self) -> None:
-        order, _ = self.made(self.newest, "no-such-service")
+        order, body = self.made(self.newest, "no-such-service")
         order.valid = False
-        body = {
-            "setpointSeq": f"{order.version:08x}",
-            "priorVersion": f"{self.newest:08x}",
-            "apply": {"elements": [route(order.label, f"/{order.label}/", "no-such-service", "nullipotent")]},
-        }
-        await self.send(order, "setpoint.adjust", json.dumps(body).encode(), 2.0)
+        await self.send(order, "setpoint.adjust", body, 2.0)
 
     async def catch_up(self) -> None:
         """Whoever was refused reads what is in place."""
--- a/finchshelf/soak/seed.py
+++ b/finchshelf/soak/seed.py
@@ -19,16 +19,18 @@
 import orjson
 import trio
 
-from finchshelf.cli.system import CONTROL, FRONT, READINESS, System
-from finchshelf.soak import figures
+from finchshelf.cli.system import CONTROL, FRONT, READINESS, ZONES, System
+from finchshelf.soak import figures, site
 from finchshelf.soak import judge as judges
 from finchshelf.soak import plan as plans
+from finchshelf.soak.breach import Breach
 from finchshelf.soak.clients import Crowd, Platform, Route
 from finchshelf.soak.cuts import Cuts
-from finchshelf.soak.judge import Breach, Judge
-from finchshelf.soak.ledger import Ledger
+from finchshelf.soak.judge import Judge
+from finchshelf.soak.ledger import Ledger, Struck
 from finchshelf.soak.operators import Office
 from finchshelf.soak.plan import CORE, MACHINES, USUAL, Pace, Plan
+from finchshelf.soak.reach import Reached, reached
 from finchshelf.soak.servers import Server, Yard
 from finchshelf.soak.troubles import Hands
 from finchshelf.transport.address import Address
@@ -38,7 +40,7 @@
 READY_S = 20.0
 SCRAPE_S = 2.0
 LAST_READ_S = 3.0
-SERVERS = (("pages", 5), ("orders", 5))
+TICK_S, LATE_S = 0.05, 0.25  # between two looks at the clock, and from which lateness of one the host is late
 # Log events that are always a fault of ours.
 FAULTS = frozenset(
     ("fault", "core.error", "calls.error", "clients.error", "servers.error", "invariant.violated")
@@ -59,6 +61,8 @@
     served: int = 0
     orders: int = 0
     reads: int = 0
+    torn: int = 0
+    reach: list[Reached] = field(default_factory=list)
     folder: str = ""
 
     @property
@@ -72,12 +76,17 @@
         self.random, self.ledger = Random(f"soak actors {plan.seed}"), Ledger()
         self.cuts = Cuts(folder)
         self.system = System(folder, MACHINES, core=CORE, launcher="finchshelf.soak.child")
-        self.system.extra = {role: {"metrics": f"{port}{figures.PATH}"} for role, port in METRICS.items()}
+        own = {"pulseMs": str(site.PULSE_MS), "margins": site.MARGINS}
+        self.system.extra = {
+            role: {"metrics": f"{port}{figures.PATH}", **own} for role, port in METRICS.items()
+        }
         self.system.env = {"FINCHSHELF_GATE": str(folder / "gate-{machine}")}
         if mutant:
             self.system.env["FINCHSHELF_MUTANT"] = mutant
         self.began = time.monotonic()
-        self.scraped: dict[str, dict[str, float]] = {}  # by program and its start: violations by invariant
+        # By program and its start: violations, and looks, by invariant.
+        self.scraped: dict[str, dict[str, float]] = {}
+        self.looked: dict[str, dict[str, float]] = {}
 
     def now(self) -> float:
         return time.monotonic() - self.began
@@ -89,7 +98,7 @@
                 self.system.start(role, machine, ("-O",))
         async with trio.open_nursery() as nursery:
             yard, servers = await self.open_servers(nursery)
-            routes = [Route("read", "/pages/"), Route("buy", "/orders/")]
+            routes = list[Route]()  # those that changes add
             office = Office(self.system.each(CONTROL), self.ledger, self.random, self.now, routes)
             platform = Platform(self.system.each(READINESS), self.ledger, self.now)
             nursery.start_soon(platform.run)
@@ -107,9 +116,9 @@
     async def open_servers(self, nursery: trio.Nursery) -> tuple[Yard, list[Server]]:
         yard = Yard(self.ledger, nursery, self.system.each(CONTROL), self.random, self.now)
         servers: list[Server] = []
-        for service, number in SERVERS:
-            for _ in range(number):
-                zone = ("north", "middle", "south")[len(servers) % 3]
+        for service in site.SERVICES:
+            for _ in range(service.servers):
+                zone = ZONES[len(servers) % len(ZONES)]
                 servers.append(Server(yard, service, zone, f"{self.system.net}.{20 + len(servers)}"))
                 await servers[-1].start()
         return yard, servers
@@ -125,6 +134,7 @@
         self.ledger.orders[0].at = self.ledger.orders[0].acknowledged = 1e-6
         nursery.start_soon(self.scrapes)
         nursery.start_soon(self.watch, hands)
+        nursery.start_soon(self.watch_host)
         async with trio.open_nursery() as acting:
             acting.start_soon(hands.crowd.run, self.plan.length_s)
             acting.start_soon(hands.office.run, self.plan.length_s - 2.0)
@@ -150,6 +160,14 @@
                     )
                     hands.restart([name])
 
+    async def watch_host(self) -> None:
+        """Spans in which the host had no time for this process, and hardly for others, are trouble too."""
+        while True:
+            due = self.now() + TICK_S
+            await trio.sleep(TICK_S)
+            if self.now() - due > LATE_S:
+                self.ledger.struck.append(Struck(plans.HOST_LATE, due, self.now(), (), ()))
+
     async def scrapes(self) -> None:
         while True:
             await trio.sleep(SCRAPE_S)
@@ -165,6 +183,8 @@
         pid = self.system.children[name].process.pid
         if found := await figures.violations(address):
             self.scraped[f"{name} {pid}"] = found
+        if found := await figures.looks(address):
+            self.looked[f"{name} {pid}"] = found
 
     def read_logs(self) -> None:
         """Violations by metric, and lines that must not come, of all lives of all programs."""
@@ -172,6 +192,9 @@
             for name, number in rows.items():
                 if number:
                     self.ledger.violations[f"{name} at {program.split()[0]}"] = int(number)
+        for rows in self.looked.values():
+            for name, number in rows.items():
+                self.ledger.looks[name] += int(number)
         for path in sorted(self.folder.glob("*.log")):
             for line in path.read_bytes().splitlines():
                 self.read_line(path.stem, line)
@@ -196,6 +219,7 @@
             f"{one.kind} during {other}" for one in ledger.struck for other in one.during
         )
         found.requests, found.served = len(ledger.sent), sum(one.status == 200 for one in ledger.sent)
+        found.reach, found.torn = reached(ledger, self.plan.length_s), ledger.torn
         found.orders, found.reads = sum(one.acknowledged > 0 for one in ledger.orders), len(ledger.reads)
         return found
 
@@ -207,7 +231,7 @@
             "started_unix_s": time.time() - self.now(),
         }
         (self.folder / "verdict.json").write_text(json.dumps(told, indent=1))
-        for name in ("sent", "ran", "orders", "reads", "leavings", "struck", "ready"):
+        for name in ("sent", "ran", "orders", "reads", "leavings", "struck", "ready", "works"):
             rows = [one if isinstance(one, tuple) else asdict(one) for one in getattr(self.ledger, name)]
             (self.folder / f"{name}.jsonl").write_text("".join(json.dumps(row) + "\n" for row in rows))
 
--- a/finchshelf/soak/servers.py
+++ b/finchshelf/soak/servers.py
@@ -16,14 +16,16 @@
 import trio
 
 from finchshelf.soak import wire
-from finchshelf.soak.ledger import Leaving, Ledger, Ran
+from finchshelf.soak.ledger import Leaving, Ledger, Ran, Work
+from finchshelf.soak.site import PULSE_MS, Service
 from finchshelf.soak.wire import Ended, Message, Wire
 from finchshelf.transport.address import Address
 
 SLOTS, QUEUE = 4, 4
-PULSE_S = 0.4
+PULSE_S = PULSE_MS / 1000
 BEAT_LIMIT_S = 1.0
-WORK_S = (0.02, 0.08)
+LONG_S = 0.5  # work that is written down: whether it is broken off when nobody waits for it
+LOOK_S = 0.02  # between two looks at whether its connection is closed
 SETTLING_S = 1.0  # it serves on for so long after its leaving was acknowledged, and a little longer
 SERVES_ON_S = 0.6
 GIVES_UP_S = 4.0  # a leaving that nobody acknowledges
@@ -68,7 +70,7 @@
     """One life of one server."""
 
     yard: Yard
-    service: str
+    kind: Service
     zone: str
     ip: str
     identity: str = ""
@@ -82,6 +84,11 @@
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     target: Address | None = None
     ended: bool = False
+    beating: bool = True
+
+    @property
+    def service(self) -> str:
+        return self.kind.name
 
     async def start(self) -> None:
         self.yard.numbers += 1
@@ -153,24 +160,43 @@
             await self.slots.acquire()
         finally:
             self.waiting -= 1
-        self.note(connection, message, 200)
+        failed = self.yard.random.random() < self.kind.fails
+        self.note(connection, message, 500 if failed else 200)
         self.running += 1
         try:
-            await trio.sleep(self.yard.random.uniform(*WORK_S))
+            await self.work(connection, trial)
         finally:
             self.running -= 1
             self.slots.release()
+        if failed:
+            seal = [("Trial-Id", trial), ("Server-Seal", SEAL)]
+            await connection.write(self.response(500, seal))
+            return True
         return await self.hand_out(
             connection, trial, body_of(self.identity, trial, method, path, len(message.body))
         )
 
+    async def work(self, connection: Wire, trial: str) -> None:
+        """For as long as it takes; long work ends when nobody waits for it any more."""
+        began = self.yard.now()
+        span_s = self.yard.random.uniform(*self.kind.work_s)
+        if span_s < LONG_S:
+            return await trio.sleep(span_s)
+        broken = False
+        while not broken and self.yard.now() < began + span_s:
+            await trio.sleep(LOOK_S)
+            broken = connection.closed()
+        self.yard.ledger.works.append(Work(trial, self.identity, began, self.yard.now(), broken))
+
     async def hand_out(self, connection: Wire, trial: str, body: bytes) -> bool:
         manner, chance = self.manner, self.yard.random.random()
         if chance < manner.lost:
+            self.yard.ledger.slips["lost"] += 1
             await connection.reset()
             return False
         whole = [("Trial-Id", trial), ("Server-Seal", SEAL)]
         if chance < manner.lost + manner.garbled:
+            self.yard.ledger.slips["garbled"] += 1
             await connection.stream.send_all(
                 self.yard.random.choice(
                     (
@@ -188,6 +214,7 @@
         await connection.write(response, body)
         if chance > 1.0 - manner.extra:
             # Behind a whole answer, sometimes later: it may meet the next request on this connection.
+            self.yard.ledger.slips["extra"] += 1
             await trio.sleep(self.yard.random.choice((0.0, 0.003, 0.02)))
             copy = h11.Connection(h11.SERVER)
             copy.receive_data(b"GET / HTTP/1.1\r\nHost: one\r\n\r\n")
@@ -219,7 +246,7 @@
                 self.identity,
                 self.service,
                 self.yard.now(),
-                status == 200,
+                status in (200, 500),
                 method,
                 path,
                 headers.get("load-name", ""),
@@ -228,6 +255,7 @@
                 "authorization" in headers,
                 message.body == wanted,
                 status,
+                remaining_of(headers),
             )
         )
 
@@ -235,7 +263,7 @@
 
     async def beats(self) -> None:
         while True:
-            if self.yard.now() >= self.manner.paused_until:
+            if self.beating and self.yard.now() >= self.manner.paused_until:
                 await self.beat()
             await trio.sleep(PULSE_S * self.yard.random.uniform(0.8, 1.2))
 
@@ -255,7 +283,12 @@
         ).encode()
         return await self.say("pulse", body)
 
-    async def say(self, what: str, body: bytes) -> bool:
+    async def say(self, what: str, body: bytes, to: Address | None = None) -> bool:
+        """`to`: the only control plane that it calls."""
+        if to is not None:
+            path = f"/v1/rpc?call=servers.{what}&of={self.identity}"
+            told = await wire.call(to.host, to.port, "POST", path, body, BEAT_LIMIT_S, self.ip)
+            return told is not None and 200 <= status_of(told) < 300
         controls = list(self.yard.controls)
         self.yard.random.shuffle(controls)
         for control in [self.target, *controls] if self.target else controls:
@@ -275,14 +308,24 @@
             self.target = None
 
     async def leave(self, silently: bool) -> None:
-        """A planned end; `silently`: it never says `decaying`, but at once that it goes."""
+        """A planned end; `silently`: it never says `decaying`, but at once that it goes; no beat follows."""
         said, acknowledged = self.yard.now(), 0.0
-        self.mode = "decaying"
+        self.mode, self.beating = "decaying", not silently
         while not acknowledged and self.yard.now() < said + GIVES_UP_S and not self.ended:
             fine = await (self.say("departure", b"") if silently else self.beat())
             acknowledged = self.yard.now() if fine else 0.0
             await trio.sleep(0.0 if fine else 0.2)
-        await trio.sleep(SETTLING_S + SERVES_ON_S)
+        await self.serve_on(silently, said, acknowledged, SERVES_ON_S)
+
+    async def depart_at(self, control: Address) -> float:
+        """Says only there that it goes; when that was acknowledged, 0 if it was not."""
+        self.mode, self.beating = "decaying", False
+        fine = await self.say("departure", b"", control)
+        return self.yard.now() if fine else 0.0
+
+    async def serve_on(self, silently: bool, said: float, acknowledged: float, more_s: float) -> None:
+        """After its leaving was acknowledged, for a little longer than it must; then it ends."""
+        await trio.sleep(SETTLING_S + more_s)
         if not silently and not self.ended:
             await self.say("departure", b"")
         self.ended = True
@@ -290,6 +333,12 @@
         self.scope.cancel()
 
 
+def remaining_of(headers: dict[str, str]) -> float:
+    """Seconds that the client still waits, as it was handed on; below 0 if it was not."""
+    text = headers.get("remaining-ms", "")
+    return int(text) / 1000 if text.isdigit() else -1.0
+
+
 def status_of(message: Message) -> int:
     return message.head.status_code if isinstance(message.head, h11.Response) else 0
 
--- a/finchshelf/soak/troubles.py
+++ b/finchshelf/soak/troubles.py
@@ -8,14 +8,16 @@
 
 import signal
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from pathlib import Path
 from random import Random
 
 import trio
 
+from finchshelf.cli.system import CONTROL as CONTROL_PORT
 from finchshelf.cli.system import System
 from finchshelf.soak import cuts as links
-from finchshelf.soak import figures
+from finchshelf.soak import disks, figures
 from finchshelf.soak.clients import BURST, Crowd
 from finchshelf.soak.cuts import Cuts
 from finchshelf.soak.ledger import Ledger, Struck
@@ -25,6 +27,7 @@
 
 CONTROL, EDGE = "control-plane", "data-plane"
 ENDS_S = 8.0  # for a program to end after SIGTERM
+CUT_AFTER_S = 3.0  # of a cut that comes while a member is replaced
 FRESH_S = 0.3  # from the end of a program until it is started again, as a platform does
 
 
@@ -66,6 +69,10 @@
             Kind.CONTROL_TERM: self.control_term,
             Kind.CONTROL_PAUSE: self.control_pause,
             Kind.CORE_KILL: self.control_kill,
+            Kind.CONTROL_POWER: self.control_power,
+            Kind.ALL_POWER: self.all_power,
+            Kind.ALL_POWER_WIPE: self.all_power_wipe,
+            Kind.WIPE_HALVES: self.wipe_halves,
             Kind.EDGE_KILL: self.edge_kill,
             Kind.EDGE_TERM: self.edge_term,
             Kind.EDGE_PAUSE: self.edge_pause,
@@ -75,6 +82,10 @@
             Kind.HALVES_CUT: self.halves_cut,
             Kind.DISK_FULL: self.disk_full,
             Kind.DISK_STALL: self.disk_stall,
+            Kind.DISK_SLOW: self.disk_slow,
+            Kind.CLOCK_STEP: self.clock_step,
+            Kind.LINK_SLOW: self.link_slow,
+            Kind.DRAIN_CUT: self.drain_cut,
             Kind.SETTINGS_RELOAD: self.reload,
             Kind.SERVER_CRASH: self.server_crash,
             Kind.SERVER_DRAIN: self.server_drain,
@@ -105,11 +116,66 @@
             self.system.kill(name)
         for name in names:
             if wipe:
-                self.system.wipe(number_of(name))
+                self.wipe(number_of(name))
         await trio.sleep(trouble.span_s)
         self.restart(names)
         return bool(names)
 
+    def wipe(self, machine: int) -> None:
+        self.system.wipe(machine)
+        disks.wiped(self.disk_of(machine))
+
+    def disk_of(self, machine: int) -> Path:
+        return self.system.folder / f"disk-{machine}"
+
+    async def control_power(self, trouble: Trouble) -> bool:
+        """A control plane with a disk loses power: what it had not synced may be gone or torn."""
+        names = self.take(CONTROL, trouble.machines)
+        self.power_off(names, trouble)
+        await trio.sleep(trouble.span_s)
+        self.restart(names)
+        return bool(names)
+
+    def power_off(self, names: list[str], trouble: Trouble, wiped: int = 0) -> None:
+        """All of these at one moment; `wiped`: the machine whose disk is lost with it."""
+        for name in names:
+            self.system.kill(name)
+        for name in names:
+            machine = number_of(name)
+            if name.startswith(CONTROL) and machine <= CORE:
+                if machine == wiped:
+                    self.wipe(machine)
+                elif any(self.disk_of(machine).iterdir()):
+                    left = Random(f"{trouble.share} {machine}")
+                    self.ledger.torn += disks.lose_power(self.disk_of(machine), left)
+
+    async def all_power(self, trouble: Trouble) -> bool:
+        everyone = tuple(range(1, MACHINES + 1))
+        names = self.take(CONTROL, everyone) + self.take(EDGE, everyone)
+        self.power_off(names, trouble)
+        await trio.sleep(trouble.span_s)
+        self.restart(names)
+        return bool(names)
+
+    async def all_power_wipe(self, trouble: Trouble) -> bool:
+        """As far as losses are borne: one disk is lost, and all others lose power at the same moment."""
+        bearable, everyone = await self.all_count(), tuple(range(1, MACHINES + 1))
+        names = self.take(CONTROL, everyone) + self.take(EDGE, everyone)
+        lost = trouble.machines[0]
+        bearable = bearable and f"{CONTROL}-{lost}" in names
+        self.power_off(names, trouble, lost if bearable else 0)
+        await trio.sleep(trouble.span_s)
+        self.restart(names)
+        return bool(names)
+
+    async def wipe_halves(self, trouble: Trouble) -> bool:
+        """A member comes up with an empty disk, and the core is cut in two before it has been named."""
+        if not await self.control_wipe(trouble):
+            return False
+        await trio.sleep(self.random.uniform(0.2, 0.8))
+        part = (self.random.randint(1, CORE),)
+        return await self.halves_cut(replace(trouble, machines=part, span_s=CUT_AFTER_S))
+
     def restart(self, names: list[str]) -> None:
         for name in names:
             self.system.start(name.rpartition("-")[0], number_of(name), ("-O",), first=False)
@@ -125,9 +191,8 @@
 
     async def all_count(self) -> bool:
         """Does each machine with a disk say that it is a member, and holds the newest?"""
-        asked = [figures.state(address) for address in self.system.each(figures.CONTROL_PORT)[:CORE]]
-        for one in asked:
-            state = await one
+        for address in self.system.each(figures.CONTROL_PORT)[:CORE]:
+            state = await figures.state(address)
             if not (state.get("is_member") and state.get("proved_newest") and not state.get("disk_in_doubt")):
                 return False
         return True
@@ -218,6 +283,40 @@
     async def disk_stall(self, trouble: Trouble) -> bool:
         return await self.disk(trouble, links.STALLED)
 
+    async def disk_slow(self, trouble: Trouble) -> bool:
+        return await self.disk(trouble, links.SLOW)
+
+    async def clock_step(self, trouble: Trouble) -> bool:
+        for machine in trouble.machines:
+            self.cuts.clock(machine, trouble.share)
+        return True
+
+    async def link_slow(self, trouble: Trouble) -> bool:
+        ip = {machine: self.system.ip(machine) for machine in range(1, MACHINES + 1)}
+        others = [machine for machine in ip if machine not in trouble.machines]
+        pairs = links.both_ways(trouble.machines, others, ip)
+        self.cuts.slow_down(pairs)
+        await trio.sleep(trouble.span_s)
+        self.cuts.speed_up(pairs)
+        return True
+
+    async def drain_cut(self, trouble: Trouble) -> bool:
+        """A server says at one control plane alone that it goes; that one is cut off as soon as it has
+        acknowledged it, and the server serves on."""
+        struck = [server for server in self.struck(trouble) if server.mode == "stable" and not server.ended]
+        control = self.system.each(CONTROL_PORT)[trouble.machines[0] - 1]
+        if not struck:
+            return False
+        server, said = struck[0], self.now()
+        acknowledged = await server.depart_at(control)
+        if not acknowledged:
+            server.crash()  # it ends all the same
+            await self.renew(server)
+            return False
+        self.yard.nursery.start_soon(server.serve_on, True, said, acknowledged, trouble.span_s)
+        await self.renew(server)
+        return await self.machine_cut(trouble)
+
     async def disk(self, trouble: Trouble, state: str) -> bool:
         for machine in trouble.machines:
             self.cuts.disk(machine, state)
@@ -235,7 +334,7 @@
         """Another life of a server, in the place of one that has gone; nothing if it has one already."""
         if server not in self.servers:
             return
-        fresh = Server(self.yard, server.service, server.zone, server.ip)
+        fresh = Server(self.yard, server.kind, server.zone, server.ip)
         self.servers[self.servers.index(server)] = fresh
         await fresh.start()
 
--- a/finchshelf/soak/wire.py
+++ b/finchshelf/soak/wire.py
@@ -42,6 +42,15 @@
     def peer(self) -> str:
         return str(self.stream.socket.getpeername()[0])
 
+    def closed(self) -> bool:
+        """Has the other side closed or reset it? Nothing is read."""
+        try:
+            return not self.stream.socket._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)  # type: ignore
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     async def write(self, head: h11.Request | h11.Response, body: bytes = b"") -> None:
         data = self.http.send(head) or b""
         if body:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,23 +2,29 @@
 
 from __future__ import annotations
 
+import os
+import shutil
 import socket
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import replace
 from itertools import combinations
 from pathlib import Path
+from random import Random
 from typing import Any
 
 import pytest
 
+from finchshelf.agreement import store
 from finchshelf.agreement.store import StoreError
+from finchshelf.soak import disks
 from finchshelf.soak import seed as seeds
 from finchshelf.soak.cuts import FULL, Cuts, both_ways
 from finchshelf.soak.gate import Gate, GatedDatagrams
 from finchshelf.soak.judge import Judge
-from finchshelf.soak.ledger import End, Leaving, Ledger, Order, Ran, Read, Sent, Struck
-from finchshelf.soak.plan import DISK_REST_S, TAIL_S, Kind, draw
+from finchshelf.soak.ledger import End, Leaving, Ledger, Order, Ran, Read, Sent, Struck, Work
+from finchshelf.soak.plan import DISK_REST_S, HOST_LATE, TAIL_S, WIPES, Kind, draw
+from finchshelf.soak.reach import reached, table, together
 
 LENGTH_S = 40.0
 
@@ -34,7 +40,7 @@
     assert overlapping[True] > 60
     for plan in plans:
         assert all(one.until_s < LENGTH_S - TAIL_S + 10 for one in plan.troubles)
-        wipes = [one.at_s for one in plan.troubles if one.kind is Kind.CONTROL_WIPE]
+        wipes = [one.at_s for one in plan.troubles if one.kind in WIPES]
         assert all(second - first >= DISK_REST_S for first, second in combinations(wipes, 2))
 
 
@@ -52,7 +58,20 @@
 
 def ran(trial: str, **more: object) -> Ran:
     row = Ran(
-        trial, "s-1", "pages", 5.05, True, "GET", "/pages/1", "acme", "127.0.0.1", "s-1", False, True, 200
+        trial,
+        "s-1",
+        "pages",
+        5.05,
+        True,
+        "GET",
+        "/pages/1",
+        "acme",
+        "127.0.0.1",
+        "s-1",
+        False,
+        True,
+        200,
+        1.9,
     )
     return replace(row, **more)  # type: ignore[arg-type]
 
@@ -106,6 +125,29 @@
     ledger.ran.extend(ran(f"q{n}", tenant="corner-shop") for n in range(160))
 
 
+def by_nobody(ledger: Ledger) -> None:
+    ledger.ran.append(ran("n"))
+    ledger.sent.append(sent("n", tenant=""))
+
+
+def handed_for_long(ledger: Ledger) -> None:
+    ledger.sent.extend(sent(f"h{n}") for n in range(30))
+    ledger.ran.extend(ran(f"h{n}", remaining_s=9.0) for n in range(30))
+
+
+def worked_on(ledger: Ledger) -> None:
+    """Four clients left at 5.1 s; for two of them work goes on."""
+    for number in range(4):
+        ledger.sent.append(sent(f"g{number}", end=End.LEFT, route="export"))
+        ledger.works.append(Work(f"g{number}", "s-9", 5.05, 6.0 if number < 2 else 5.2, number >= 2))
+
+
+def turned_away(ledger: Ledger) -> None:
+    ledger.ready.append((5.0, (1, 2)))
+    ledger.sent.extend(sent(f"t{n}", status=503, edge=2) for n in range(9))
+    ledger.sent.extend(sent(f"u{n}") for n in range(9))
+
+
 def lost_at_sigterm(ledger: Ledger) -> None:
     ledger.struck.append(Struck("edge-term", 4.9, 7.0, (1,), ()))
     ledger.sent[0].end = End.CLOSED
@@ -145,6 +187,10 @@
         lambda one: one.sent.extend(sent(f"c{n}", at=30.0, status=503, ended=30.1) for n in range(30)),
     ),
     ("SERVED", lambda one: one.sent.extend(sent(f"c{n}", status=503) for n in range(30))),
+    ("UNASKED", lambda one: by_nobody(one)),
+    ("BUDGET", lambda one: handed_for_long(one)),
+    ("GONE", lambda one: worked_on(one)),
+    ("READY", lambda one: turned_away(one)),
     ("INVARIANT", lambda one: one.violations.update({"single-run": 1})),
     ("FAULT", lambda one: one.faults.append("a line")),
     ("FAULT", lambda one: one.own_ends.append("data-plane-1")),
@@ -179,6 +225,104 @@
     assert rule not in plant(struck)
 
 
+@pytest.mark.parametrize(("at", "found"), [(4.9, False), (0.5, True)])
+def test_machines_beside_one_that_is_cut_off_are_in_touch_again_while_the_cut_lasts(
+    at: float, found: bool
+) -> None:
+    def struck(ledger: Ledger) -> None:
+        ledger.leavings.append(Leaving("s-1", 3.0, 3.5, 9.0))
+        ledger.struck.append(Struck("drain-cut", at, 20.0, (2,), ()))
+
+    assert ("DRAIN" in plant(struck)) is found
+
+
+def test_where_the_host_was_late_no_bound_of_time_is_judged_and_all_else_is() -> None:
+    def struck(ledger: Ledger) -> None:
+        ledger.sent.append(sent("c", end=End.TIMEOUT, status=0, ended=7.9))
+        ledger.ran.append(replace(ledger.ran[1], at=5.07))
+        ledger.struck.append(Struck(HOST_LATE, 5.0, 5.4, (), ()))
+
+    assert plant(struck) == {"TWICE"}
+
+
+def test_what_a_seed_reached_is_told_rule_by_rule() -> None:
+    ledger = calm()
+    ledger.slips["lost"] = 3
+    too_many(ledger)
+    rows = {one.rule: one for one in together([reached(ledger, LENGTH_S)] * 2)}
+    assert rows["MIXED: answers lost"].occasions == 6
+    assert rows["QUOTA: corner-shop, refusals"].nearest > 1.0
+    assert rows["CONFIG: orders told once more that they were taken"].occasions == 0
+    assert "| MIXED: answers lost | 6 |" in table(rows.values())
+
+
+# ---- disks ----
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_after_a_loss_of_power_a_store_has_what_it_saved_last_or_what_it_was_saving(
+    seed: int, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    disk, random = tmp_path / "disk", Random(seed)
+    disk.mkdir()
+    monkeypatch.setattr(store, "_sync", store._sync)
+    monkeypatch.setattr(store, "os", os)
+    disks.watch(str(disk))
+    saved, keeper = 0, store.Store(str(disk), 8.0)
+    for number in range(1, 9):
+        stops = number > 1 and random.random() < 0.3
+        if stops:  # the power goes in the midst of this save, at the next sync or the one after
+            cut_at_sync(monkeypatch, random.randint(1, 3))
+        try:
+            keeper.save({"number": number, "fill": bytes(random.randint(0, 20_000))})
+            saved = number
+        except PowerCut:
+            pass
+        if stops or random.random() < 0.3:
+            monkeypatch.undo()
+            disks.lose_power(disk, random)
+            monkeypatch.setattr(store, "_sync", store._sync)
+            monkeypatch.setattr(store, "os", os)
+            disks.watch(str(disk))
+            keeper = store.Store(str(disk), 8.0)
+            state, _ = keeper.load()
+            assert state is not None and state["number"] in (saved, number), f"seed {seed}: {state}"
+            saved = state["number"]
+
+
+class PowerCut(Exception):
+    """The power is gone: nothing more is written."""
+
+
+def cut_at_sync(monkeypatch: pytest.MonkeyPatch, number: int) -> None:
+    former, left = store._sync, [number]
+
+    def sync(path: Path) -> None:
+        left[0] -= 1
+        if not left[0]:
+            raise PowerCut
+        former(path)
+
+    monkeypatch.setattr(store, "_sync", sync)
+
+
+def test_without_syncs_a_loss_of_power_takes_what_was_saved(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The guard that the loss of power is there to find dropped: saves that sync nothing."""
+    disk, lost = tmp_path / "disk", 0
+    for seed in range(10):
+        disk.mkdir()
+        monkeypatch.setattr(store, "_sync", lambda path: None)
+        keeper = store.Store(str(disk), 8.0)
+        keeper.save({"number": 1})
+        disks.lose_power(disk, Random(seed))
+        lost += store.Store(str(disk), 8.0).load()[0] is None
+        shutil.rmtree(disk)
+        disks.wiped(disk)
+    assert lost > 3
+
+
 # ---- cuts ----
 
 
