--- a/benchmarks/changes.py
+++ b/benchmarks/changes.py
@@ -21,10 +21,10 @@
 
 from benchmarks import growth
 from benchmarks.target import fit, shown
+from finchshelf.simulation.fleet import World
+from finchshelf.simulation.network import DATA, End
+from finchshelf.simulation.tally import role
 from finchshelf.transport import frames
-from tests.stories.world.fleet import World
-from tests.stories.world.network import DATA, End
-from tests.stories.world.tally import role
 
 SEED, BEFORE, CALM = 7, 70, 10.0  # changes before those that count: `taken` is full then
 
--- a/benchmarks/contact_search.py
+++ b/benchmarks/contact_search.py
@@ -13,7 +13,7 @@
 from unittest import mock
 
 from finchshelf.membership import contact
-from tests.stories.contact_model import BOUND, LAX, LONG, MUTANTS, WIPED, Model, Stale, rules
+from finchshelf.models.contact import BOUND, LAX, LONG, MUTANTS, WIPED, Model, Stale, rules
 
 
 def search(seeds: range, count: int, seconds: float, long: bool, wipes: bool) -> None:
--- a/benchmarks/control_planes.py
+++ b/benchmarks/control_planes.py
@@ -14,9 +14,9 @@
 from finchshelf.controlplane import turns
 from finchshelf.controlplane.ranks import Line
 from finchshelf.controlplane.turns import Turns
+from finchshelf.simulation.fleet import fine, play
 from tests.stories import test_core_moves as moves
 from tests.stories import test_overload as overload
-from tests.stories.world.fleet import fine, play
 
 
 def of(values: list[float]) -> str:
--- a/benchmarks/fuzz_readers.py
+++ b/benchmarks/fuzz_readers.py
@@ -23,11 +23,11 @@
 from contextlib import redirect_stdout
 from io import StringIO
 
-from tests.stories.asking import Counts, framed
-from tests.stories.calling import Day, called
-from tests.stories.crossing import play
-from tests.stories.readers import READERS, fuzz
-from tests.stories.slips import CALLS, GUARDS, without
+from finchshelf.simulation.asking import Counts, framed
+from finchshelf.simulation.calling import Day, called
+from finchshelf.simulation.crossing import play
+from finchshelf.simulation.readers import READERS, fuzz
+from finchshelf.simulation.slips import CALLS, GUARDS, without
 from tests.stories.tallying import DROPPED, Lists, Tallies, dropped
 from tests.stories.test_answers import ALONE, PLAYED
 
--- a/benchmarks/growth.py
+++ b/benchmarks/growth.py
@@ -30,10 +30,10 @@
 from finchshelf.controlplane.cells import Cells
 from finchshelf.dataplane.core import Core
 from finchshelf.dataplane.follower import Follower
+from finchshelf.simulation.fleet import Process, Story, World, play
+from finchshelf.simulation.network import current, now
+from finchshelf.simulation.tally import Tally
 from finchshelf.transport.servers import Servers
-from tests.stories.world.fleet import Process, Story, World, play
-from tests.stories.world.network import current, now
-from tests.stories.world.tally import Tally
 
 THIN, THICK = 250_000, 12_500_000  # bytes a second of a link: 2 Mbit/s, and 100 of a machine of the core
 DESCRIPTORS = 475
--- a/benchmarks/idle_connections.py
+++ b/benchmarks/idle_connections.py
@@ -18,7 +18,7 @@
 import trio
 
 from finchshelf.dataplane import idling
-from tests.stories.world.fleet import World, play
+from finchshelf.simulation.fleet import World, play
 
 WAYS: dict[str, dict[str, Any]] = {
     "any": {"most": lambda self, service, once: math.inf, "dropped": lambda *_: False},
--- a/benchmarks/loss_states.py
+++ b/benchmarks/loss_states.py
@@ -13,7 +13,7 @@
 import argparse
 import sys
 
-from tests.stories.losses import KINDS, MUTANTS, Broken, harmed
+from finchshelf.models.losses import KINDS, MUTANTS, Broken, harmed
 
 
 def whole(seeds: range) -> int:
--- a/benchmarks/many_changes.py
+++ b/benchmarks/many_changes.py
@@ -30,11 +30,11 @@
 from finchshelf.cli import operator
 from finchshelf.cli.system import CONTROL, INNER, System
 from finchshelf.configuration.boot import Boot
+from finchshelf.models import catching_up as catching
+from finchshelf.simulation.fleet import Process, World, play
+from finchshelf.simulation.network import now
 from finchshelf.transport.address import Address
 from finchshelf.transport.frames import Link, PeerError
-from tests.stories import catching
-from tests.stories.world.fleet import Process, World, play
-from tests.stories.world.network import now
 
 SPEED = 250_000  # bytes a second: 2 Mbit/s
 
--- a/benchmarks/order_states.py
+++ b/benchmarks/order_states.py
@@ -33,10 +33,11 @@
 from finchshelf.agreement.core import Value, genesis
 from finchshelf.agreement.orders import Order
 from finchshelf.controlplane import early
-from tests.stories import order_chain, order_days, order_lives, order_mutants, order_states
-from tests.stories.fleet import Split
-from tests.stories.rules import Found
-from tests.stories.states import Bounds
+from finchshelf.models import order_chain, order_lives, order_mutants, order_states
+from finchshelf.models.agreement_fleet import Split
+from finchshelf.models.agreement_rules import Found
+from finchshelf.models.agreement_states import Bounds
+from finchshelf.simulation import order_days
 
 RACES = tuple(Order(2 + at % 2, 0, b"race %d" % at) for at in range(8))  # on one version, by two numbers
 ALIKE = tuple(Order(2, 0, b"like %d" % at) for at in range(8))  # on one version, by one number
--- a/benchmarks/power_back.py
+++ b/benchmarks/power_back.py
@@ -22,10 +22,10 @@
 
 import trio
 
+from finchshelf.simulation.fleet import READINESS, World, play
+from finchshelf.simulation.network import current, now
+from finchshelf.simulation.people import Cut, call
 from finchshelf.transport.address import Address
-from tests.stories.world.fleet import READINESS, World, play
-from tests.stories.world.network import current, now
-from tests.stories.world.people import Cut, call
 
 DARK = 0.5  # s without power
 LOOK = 0.005  # s between two questions to a limiter whether it is ready
--- a/benchmarks/repair_span.py
+++ b/benchmarks/repair_span.py
@@ -22,9 +22,9 @@
 import trio
 
 from finchshelf.agreement.core import majority
-from tests.stories.world.fleet import World, play
-from tests.stories.world.network import now
-from tests.stories.world.spans import margin, until_borne
+from finchshelf.simulation.fleet import World, play
+from finchshelf.simulation.network import now
+from finchshelf.simulation.spans import margin, until_borne
 
 SHAPES = {3: (3, 1), 6: (3, 2), 8: (4, 2)}  # members: zones, control planes in each
 LIMIT = 15.0
--- a/finchshelf/cli/__main__.py
+++ b/finchshelf/cli/__main__.py
@@ -11,7 +11,6 @@
 import signal
 import sys
 from contextlib import suppress
-from importlib.util import find_spec
 from pathlib import Path
 from types import FrameType
 from typing import NoReturn
@@ -28,7 +27,6 @@
 from finchshelf.transport.address import Address
 from finchshelf.transport.frames import PeerError
 
-ROOT = Path(__file__).parent.parent.parent  # of a checkout, which has the tests beside the package
 FILE = click.Path(exists=True, dir_okay=False)
 AS_JSON = click.option("--json", "as_json", is_flag=True, help="JSON, for a script.")
 
@@ -256,7 +254,7 @@
 main.add_command(rollout)
 
 
-# ---- tests beside the package ----
+# ---- the fleet in memory ----
 
 
 @main.command(
@@ -266,21 +264,9 @@
 )
 @click.pass_context
 def explore(ctx: click.Context) -> None:
-    """Play storms of an in-memory fleet over seeds (needs a checkout with its tests)."""
-    if not (ROOT / "tests/stories/explore.py").is_file() or find_spec("pytest") is None:
-        click.echo(
-            "finchshelf: explore: the tests are not installed (tests/stories beside the package, "
-            "and pytest): run it in a checkout with requirements-dev.txt",
-            err=True,
-        )
-        sys.exit(2)
-    path = os.pathsep.join(filter(None, [str(ROOT), os.environ.get("PYTHONPATH", "")]))
+    """Play storms of an in-memory fleet over seeds."""
     sys.stdout.flush()
-    os.execve(
-        sys.executable,
-        [sys.executable, "-m", "tests.stories.explore", *ctx.args],
-        {**os.environ, "PYTHONPATH": path},
-    )
+    os.execv(sys.executable, [sys.executable, "-m", "finchshelf.simulation.explore", *ctx.args])
 
 
 # ---- the demo ----
--- a/tests/stories/rules.py
+++ b/finchshelf/models/agreement_rules.py
@@ -11,7 +11,7 @@
 from itertools import combinations
 
 from finchshelf.agreement import core
-from tests.stories.states import (
+from finchshelf.models.agreement_states import (
     ADDRESSES,
     AT,
     DONE,
--- a/tests/stories/states.py
+++ b/finchshelf/models/agreement_states.py
@@ -21,7 +21,7 @@
 
 from finchshelf.agreement import core
 from finchshelf.agreement.membership import next_members
-from tests.stories.mutants import Acceptor, Proposer
+from finchshelf.models.agreement_mutants import Acceptor, Proposer
 
 ADDRESSES = ("a:1", "b:1", "c:1", "d:1")  # d is the spare
 AT = {address: at for at, address in enumerate(ADDRESSES)}
--- a/tests/stories/order_chain.py
+++ b/finchshelf/models/order_chain.py
@@ -21,9 +21,9 @@
 from finchshelf.agreement.core import Refusal, Value, genesis
 from finchshelf.agreement.orders import Order, Ruling
 from finchshelf.agreement.taken import DIGEST, ENTRY
-from tests.stories.order_mutants import lacking
-from tests.stories.rules import BACK, BOTH, Found
-from tests.stories.states import Broken
+from finchshelf.models.agreement_rules import BACK, BOTH, Found
+from finchshelf.models.agreement_states import Broken
+from finchshelf.models.order_mutants import lacking
 
 TWO_ON_ONE = "both of two changes on one version were acknowledged"
 GONE = "an acknowledged order is not in force"
--- a/tests/stories/order_lives.py
+++ b/finchshelf/models/order_lives.py
@@ -12,8 +12,8 @@
 
 from finchshelf.agreement import core, orders
 from finchshelf.agreement.orders import Order, Ruling
-from tests.stories.fleet import ADDRESSES, Fleet
-from tests.stories.order_mutants import lacking
+from finchshelf.models.agreement_fleet import ADDRESSES, Fleet
+from finchshelf.models.order_mutants import lacking
 
 UNDER_WAY = 8
 
--- a/tests/stories/order_states.py
+++ b/finchshelf/models/order_states.py
@@ -12,9 +12,9 @@
 
 from finchshelf.agreement import orders
 from finchshelf.agreement.orders import Order, Ruling
-from tests.stories.order_mutants import lacking
-from tests.stories.rules import BACK, BOTH, Checked, Found, explore
-from tests.stories.states import DONE, NONE, REFUSED, Attempt, Bounds, State
+from finchshelf.models.agreement_rules import BACK, BOTH, Checked, Found, explore
+from finchshelf.models.agreement_states import DONE, NONE, REFUSED, Attempt, Bounds, State
+from finchshelf.models.order_mutants import lacking
 
 TWO_ON_ONE = "both of two changes on one version were acknowledged"
 GONE = "an acknowledged order is not in force"
--- a/tests/stories/asking.py
+++ b/finchshelf/simulation/asking.py
@@ -22,13 +22,13 @@
 from finchshelf.dataplane.counting import Counting, Told
 from finchshelf.dataplane.questions import Questions
 from finchshelf.membership.records import Limiter
+from finchshelf.simulation import network as wires
+from finchshelf.simulation.crossing import Day, in_memory
+from finchshelf.simulation.network import Life, current
+from finchshelf.simulation.older import OlderQuestions
 from finchshelf.transport import frames
 from finchshelf.transport.address import Address
 from finchshelf.transport.telemetry import Telemetry
-from tests.stories.crossing import Day, in_memory
-from tests.stories.older import OlderQuestions
-from tests.stories.world import network as wires
-from tests.stories.world.network import Life, current
 
 HOSTS = [f"10.0.0.{n}" for n in range(4)]
 PORT = 7661
--- a/tests/stories/backends.py
+++ b/finchshelf/simulation/backends.py
@@ -14,14 +14,14 @@
 
 import trio
 
+from finchshelf.simulation import network as wires
+from finchshelf.simulation.network import End
+from finchshelf.simulation.wire import Message, Unfit, Wire, head
 from finchshelf.transport import net
 from finchshelf.transport.address import Address
-from tests.stories.world import network as wires
-from tests.stories.world.network import End
-from tests.stories.world.wire import Message, Unfit, Wire, head
 
 PROMISES = (408, 421, 429, 503)
-# One in so many answers is spoilt so; `tests/stories/test_answers.py` says what each must not bring about.
+# One in so many answers is spoilt so; the judge of `crossing` says what each must not bring about.
 HARMS = (
     "late",
     "two late",
--- a/tests/stories/callers.py
+++ b/finchshelf/simulation/callers.py
@@ -13,7 +13,7 @@
 import orjson
 
 from finchshelf.membership.records import STABLE
-from tests.stories.world.wire import Message, head
+from finchshelf.simulation.wire import Message, head
 
 PAD = 200  # bytes behind a body that change nothing: cut in them, what came could be read as a whole
 ELSEWHERE = (307, 503)
--- a/tests/stories/calling.py
+++ b/finchshelf/simulation/calling.py
@@ -17,14 +17,14 @@
 
 from finchshelf.cli import show
 from finchshelf.membership.records import DECAYING, GONE, STABLE
+from finchshelf.simulation.callers import ELSEWHERE, PAD, Call, Life, padded
+from finchshelf.simulation.crossing import Grain
+from finchshelf.simulation.fleet import HOST, PORTS, World, play
+from finchshelf.simulation.network import End, now
+from finchshelf.simulation.wire import Message, Unfit, Wire
 from finchshelf.transport import net
 from finchshelf.transport.address import Address
 from finchshelf.transport.frames import PeerError
-from tests.stories.callers import ELSEWHERE, PAD, Call, Life, padded
-from tests.stories.crossing import Grain
-from tests.stories.world.fleet import HOST, PORTS, World, play
-from tests.stories.world.network import End, now
-from tests.stories.world.wire import Message, Unfit, Wire
 
 SETTLING = 2.5  # s
 
--- a/tests/stories/crossing.py
+++ b/finchshelf/simulation/crossing.py
@@ -23,17 +23,17 @@
 from finchshelf.dataplane.dialect import Reader, Words
 from finchshelf.dataplane.news import News
 from finchshelf.membership.records import Server as Listed
+from finchshelf.simulation import network as wires
+from finchshelf.simulation.backends import HARMS, Backend, Record, Wanted
+from finchshelf.simulation.loop import Agenda, instead
+from finchshelf.simulation.network import End, Life, Network, current
+from finchshelf.simulation.wire import head
 from finchshelf.transport import halts, net
 from finchshelf.transport.address import Address
 from finchshelf.transport.clients import Clients
 from finchshelf.transport.exchange import Clock
 from finchshelf.transport.servers import Servers
 from finchshelf.transport.telemetry import Telemetry
-from tests.stories.backends import HARMS, Backend, Record, Wanted
-from tests.stories.world import network as wires
-from tests.stories.world.loop import Agenda, instead
-from tests.stories.world.network import End, Life, Network, current
-from tests.stories.world.wire import head
 
 HOST, FRONT = "shop.example", Address("10.0.0.1", 8405)
 MOST_AT_ONCE = 400  # bytes that one read or write takes at most, where it is cut at all
--- a/tests/stories/world/disk.py
+++ b/finchshelf/simulation/disk.py
@@ -13,7 +13,7 @@
 import trio
 
 from finchshelf.agreement.store import Fault, State, StoreError
-from tests.stories.world.network import Life, current
+from finchshelf.simulation.network import Life, current
 
 COMMIT = 0.004  # s of a save
 SLOW = 50  # times that, of a disk in trouble
--- a/tests/stories/explore.py
+++ b/finchshelf/simulation/explore.py
@@ -4,7 +4,7 @@
 others stay as they are), the search for fewer, and what is printed. It must never play a day that its
 seed and faults don't give again, or call a day well that ended by an error.
 
-`python -m tests.stories.explore --seeds 1-100`
+`python -m finchshelf.simulation.explore --seeds 1-100`
 """
 
 from __future__ import annotations
@@ -25,9 +25,9 @@
 import click
 import trio
 
-from tests.stories import test_fleet_storms as storms
-from tests.stories.world.fleet import World, play
-from tests.stories.world.quota import Quota
+from finchshelf.simulation import storms
+from finchshelf.simulation.fleet import World, play
+from finchshelf.simulation.quota import Quota
 
 LANES: tuple[list[storms.Harm], ...] = (storms.CORE_HARM, storms.OTHER_HARM)  # one at a time in each
 KINDS = {harm.__name__: harm for lane in LANES for harm in lane}
--- a/tests/stories/world/fleet.py
+++ b/finchshelf/simulation/fleet.py
@@ -28,16 +28,16 @@
 from finchshelf.dataplane import process as data_plane
 from finchshelf.dataplane import questions
 from finchshelf.experience.policy import DEFAULT
+from finchshelf.simulation import network as wires
+from finchshelf.simulation.disk import Disk, run_sync
+from finchshelf.simulation.judge import CORE, Asked, Judge, Trouble
+from finchshelf.simulation.loop import Agenda, instead
+from finchshelf.simulation.network import Life, Machine, Network, current, now
+from finchshelf.simulation.people import Client, Cut, Operator, Server, call
 from finchshelf.transport import halts, net
 from finchshelf.transport.address import Address
 from finchshelf.transport.exchange import Clock
 from finchshelf.transport.telemetry import Telemetry
-from tests.stories.world import network as wires
-from tests.stories.world.disk import Disk, run_sync
-from tests.stories.world.judge import CORE, Asked, Judge, Trouble
-from tests.stories.world.loop import Agenda, instead
-from tests.stories.world.network import Life, Machine, Network, current, now
-from tests.stories.world.people import Client, Cut, Operator, Server, call
 
 EPOCH = 1_800_000_000.0
 FRONT, READINESS, CONTROL, PORTS = 8405, 8406, 8407, (7660, 7675)
--- a/tests/stories/world/judge.py
+++ b/finchshelf/simulation/judge.py
@@ -14,7 +14,7 @@
 from itertools import accumulate
 from typing import Any
 
-from tests.stories.world.quota import WINDOW, Quota, figures
+from finchshelf.simulation.quota import WINDOW, Quota, figures
 
 PROMISES = (408, 421, 429, 503)
 CONTACT, SETTLING, SETPOINT, RETRY_WINDOW = 3.0, 2.5, 2.5, 10.0
--- a/tests/stories/world/network.py
+++ b/finchshelf/simulation/network.py
@@ -16,9 +16,9 @@
 
 import trio
 
+from finchshelf.simulation.loop import Agenda
 from finchshelf.transport import net
 from finchshelf.transport.address import Address
-from tests.stories.world.loop import Agenda
 
 WINDOW = 262144  # bytes on their way or unread, from which a writer waits
 SEGMENT = 8192  # bytes that come at once over a link that has a speed: a large write comes bit by bit
--- a/tests/stories/older.py
+++ b/finchshelf/simulation/older.py
@@ -21,7 +21,7 @@
 from finchshelf.controlplane.members import Members
 from finchshelf.controlplane.news import News
 from finchshelf.dataplane import questions
-from tests.stories.world.network import current
+from finchshelf.simulation.network import current
 
 NEWER_WORDS = ("form", "saved", "by")
 real_unpack, real_note, real_newer = Value.unpack, News.note, News.newer
--- a/tests/stories/order_days.py
+++ b/finchshelf/simulation/order_days.py
@@ -15,12 +15,12 @@
 
 from finchshelf.agreement import taken
 from finchshelf.controlplane import early
-from tests.stories import test_fleet_storms as storms
-from tests.stories.order_mutants import lacking
-from tests.stories.world.fleet import World, play
-from tests.stories.world.judge import Version
-from tests.stories.world.network import now
-from tests.stories.world.people import Cut, call
+from finchshelf.models.order_mutants import lacking
+from finchshelf.simulation import storms
+from finchshelf.simulation.fleet import World, play
+from finchshelf.simulation.judge import Version
+from finchshelf.simulation.network import now
+from finchshelf.simulation.people import Cut, call
 
 HARMS = (storms.kill, storms.machine_cut, storms.frozen, storms.resets, storms.lossy, storms.disk)
 UNDER_WAY = 8
--- a/tests/stories/world/people.py
+++ b/finchshelf/simulation/people.py
@@ -15,11 +15,11 @@
 import orjson
 import trio
 
+from finchshelf.simulation.judge import Asked, Judge, Ran, Version
+from finchshelf.simulation.network import End, Life, Listener, Machine, Network, accept, current, listen, now
+from finchshelf.simulation.wire import Message, Unfit, Wire, head
 from finchshelf.transport import net
 from finchshelf.transport.address import Address
-from tests.stories.world.judge import Asked, Judge, Ran, Version
-from tests.stories.world.network import End, Life, Listener, Machine, Network, accept, current, listen, now
-from tests.stories.world.wire import Message, Unfit, Wire, head
 
 SLOWEST = 200_000  # bytes a second: a caller waits a second, and longer for what a large body takes
 Headers = list[tuple[str, str]]
--- a/tests/stories/readers.py
+++ b/finchshelf/simulation/readers.py
@@ -21,15 +21,15 @@
 from finchshelf.configuration.document import read_configuration
 from finchshelf.dataplane import questions
 from finchshelf.dataplane.dialect import Reader, Request, Words
+from finchshelf.simulation.asking import Counts, Quiet
+from finchshelf.simulation.crossing import Day, VirtualClock, in_memory, play
+from finchshelf.simulation.loop import Agenda
+from finchshelf.simulation.network import End
 from finchshelf.transport import frames, net
 from finchshelf.transport.address import Address
 from finchshelf.transport.clients import Clients
 from finchshelf.transport.exchange import Answer, Attempt, Ended, Exchange
 from finchshelf.transport.servers import Servers
-from tests.stories.asking import Counts, Quiet
-from tests.stories.crossing import Day, VirtualClock, in_memory, play
-from tests.stories.world.loop import Agenda
-from tests.stories.world.network import End
 
 ADDRESS, MARK = Address("10.0.0.9", 80), b"t1"
 MOST = 20_000  # bytes of a recording: larger bodies are streamed, and how far depends on the pieces
--- a/tests/stories/world/spans.py
+++ b/finchshelf/simulation/spans.py
@@ -12,8 +12,8 @@
 import trio
 
 from finchshelf.agreement.core import Member, Value, majority
-from tests.stories.world.fleet import PORTS, Process, World
-from tests.stories.world.network import now
+from finchshelf.simulation.fleet import PORTS, Process, World
+from finchshelf.simulation.network import now
 
 LOOK = 0.01  # s between two looks
 
--- a/tests/stories/world/tally.py
+++ b/finchshelf/simulation/tally.py
@@ -18,10 +18,10 @@
 
 from finchshelf.counts.holder import NEAR
 from finchshelf.dataplane.questions import ASK, END
+from finchshelf.simulation import network
+from finchshelf.simulation.network import DATA, Datagrams, End, Life, current
 from finchshelf.transport import frames, net
 from finchshelf.transport.address import Address
-from tests.stories.world import network
-from tests.stories.world.network import DATA, Datagrams, End, Life, current
 
 PORTS = {8405: "clients", 8406: "readiness", 8407: "beats, calls", 7660: "frames"}
 PARTS = ("servers", "limiters", "gone", "controls", "value", "verdicts")
--- a/tests/stories/tallying.py
+++ b/tests/stories/tallying.py
@@ -24,13 +24,13 @@
 from finchshelf.node import counter as module
 from finchshelf.node.counter import Counter
 from finchshelf.node.discovery import Discovery
+from finchshelf.simulation import network as wires
+from finchshelf.simulation.crossing import Grain, Notes, VirtualClock, in_memory
+from finchshelf.simulation.loop import Agenda
+from finchshelf.simulation.network import End, Life, current
+from finchshelf.simulation.wire import Wire, head
 from finchshelf.transport.address import Address
 from tests.stand_ins import config
-from tests.stories.crossing import Grain, Notes, VirtualClock, in_memory
-from tests.stories.world import network as wires
-from tests.stories.world.loop import Agenda
-from tests.stories.world.network import End, Life, current
-from tests.stories.world.wire import Wire, head
 
 HERE, PLACES = "10.0.0.1", (Address("10.0.0.2", 7000), Address("10.0.0.3", 7000))
 NAMES, WAIT = 12, 0.4
--- a/tests/stories/test_answers.py
+++ b/tests/stories/test_answers.py
@@ -22,6 +22,10 @@
 from finchshelf.dataplane.choice import Choice
 from finchshelf.dataplane.dialect import Reader, Request, Words
 from finchshelf.membership.records import GONE, Server
+from finchshelf.simulation.asking import Counts, framed
+from finchshelf.simulation.crossing import play
+from finchshelf.simulation.readers import READERS, fuzz
+from finchshelf.simulation.slips import GUARDS, without
 from finchshelf.transport import frames, net
 from finchshelf.transport.address import Address
 from finchshelf.transport.bodies import Body, Room
@@ -31,10 +35,6 @@
 from finchshelf.transport.servers import Servers
 from finchshelf.transport.upstream import Connection, Upload
 from tests.stand_ins import Client, Got, always, ok, status, trio_test, until
-from tests.stories.asking import Counts, framed
-from tests.stories.crossing import play
-from tests.stories.readers import READERS, fuzz
-from tests.stories.slips import GUARDS, without
 from tests.test_transport import GET, world
 
 ADDRESS = Address("127.0.0.1", 80)
--- a/tests/stories/test_calls.py
+++ b/tests/stories/test_calls.py
@@ -11,8 +11,8 @@
 
 from finchshelf.controlplane.cells import DRAIN_KEPT, LOST_KEPT, Cells
 from finchshelf.membership.records import DECAYING, GONE, STABLE, Server
-from tests.stories.calling import called
-from tests.stories.slips import CALLS, without
+from finchshelf.simulation.calling import called
+from finchshelf.simulation.slips import CALLS, without
 
 FOUND = {"departed": 0, "held": 6, "whole": 0, "streamed": 0}  # by which seed
 
--- a/tests/stories/test_contact.py
+++ b/tests/stories/test_contact.py
@@ -11,7 +11,7 @@
 import pytest
 
 from finchshelf.membership import contact
-from tests.stories.contact_model import BOUND, LAX, LONG, MUTANTS, WIPED, Model, Stale, rules
+from finchshelf.models.contact import BOUND, LAX, LONG, MUTANTS, WIPED, Model, Stale, rules
 
 SECONDS, LONG_SECONDS = 30.0, 120.0
 
--- a/tests/stories/test_core_contact.py
+++ b/tests/stories/test_core_contact.py
@@ -16,10 +16,10 @@
 from finchshelf.cli import show
 from finchshelf.configuration import boot as boot_file
 from finchshelf.membership import contact, rendezvous
+from finchshelf.simulation.fleet import CONTROL, PORTS, World, fine, play
+from finchshelf.simulation.judge import CORE
+from finchshelf.simulation.network import now
 from finchshelf.transport.address import Address
-from tests.stories.world.fleet import CONTROL, PORTS, World, fine, play
-from tests.stories.world.judge import CORE
-from tests.stories.world.network import now
 
 CUT_S, SETPOINT_S, ACKNOWLEDGE_S = 20.0, 2.5, 3.0
 NEW = {"read": ("/read/", "nullipotent", "alpha"), "new": ("/new/", "nullipotent", "beta")}
--- a/tests/stories/test_core_cut_news.py
+++ b/tests/stories/test_core_cut_news.py
@@ -10,10 +10,10 @@
 import pytest
 import trio
 
+from finchshelf.simulation.fleet import CONTROL, World, fine
+from finchshelf.simulation.network import now
 from finchshelf.transport.address import Address
 from tests.stories.test_core_contact import ACKNOWLEDGE_S, apart
-from tests.stories.world.fleet import CONTROL, World, fine
-from tests.stories.world.network import now
 
 
 @pytest.mark.parametrize(("kind", "seed"), [("limiter", 82), ("limiter", 84), ("control", 83)])
--- a/tests/stories/test_core_cuts.py
+++ b/tests/stories/test_core_cuts.py
@@ -9,8 +9,8 @@
 import trio
 
 from finchshelf.membership import rendezvous
-from tests.stories.world.fleet import PORTS, World, fine
-from tests.stories.world.network import now
+from finchshelf.simulation.fleet import PORTS, World, fine
+from finchshelf.simulation.network import now
 
 SETPOINT_S = 2.5  # `setpointMs`
 
--- a/tests/stories/test_core_endings.py
+++ b/tests/stories/test_core_endings.py
@@ -9,9 +9,9 @@
 import trio
 
 from finchshelf.configuration import boot as boot_file
+from finchshelf.simulation.fleet import CONTROL, MARGINS, World, fine
+from finchshelf.simulation.spans import margin, until_borne
 from tests.stories.test_core_losses import CONVERGENCE_S, changed, ending, gone
-from tests.stories.world.fleet import CONTROL, MARGINS, World, fine
-from tests.stories.world.spans import margin, until_borne
 
 TOLERANCE_S = MARGINS["toleranceS"]  # from SIGTERM to SIGKILL
 
--- a/tests/stories/test_core_losses.py
+++ b/tests/stories/test_core_losses.py
@@ -28,12 +28,12 @@
 from finchshelf.controlplane.register import Register
 from finchshelf.controlplane.repair import Repair
 from finchshelf.membership.records import Server as Record
+from finchshelf.simulation.disk import Disk
+from finchshelf.simulation.fleet import CONTROL, PORTS, World, fine
+from finchshelf.simulation.network import now
+from finchshelf.simulation.spans import margin, newest, on_disk, until_borne
 from finchshelf.transport.address import Address
 from finchshelf.transport.frames import PeerError
-from tests.stories.world.disk import Disk
-from tests.stories.world.fleet import CONTROL, PORTS, World, fine
-from tests.stories.world.network import now
-from tests.stories.world.spans import margin, newest, on_disk, until_borne
 
 CONVERGENCE_S = 4.0  # `convergenceS` of the small sites: a machine that is back counts as lost so much longer
 
--- a/tests/stories/test_core_moves.py
+++ b/tests/stories/test_core_moves.py
@@ -34,12 +34,12 @@
 from finchshelf.invariants import Monitor
 from finchshelf.membership.records import DECAYING, GONE
 from finchshelf.membership.records import Server as Record
+from finchshelf.simulation.disk import Disk
+from finchshelf.simulation.fleet import CONTROL, PORTS, World, fine
+from finchshelf.simulation.network import now
+from finchshelf.simulation.people import Server
 from finchshelf.transport.address import Address
 from finchshelf.transport.frames import PeerError
-from tests.stories.world.disk import Disk
-from tests.stories.world.fleet import CONTROL, PORTS, World, fine
-from tests.stories.world.network import now
-from tests.stories.world.people import Server
 
 ACKNOWLEDGE_S = 5.0  # `acknowledgeMs`
 VOTE_S = 2.5  # until a new member's vote counts, `REPLACE_S` and a look in it
--- a/tests/stories/test_counts.py
+++ b/tests/stories/test_counts.py
@@ -10,7 +10,7 @@
 from finchshelf.counts.caller import FALLEN, GAP, LAG, Caller
 from finchshelf.counts.ends import LIFE, Ends
 from finchshelf.counts.holder import APART, AWAY, BYE, COME, KEEP, NEAR, SPARE, TOUCH, Holder
-from tests.stories.counts_fleet import Fleet, Plan
+from finchshelf.models.counts import Fleet, Plan
 
 Harm = Callable[[Fleet, Random], None]
 T = Tenant("t", (), 1, 60.0, 60.0)
--- a/tests/stories/test_ended_limiters.py
+++ b/tests/stories/test_ended_limiters.py
@@ -16,8 +16,8 @@
 from finchshelf.dataplane.counting import Counting, Told
 from finchshelf.invariants import Monitor
 from finchshelf.membership.records import Limiter
+from finchshelf.simulation.fleet import World, play
 from finchshelf.transport.address import Address
-from tests.stories.world.fleet import World, play
 
 
 async def story(world: World) -> None:
--- a/tests/stories/test_experience.py
+++ b/tests/stories/test_experience.py
@@ -33,7 +33,7 @@
 from finchshelf.experience.wayback import FULL, OUT, RISING, TRIAL, Way
 from finchshelf.experience.witness import Opinion, Place, Row, Witness, allot
 from finchshelf.membership.records import Unfit
-from tests.stories.world import fleet
+from finchshelf.simulation import fleet
 
 ON = Policy(on=True)
 BAD = "srv-1"
--- a/tests/stories/test_explore.py
+++ b/tests/stories/test_explore.py
@@ -14,12 +14,14 @@
 
 from finchshelf.cli import __main__ as command
 from finchshelf.controlplane.register import Register
-from tests.stories import explore
+from finchshelf.simulation import explore
+from finchshelf.simulation.quota import figures
 from tests.stories.test_fleet_stories import unsaved
-from tests.stories.world.quota import figures
 
 SHORT = ["--jobs", "1", "--length", "9", "--calm", "5", "--traffic", "0.1"]
 
+ROOT = Path(__file__).parent.parent.parent
+
 
 def test_given_a_guard_dropped_when_seeds_are_explored_then_it_is_found_with_its_fewest_faults() -> None:
     with mock.patch.object(Register, "save", unsaved):  # what is acknowledged is not on a disk
@@ -56,7 +58,7 @@
 
 def test_given_other_hashes_when_a_day_is_played_then_its_events_are_the_same() -> None:
     code = (
-        "from tests.stories import explore as e\n"
+        "from finchshelf.simulation import explore as e\n"
         "shape = e.Shape(('leave', 'dark'), 8.0, 4.0, 0.1)\n"
         "days = [e.day(n, e.plan(n, shape), shape, True) for n in (1, 2)]\n"
         "print(chr(10).join(line for day in days for line in day.events))"
@@ -68,7 +70,7 @@
             capture_output=True,
             text=True,
             check=True,
-            cwd=command.ROOT,
+            cwd=ROOT,
         ).stdout
         for hashes in ("1", "2")
     ]
@@ -80,22 +82,45 @@
         assert CliRunner().invoke(explore.main, words).exit_code == 2
 
 
-def test_given_the_command_when_the_tests_are_there_or_not_then_it_becomes_them_or_says_so(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+def test_given_the_command_when_it_is_called_then_it_becomes_the_fleet_in_memory(
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     became: list[Any] = []
-    monkeypatch.setattr(os, "execve", lambda *given: became.append(given))
+    monkeypatch.setattr(os, "execv", lambda *given: became.append(given))
     CliRunner().invoke(command.main, ["explore", "--seeds", "1-2", "--jobs", "1"])
-    ((program, words, env),) = became
-    assert program == sys.executable and words[1:] == [
-        "-m",
-        "tests.stories.explore",
-        "--seeds",
-        "1-2",
-        "--jobs",
-        "1",
-    ]
-    assert (Path(env["PYTHONPATH"].split(os.pathsep)[0]) / "tests/stories/explore.py").is_file()
-    monkeypatch.setattr(command, "ROOT", tmp_path)
-    told = CliRunner().invoke(command.main, ["explore", "--seeds", "1-2"])
-    assert told.exit_code == 2 and "are not installed" in told.stderr and len(became) == 1
+    ((program, words),) = became
+    assert program == sys.executable
+    assert words[1:] == ["-m", "finchshelf.simulation.explore", "--seeds", "1-2", "--jobs", "1"]
+
+
+def test_given_the_package_alone_when_a_day_is_explored_then_no_test_is_needed(tmp_path: Path) -> None:
+    """As where finchshelf is installed: neither the tests nor what they run with are there."""
+    code = (
+        "import sys\n"
+        "sys.modules['pytest'] = sys.modules['tests'] = None\n"
+        "from finchshelf.simulation import explore as e, order_days, readers, calling\n"
+        "from finchshelf.models import (agreement_rules, catching_up, contact, counts, losses,\n"
+        "    order_chain, order_lives, order_states)\n"
+        "shape = e.Shape(('leave',), 4.0, 2.0, 0.1)\n"
+        "print(len(e.day(1, e.plan(1, shape), shape, True).events) > 3)"
+    )
+    path = os.pathsep.join([str(ROOT), *sys.path[1:]])
+    done = subprocess.run(
+        [sys.executable, "-c", code],
+        env={**os.environ, "PYTHONPATH": path},
+        capture_output=True,
+        text=True,
+        check=False,
+        cwd=tmp_path,
+    )
+    assert done.stdout == "True\n", done.stderr
+
+
+def test_given_the_programs_when_they_load_then_neither_simulation_nor_models_nor_soak_is_loaded() -> None:
+    code = (
+        "import sys, finchshelf.dataplane.process, finchshelf.controlplane.process, finchshelf.node.process\n"
+    )
+    code += "print(*sys.modules)"
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True, cwd=ROOT)
+    tools = ("finchshelf.simulation", "finchshelf.models", "finchshelf.soak", "unittest.mock")
+    assert not [name for name in done.stdout.split() if name.startswith(tools)]
--- a/tests/stories/test_fleet_stories.py
+++ b/tests/stories/test_fleet_stories.py
@@ -26,12 +26,12 @@
 from finchshelf.dataplane.idling import UNTOLD_S, Idling
 from finchshelf.dataplane.news import News
 from finchshelf.membership.records import DECAYING, GONE, Server
+from finchshelf.simulation.fleet import World, fine, play
+from finchshelf.simulation.network import now
 from finchshelf.transport.clients import Clients
 from finchshelf.transport.exchange import Attempt, Clock, Ended
 from finchshelf.transport.replies import Reply
 from tests.stand_ins import Quiet
-from tests.stories.world.fleet import World, fine, play
-from tests.stories.world.network import now
 
 SEEDS = [11]
 
--- a/tests/stories/test_growth.py
+++ b/tests/stories/test_growth.py
@@ -21,9 +21,9 @@
 from finchshelf.membership import rendezvous
 from finchshelf.membership.listing import KEPT, Listing, read_list
 from finchshelf.membership.records import Limiter
+from finchshelf.simulation.fleet import World
+from finchshelf.simulation.tally import Tally
 from finchshelf.transport.servers import Servers
-from tests.stories.world.fleet import World
-from tests.stories.world.tally import Tally
 
 
 @pytest.mark.parametrize("core", [1, 3])
--- a/tests/stories/test_late_counts.py
+++ b/tests/stories/test_late_counts.py
@@ -13,8 +13,8 @@
 from finchshelf.dataplane.counting import Counting
 from finchshelf.dataplane.questions import Questions
 from finchshelf.membership import rendezvous
-from tests.stories.slips import without
-from tests.stories.world.fleet import World, play
+from finchshelf.simulation.fleet import World, play
+from finchshelf.simulation.slips import without
 
 ASKER, HOLDER = "10.0.0.2", "10.0.0.3"
 NODES = [f"edge-10.0.0.{n}" for n in (1, 2, 3)]
--- a/tests/stories/test_losses.py
+++ b/tests/stories/test_losses.py
@@ -6,7 +6,7 @@
 
 from finchshelf.agreement.core import Member
 from finchshelf.agreement.membership import LEAVER_S, MOST_LEAVERS, TURN_S, Leavers, anyone_stays, on_duty
-from tests.stories.losses import KINDS, MUTANTS, Broken, harmed
+from finchshelf.models.losses import KINDS, MUTANTS, Broken, harmed
 
 FOUND = {
     "learner": ("full", 0),
--- a/tests/stories/test_many_changes.py
+++ b/tests/stories/test_many_changes.py
@@ -27,14 +27,14 @@
 from finchshelf.controlplane.register import Register
 from finchshelf.controlplane.witnessing import Witnessing
 from finchshelf.dataplane.follower import Follower
+from finchshelf.models import catching_up as catching
+from finchshelf.simulation.fleet import CONTROL, World, fine, play
+from finchshelf.simulation.network import listen, now
 from finchshelf.transport import frames
 from finchshelf.transport.address import Address
 from finchshelf.transport.exchange import Clock
 from finchshelf.transport.frames import Link, PeerError
 from finchshelf.transport.pieces import SLOW, Pieces
-from tests.stories import catching
-from tests.stories.world.fleet import CONTROL, World, fine, play
-from tests.stories.world.network import listen, now
 
 
 class Packed:
--- a/tests/stories/test_mixed.py
+++ b/tests/stories/test_mixed.py
@@ -16,10 +16,10 @@
 from finchshelf.controlplane import telling
 from finchshelf.controlplane.forms import FORM, MOST, Forms
 from finchshelf.dataplane import questions
+from finchshelf.models.agreement_fleet import ADDRESSES
+from finchshelf.simulation import older
+from finchshelf.simulation.fleet import World, fine
 from finchshelf.transport.address import Address
-from tests.stories import older
-from tests.stories.fleet import ADDRESSES
-from tests.stories.world.fleet import World, fine
 
 MANY = {f"r{n}": (f"/r{n}/", "nullipotent", "alpha") for n in range(40)}
 
--- a/tests/stories/test_orders.py
+++ b/tests/stories/test_orders.py
@@ -16,13 +16,14 @@
 from finchshelf.agreement.store import Store
 from finchshelf.agreement.taken import Taken
 from finchshelf.controlplane import early, telling
-from tests.stories import order_chain, order_days, order_lives, order_states
-from tests.stories.fleet import ADDRESSES
-from tests.stories.order_mutants import GUARDS
-from tests.stories.rules import Found
-from tests.stories.states import Bounds
-from tests.stories.world.fleet import World, fine
-from tests.stories.world.people import call
+from finchshelf.models import order_chain, order_lives, order_states
+from finchshelf.models.agreement_fleet import ADDRESSES
+from finchshelf.models.agreement_rules import Found
+from finchshelf.models.agreement_states import Bounds
+from finchshelf.models.order_mutants import GUARDS
+from finchshelf.simulation import order_days
+from finchshelf.simulation.fleet import World, fine
+from finchshelf.simulation.people import call
 
 
 def order(version: int, prior: int, name: bytes = b"") -> Order:
--- a/tests/stories/test_overload.py
+++ b/tests/stories/test_overload.py
@@ -18,11 +18,11 @@
 from finchshelf.controlplane import ranks, turns
 from finchshelf.controlplane.ranks import Line, Rank, of_call, of_question
 from finchshelf.controlplane.turns import Turns
+from finchshelf.simulation.fleet import PORTS, World, fine, play
+from finchshelf.simulation.network import current, now
+from finchshelf.simulation.people import Server
 from finchshelf.transport.address import Address
 from finchshelf.transport.frames import Link, PeerError
-from tests.stories.world.fleet import PORTS, World, fine, play
-from tests.stories.world.network import current, now
-from tests.stories.world.people import Server
 
 COST = 0.02  # s of an item: a control plane does 50 a second
 CROWD, AGAIN = 100, 0.5  # askers at each control plane; s until one asks again
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -21,7 +21,7 @@
 from finchshelf.agreement.core import Member, Value
 from finchshelf.cli import demo, operator
 from finchshelf.cli.__main__ import main
-from finchshelf.cli.system import System
+from finchshelf.cli.system import PULSE_MS, System
 from finchshelf.counts.caller import Caller
 from finchshelf.membership.records import Limiter, Server
 from finchshelf.transport.address import Address
@@ -186,7 +186,9 @@
 
 def test_settings_are_checked_by_line(tmp_path: Path) -> None:
     file = System(tmp_path, net="127.0.0").settings("data-plane", 1)
-    file.write_text(file.read_text().replace("pulseMs=400", "pulseMs=0").replace("7660,7675", "7675,7660"))
+    file.write_text(
+        file.read_text().replace(f"pulseMs={PULSE_MS}", "pulseMs=0").replace("7660,7675", "7675,7660")
+    )
     result = run("check", "settings", file)
     assert result.exit_code == 1 and "pulseMs" in result.output and "two ports, the lower" in result.output
 
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -12,11 +12,11 @@
 import trio
 
 from finchshelf.cli import operator
+from finchshelf.simulation.fleet import CONTROL, World, fine
+from finchshelf.simulation.network import now
+from finchshelf.simulation.people import call
 from finchshelf.transport import calls
 from finchshelf.transport.address import Address
-from tests.stories.world.fleet import CONTROL, World, fine
-from tests.stories.world.network import now
-from tests.stories.world.people import call
 
 SPEED = 250_000  # bytes a second: 2 Mbit/s
 
