--- a/benchmarks/loss_states.py
+++ b/benchmarks/loss_states.py
@@ -1,6 +1,6 @@
 """A second loss after each step of a repair, over more lives than the tests have time for.
 
-Owns what is played and printed; the model is `tests/stories/losses.py`.
+Owns what is played and printed; the model is `finchshelf/models/losses.py`.
 
     python -m benchmarks.loss_states [--seeds 0-20] [--mutants]
 
@@ -13,12 +13,12 @@
 import argparse
 import sys
 
-from finchshelf.models.losses import KINDS, MUTANTS, Broken, harmed
+from finchshelf.models.losses import KINDS, MUTANTS, TWO_LEAVE, Broken, harmed
 
 
 def whole(seeds: range) -> int:
     print("members | first loss | seeds | second losses | at any step")
-    for members, kind in [(members, kind) for members in (3, 4, 6) for kind in KINDS]:
+    for members, kind in [(members, kind) for members in (3, 4, 6) for kind in (*KINDS, TWO_LEAVE)]:
         always, played = members == 6 and kind in ("replaced", "wiped"), 0
         try:
             for seed in seeds:
@@ -33,7 +33,7 @@
 def mutants(seeds: range) -> int:
     print("dropped | first loss | least seed | second losses until then")
     for mutant, meaning in MUTANTS.items():
-        for kind in KINDS:
+        for kind in (*KINDS, TWO_LEAVE):
             played = 0
             for seed in seeds:
                 try:
--- a/finchshelf/models/losses.py
+++ b/finchshelf/models/losses.py
@@ -29,8 +29,10 @@
     "mute": "nobody else knows who leaves",
     "unfenced": "who leaves goes without a round of ballots",
     "own": "who leaves counts its own promise in that round",
+    "each other": "two that leave count each other's disks",
 }
 KINDS = ("replaced", "wiped", "leaves", "grows", "full")
+TWO_LEAVE = "two leave"  # two members are told to end at one moment, with a spare for each
 Steps = Iterator[None]
 
 
@@ -77,7 +79,12 @@
             victim.up = False
         elif kind == "wiped":
             self.wipe(victim.acceptor.me.address)
-        victim.leaving = kind == "leaves"
+        victim.leaving = kind in ("leaves", TWO_LEAVE)
+        if kind == TWO_LEAVE:
+            self.blank("10.0.1.1:1")
+            self.blank("10.0.1.2:1")
+            second = self.random.choice([name for name in names if self.machines[name] is not victim])
+            self.machines[second].leaving = True
         for machine in self.machines.values():
             machine.met = self.random.random() < 0.7
         if self.random.random() < 0.8:
@@ -207,7 +214,10 @@
             return
         for member in self.shuffled(settling.missing()):
             question = membership.leaves(me.acceptor.me, 1) if me.leaving else membership.HOLDS
-            settling.on_reply(member, (yield from self.ask(me, member, question)))
+            reply = yield from self.ask(me, member, question)
+            before_it = me.leaving and member < me.acceptor.me and member in self.going(me)
+            if not before_it or self.mutant == "each other":
+                settling.on_reply(member, reply)
             if self.mutant == "told":
                 settling.holders |= {member}
             if settling.settled:
@@ -288,6 +298,14 @@
             if one.leaving
         )
 
+    def enough(self) -> bool:
+        """Is more than half of the newest value's members there, though some have gone in order?"""
+        members = self.newest().members
+        there = [each for each in members if self.machines[each.address].up]
+        return len([each for each in there if self.machines[each.address].acceptor.me == each]) >= majority(
+            len(members)
+        )
+
     def rests(self, over: bool) -> bool:
         """Has all been done that the first loss asked for? Then one more must be borne, whoever says what."""
         return over and self.mutant == "once" and all(self.next(one) is None for one in self.there())
@@ -322,6 +340,14 @@
         raise Broken("nothing is decided any more")
 
 
+def checked(one: Core, told: str) -> None:
+    """Broken, and where, if those that are left can decide nothing more."""
+    try:
+        one.heal()
+    except Broken as broken:
+        raise Broken(f"{broken}: {told}") from None
+
+
 HOWS = ("gone", "gone power", "wiped", "wiped power")
 
 
@@ -346,11 +372,17 @@
             if target is None:
                 if step % parts == part:
                     targets += [(address, how) for address in one.machines for how in HOWS]
+                if kind == TWO_LEAVE and one.enough():
+                    played += 1
+                    one.calm = True
+                    checked(one, f"{members} members, {kind}, seed {seed}, step {step}, no loss")
                 continue
             address, how = target
             # at rest every change must be settled, whoever says so
             wanted = (
-                one.planned(address)
+                one.must_bear(one.newest().members, address)
+                if kind == TWO_LEAVE
+                else one.planned(address)
                 if kind == "leaves"
                 else (always or one.must_bear(one.newest().members, address) or one.rests(over))
             )
@@ -358,12 +390,7 @@
                 continue
             played += 1
             one.lose(address, how)
-            try:
-                one.heal()
-            except Broken as broken:
-                raise Broken(
-                    f"{broken}: {members} members, {kind}, seed {seed}, step {step}, " f"{address} {how}"
-                ) from None
+            checked(one, f"{members} members, {kind}, seed {seed}, step {step}, {address} {how}")
         if over:
             return played
         step += 1
--- a/tests/stories/test_losses.py
+++ b/tests/stories/test_losses.py
@@ -6,7 +6,7 @@
 
 from finchshelf.agreement.core import Member
 from finchshelf.agreement.membership import LEAVER_S, MOST_LEAVERS, TURN_S, Leavers, anyone_stays, on_duty
-from finchshelf.models.losses import KINDS, MUTANTS, Broken, harmed
+from finchshelf.models.losses import KINDS, MUTANTS, TWO_LEAVE, Broken, harmed
 
 FOUND = {
     "learner": ("full", 0),
@@ -25,6 +25,15 @@
     assert sum(harmed(3, kind, seed) for seed in range(7 if kind == "leaves" else 3)) > 400
 
 
+@pytest.mark.parametrize("mutant", ["", "deaf"])
+def test_given_two_members_that_leave_at_one_moment_then_the_rest_go_on(mutant: str) -> None:
+    if mutant:
+        with pytest.raises(Broken, match="nothing is decided any more"):
+            harmed(3, TWO_LEAVE, 0, mutant)
+    else:
+        assert harmed(3, TWO_LEAVE, 1) > 400
+
+
 @pytest.mark.parametrize("part", range(4))
 @pytest.mark.parametrize(("kind", "seed"), [("replaced", 4), ("wiped", 5)])
 def test_given_six_members_when_two_are_lost_at_any_two_moments_then_the_rest_go_on(
