Signals are waited for before anybody can call: a SIGTERM just after the start

A SIGTERM in between ended them at once, with requests that were read unanswered, and a control plane without handing its place over. Class: a guard that begins too late, as SIGHUP's. Change: the receiver of signals is open before the first socket listens. Measured: the new test ends with -15 for both programs on the text before, with 0 and "ending" now; four tests of planned ends pass.

--- a/finchshelf/controlplane/process.py
+++ b/finchshelf/controlplane/process.py
@@ -73,52 +73,60 @@
             control = cells.meet(seed_address)
             if control is not None:
                 news.follow(control)
-        inner = await net.listen(Address(boot.ip, port))
-        nursery.start_soon(
-            frames.serve, inner, news.handle, nursery, lambda why: telemetry.rare("peer.broken", error=why)
-        )
-        nursery.start_soon(register.confirm)
-        repair = Repair(register, telemetry.log)
-        sweeps = Sweeps(news, news.asking, register, repair, clock, random)
-        nursery.start_soon(sweeps.sweep)
-        nursery.start_soon(sweeps.mend, seeds)
-        assert boot.control is not None
-        control_port = boot.control.port
-        handlers: dict[str, Resource] = {
-            "servers.pulse": Pulse(cells, news, clock.now, control_port),
-            "servers.departure": Departure(cells, news, clock.now),
-            "setpoint.replace": Change(register, "replace", telemetry.log, news.newer),
-            "setpoint.adjust": Change(register, "adjust", telemetry.log, news.newer),
-            "setpoint.observe": Observe(register),
-        }
+        # Danger: a signal that comes when others may call already, but before it is waited for, would end
+        # this process at once, with calls unanswered and its place not handed over.
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            inner = await net.listen(Address(boot.ip, port))
+            nursery.start_soon(
+                frames.serve,
+                inner,
+                news.handle,
+                nursery,
+                lambda why: telemetry.rare("peer.broken", error=why),
+            )
+            nursery.start_soon(register.confirm)
+            repair = Repair(register, telemetry.log)
+            sweeps = Sweeps(news, news.asking, register, repair, clock, random)
+            nursery.start_soon(sweeps.sweep)
+            nursery.start_soon(sweeps.mend, seeds)
+            assert boot.control is not None
+            control_port = boot.control.port
+            handlers: dict[str, Resource] = {
+                "servers.pulse": Pulse(cells, news, clock.now, control_port),
+                "servers.departure": Departure(cells, news, clock.now),
+                "setpoint.replace": Change(register, "replace", telemetry.log, news.newer),
+                "setpoint.adjust": Change(register, "adjust", telemetry.log, news.newer),
+                "setpoint.observe": Observe(register),
+            }
 
-        def beyond() -> str | None:
-            to = news.standing.elsewhere(clock.now()) if news.apart() else None
-            return f"{to.rpartition(':')[0]}:{control_port}" if to else "" if news.apart() else None
+            def beyond() -> str | None:
+                to = news.standing.elsewhere(clock.now()) if news.apart() else None
+                return f"{to.rpartition(':')[0]}:{control_port}" if to else "" if news.apart() else None
 
-        resources = Resources(handlers, turns, beyond, CallWatch(telemetry))
-        calls = Calls(clock, telemetry, nursery, resources.handle)
-        clients = Clients(calls, Reader(), nursery, lambda: True, boot.descriptors, int(boot.memory_mb * 1e6))
-        listener = await net.listen(Address(*boot.control))
-        nursery.start_soon(clients.accept, listener)
-        nursery.start_soon(clients.sweep)
-        settings = program.Settings(
-            boot, lambda _: {"state": "noted: seeds are only needed at a start"}, telemetry.log
-        )
-        nursery.start_soon(settings.run)
-        figures = Figures(telemetry, partial(gauges, register, cells, news))
-        await endpoint.serve(boot, figures, clock, nursery)
-        telemetry.log(
-            "start",
-            address=address,
-            disk=register.me.disk,
-            seed=seed,
-            recalled=recalled,
-            slot=register.decided.slot if register.decided else -1,
-        )
-        gc.collect()
-        gc.freeze()
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            resources = Resources(handlers, turns, beyond, CallWatch(telemetry))
+            calls = Calls(clock, telemetry, nursery, resources.handle)
+            clients = Clients(
+                calls, Reader(), nursery, lambda: True, boot.descriptors, int(boot.memory_mb * 1e6)
+            )
+            listener = await net.listen(Address(*boot.control))
+            nursery.start_soon(clients.accept, listener)
+            nursery.start_soon(clients.sweep)
+            settings = program.Settings(
+                boot, lambda _: {"state": "noted: seeds are only needed at a start"}, telemetry.log
+            )
+            nursery.start_soon(settings.run)
+            figures = Figures(telemetry, partial(gauges, register, cells, news))
+            await endpoint.serve(boot, figures, clock, nursery)
+            telemetry.log(
+                "start",
+                address=address,
+                disk=register.me.disk,
+                seed=seed,
+                recalled=recalled,
+                slot=register.decided.slot if register.decided else -1,
+            )
+            gc.collect()
+            gc.freeze()
             async for number in signals:
                 if number != signal.SIGHUP:
                     break
--- a/finchshelf/dataplane/process.py
+++ b/finchshelf/dataplane/process.py
@@ -90,25 +90,27 @@
         readiness = Clients(
             looked_at, calls.Reader(READY), nursery, lambda: core.ready() and follower.settled(), 64, memory
         )
-        front = await net.listen(Address(*boot.front))
-        gate = await net.listen(Address(*boot.readiness))
-        accepting = trio.CancelScope()
-        sweeps = core.servers.sweep, clients.sweep, readiness.sweep
-        nursery.start_soon(tally, telemetry)
-        settings = program.Settings(boot, lambda new: reseed(follower, control, new), telemetry.log)
-        for task in (settings.run, core.run, core.halts.beat, wire.run, follower.run, *sweeps):
-            nursery.start_soon(task)
-        if policy.on:
-            nursery.start_soon(Teller(core.steering, follower, clock, nursery, telemetry.log).run)
-        nursery.start_soon(readiness.accept, gate)
-        nursery.start_soon(clients.accept_within, front, accepting)
-        figures = Figures(telemetry, partial(gauges, core, clients, follower))
-        await endpoint.serve(boot, figures, clock, nursery)
-        telemetry.log("start", front=str(Address(*boot.front)), seed=seed)
-        gc.collect()
-        gc.freeze()
-        gc.set_threshold(COLLECT_EVERY, 20, 50)
+        # Danger: a signal that comes when others may call already, but before it is waited for, would end
+        # this process at once, with requests unanswered.
         with trio.open_signal_receiver(*SIGNALS) as signals:
+            front = await net.listen(Address(*boot.front))
+            gate = await net.listen(Address(*boot.readiness))
+            accepting = trio.CancelScope()
+            sweeps = core.servers.sweep, clients.sweep, readiness.sweep
+            nursery.start_soon(tally, telemetry)
+            settings = program.Settings(boot, lambda new: reseed(follower, control, new), telemetry.log)
+            for task in (settings.run, core.run, core.halts.beat, wire.run, follower.run, *sweeps):
+                nursery.start_soon(task)
+            if policy.on:
+                nursery.start_soon(Teller(core.steering, follower, clock, nursery, telemetry.log).run)
+            nursery.start_soon(readiness.accept, gate)
+            nursery.start_soon(clients.accept_within, front, accepting)
+            figures = Figures(telemetry, partial(gauges, core, clients, follower))
+            await endpoint.serve(boot, figures, clock, nursery)
+            telemetry.log("start", front=str(Address(*boot.front)), seed=seed)
+            gc.collect()
+            gc.freeze()
+            gc.set_threshold(COLLECT_EVERY, 20, 50)
             async for number in signals:
                 if number == signal.SIGHUP:
                     settings.read()
--- a/tests/test_planned_end.py
+++ b/tests/test_planned_end.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from finchshelf.cli.system import FRONT, INNER, READINESS, network
+from finchshelf.cli.system import FRONT, INNER, READINESS, System, network
 
 SETTINGS = """node=n1
 function=x
@@ -78,3 +78,26 @@
     finally:
         process.kill()
         process.wait()
+
+
+@pytest.mark.parametrize("role", ["control-plane", "data-plane"])
+def test_given_a_program_that_has_begun_to_listen_when_it_is_told_to_end_then_it_ends_as_planned(
+    role: str, tmp_path: Path
+) -> None:
+    """The signal comes right behind the line that says that it listens, before it does anything else."""
+    code = (
+        "import gc, os, signal\n"
+        "gc.collect = lambda *_: os.kill(os.getpid(), signal.SIGTERM)\n"
+        f"from finchshelf.{role.replace('-', '')}.process import main\n"
+        "raise SystemExit(main())"
+    )
+    settings = System(tmp_path, machines=1).settings(role, 1)
+    done = subprocess.run(
+        [sys.executable, "-c", code],
+        env={**os.environ, "FINCHSHELF_BOOT": str(settings)},
+        capture_output=True,
+        text=True,
+        timeout=60.0,
+        check=False,
+    )
+    assert done.returncode == 0 and '"ending"' in done.stdout + done.stderr, (done.returncode, done.stderr)
