In the soak a machine is lost until its programs listen again

Cause: a kill's span ended when the program was started again. Change: the span ends once the program says that it listens, 20 s later at most.

--- a/finchshelf/soak/troubles.py
+++ b/finchshelf/soak/troubles.py
@@ -28,6 +28,7 @@
 CONTROL, EDGE = "control-plane", "data-plane"
 ENDS_S = 8.0  # for a program to end after SIGTERM
 CUT_AFTER_S = 3.0  # of a cut that comes while a member is replaced
+BACK_S, LOOK_S = 20.0, 0.1  # for a program that was started to listen, and between two looks at that
 FRESH_S = 0.3  # from the end of a program until it is started again, as a platform does
 
 
@@ -119,6 +120,7 @@
                 self.wipe(number_of(name))
         await trio.sleep(trouble.span_s)
         self.restart(names)
+        await self.back(names)
         return bool(names)
 
     def wipe(self, machine: int) -> None:
@@ -134,6 +136,7 @@
         self.power_off(names, trouble)
         await trio.sleep(trouble.span_s)
         self.restart(names)
+        await self.back(names)
         return bool(names)
 
     def power_off(self, names: list[str], trouble: Trouble, wiped: int = 0) -> None:
@@ -155,6 +158,7 @@
         self.power_off(names, trouble)
         await trio.sleep(trouble.span_s)
         self.restart(names)
+        await self.back(names)
         return bool(names)
 
     async def all_power_wipe(self, trouble: Trouble) -> bool:
@@ -166,6 +170,7 @@
         self.power_off(names, trouble, lost if bearable else 0)
         await trio.sleep(trouble.span_s)
         self.restart(names)
+        await self.back(names)
         return bool(names)
 
     async def wipe_halves(self, trouble: Trouble) -> bool:
@@ -181,6 +186,19 @@
             self.system.start(name.rpartition("-")[0], number_of(name), ("-O",), first=False)
             self.busy.discard(name)
 
+    async def back(self, names: list[str]) -> None:
+        """Until those that were started again listen: a machine is lost until then, however long the host
+        takes for a start. One that is struck once more, or never comes up, is not waited for."""
+        waiting = {name: self.system.children[name] for name in names}
+        with trio.move_on_after(BACK_S):
+            while waiting:
+                await trio.sleep(LOOK_S)
+                waiting = {
+                    name: child
+                    for name, child in waiting.items()
+                    if self.system.children[name] is child and not child.killed and not child.has_started()
+                }
+
     async def control_kill(self, trouble: Trouble) -> bool:
         return await self.kill(CONTROL, trouble)
 
@@ -226,6 +244,7 @@
                 self.ledger.faults.append(f"{name}: status {child.process.returncode} after SIGTERM")
         await trio.sleep(FRESH_S)
         self.restart(names)
+        await self.back(names)
         return bool(names)
 
     async def pause(self, role: str, trouble: Trouble) -> bool:
