The soak tells ends by SIGHUP in the interpreter's own start apart from faults

Change: as the signal is sent, /proc says whether the process minds it by now; an end by one that did not is counted and printed by itself. Any other end with that status is a fault as before.

--- a/finchshelf/soak/__main__.py
+++ b/finchshelf/soak/__main__.py
@@ -83,7 +83,7 @@
                 click.echo(f"{seed} {trouble}")
         return
     struck, overlaps, broken = Counter[str](), Counter[str](), list[int]()
-    found, torn = list[list[Reached]](), 0
+    found, torn, early = list[list[Reached]](), 0, 0
     with ProcessPoolExecutor(jobs) as pool:
         for done in as_completed(
             [pool.submit(play, seed, length_s, keep, pace, mutant or "") for seed in span(seeds)]
@@ -93,11 +93,13 @@
             overlaps.update(verdict.overlaps)
             found.append(verdict.reach)
             torn += verdict.torn
+            early += verdict.early_hangups
             broken += [] if verdict.fine else [verdict.seed]
             click.echo(line(verdict))
     click.echo("struck: " + ", ".join(f"{kind} {number}" for kind, number in sorted(struck.items())))
     click.echo(f"pairs of troubles that overlapped: {len(overlaps)} kinds, {sum(overlaps.values())} times")
     click.echo(f"files and entries changed by losses of power: {torn}")
+    click.echo(f"programs ended by SIGHUP in the interpreter's own start: {early}")
     if pairs:
         click.echo(", ".join(f"{pair} {number}" for pair, number in sorted(overlaps.items())))
     click.echo(table(together(found)))
--- a/finchshelf/soak/ledger.py
+++ b/finchshelf/soak/ledger.py
@@ -134,6 +134,7 @@
     works: list[Work] = field(default_factory=list)
     slips: Counter[str] = field(default_factory=Counter)  # answers that servers lost, garbled, gave twice
     looks: Counter[str] = field(default_factory=Counter)  # at invariants, by name
+    early_hangups: int = 0  # programs ended by SIGHUP in the interpreter's own start: nothing can guard that
     torn: int = 0  # files and entries that losses of power changed
     violations: dict[str, int] = field(default_factory=dict)  # by invariant and program
     faults: list[str] = field(default_factory=list)  # lines of the programs' logs that must not come
--- a/finchshelf/soak/seed.py
+++ b/finchshelf/soak/seed.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+import signal
 import tempfile
 import time
 from collections import Counter
@@ -62,6 +63,7 @@
     orders: int = 0
     reads: int = 0
     torn: int = 0
+    early_hangups: int = 0
     reach: list[Reached] = field(default_factory=list)
     folder: str = ""
 
@@ -155,9 +157,11 @@
             await trio.sleep(0.2)
             for name, child in list(self.system.children.items()):
                 if child.process.poll() is not None and not child.killed and name not in hands.busy:
-                    self.ledger.own_ends.append(
-                        f"{name} (status {child.process.returncode}, {self.now():.1f} s)"
-                    )
+                    status = child.process.returncode
+                    if status == -signal.SIGHUP and child.process.pid in hands.unguarded:
+                        self.ledger.early_hangups += 1
+                    else:
+                        self.ledger.own_ends.append(f"{name} (status {status}, {self.now():.1f} s)")
                     hands.restart([name])
 
     async def watch_host(self) -> None:
@@ -219,6 +223,7 @@
             f"{one.kind} during {other}" for one in ledger.struck for other in one.during
         )
         found.requests, found.served = len(ledger.sent), sum(one.status == 200 for one in ledger.sent)
+        found.early_hangups = ledger.early_hangups
         found.reach, found.torn = reached(ledger, self.plan.length_s), ledger.torn
         found.orders, found.reads = sum(one.acknowledged > 0 for one in ledger.orders), len(ledger.reads)
         return found
--- a/finchshelf/soak/troubles.py
+++ b/finchshelf/soak/troubles.py
@@ -8,6 +8,7 @@
 
 import signal
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from dataclasses import dataclass, field, replace
 from pathlib import Path
 from random import Random
@@ -46,7 +47,7 @@
     random: Random
     now: Callable[[], float]
     busy: set[str] = field(default_factory=set)  # programs that a trouble holds: another leaves them alone
-    own_ends: set[str] = field(default_factory=set)
+    unguarded: set[int] = field(default_factory=set)  # programs told to reload before their first own line
 
     # ---- the plan ----
 
@@ -268,6 +269,8 @@
             for role in (CONTROL, EDGE):
                 child = self.system.children[f"{role}-{machine}"]
                 if child.process.poll() is None and not child.killed:
+                    if not minds_hangup(child.process.pid):
+                        self.unguarded.add(child.process.pid)
                     child.process.send_signal(signal.SIGHUP)
         return True
 
@@ -441,5 +444,15 @@
         return True
 
 
+def minds_hangup(pid: int) -> bool:
+    """Does that process ignore or catch SIGHUP by now? In the interpreter's own start it can't yet."""
+    bit = 1 << (signal.SIGHUP - 1)
+    with suppress(OSError):
+        for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+            if line.startswith(("SigIgn:", "SigCgt:")) and int(line.split()[1], 16) & bit:
+                return True
+    return False
+
+
 def number_of(name: str) -> int:
     return int(name.rpartition("-")[2])
