An upload whose server stops reading is answered at its deadline

Callers saw: no answer at the deadline for an upload that had come whole, if its server had stopped reading it; it came 2.5 s and a second for each 32 kB later.

Cause: a streamed request's end is the latest that is possible until its last byte is here. The data plane's core let `Arrived`, which tells that, pass; the try's limit was put right only once the last byte had been written.

Change: the core looks at the request again at its real end, as the present node does.

Measured: the new story fails on the text before (no answer: [] == [(1, 504)]) and passes now; stories of answers and timers and the node's uploads pass.

--- a/finchshelf/dataplane/core.py
+++ b/finchshelf/dataplane/core.py
@@ -32,7 +32,7 @@
 from finchshelf.rollout.evidence import SAFE, Seen
 from finchshelf.transport.address import Address
 from finchshelf.transport.clients import Clients
-from finchshelf.transport.exchange import Answer, Arrived, Attempt, Clock, Ended, Headers
+from finchshelf.transport.exchange import Answer, Arrived, Attempt, Clock, Ended, Exchange, Headers
 from finchshelf.transport.halts import Halts, read_first
 from finchshelf.transport.mailbox import Mailbox
 from finchshelf.transport.servers import Servers
@@ -164,10 +164,14 @@
         elif timer.due is Due.END:
             self.overdue(request, now)
 
+    def watch_end(self, request: Exchange) -> None:
+        """Look at it again when its time is up."""
+        self.timers.add(request.until + tries.OVERDUE, Due.END, request.id)
+
     def overdue(self, request: Request, now: float) -> None:
         """A request's time is up: it gets the last answer that is true of it."""
         if now < request.until + tries.OVERDUE:
-            return self.timers.add(request.until + tries.OVERDUE, Due.END, request.id)  # its body still came
+            return self.watch_end(request)  # its body still came
         self.count["overdue"] += 1
         may_have = request.may_have_run or request.out
         self.finish(request, plain(504 if may_have else 503), "out.overdue")
@@ -177,6 +181,9 @@
             self.arrived(item, now)
         elif isinstance(item, Ended):
             self.ended(item, now)
+        elif isinstance(item, Arrived):
+            # Danger: if its server stops reading, its client would wait for as long as its body might take.
+            self.watch_end(item.exchange)
         elif isinstance(item, Told):
             self.counting.answered(item, now)
         elif isinstance(item, News):
@@ -212,7 +219,7 @@
             return self.answer(request, plain(503), "refused.late")
         request.service = self.service(request.route)
         self.budget.arrived(request.service)
-        self.timers.add(request.until + tries.OVERDUE, Due.END, request.id)
+        self.watch_end(request)
         self.counting.begin(request, now)
 
     def service(self, route: Route) -> str:
--- a/tests/stories/test_timers.py
+++ b/tests/stories/test_timers.py
@@ -15,8 +15,9 @@
 from finchshelf.dataplane.core import Core, plain
 from finchshelf.dataplane.dialect import Request
 from finchshelf.dataplane.timers import Due
+from finchshelf.dataplane.tries import OVERDUE
 from finchshelf.transport.address import Address
-from finchshelf.transport.exchange import Answer, Attempt
+from finchshelf.transport.exchange import Answer, Arrived, Attempt
 from finchshelf.transport.telemetry import Telemetry
 
 DEADLINE_S = 0.2
@@ -71,6 +72,29 @@
     assert answers == [(1, 502)] and attempt.cancelled
 
 
+def test_given_an_upload_that_has_come_when_its_server_reads_no_further_then_it_is_answered_in_time() -> None:
+    """Guards against a client that waits beyond its deadline for as long as its body might have taken."""
+    # Given an upload that might come for 30 s more, and whose one try is out
+    now = 0.0
+    clock: Any = mock.Mock(now=lambda: now)
+    core = Core("edge-1", "north", clock, Telemetry("edge-1", sink=-1), Random(1), 0.2, 0.0)
+    core.servers, core.clients, answers = mock.Mock(), mock.Mock(), list[tuple[int, int]]()
+    request = core.live[1] = request_of(1, answers)
+    request.until, request.wait = 30.0 + DEADLINE_S, DEADLINE_S
+    core.timer(request.until + OVERDUE, Due.END, 1)
+    attempt = Attempt(request, 0, "i-1", Address("127.0.0.1", 1), request.until, 0.0, request.until)
+    request.out[attempt.number] = attempt
+    # When its last byte is here after 1 s, and its server takes none of that
+    now = 1.0
+    request.arrived(now)
+    core.take(Arrived(request), now)
+    # Then its client hears at its deadline, counted from that byte, and the try is called off
+    now = 1.0 + DEADLINE_S + 2 * OVERDUE
+    for timer in core.timers.due(now):
+        core.tick(timer, now)
+    assert answers == [(1, 504)] and attempt.cancelled
+
+
 def test_given_an_error_in_what_counts_an_answer_when_it_is_given_then_the_client_has_it() -> None:
     clock: Any = mock.Mock(now=lambda: 0.0)
     core = Core("edge-1", "north", clock, Telemetry("edge-1", sink=-1), Random(1), 0.2, 0.0)
