Uploads may have run from their first byte out, no longer from their last

Cause: until the last byte of a request had been written, each end of its try was "unreachable", which says that nothing ran. Requests kept whole had it too where the kernel took a part of them.

Change: transport/delivery.py notes what is out, where it is written; whoever names a try's end asks it; when a server may begin is a protocol's word (Dialect.begins), so the present node's answers stay. Servers.run in steps. Event 208 tells the bytes sent. Why it works: nothing that went out can be called never run but by the server's own word.

--- a/finchshelf/dataplane/core.py
+++ b/finchshelf/dataplane/core.py
@@ -306,7 +306,7 @@
         request = attempt.exchange
         assert isinstance(request, Request) and request.route is not None
         request.out.pop(attempt.number, None)
-        self.failures.tried(request, attempt, item.status, now)
+        self.failures.tried(request, item, now)
         load, status = None, item.status
         lost = status is Status.RESET and not item.heard
         if item.idle is not None and (item.heard or lost):
--- a/finchshelf/dataplane/dialect.py
+++ b/finchshelf/dataplane/dialect.py
@@ -16,6 +16,7 @@
 from finchshelf.configuration.document import Configuration, Route, Tenant
 from finchshelf.transport.address import Address
 from finchshelf.transport.bodies import Body
+from finchshelf.transport.delivery import Begins
 from finchshelf.transport.exchange import HOP_BY_HOP, Answer, Attempt, Ended, Exchange
 from finchshelf.transport.reading import BadRequest, Limits, head_size, headers_once
 from finchshelf.transport.replies import Another, Broken, Reply, framing, onward
@@ -142,6 +143,7 @@
     """What goes to servers and what their answers mean."""
 
     connect_limit, most_idle = CONNECT, MOST_IDLE
+    begins = Begins.ANY_BYTE  # a server may answer, so it may work, before it has read a long body
 
     def __init__(self, probe_path: Callable[[str], str] = lambda _: "/probe") -> None:
         """`probe_path`: by a server's id."""
--- a/finchshelf/dataplane/failures.py
+++ b/finchshelf/dataplane/failures.py
@@ -11,9 +11,8 @@
 from dataclasses import asdict, dataclass
 from typing import Any
 
-from finchshelf.admission.outcome import Status
 from finchshelf.dataplane.dialect import Request
-from finchshelf.transport.exchange import Attempt
+from finchshelf.transport.exchange import Ended
 from finchshelf.transport.telemetry import Telemetry
 
 MOST_KEPT = 128
@@ -30,6 +29,7 @@
     server: str
     ended: str
     took_ms: int
+    sent: int  # bytes of the request that went out to it
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,11 +52,11 @@
         self.kept: deque[Failure] = deque(maxlen=MOST_KEPT)
         self.logged = -math.inf
 
-    def tried(self, request: Request, attempt: Attempt, status: Status, now: float) -> None:
+    def tried(self, request: Request, item: Ended, now: float) -> None:
         """A try of the request ended."""
-        took = now - attempt.issued
-        self.telemetry.observe("try", status.value, took)
-        request.ends.append(TryEnd(attempt.server, status.value, int(took * 1000)))
+        status, took = item.status.value, now - item.attempt.issued
+        self.telemetry.observe("try", status, took)
+        request.ends.append(TryEnd(item.attempt.server, status, int(took * 1000), item.sent))
 
     def ended(self, request: Request, why: str, status: int, now: float) -> None:
         """The request got its final answer; `status` 0: its client left before."""
--- a/finchshelf/node/dialect.py
+++ b/finchshelf/node/dialect.py
@@ -18,6 +18,7 @@
 from finchshelf.node.items import Exchange
 from finchshelf.transport.address import Address
 from finchshelf.transport.bodies import Body
+from finchshelf.transport.delivery import Begins
 from finchshelf.transport.exchange import HOP_BY_HOP, Answer, Attempt, Ended
 from finchshelf.transport.reading import BadRequest, Limits, headers_once, whole
 from finchshelf.transport.replies import Reply, framing, onward
@@ -172,6 +173,8 @@
 class Words:
     """What goes to servers and what their answers mean, by the protocol's table."""
 
+    begins = Begins.WHOLE  # "A server begins a request when the last byte of it has come"
+
     def __init__(self, config: Config) -> None:
         self.connect_limit = config.around.connect_limit or 1.0
         self.most_idle = (config.around.idle_close or 10.0) * IDLE_SHARE
--- a/finchshelf/simulation/backends.py
+++ b/finchshelf/simulation/backends.py
@@ -40,6 +40,7 @@
     "large",
     "nothing said",
     "stray 421",
+    "begins",
 )
 
 
@@ -109,9 +110,15 @@
                 said = False
                 while (found := wire.next()) is None:
                     wire.take(await stream.receive())
-                    if not said and b"\r\n\r\n" in wire.came and self.harm("early"):
+                    if said or b"\r\n\r\n" not in wire.came:
+                        continue
+                    if self.harm("early"):
                         said = True  # the rest of its body is read, and nothing more is said
                         await self.answer(stream, name, self.head_of(wire), late, True)
+                    elif self.harm("begins"):
+                        said = True
+                        if not await self.begins(stream, name, self.head_of(wire)):
+                            return
                 if not said and not await self.answer(stream, name, found, late, False):
                     return
                 if found.last:
@@ -132,6 +139,27 @@
         method, target, _ = text[0].split(" ")
         return Message(method, target, {k.lower(): v for k, v in fields.items()}, b"", False)
 
+    async def begins(self, stream: net.Stream, name: str, asked: Message) -> bool:
+        """Works on a request of which a part is here; then its answer is lost, or comes before the rest is
+        read. False: this connection is over."""
+        wanted = self.day.record.get(asked.target)
+        if wanted is None or asked.headers.get("target-server") != name:
+            return False
+        self.day.record.runs[asked.target].append(name)
+        await trio.sleep(self.random.choice((0.0, 0.001, 0.01)))
+        end = self.random.choice(("reset", "close", "silent", "rubbish", "answer"))
+        if end == "answer":
+            back = [("Trial-Id", wanted.mark), ("Server-Seal", "s")]
+            content = f"{wanted.mark} {wanted.target};".encode()
+            return await self.say(stream, self.text(200, back, content, wanted.method))
+        if end == "silent":
+            await trio.sleep(30.0)
+        elif end == "rubbish":
+            await self.say(stream, self.random.randbytes(40))
+        elif end == "reset" and isinstance(stream, End):
+            stream.reset()
+        return False
+
     def harm(self, kind: str) -> bool:
         hit: bool = self.random.random() < self.day.harm.get(kind, 0.0)
         self.day.record.seen[kind] += hit
--- a/finchshelf/simulation/network.py
+++ b/finchshelf/simulation/network.py
@@ -10,6 +10,7 @@
 import math
 import socket
 from collections import deque
+from collections.abc import Callable
 from contextvars import ContextVar
 from random import Random
 from typing import Any, cast
@@ -215,11 +216,14 @@
             self.put(DATA, taken)
         return len(taken)
 
-    async def send(self, data: bytes) -> None:
+    async def send(self, data: bytes, note: Callable[[int], None] = net.unnoted) -> None:
         sent = self.send_now(data)
+        note(sent)
         while sent < len(data):
             await self.writers.park()
-            sent += self.send_now(data[sent:])
+            taken = self.send_now(data[sent:])
+            note(taken)
+            sent += taken
 
     def silent(self) -> bool:
         return not (self.inbox or self.eof or self.error or self.closed)
--- a/finchshelf/simulation/readers.py
+++ b/finchshelf/simulation/readers.py
@@ -147,8 +147,8 @@
             self.taken += data
         return len(data)
 
-    async def send(self, data: bytes) -> None:
-        self.send_now(data)
+    async def send(self, data: bytes, note: Callable[[int], None] = net.unnoted) -> None:
+        note(self.send_now(data))
 
     def silent(self) -> bool:
         return not self.pieces
--- a/finchshelf/simulation/slips.py
+++ b/finchshelf/simulation/slips.py
@@ -18,7 +18,7 @@
 from finchshelf.dataplane import core, counting, dialect, questions, tries
 from finchshelf.dataplane.timers import Due
 from finchshelf.membership import records
-from finchshelf.transport import answering, bodies, calls, connection, frames, replies, upstream
+from finchshelf.transport import answering, bodies, calls, connection, delivery, frames, replies, upstream
 
 Drop = Callable[[], Any]
 read, head, begun = dialect.Words.read, dialect.Words.head, core.Core.send
@@ -183,7 +183,11 @@
     "again": ("what may have run isn't tried again", lambda: mock.patch.object(tries, "after", again)),
     "written": (
         "a body's last byte written means that it may run",
-        lambda: mock.patch.object(upstream.Upload, "written", mock.PropertyMock(return_value=False)),
+        lambda: mock.patch.object(delivery.Delivery, "may_have_run", mock.PropertyMock(return_value=False)),
+    ),
+    "begun": (
+        "a server may begin to work on a request before it has all of it",
+        lambda: mock.patch.object(dialect.Words, "begins", delivery.Begins.WHOLE),
     ),
     "life": (
         "an answer about a count names the life that asked",
--- a/finchshelf/soak/gate.py
+++ b/finchshelf/soak/gate.py
@@ -12,6 +12,7 @@
 import os
 import socket
 import time
+from collections.abc import Callable
 from contextlib import suppress
 from typing import Any
 
@@ -115,13 +116,15 @@
     def send_now(self, data: bytes) -> int:
         return 0 if self.gate.closed(self.peer) else super().send_now(data)
 
-    async def send(self, data: bytes) -> None:
+    async def send(self, data: bytes, note: Callable[[int], None] = net.unnoted) -> None:
         sent = 0
         while sent < len(data):
             await self.gate.passes(self.peer, SILENCE_S)
             if self.sock.fileno() < 0:
                 raise trio.ClosedResourceError
-            sent += super().send_now(data[sent:])
+            taken = super().send_now(data[sent:])
+            note(taken)
+            sent += taken
             if sent < len(data):
                 await trio.lowlevel.wait_writable(self.sock)
 
--- a/finchshelf/transport/exchange.py
+++ b/finchshelf/transport/exchange.py
@@ -139,6 +139,7 @@
     load: dict[str, float] | None = None
     idle: float | None = None  # s that the kept connection it went on had idled; None: a new one
     heard: bool = False  # something came on that connection
+    sent: int = 0  # bytes of the request that went out
 
 
 @dataclass(slots=True)
--- a/finchshelf/transport/net.py
+++ b/finchshelf/transport/net.py
@@ -9,6 +9,7 @@
 import os
 import socket
 import struct
+from collections.abc import Callable
 from contextlib import suppress
 
 import trio
@@ -21,6 +22,10 @@
 LAST_RECEIVED = 52  # where Linux's tcp_info has the milliseconds since data last came
 
 
+def unnoted(size: int) -> None:
+    """What a send tells where nobody asks how much the kernel has taken."""
+
+
 class Stream:
     """A connected socket. It waits before it reads, and sends at once what the kernel takes.
 
@@ -65,11 +70,15 @@
         except BlockingIOError:
             return 0
 
-    async def send(self, data: bytes) -> None:
+    async def send(self, data: bytes, note: Callable[[int], None] = unnoted) -> None:
+        """All of it. `note` hears how much the kernel takes each time, also where the rest is never sent."""
         sent = self.send_now(data)
+        note(sent)
         while sent < len(data):
             await trio.lowlevel.wait_writable(self.sock)
-            sent += self.send_now(data[sent:])
+            taken = self.send_now(data[sent:])
+            note(taken)
+            sent += taken
 
     def silent(self) -> bool:
         """Nothing to read and no end: what an idle connection should be."""
--- a/finchshelf/transport/servers.py
+++ b/finchshelf/transport/servers.py
@@ -3,13 +3,14 @@
 Owns the connections to servers. Each attempt is a task with a cancel scope of its own and ends with exactly
 one `Ended` on the core's queue, each probe with one `Probed`. What a request says and an answer means is the
 program's (`Dialect`). It must never choose a server, send anything a second time, or call an end
-"never ran" that may have run: whether the last byte was written decides.
+"never ran" that may have run: its `Delivery` decides.
 """
 
 from __future__ import annotations
 
 import math
 from collections.abc import Mapping
+from dataclasses import dataclass, field
 from typing import Protocol
 
 import h11
@@ -19,6 +20,7 @@
 from finchshelf.transport import net
 from finchshelf.transport.address import Address
 from finchshelf.transport.bodies import Cut
+from finchshelf.transport.delivery import Begins, Delivery
 from finchshelf.transport.exchange import Attempt, Ended, Port
 from finchshelf.transport.replies import Another, Broken, Reply
 from finchshelf.transport.upstream import Connection, Upload
@@ -26,6 +28,7 @@
 REST = 0.002  # s after an answer until its connection may carry the next request
 SWEEP = 1.0  # s between two looks at idle connections
 PROBE_LIMIT = 0.25  # s for a probe, its connection included
+KEEPING = (i.Status.OK, i.Status.FULL, i.Status.ERROR)  # ends after which a connection may be kept
 
 
 class Core(Port, Protocol):
@@ -47,6 +50,10 @@
     def most_idle(self) -> float:
         """Seconds after which an idle connection is not used again."""
 
+    @property
+    def begins(self) -> Begins:
+        """How much of a request a server has when it may begin to work on it."""
+
     def head(self, attempt: Attempt, now: float) -> h11.Request:
         """The head under which an exchange goes on; `framing` has the length of its body."""
 
@@ -61,6 +68,31 @@
         """What the answer to a probe of that server means, and the load that it tells; raises as `read`."""
 
 
+@dataclass(slots=True)
+class Run:
+    """One attempt while it is out. `answered`: its answer is whole, or the first part of a `large` one."""
+
+    attempt: Attempt
+    delivery: Delivery
+    upload: Upload = field(default_factory=Upload)
+    connection: Connection | None = None
+    answered: bool = False
+    large: bool = False
+    ended: Ended = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.ended = Ended(self.attempt, i.Status.UNREACHABLE)
+
+
+def unanswered(delivery: Delivery, cancelled: bool, timed_out: bool) -> i.Status:
+    """How an attempt ended that got no answer. `timed_out`: its time was up, or it was called off."""
+    if timed_out and cancelled:
+        return i.Status.CANCELLED
+    if not delivery.may_have_run:
+        return i.Status.UNREACHABLE
+    return i.Status.TIMEOUT if timed_out else i.Status.RESET
+
+
 class Servers:
     def __init__(self, core: Core, dialect: Dialect, nursery: trio.Nursery, descriptors: int) -> None:
         """`descriptors`: the process's limit."""
@@ -169,80 +201,89 @@
     async def run(self, attempt: Attempt) -> None:
         if attempt.cancelled:
             return self.core.put(Ended(attempt, i.Status.CANCELLED))
-        connection: Connection | None = None
-        written, ended, reply = False, Ended(attempt, i.Status.UNREACHABLE), None
-        upload, stream, mark = Upload(), attempt.exchange.stream, attempt.exchange.mark
+        run = Run(attempt, Delivery(self.dialect.begins))
         with trio.CancelScope() as scope:
             attempt.scope = scope
             scope.deadline = trio.current_time() + attempt.limit - (self.clock.now() - attempt.issued)
             try:
-                connection = self.take(attempt.server, attempt.address, attempt.most_idle, mark)
-                if connection is not None:
-                    ended.idle = self.clock.now() - connection.used
-                else:
-                    with trio.move_on_after(self.connect_limit):
-                        connection = await self.open_one(attempt.server, attempt.address)
-                    if connection is not None and not connection.stream.silent():
-                        # Danger: what is said before anything is asked would be read as the answer.
-                        raise Broken("an answer before the request")
-                # Danger: after a halt a send that was decided long ago would go to a server that drains by
-                # now. What has not begun within the time to connect has not begun at all.
-                if connection is not None and self.clock.now() - attempt.issued <= self.connect_limit:
-                    if stream is None:
-                        await connection.write(
-                            self.dialect.head(attempt, self.clock.now()), attempt.exchange.body, mark
-                        )
-                        written, ended.status = True, i.Status.RESET
-                    else:
-                        connection.carry(mark)
-                        await connection.part(self.dialect.head(attempt, self.clock.now()))
-                        stream.reader = upload
-                        self.nursery.start_soon(self.upload, connection, attempt, upload)
-                    reply = await connection.read()
-                    try:
-                        self.read(connection, reply, attempt, ended)
-                    except Another:
-                        # Danger: dropped here, a request that may run once would end as unknown, though its
-                        # answer is on the way. One only, of bounded size, within the attempt's own time.
-                        connection.skip(attempt.exchange.method)
-                        reply, ended.used = None, 0
-                        self.count["servers.skipped"] += 1
-                        reply = await connection.read()
-                        self.read(connection, reply, attempt, ended)
+                await self.ask(run)
             except (OSError, Broken, h11.LocalProtocolError, trio.TooSlowError):
-                # The status so far says what that means: before the last byte unreachable, then reset.
-                ended.status = i.Status.RESET if upload.written else ended.status
+                pass  # what has gone out until then says what that means
             except Exception as error:
                 # Danger: what nobody thought of must not end the node; the attempt has an end as any other.
-                ended.status = i.Status.RESET if upload.written else ended.status
                 self.telemetry.rare("servers.error", error=repr(error), server=attempt.server)
-        if scope.cancelled_caught:
-            if attempt.cancelled:
-                ended.status = i.Status.CANCELLED
-            elif written or upload.written:
-                ended.status = i.Status.TIMEOUT
+        ended, connection, stream = run.ended, run.connection, attempt.exchange.stream
+        if not run.answered:
+            ended.status = unanswered(run.delivery, attempt.cancelled, scope.cancelled_caught)
+        ended.sent = run.delivery.bytes_sent
         ended.heard = connection is not None and connection.heard
-        if connection is not None and reply is not None and reply.large and not scope.cancelled_caught:
+        if connection is not None and run.answered and run.large:
             await self.pour(connection, ended)
-            return upload.scope.cancel()
-        if stream is not None and stream.reader is upload:
+            return run.upload.scope.cancel()
+        if stream is not None and stream.reader is run.upload:
             stream.reader = None
-        upload.scope.cancel()
+        run.upload.scope.cancel()
         if connection is not None:
-            if ended.status in (i.Status.OK, i.Status.FULL, i.Status.ERROR) and not scope.cancelled_caught:
+            if run.answered:
                 self.keep(connection)
             else:
                 self.close(connection)
         self.core.put(ended)
 
-    def read(self, connection: Connection, reply: Reply, attempt: Attempt, ended: Ended) -> None:
+    async def ask(self, run: Run) -> None:
+        """Send the request and read its answer; raises where the connection can't go on."""
+        attempt = run.attempt
+        run.connection = connection = await self.connection(run)
+        # Danger: after a halt a send that was decided long ago would go to a server that drains by
+        # now. What has not begun within the time to connect has not begun at all.
+        if connection is None or self.clock.now() - attempt.issued > self.connect_limit:
+            return
+        await self.send(run, connection)
+        try:
+            self.read(run, connection, await connection.read())
+        except Another:
+            # Danger: dropped here, a request that may run once would end as unknown, though its
+            # answer is on the way. One only, of bounded size, within the attempt's own time.
+            connection.skip(attempt.exchange.method)
+            run.ended.used = 0
+            self.count["servers.skipped"] += 1
+            self.read(run, connection, await connection.read())
+
+    async def connection(self, run: Run) -> Connection | None:
+        """A kept connection, or a new one; None where none came up in time."""
+        attempt = run.attempt
+        kept = self.take(attempt.server, attempt.address, attempt.most_idle, attempt.exchange.mark)
+        if kept is not None:
+            run.ended.idle = self.clock.now() - kept.used
+            return kept
+        with trio.move_on_after(self.connect_limit):
+            run.connection = await self.open_one(attempt.server, attempt.address)
+        if run.connection is not None and not run.connection.stream.silent():
+            # Danger: what is said before anything is asked would be read as the answer.
+            raise Broken("an answer before the request")
+        return run.connection
+
+    async def send(self, run: Run, connection: Connection) -> None:
+        """The request, as far as it is here: a streamed body goes on by itself."""
+        exchange = run.attempt.exchange
+        connection.carry(run.delivery, exchange.mark)
+        head = self.dialect.head(run.attempt, self.clock.now())
+        if exchange.stream is None:
+            return await connection.write(head, exchange.body)
+        await connection.part(head)
+        exchange.stream.reader = run.upload
+        self.nursery.start_soon(self.upload, connection, run.attempt, run.upload)
+
+    def read(self, run: Run, connection: Connection, reply: Reply) -> None:
         """What an answer means; nothing where that can't be told."""
-        before = ended.status
+        ended = run.ended
         try:
-            self.dialect.read(reply, attempt, ended)
+            self.dialect.read(reply, run.attempt, ended)
         except Exception:
-            ended.status, ended.answer = before, None
+            ended.answer = None
             raise
+        run.answered, run.large = ended.status in KEEPING, reply.large
+        run.delivery.refused = ended.status is i.Status.FULL
         if reply.most_idle is not None:
             connection.most_idle = reply.most_idle
 
@@ -256,10 +297,10 @@
                     at += len(piece)
                     await connection.part(h11.Data(data=piece))
                     # Danger: by its length the server has it whole now. An end that comes before our next
-                    # word would pass for one in the midst of the body, and the request would go out again.
-                    upload.written = at == stream.length
+                    # word would pass for one in the midst of the body.
+                    connection.delivery.whole = at == stream.length
                 # Danger: half of the last chunk is the end to some servers.
-                upload.written = True
+                connection.delivery.whole = True
                 await connection.part(h11.EndOfMessage())
                 self.count["servers.uploads"] += 1
                 if attempt.scope is not None:  # it came sooner than it might: all its times end sooner
@@ -298,6 +339,7 @@
         with trio.move_on_after(PROBE_LIMIT):
             try:
                 connection = self.take(server, address) or await self.open_one(server, address)
+                connection.carry(Delivery(self.dialect.begins))
                 await connection.write(self.dialect.probe(server, address), b"")
                 probed = i.Status.TIMEOUT
                 reply = await connection.read()
--- a/finchshelf/transport/upstream.py
+++ b/finchshelf/transport/upstream.py
@@ -14,6 +14,7 @@
 
 from finchshelf.transport import net
 from finchshelf.transport.address import Address
+from finchshelf.transport.delivery import Begins, Delivery
 from finchshelf.transport.replies import Broken, Reply, fits
 
 MARKS = 8  # requests back of which a late copy of an answer may still come on a connection
@@ -23,9 +24,20 @@
 
 class Connection:
     """One connection to a server, by its id and address; h11 holds its one buffer. `most_idle`: the seconds
-    that it may idle, None where the pool's hold."""
-
-    __slots__ = ("address", "carried", "heard", "http", "most_idle", "server", "stream", "unsent", "used")
+    that it may idle, None where the pool's hold. `delivery`: of the last request that it carries."""
+
+    __slots__ = (
+        "address",
+        "carried",
+        "delivery",
+        "heard",
+        "http",
+        "most_idle",
+        "server",
+        "stream",
+        "unsent",
+        "used",
+    )
 
     def __init__(self, server: str, address: Address, stream: net.Stream, now: float) -> None:
         self.server, self.address, self.stream, self.used = server, address, stream, now
@@ -34,27 +46,30 @@
         self.heard = False  # something came since it was last taken
         self.carried: deque[bytes] = deque(maxlen=MARKS)  # marks of the last requests that it carried
         self.unsent = False  # a part of a request is on its way to the kernel
+        self.delivery = Delivery(Begins.ANY_BYTE)
+
+    def carry(self, delivery: Delivery, mark: bytes = b"") -> None:
+        """It takes a request of this mark on; what goes out of it is noted in `delivery`."""
+        self.delivery = delivery
+        if mark:
+            self.carried.append(mark)
 
-    async def write(self, request: h11.Request, body: bytes, mark: bytes = b"") -> None:
-        self.carry(mark)
+    async def write(self, request: h11.Request, body: bytes) -> None:
+        """A whole request."""
         data = self.http.send(request) or b""
         if body:
             data += self.http.send(h11.Data(data=body)) or b""
         data += self.http.send(h11.EndOfMessage()) or b""
-        await self.stream.send(data)
+        await self.stream.send(data, self.delivery.note)
+        self.delivery.whole = True
 
     async def part(self, event: h11.Request | h11.Data | h11.EndOfMessage) -> None:
         """One part of a request that goes out as it comes."""
         self.unsent = True
         with trio.fail_after(PIECE):
-            await self.stream.send(self.http.send(event) or b"")
+            await self.stream.send(self.http.send(event) or b"", self.delivery.note)
         self.unsent = False
 
-    def carry(self, mark: bytes) -> None:
-        """It takes a request of this mark on."""
-        if mark:
-            self.carried.append(mark)
-
     async def read(self) -> Reply:
         status, headers, parts, size, interim = 0, [], [], 0, 0
         while True:
@@ -138,9 +153,9 @@
 
 
 class Upload:
-    """A body on its way to one attempt. `written`: its last byte has gone, so that the request may run."""
+    """A body on its way to one attempt: it reads the body, and ends with its scope."""
 
-    __slots__ = ("scope", "written")
+    __slots__ = ("scope",)
 
     def __init__(self) -> None:
-        self.scope, self.written = trio.CancelScope(), False
+        self.scope = trio.CancelScope()
--- a/tests/stories/test_answers.py
+++ b/tests/stories/test_answers.py
@@ -29,6 +29,7 @@
 from finchshelf.transport import frames, net
 from finchshelf.transport.address import Address
 from finchshelf.transport.bodies import Body, Room
+from finchshelf.transport.delivery import Begins, Delivery
 from finchshelf.transport.exchange import Answer, Attempt
 from finchshelf.transport.reading import BadRequest
 from finchshelf.transport.replies import Another, Broken, Reply
@@ -132,10 +133,11 @@
         self.come, self.taken = come, b""
         self.full = False
 
-    async def send(self, data: bytes) -> None:
+    async def send(self, data: bytes, note: Callable[[int], None] = net.unnoted) -> None:
         if self.full and data:
             await trio.sleep_forever()
         self.taken += data
+        note(len(data))
 
     async def receive(self) -> bytes:
         await trio.lowlevel.checkpoint()
@@ -171,10 +173,11 @@
 class Breaks(Stalled):
     """A stream that breaks when nothing more of a body goes out, or its last chunk."""
 
-    async def send(self, data: bytes) -> None:
+    async def send(self, data: bytes, note: Callable[[int], None] = net.unnoted) -> None:
         if data in (b"", b"0\r\n\r\n"):
             raise BrokenPipeError
         self.taken += data
+        note(len(data))
 
 
 @pytest.mark.parametrize(("length", "size"), [(100, 100), (None, 100), (100, 60)])
@@ -188,12 +191,13 @@
     else:
         body.cut()
     connection = Connection("s", ADDRESS, Breaks(b""), 0.0)  # type: ignore[arg-type]
+    connection.carry(Delivery(Begins.WHOLE))
     framing = ("Transfer-Encoding", "chunked") if length is None else ("Content-Length", "100")
     await connection.part(h11.Request(method="POST", target="/", headers=[("Host", "x"), framing]))
     body.reader = upload
     servers = Servers(mock.Mock(), Words(), mock.Mock(), 100)
     await servers.upload(connection, mock.Mock(exchange=mock.Mock(stream=body), scope=None), upload)
-    assert upload.written is (size == 100)
+    assert connection.delivery.may_have_run is (size == 100)
 
 
 @trio_test
@@ -253,7 +257,7 @@
     def kept() -> Connection:
         made = Connection("s", ADDRESS, Stalled(b""), 9.0)  # type: ignore[arg-type]
         made.stream.close = mock.Mock()  # type: ignore[method-assign]
-        made.carry(b"id")
+        made.carry(Delivery(Begins.WHOLE), b"id")
         servers.idle["s"] = [made]
         return made
 
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -16,6 +16,7 @@
 from finchshelf.transport.address import Address
 from finchshelf.transport.bodies import Body
 from finchshelf.transport.clients import Clients
+from finchshelf.transport.delivery import Begins
 from finchshelf.transport.exchange import Answer, Attempt, Clock, Ended, Exchange
 from finchshelf.transport.reading import BadRequest, Limits, head_size, headers_once
 from finchshelf.transport.replies import Broken, Reply, framing, onward
@@ -66,6 +67,7 @@
 
 class Dialect:
     connect_limit, most_idle = 1.0, 5.0
+    begins = Begins.ANY_BYTE
 
     def head(self, attempt: Attempt, now: float) -> h11.Request:
         one = attempt.exchange
