An upload that stalls is told 408 only if no server can have begun it

Callers saw: 408 for an upload that came too slowly, a promise that it has not run and never will, though its head and what had come of it were at a server that may begin before a body is whole (REFUSED).

Cause: the client's side answered from "the last byte was never written", which is the present node's protocol. And a try that was still connecting when its client was told 408 sent the head all the same.

Evidence: two new stories fail on the text before: told 408 with 70 kB out; 238 bytes sent after the cut.

Change: a request knows its deliveries (Exchange.may_have_run); the client's side asks it and says 504 where one may have begun; the data plane's core asks the same in place of a flag set by how a try ended; a try called off while it connects sends nothing. Mutants follow: "may have run" and "written" drop the notes of what is out, the fleet's TWICE mutant drops Delivery.may_have_run in place of tries.ran, which is gone.

--- a/benchmarks/experience.py
+++ b/benchmarks/experience.py
@@ -276,7 +276,7 @@
             return
         if status is Status.OK:
             return self.finish(one, ask, "late" if self.now - ask.born > AIM else "served")
-        ask.may_have_run |= tries.ran(status)
+        ask.may_have_run |= not status.never_ran
         left = ask.born + LIMIT - self.now
         tried = Tried(
             ask.repeatable, ask.may_have_run, len(ask.out), len(ask.tried), TRIALS, True, left, usual, False
--- a/finchshelf/dataplane/core.py
+++ b/finchshelf/dataplane/core.py
@@ -334,7 +334,6 @@
             return
         if item.status is Status.OK and item.answer is not None:
             return self.finish(request, item.answer, "out.served")
-        request.may_have_run |= tries.ran(item.status)
         if item.answer is not None:
             if item.answer.more is not None:
                 return self.finish(request, item.answer, "out.error")
--- a/finchshelf/dataplane/dialect.py
+++ b/finchshelf/dataplane/dialect.py
@@ -50,7 +50,6 @@
     tried: list[str] = field(default_factory=list)
     out: dict[int, Attempt] = field(default_factory=dict)
     ends: list[Any] = field(default_factory=list)  # of its tries, as `failures.TryEnd`
-    may_have_run: bool = False
     last: Answer | None = None  # of a server that failed: passed on where no other does better
     hedged: bool = False
     renewed: bool = False  # it went again to the same server, whose kept connection was reset
--- a/finchshelf/dataplane/tries.py
+++ b/finchshelf/dataplane/tries.py
@@ -43,11 +43,6 @@
     has_answer: bool  # a server's own answer, though a failure, is at hand
 
 
-def ran(status: Status) -> bool:
-    """May the request have run at a server whose try ended so?"""
-    return not status.never_ran
-
-
 def after(tried: Tried, status: Status, budget: bool) -> Next:
     """`status`: how the try ended, never OK; `budget`: is a further try within the fleet's budget?"""
     again = tried.repeatable or not tried.may_have_run
--- a/finchshelf/events.py
+++ b/finchshelf/events.py
@@ -142,8 +142,8 @@
         208,
         "request.failed",
         "A request was not served: `trial` (its client's name for it), `route`, `service`, `tenant`, "
-        "`why`, `status`, `held_ms`, and its tries (server, how each ended, ms, bytes sent). One line a second; "
-        "at SIGUSR1 the last ones are logged whole.",
+        "`why`, `status`, `held_ms`, and its tries (server, how each ended, ms, bytes sent). One line a "
+        "second; at SIGUSR1 the last ones are logged whole.",
         "`why` and `tries` name the cause; the counter of that name tells how many.",
         rare=True,
     ),
--- a/finchshelf/simulation/slips.py
+++ b/finchshelf/simulation/slips.py
@@ -52,6 +52,10 @@
     self.timer(now + 0.02, Due.HEDGE, request.id)
 
 
+async def unnoted_part(self: Any, event: Any) -> None:
+    await self.stream.send(self.http.send(event) or b"")
+
+
 def sent(self: Any) -> bool:
     self.unsent = False
     return renew(self)
@@ -170,7 +174,7 @@
     "target": ("a request names the server's life", lambda: mock.patch.object(dialect.Words, "head", untold)),
     "may have run": (
         "what was written may have run",
-        lambda: mock.patch.object(tries, "ran", lambda status: False),
+        lambda: mock.patch.object(delivery.Delivery, "may_have_run", mock.PropertyMock(return_value=False)),
     ),
     "renewed": (
         "what may run once isn't sent again after a reset on a kept connection",
@@ -182,8 +186,8 @@
     ),
     "again": ("what may have run isn't tried again", lambda: mock.patch.object(tries, "after", again)),
     "written": (
-        "a body's last byte written means that it may run",
-        lambda: mock.patch.object(delivery.Delivery, "may_have_run", mock.PropertyMock(return_value=False)),
+        "what goes out of a streamed body means that it may run",
+        lambda: mock.patch.object(upstream.Connection, "part", unnoted_part),
     ),
     "begun": (
         "a server may begin to work on a request before it has all of it",
--- a/finchshelf/soak/mutants.py
+++ b/finchshelf/soak/mutants.py
@@ -224,10 +224,10 @@
     former = core.Core.ended
 
     def ended(self: Any, item: Any, now: float) -> None:
-        request = item.attempt.exchange
-        repeatable = request.may_have_run
         former(self, item, now)
-        request.may_have_run = repeatable if item.idle is not None else request.may_have_run
+        if item.idle is not None:
+            for delivery in item.attempt.exchange.deliveries:
+                delivery.refused = True
 
     core.Core.ended = ended  # type: ignore[method-assign]
 
--- a/finchshelf/transport/clients.py
+++ b/finchshelf/transport/clients.py
@@ -16,7 +16,7 @@
 
 from finchshelf.transport import net
 from finchshelf.transport.bodies import Body, Room
-from finchshelf.transport.connection import TOO_SLOW, Connection
+from finchshelf.transport.connection import Connection
 from finchshelf.transport.exchange import Answer, Exchange, Headers
 from finchshelf.transport.host import Core
 from finchshelf.transport.reading import BadRequest, Reader
@@ -177,6 +177,6 @@
             for connection in list(self.connections):
                 if connection.stalled(now):
                     self.count["clients.slow"] += 1
-                    connection.cut_off(TOO_SLOW)
+                    connection.stall()
                 elif connection.spent(connection.quiet(now)):
                     connection.give_up()
--- a/finchshelf/transport/connection.py
+++ b/finchshelf/transport/connection.py
@@ -30,6 +30,7 @@
 MOST_PARTS, LEAST_PART = 4096, 16  # chunks of a body, more of so many bytes on average: else to keep us busy
 NOTHING: Headers = [(b"Content-Length", b"0")]
 TOO_SLOW = Answer(408, NOTHING)
+TOO_SLOW_BUT_BEGUN = Answer(504, NOTHING)  # a 408 would promise that the request has not run and never will
 CONTINUE = h11.InformationalResponse(status_code=100, headers=[])
 
 
@@ -256,6 +257,11 @@
             return self.reply(answer, True)
         self.stream.hang_up()  # its answer has begun already
 
+    def stall(self) -> None:
+        """A streamed request whose body comes too slowly; a server may have begun to work on it."""
+        begun = self.exchange is not None and self.exchange.may_have_run
+        self.cut_off(TOO_SLOW_BUT_BEGUN if begun else TOO_SLOW)
+
     def drop_body(self) -> None:
         """No attempt gets more of the body."""
         if self.body is not None:
--- a/finchshelf/transport/exchange.py
+++ b/finchshelf/transport/exchange.py
@@ -9,7 +9,7 @@
 import math
 import time
 from collections.abc import Callable, MutableMapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any, Protocol
 
 import trio
@@ -18,6 +18,7 @@
 from finchshelf.invariants import Monitor
 from finchshelf.transport.address import Address
 from finchshelf.transport.bodies import Body
+from finchshelf.transport.delivery import Delivery
 
 Headers = list[tuple[bytes, bytes]]
 HOP_BY_HOP = frozenset(
@@ -95,6 +96,7 @@
     wait: float = 0.0  # s that its client waits from its last byte on
     mark: bytes = b""  # what an answer to it is known by; b"": answers carry nothing of the kind
     attempts: int = 0
+    deliveries: list[Delivery] = field(default_factory=list)  # one for each attempt that was begun
 
     def arrived(self, now: float) -> None:
         """Its last byte is here."""
@@ -105,6 +107,11 @@
         """Can it be sent once more?"""
         return self.stream is None or self.stream.again
 
+    @property
+    def may_have_run(self) -> bool:
+        """May a server have begun to work on it, as far as is known now?"""
+        return any(delivery.may_have_run for delivery in self.deliveries)
+
 
 @dataclass(slots=True, eq=False)
 class Attempt:
@@ -121,6 +128,12 @@
     cancelled: bool = False
     scope: trio.CancelScope | None = None
 
+    @property
+    def called_off(self) -> bool:
+        """Nobody waits for it any more: whatever of it is not out yet stays here."""
+        stream = self.exchange.stream
+        return self.cancelled or (stream is not None and stream.broken)
+
     def cancel(self) -> None:
         self.cancelled = True
         if self.scope is not None:
--- a/finchshelf/transport/servers.py
+++ b/finchshelf/transport/servers.py
@@ -202,6 +202,7 @@
         if attempt.cancelled:
             return self.core.put(Ended(attempt, i.Status.CANCELLED))
         run = Run(attempt, Delivery(self.dialect.begins))
+        attempt.exchange.deliveries.append(run.delivery)
         with trio.CancelScope() as scope:
             attempt.scope = scope
             scope.deadline = trio.current_time() + attempt.limit - (self.clock.now() - attempt.issued)
@@ -238,6 +239,9 @@
         # now. What has not begun within the time to connect has not begun at all.
         if connection is None or self.clock.now() - attempt.issued > self.connect_limit:
             return
+        # Danger: its client may have been told meanwhile that it has not run and never will.
+        if attempt.called_off:
+            return
         await self.send(run, connection)
         try:
             self.read(run, connection, await connection.read())
--- a/tests/stories/test_deliveries.py
+++ b/tests/stories/test_deliveries.py
@@ -19,12 +19,14 @@
 from finchshelf.dataplane.dialect import Request, Words
 from finchshelf.simulation.crossing import play
 from finchshelf.simulation.slips import without
-from finchshelf.transport import net
+from finchshelf.transport import connection, net
 from finchshelf.transport.address import Address
 from finchshelf.transport.bodies import Body, Room
+from finchshelf.transport.delivery import Begins
 from finchshelf.transport.exchange import Attempt, Ended
 from finchshelf.transport.servers import Servers
-from tests.stand_ins import trio_test
+from tests.stand_ins import Got, trio_test, until
+from tests.test_transport import Dialect, world
 
 ADDRESS = Address("127.0.0.1", 80)
 BODY = b"x" * 1000
@@ -74,8 +76,9 @@
     close = end_sending = hang_up
 
 
-async def ended(framing: str, peer: Peer) -> Ended:
-    """How a try at that server ends. `framing` of its request: kept whole, by length, or in chunks."""
+async def ended(framing: str, peer: Peer, cut: bool = False) -> Ended:
+    """How a try at that server ends. `framing` of its request: kept whole, by length, in chunks; `cut`: its
+    client ends while the connection comes up."""
     async with trio.open_nursery() as nursery:
         core = mock.Mock(put=mock.Mock(), addresses={})
         core.clock.now = trio.current_time
@@ -99,13 +102,47 @@
         )
         request.until = trio.current_time() + 5.0
         attempt = Attempt(request, 1, "s", ADDRESS, LIMIT_S, trio.current_time(), request.until)
-        with mock.patch.object(net, "connect", mock.AsyncMock(return_value=peer)):
+
+        async def connect(_: Address) -> Peer:
+            if cut and stream is not None:
+                stream.cut()
+            return peer
+
+        with mock.patch.object(net, "connect", connect):
             await servers.run(attempt)
         nursery.cancel_scope.cancel()
     found: Ended = core.put.call_args.args[0]
     return found
 
 
+@pytest.mark.parametrize(("begins", "told"), [(Begins.ANY_BYTE, 504), (Begins.WHOLE, 408)])
+@trio_test
+async def test_given_an_upload_that_is_out_when_its_client_stalls_then_408_is_said_only_if_none_began(
+    begins: Begins, told: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against 408, a promise that nothing ran, for an upload that a server works on (REFUSED)."""
+
+    async def begun(got: Got) -> bytes | None:
+        await trio.sleep_forever()
+
+    monkeypatch.setattr(connection, "MUTE", 0.2)
+    monkeypatch.setattr(Dialect, "begins", begins)
+    async with world(begun) as w:
+        client = await w.client()
+        await client.send(b"POST /any HTTP/1.1\r\nHost: x\r\nContent-Length: 90000\r\n\r\n" + b"x" * 70_000)
+        assert (await client.receive()).status == told
+        await until(lambda: w.core.ended)
+        assert w.core.ended[0].sent > 70_000
+
+
+@trio_test
+async def test_given_an_upload_that_was_cut_while_its_try_connects_then_nothing_of_it_goes_out() -> None:
+    """Guards against a request that is sent after its client was told that it never will be."""
+    peer = Peer(ALL, None)
+    found = await ended("length", peer, cut=True)
+    assert found.status.never_ran and not peer.taken
+
+
 ENDS: dict[str, tuple[bytes | type[OSError] | None, bool]] = {
     # What the server says or does, and whether that is its word that the request has not run.
     "reset": (ConnectionResetError, False),
--- a/tests/stories/test_fleet_stories.py
+++ b/tests/stories/test_fleet_stories.py
@@ -29,6 +29,7 @@
 from finchshelf.simulation.fleet import World, fine, play
 from finchshelf.simulation.network import now
 from finchshelf.transport.clients import Clients
+from finchshelf.transport.delivery import Delivery
 from finchshelf.transport.exchange import Attempt, Clock, Ended
 from finchshelf.transport.replies import Reply
 from tests.stand_ins import Quiet
@@ -719,7 +720,14 @@
     ),
     ("MIXED", "a success is only passed on under its own id", Words, "read", any_answer, late),
     ("REFUSED", "only what has not run is promised", tries, "end", ended, losing),
-    ("TWICE", "what may have run is not sent again", tries, "ran", lambda _: False, losing),
+    (
+        "TWICE",
+        "what may have run is not sent again",
+        Delivery,
+        "may_have_run",
+        property(lambda _: False),
+        losing,
+    ),
     ("DRAIN", "a server that leaves is left alone", Choice, "put", deaf, leaving),
     ("LOST", "what is acknowledged is on disk", Register, "save", unsaved, powerless),
     ("QUOTA", "a holder counts", Holder, "add", lambda *_: True, pressed),
