At a planned end what has come behind another request is answered too

Callers saw: of requests sent behind one another on a connection only the one being served when the program was told to end got an answer; those behind it had been read whole and were dropped with the connection (LOST).

Cause: each answer of a program that ends was the last on its connection, whatever had been read behind it.

Change: where the start of a further request has been read the connection goes on, for 16 requests at most.

Measured: both new stories fail on the text before (MUST_CLOSE after the first answer; 0 of 16 answered) and pass now.

--- a/finchshelf/transport/answering.py
+++ b/finchshelf/transport/answering.py
@@ -19,6 +19,7 @@
 from finchshelf.transport.host import Host
 
 SLOW_WRITE = 10.0  # s for an answer to be taken
+MOST_BEHIND = 16  # requests of one connection that are answered behind another at a planned end
 EMPTY = h11.EndOfMessage()
 CLOSE = ((b"Connection", b"close"),)
 
@@ -33,9 +34,11 @@
 
 class Answering:
     """What a client's connection writes. `turn`: of the request that waits, or of the last that did;
-    `writing`: a task writes, and takes what is `pending` along."""
+    `writing`: a task writes, and takes what is `pending` along; `behind`: requests answered at a planned end
+    though they came behind another."""
 
     __slots__ = (
+        "behind",
         "body",
         "clients",
         "closing",
@@ -59,6 +62,7 @@
     body: Body | None
     since: float
     turn: int
+    behind: int
     idle: bool
     fresh: bool
     closing: bool
@@ -109,7 +113,7 @@
         self.release()
         if self.closing:
             return
-        close = close or clients.draining or http.their_state is not h11.DONE
+        close = close or http.their_state is not h11.DONE or self.leaves()
         try:
             extra = CLOSE if close else clients.limits.kept_headers
             data = http.send(response(answer.status, tuple(answer.headers), extra)) or b""
@@ -130,6 +134,17 @@
         if self.send(data):
             self.sent()
 
+    def leaves(self) -> bool:
+        """Is an answer now the last on its connection because the program ends?
+
+        Danger: a whole request that has come behind this one would be lost with its connection."""
+        if not self.clients.draining:
+            return False
+        if self.behind >= MOST_BEHIND or not self.http.trailing_data[0]:
+            return True
+        self.behind += 1
+        return False
+
     def send(self, data: bytes) -> bool:
         """Write it behind all that came before; False where a task does, now or by and by."""
         if self.writing:
--- a/finchshelf/transport/connection.py
+++ b/finchshelf/transport/connection.py
@@ -49,7 +49,7 @@
         self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=clients.limits.most_head)
         self.head: h11.Request | None = None
         self.parts: list[bytes] = []
-        self.size = self.chunks = self.ahead = self.expect = 0
+        self.size = self.chunks = self.ahead = self.expect = self.behind = 0
         self.exchange = self.body = None
         self.due = self.mute = math.inf
         self.resume, self.pending, self.pouring, self.turn = None, b"", None, 0
--- a/tests/stories/test_leaving.py
+++ b/tests/stories/test_leaving.py
@@ -11,6 +11,9 @@
 from finchshelf.simulation.fleet import FRONT, HOST, World, fine
 from finchshelf.simulation.people import Client
 from finchshelf.transport.address import Address
+from finchshelf.transport.answering import MOST_BEHIND
+from tests.stand_ins import Got, always, status, trio_test, until
+from tests.test_transport import GET, world
 
 CLIENTS = 60
 CUTOFF_S = 6.0
@@ -73,6 +76,41 @@
             nursery.start_soon(ask, caller, CUTOFF_S * world.random.random())
 
 
+@trio_test
+async def test_given_requests_behind_one_another_when_the_program_is_told_to_end_then_all_are_answered() -> (
+    None
+):
+    """Guards against LOST: requests that had come behind another were dropped with its last answer."""
+    told = trio.Event()
+
+    async def slow(got: Got) -> bytes | None:
+        await told.wait()
+        return status(200)
+
+    async with world(slow) as w:
+        client = await w.client()
+        await client.send(GET * 3)
+        await until(lambda: w.server.got)
+        w.clients.draining = True
+        told.set()
+        answers = [await client.receive() for _ in range(3)]
+        assert [answer.status for answer in answers] == [200] * 3
+        assert [answer.headers.get(b"connection") for answer in answers] == [None, None, b"close"]
+        assert not await client.stream.receive_some()
+
+
+@trio_test
+async def test_given_a_client_that_always_has_more_when_the_program_is_told_to_end_then_it_ends() -> None:
+    async with world(always(status(200))) as w:
+        client = await w.client()
+        w.clients.draining = True
+        await client.send(GET * (2 * MOST_BEHIND))
+        answers = 0
+        while (await client.receive()).headers.get(b"connection") is None:
+            answers += 1
+        assert answers == MOST_BEHIND
+
+
 @pytest.mark.parametrize("seed", range(5))
 def test_given_kept_connections_used_until_a_limiter_has_ended_then_nothing_that_it_took_is_cut(
     seed: int,
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -121,6 +121,7 @@
     clients: Clients
     servers: Servers
     address: tuple[str, int]
+    server: Server
 
     async def client(self) -> Client:
         return Client(await trio.open_tcp_stream(*self.address))
@@ -137,7 +138,7 @@
         listener = await net.listen(Address("127.0.0.1", 0))
         nursery.start_soon(clients.accept, listener)
         nursery.start_soon(clients.sweep)
-        yield World(core, clients, servers, listener.getsockname()[:2])
+        yield World(core, clients, servers, listener.getsockname()[:2], server)
         nursery.cancel_scope.cancel()
 
 
