A document on its way is fetched from all who have it, not from one who is silent

Cause: once one control plane had named a document, the limiter told all others that it knew that version, and dropped what they said of it; the fetch knew of one peer and asked it for 12 times 3 s.

Change: others that name the version are offered to the fetch; after 0.4 s the version is no longer called known to those that have not named it. Each names it once; pieces that came are kept, so no document crosses twice.

--- a/finchshelf/dataplane/follower.py
+++ b/finchshelf/dataplane/follower.py
@@ -47,6 +47,7 @@
 LISTED = 2.5  # s after which the list of a silent control plane does not count: limiters must not differ
 PATIENCE = 10.0  # s that a newer configuration is waited for at the start, by whoever was told of it
 AGAIN = 0.5  # s until a document that could not be had is told of again
+OTHERS_S = 0.4  # s that a document may take until others are asked whether they have it too
 KNOWS = 8.0  # s that a control plane must have been up for its list of servers to be taken for whole
 
 
@@ -80,6 +81,7 @@
         self.told = 0  # what it knows of the counters that a roll-out watches
         self.times: dict[str, float] = {}  # and of the usual times of routes
         self.timed = -1e9
+        self.named = -1  # the newest slot that it named without its document
         self.running = False
 
 
@@ -106,7 +108,7 @@
         self.seeds = seeds
         self.sources: dict[str, Source] = {}
         self.slot, self.document = -1, b""  # of the configuration in use: its digest
-        self.coming = -1  # the newest slot whose document is on its way
+        self.coming, self.coming_since = -1, 0.0  # the newest slot whose document is on its way, since when
         self.newest, self.newest_since = -1, 0.0  # the newest slot that anyone named, and since when
         self.pieces = Pieces(nursery, self.piece)
         self.answered: set[str] = set()
@@ -216,7 +218,7 @@
     async def ask_once(self, address: str, source: Source) -> None:
         have: dict[str, Any] = {
             **source.have,
-            "slot": max(self.slot, self.coming),
+            "slot": self.told_slot(source),
             "core": source.core,
             "zip": True,
             "pieces": True,
@@ -250,6 +252,13 @@
         self.answered.add(address)
         self.begin()
 
+    def told_slot(self, source: Source) -> int:
+        """The slot that a control plane is told of as known: it tells only what is newer.
+
+        Danger: the one that named a document stands still, and others, which have it too, say nothing."""
+        slow = self.clock.now() - self.coming_since > OTHERS_S
+        return max(self.slot, source.named if slow else self.coming)
+
     def take(self, source: Source, answer: Message, asked: float) -> None:
         """Read all of an answer, and only then let it count. `asked`: when its question began.
 
@@ -278,9 +287,12 @@
         if value is not None and (name := parcel.elsewhere(answer["value"])) and name != self.document:
             if value.slot > self.newest:
                 self.newest, self.newest_since = value.slot, now
+            source.named = max(source.named, value.slot)
             if value.slot > max(self.slot, self.coming):
-                self.coming = value.slot
+                self.coming, self.coming_since = value.slot, now
                 self.nursery.start_soon(self.fetch, value, name, str(source.link.address))
+            elif value.slot == self.coming:
+                self.pieces.offer(name, str(source.link.address))
             value = None
         if value is not None and value.slot > self.slot and value.document:
             news.configuration = read_configuration(orjson.loads(value.document))
@@ -296,7 +308,7 @@
         if disk is not None:
             source.disk = disk
         if life != source.have["life"]:
-            source.told = 0  # it came up anew and knows nothing
+            source.told, source.named = 0, -1  # it came up anew and knows nothing
             source.times.clear()
         if none:
             source.have = have
@@ -367,6 +379,8 @@
         finally:
             if self.coming == value.slot:
                 self.coming = -1
+                for source in self.sources.values():
+                    source.named = -1
 
     async def piece(self, address: str, question: Message, limit: float) -> Message:
         for source in self.sources.values():
--- a/finchshelf/transport/pieces.py
+++ b/finchshelf/transport/pieces.py
@@ -51,13 +51,19 @@
                 return None
             way = self.ways[name] = Way(self.parts.pop(name, Part(name)))
             self.nursery.start_soon(self.fetch, way)
-        if peer not in way.peers:
-            way.peers.insert(0, peer)
-            # Danger: the one that is asked has lost its power, and nobody says so.
-            way.asking.deadline = min(way.asking.deadline, max(way.asked + SLOW, trio.current_time()))
+        self.offer(name, peer)
         await way.done.wait()
         return way.document
 
+    def offer(self, name: bytes, peer: str) -> None:
+        """That peer has the document as well; nothing where it is not on its way."""
+        way = self.ways.get(name)
+        if way is None or peer in way.peers:
+            return
+        way.peers.insert(0, peer)
+        # Danger: the one that is asked has lost its power, and nobody says so.
+        way.asking.deadline = min(way.asking.deadline, max(way.asked + SLOW, trio.current_time()))
+
     async def fetch(self, way: Way) -> None:
         failures = 0
         try:
