A promise about what may have run can no longer reach a client of the data plane

Each place that decides on an answer saw to that by itself; one that forgets would break REFUSED.

The mutants of guards behind it (simulation, soak) are dropped with the last word off, or nothing could reach a client; a new story drops tries.end with it on: no client hears, the invariant is violated.

Measured: stories of the fleet and of answers with all mutants, the soak's tests and invariants pass.

--- a/finchshelf/dataplane/checks.py
+++ b/finchshelf/dataplane/checks.py
@@ -10,13 +10,13 @@
 from dataclasses import dataclass
 
 from finchshelf import invariants
-from finchshelf.dataplane.dialect import MISDIRECTED, PROMISES, Request
+from finchshelf.dataplane.answers import NEVER_RAN
+from finchshelf.dataplane.dialect import Request
 from finchshelf.invariants import Monitor
 from finchshelf.membership.records import STABLE, Server
 
 GRACE_S = 1.0  # beyond a request's deadline until its missing answer is a violation
 CHECK_EVERY_S = 5.0
-NEVER_RAN = frozenset((*PROMISES, MISDIRECTED))
 
 
 class RequestChecks:
--- a/finchshelf/dataplane/core.py
+++ b/finchshelf/dataplane/core.py
@@ -16,6 +16,7 @@
 from finchshelf.admission.outcome import ClientGone, Probed, Status
 from finchshelf.configuration.document import Configuration, Limits, Route
 from finchshelf.dataplane import idling, tries
+from finchshelf.dataplane.answers import STALE_S, STARTING_S, plain, refusal, truthful
 from finchshelf.dataplane.budget import Budget
 from finchshelf.dataplane.checks import CHECK_EVERY_S, QuotaMargins, RequestChecks
 from finchshelf.dataplane.choice import Choice
@@ -33,29 +34,18 @@
 from finchshelf.rollout.evidence import SAFE, Seen
 from finchshelf.transport.address import Address
 from finchshelf.transport.clients import Clients
-from finchshelf.transport.exchange import Answer, Arrived, Attempt, Clock, Ended, Exchange, Headers
+from finchshelf.transport.exchange import Answer, Arrived, Attempt, Clock, Ended, Exchange
 from finchshelf.transport.halts import Halts, read_first
 from finchshelf.transport.mailbox import Mailbox
 from finchshelf.transport.servers import Servers
 from finchshelf.transport.telemetry import Telemetry
 
-STARTING_S = 0.2  # after which whoever came before the first configuration may come again
-STALE_S = 0.001  # the same for who was refused by a configuration that is no longer in force
 OF_REQUESTS = (Due.HEDGE, Due.END)  # timers whose number is a request's
-NOTHING: Headers = [(b"Content-Length", b"0")]
 
 
 Item = Request | Ended | Arrived | ClientGone | Told | News | Probed
 
 
-def plain(status: int, headers: Headers | None = None) -> Answer:
-    return Answer(status, [*NOTHING, *(headers or [])])
-
-
-def refusal(status: int, after: float) -> Answer:
-    return plain(status, [(b"Retry-After", b"%.3f" % max(0.001, after))])
-
-
 class Core:
     def __init__(
         self,
@@ -395,10 +385,11 @@
         if self.live.pop(request.id, None) is None:
             return
         # Danger: the answer goes first. An error in what only counts it would leave the client without one.
-        request.reply(answer)
+        told = truthful(request, answer)
+        request.reply(told)
         self.count[counted] += 1
         self.checks.answering(request, answer.status, counted)
-        self.failures.ended(request, counted, answer.status, self.clock.now())
+        self.failures.ended(request, counted, told.status, self.clock.now())
         if self.seen.on:
             route = request.route
             self.seen.ended(
--- a/finchshelf/simulation/slips.py
+++ b/finchshelf/simulation/slips.py
@@ -1,6 +1,7 @@
 """The guards of answers and calls, each dropped by its name.
 
-Owns how a guard is dropped. It must never drop two at once: what is found then has one cause.
+Owns how a guard is dropped. It must never drop two at once: what is found then has one cause. Only the last
+word on an answer's truth, which stands behind others, is off wherever one of those is dropped.
 """
 
 from __future__ import annotations
@@ -153,6 +154,13 @@
     return beat(self, record, now)
 
 
+@contextmanager
+def without_last_word(dropped: Any) -> Iterator[None]:
+    """A guard dropped, and the data plane's answers as they were decided, true or not."""
+    with dropped, mock.patch.object(core, "truthful", lambda request, answer: answer):
+        yield
+
+
 take, heard = frames.Link.take, questions.Questions.read
 reply, beat = connection.Connection.reply, cells.Cells.beat
 GUARDS: dict[str, tuple[str, Drop]] = {
@@ -165,7 +173,7 @@
     "carried": ("a connection carries an id once", lambda: mock.patch.object(upstream, "MARKS", 0)),
     "promise": (
         "a server's 408, 429 or 503 that doesn't say Not-Executed is no promise of ours",
-        lambda: mock.patch.object(dialect, "PROMISES", ()),
+        lambda: without_last_word(mock.patch.object(dialect, "PROMISES", ())),
     ),
     "pending": (
         "one task writes to a client at a time",
--- a/finchshelf/soak/mutants.py
+++ b/finchshelf/soak/mutants.py
@@ -61,6 +61,8 @@
         return tries.Next.PASS if tried.has_answer else tries.Next.PROMISE
 
     tries.end = end
+    # The last word on an answer's truth would stand behind it.
+    core.truthful = lambda request, answer: answer  # type: ignore[attr-defined]
 
 
 def repeat_anything() -> None:
--- a/tests/stories/test_fleet_stories.py
+++ b/tests/stories/test_fleet_stories.py
@@ -25,9 +25,11 @@
 from finchshelf.dataplane.dialect import Words
 from finchshelf.dataplane.idling import UNTOLD_S, Idling
 from finchshelf.dataplane.news import News
+from finchshelf.invariants import RECORDER, REFUSAL_NEVER_RAN
 from finchshelf.membership.records import DECAYING, GONE, Server
 from finchshelf.simulation.fleet import World, fine, play
 from finchshelf.simulation.network import now
+from finchshelf.simulation.slips import without_last_word
 from finchshelf.transport.clients import Clients
 from finchshelf.transport.delivery import Delivery
 from finchshelf.transport.exchange import Attempt, Clock, Ended
@@ -751,11 +753,20 @@
 def test_given_a_guard_dropped_when_the_day_is_judged_then_it_is_seen(
     rule: str, guard: str, owner: Any, name: str, mutant: Any, story: Any
 ) -> None:
-    with mock.patch.object(owner, name, mutant):
+    with without_last_word(mock.patch.object(owner, name, mutant)):
         world = play(story, 97, tenants={"plain": (0.0, 0.0), "hot": (20.0, 20.0)})
     assert rule in {line.partition(":")[0] for line in world.judge.verdict()}, guard
 
 
+@pytest.mark.usefixtures("invariants_may_break")
+def test_given_a_promise_that_is_decided_wrongly_then_no_client_hears_it_and_it_is_told() -> None:
+    """Guards against REFUSED, whoever decides on an answer: the last word on its truth stands behind."""
+    with mock.patch.object(tries, "end", ended):
+        world = play(losing, 97, tenants={"plain": (0.0, 0.0), "hot": (20.0, 20.0)})
+    assert not world.judge.verdict()
+    assert {one.invariant for one in RECORDER.take()} == {REFUSAL_NEVER_RAN}
+
+
 # ---- what a control plane knew before it started again ----
 
 
--- a/tests/stories/test_timers.py
+++ b/tests/stories/test_timers.py
@@ -12,7 +12,8 @@
 from trio.testing import MockClock
 
 from finchshelf.controlplane.sweeps import MEND, SWEEP, Sweeps
-from finchshelf.dataplane.core import Core, plain
+from finchshelf.dataplane.answers import plain
+from finchshelf.dataplane.core import Core
 from finchshelf.dataplane.dialect import Request
 from finchshelf.dataplane.timers import Due
 from finchshelf.dataplane.tries import OVERDUE
