A drain or departure is acknowledged once more than half of the core has it on disk

Cause: the acknowledgement rested on a majority of memories; the table goes to disk each 0.5 s, and what it recalled had the server as stable until it had been silent for 5.1 s.

Change: a control plane counts itself, and answers `hold`, only when its table is saved as it is by then; a save is begun at once and serves all that wait. One whose disk takes nothing holds nothing. Why it works: whatever majority comes back has the record on its disk, and a record that leaves outranks one that stays.

--- a/finchshelf/controlplane/asking.py
+++ b/finchshelf/controlplane/asking.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from random import Random
 
 import trio
@@ -24,6 +24,7 @@
 
 BETWEEN = 0.4  # s that a question between control planes waits: they judge each other's silence by it
 AFTER_FAILURE = 0.3  # s until a control plane that did not answer is asked again
+NO_SLOT = -1  # what is held here is held by whom this one knows to be a member
 HOLD = 0.6  # s for other control planes to hold a record: a server waits a second for its acknowledgement
 
 
@@ -50,6 +51,8 @@
         self.speaker, self.cells, self.members, self.clock = speaker, cells, members, clock
         self.nursery, self.counted, self.random, self.log = nursery, counted, random, log
         self.steady: set[str] = set()
+        # Returns once the tables as they are now are on disk; at once where there is none.
+        self.written: Callable[[], Awaitable[None]] = trio.lowlevel.checkpoint
 
     def follow(self, control: Control) -> None:
         """Ask it for news from now on."""
@@ -138,7 +141,7 @@
             self.speaker.wake()
 
     async def hold(self, record: Server) -> bool:
-        """Do more than half of the core hold this record? Nobody is asked while this one is cut off."""
+        """Do more than half of the core have this record on disk? While cut off, this one asks nobody."""
         if not self.speaker.joined():
             return False
         held: dict[str, int] = {}  # by whom, and the newest slot that each knew then
@@ -149,8 +152,14 @@
             # Danger: more than half of a core that is no more may be held by nobody whom limiters ask. An
             # answer from a newer one counts once this one knows that too.
             core, slot = self.speaker.core_members(), self.slot()
-            mine = self.cells.address
-            return 2 * sum(one == mine or held.get(one, math.inf) <= slot for one in core) > len(core)
+            return 2 * sum(held.get(one, math.inf) <= slot for one in core) > len(core)
+
+        async def keep() -> None:
+            # Danger: in memory alone, it would be forgotten where all control planes are killed at once.
+            await self.written()
+            held[self.cells.address] = NO_SLOT
+            if enough():
+                done.set()
 
         async def tell(address: str) -> None:
             try:
@@ -167,10 +176,9 @@
                 if enough():
                     done.set()
 
-        if enough():
-            return True
         with trio.move_on_after(HOLD):
             async with trio.open_nursery() as nursery:
+                nursery.start_soon(keep)
                 others = sorted(self.speaker.core_members() - {self.cells.address})
                 for address in others:
                     nursery.start_soon(tell, address)
--- a/finchshelf/controlplane/memory.py
+++ b/finchshelf/controlplane/memory.py
@@ -1,7 +1,8 @@
-"""The cell's servers on disk, so that a control plane which starts again need not wait for their next beats.
+"""The cell's servers on disk: a control plane that starts again need not wait for their next beats, and has
+not forgotten which of them were acknowledged to leave.
 
-Owns the copy on disk and when it is written. What it gives back is only a guess until a server beats again:
-it must never acknowledge anything, outlive a newer record, bring back what left, or hold anything up.
+Owns the copy on disk and when it is written. What it gives back of servers that stay is only a guess until
+they beat again: it must never outlive a newer record, or bring back what left.
 """
 
 from __future__ import annotations
@@ -26,6 +27,8 @@
     def __init__(self, store: Store, cells: Cells, log: Callable[..., None]) -> None:
         self.store, self.cells, self.log = store, cells, log
         self.kept = -1  # the tables' change that is on disk
+        self.saved = trio.Event()  # set at the next save
+        self.awaited = trio.Event()  # somebody waits for one
 
     def recall(self, now: float) -> int:
         """Take what the disk holds as heard just now: it has as long to beat as any other. How many."""
@@ -36,10 +39,19 @@
         rows: list[Any] = state.get("servers", [])
         return self.cells.recall(rows, now)
 
+    async def written(self) -> None:
+        """Return once the tables as they are now are on disk; for good while the disk takes nothing."""
+        rev = self.cells.servers.rev
+        while self.kept < rev:
+            self.awaited.set()
+            await self.saved.wait()
+
     async def run(self, now: Callable[[], float]) -> None:
         at = -math.inf
         while True:
-            await trio.sleep(EVERY)
+            with trio.move_on_after(EVERY):
+                await self.awaited.wait()
+            self.awaited = trio.Event()
             rev = self.cells.servers.rev
             if rev == self.kept and now() - at < RENEW:
                 continue
@@ -50,6 +62,8 @@
                 at = now()
                 await trio.to_thread.run_sync(self.store.save, {"servers": rows, "at": at})
                 self.kept = rev
+                saved, self.saved = self.saved, trio.Event()
+                saved.set()
             except StoreError as error:  # a full disk: the next beats tell as well
                 self.log("disk.refused", step=error.step, path=error.path)
                 await trio.sleep(EVERY * 4)
--- a/finchshelf/controlplane/news.py
+++ b/finchshelf/controlplane/news.py
@@ -17,7 +17,7 @@
 from finchshelf.agreement.core import Member, Value
 from finchshelf.agreement.store import StoreError
 from finchshelf.controlplane import telling
-from finchshelf.controlplane.asking import Asking
+from finchshelf.controlplane.asking import HOLD, Asking
 from finchshelf.controlplane.cells import Cells, Control
 from finchshelf.controlplane.forms import Forms
 from finchshelf.controlplane.heard import number, place
@@ -104,6 +104,10 @@
         if kind == "hold":
             if self.cells.take(message["rows"], self.clock.now()):
                 self.wake()
+            with trio.move_on_after(HOLD) as waiting:
+                await self.asking.written()
+            if waiting.cancelled_caught:
+                return {"error": "hold: the disk takes nothing"}
             decided = self.register.decided
             return {"ok": True, "slot": decided.slot if decided else -1}
         if kind == "experience":
--- a/finchshelf/controlplane/process.py
+++ b/finchshelf/controlplane/process.py
@@ -44,7 +44,7 @@
     seeds = tuple(f"{peer.host}:{port}" for peer in boot.initial_peers)
     store = Store(boot.state_dir, boot.storage_mb) if boot.state_dir else None
     counted = store is not None and boot.loss_counted
-    recalled, handed = 0, False
+    memory, recalled, handed = None, 0, False
     cells = Cells(address, boot.zone, boot.pulse, int(time.time() * 1000), clock.now())
     cells.board.log = telemetry.log
     async with trio.open_nursery() as nursery:
@@ -56,6 +56,8 @@
         turns = Turns(telemetry.log)
         nursery.start_soon(turns.run)
         news = News(cells, clock, nursery, counted, random, telemetry.log, turns)
+        if memory is not None:
+            news.asking.written = memory.written
         register = Register(
             address,
             seeds,
--- a/finchshelf/simulation/people.py
+++ b/finchshelf/simulation/people.py
@@ -128,6 +128,7 @@
         self.random = self.life.random
         self.mode, self.calls, self.acknowledged = "stable", 0, trio.Event()
         self.target: Address | None = None
+        self.departed = False  # it has said that it ends, and says nothing more
         self.queue = 4
         self.work = 0.02  # s for a request
         self.on_full = "503"
@@ -174,7 +175,7 @@
         )
 
     async def beat(self) -> None:
-        while True:
+        while not self.departed:
             await self.beat_once()
             await trio.sleep(self.pulse * (0.95 + 0.1 * self.random.random()))
 
@@ -220,6 +221,21 @@
                     break
         self.life.die()
 
+    async def depart(self, limit_s: float = 2.0) -> bool:
+        """The planned end of one that never says `decaying`: it departs, and serves on until it is ended."""
+        self.departed = True
+        with trio.move_on_after(limit_s):
+            while True:
+                for address in self.random.sample(self.supervisors, len(self.supervisors)):
+                    with suppress(Cut):
+                        reply = await call(address, f"/v1/rpc?call=servers.departure&of={self.name}", b"{}")
+                        if reply.status == 200:
+                            self.mode = "decaying"
+                            self.judge.drained[self.name] = now()
+                            return True
+                await trio.sleep(0.1)
+        return False
+
     # ---- requests ----
 
     async def answer_all(self, stream: net.Stream) -> None:
