The soak notes syncs on disks named by a relative path (its default folder)

Cause: a sync's path read from its descriptor is absolute and was compared with the disk's relative one, so the seal's sync was not noted, and a loss of power took it back.

Change: both are resolved before they are compared. A tool of the tests alone; no program loads it.

--- a/finchshelf/soak/disks.py
+++ b/finchshelf/soak/disks.py
@@ -24,11 +24,12 @@
     """What is certain of the files under `disk`; kept under `folder`, file by inode, folder by its path."""
 
     def __init__(self, disk: Path, folder: Path) -> None:
-        self.disk, self.folder = disk, folder
+        self.disk, self.folder = disk.resolve(), folder
         folder.mkdir(parents=True, exist_ok=True)
 
     def synced(self, path: Path) -> None:
         """That file, or the entries of that folder, have been synced."""
+        path = path.resolve()  # a descriptor's path is absolute, the disk's may have been given relative
         if not path.is_relative_to(self.disk):
             return
         if path.is_dir():
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -290,6 +290,25 @@
             saved = state["number"]
 
 
+@pytest.mark.parametrize("seed", range(10))
+def test_on_a_disk_named_by_a_relative_path_a_loss_of_power_leaves_what_was_synced(
+    seed: int, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a soak that calls disks lost which are not: syncs of absolute paths were not noted."""
+    monkeypatch.chdir(tmp_path)
+    monkeypatch.setattr(store, "_sync", store._sync)
+    monkeypatch.setattr(store, "os", os)
+    disk = Path("found") / "disk"
+    disk.mkdir(parents=True)
+    disks.watch(str(disk))
+    keeper = store.Store(str(disk), 8.0)
+    for number in (1, 2, 3):
+        keeper.save({"number": number})
+    disks.lose_power(disk, Random(seed))
+    state, _ = store.Store(str(disk), 8.0).load()
+    assert state == {"number": 3}, f"seed {seed}"
+
+
 class PowerCut(Exception):
     """The power is gone: nothing more is written."""
 
