A try called off before it sent anything says nothing of its server

Change: it ends as cancelled, as one that is called off at any other moment. The story asks for that, and still for nothing sent, in place of "never ran", which a cancelled try does not say: nobody waits for its answer.

Measured: stories of deliveries and answers, transport, the node's servers and uploads pass.

--- a/finchshelf/transport/servers.py
+++ b/finchshelf/transport/servers.py
@@ -70,7 +70,8 @@
 
 @dataclass(slots=True)
 class Run:
-    """One attempt while it is out. `answered`: its answer is whole, or the first part of a `large` one."""
+    """One attempt while it is out. `answered`: its answer is whole, or the first part of a `large` one;
+    `called_off`: before anything of it went out."""
 
     attempt: Attempt
     delivery: Delivery
@@ -78,15 +79,16 @@
     connection: Connection | None = None
     answered: bool = False
     large: bool = False
+    called_off: bool = False
     ended: Ended = field(init=False)
 
     def __post_init__(self) -> None:
         self.ended = Ended(self.attempt, i.Status.UNREACHABLE)
 
 
-def unanswered(delivery: Delivery, cancelled: bool, timed_out: bool) -> i.Status:
-    """How an attempt ended that got no answer. `timed_out`: its time was up, or it was called off."""
-    if timed_out and cancelled:
+def unanswered(delivery: Delivery, called_off: bool, timed_out: bool) -> i.Status:
+    """How an attempt ended that got no answer."""
+    if called_off:  # that says nothing of its server
         return i.Status.CANCELLED
     if not delivery.may_have_run:
         return i.Status.UNREACHABLE
@@ -215,7 +217,8 @@
                 self.telemetry.rare("servers.error", error=repr(error), server=attempt.server)
         ended, connection, stream = run.ended, run.connection, attempt.exchange.stream
         if not run.answered:
-            ended.status = unanswered(run.delivery, attempt.cancelled, scope.cancelled_caught)
+            called_off = run.called_off or (attempt.cancelled and scope.cancelled_caught)
+            ended.status = unanswered(run.delivery, called_off, scope.cancelled_caught)
         ended.sent = run.delivery.bytes_sent
         ended.heard = connection is not None and connection.heard
         if connection is not None and run.answered and run.large:
@@ -240,7 +243,8 @@
         if connection is None or self.clock.now() - attempt.issued > self.connect_limit:
             return
         # Danger: its client may have been told meanwhile that it has not run and never will.
-        if attempt.called_off:
+        run.called_off = attempt.called_off
+        if run.called_off:
             return
         await self.send(run, connection)
         try:
