Name the holders of tenants' counts that answer late, in the log

The log said that a limiter's share had refused a request, not whose answer had been missing, whether it came late or never, or whether the holder was out of touch itself.

Counters at the holder: questions asked of it, those that it left unanswered, and each time it was out of touch. The histogram of questions has late answers under a label of their own. No decision differs.

--- a/finchshelf/dataplane/counting.py
+++ b/finchshelf/dataplane/counting.py
@@ -18,6 +18,7 @@
 from finchshelf.counts.holder import NEAR, Holder
 from finchshelf.dataplane.checks import GrantChecks, QuotaMargins
 from finchshelf.dataplane.dialect import Request
+from finchshelf.dataplane.punctuality import Punctuality
 from finchshelf.dataplane.questions import Questions
 from finchshelf.dataplane.timers import Due
 from finchshelf.membership import rendezvous
@@ -69,6 +70,7 @@
         self.unapplied = 0  # limiters that ended since the list was last gone by without them
         self.given: dict[str, dict[str, float]] | None = None  # at its own end: counts by their next holder
         self.grants = GrantChecks(owner.telemetry.monitor, margins or QuotaMargins())
+        self.punctuality = Punctuality()
         self.in_touch: Callable[[], bool] = lambda: True
         self.wire: Questions
 
@@ -82,7 +84,13 @@
     ) -> tuple[bool, float] | None:
         """A limiter's question or word (0 units); None where that life has ended, or no such tenant is
         known (yet). `life`: None for one of an older text, which names none and tells no end."""
-        return self.add(tenant, units, who, state) if life is None or self.ends.hear(who, life) else None
+        if life is not None and not self.ends.hear(who, life):
+            return None
+        found = self.add(tenant, units, who, state)
+        if units > 0:
+            self.count["count.asked"] += 1
+            self.count["count.unanswered"] += found is None
+        return found
 
     def ended(self, who: str, life: int, used: dict[str, float]) -> None:
         """A limiter lets in nothing any more: its share is free at once."""
@@ -140,6 +148,7 @@
     def may_hold(self, now: float) -> bool:
         """May this limiter hold counts and go by the list of limiters?"""
         if not self.in_touch():
+            self.count["count.out_of_touch"] += 1
             return False
         self.holder.touch(now)
         return True
@@ -176,6 +185,9 @@
             return
         del self.questions[item.number]
         if question.late:
+            took_s = now - question.sent
+            self.punctuality.late(question.holder, took_s)
+            self.telemetry.observe("count_question", "answered late", took_s)
             if item.fits and question.request.tenant is not None:
                 self.caller.credit(question.request.tenant, 1.0, now)
             return
@@ -189,6 +201,8 @@
         question = self.questions.get(number)
         if question is not None and question.late:
             del self.questions[number]
+            self.count["count.missing"] += 1
+            self.punctuality.missing(question.holder)
         elif question is not None:
             question.late = True
             self.owner.timer(now + LATER, Due.COUNT_ANSWER, number)
--- a/finchshelf/dataplane/process.py
+++ b/finchshelf/dataplane/process.py
@@ -98,7 +98,7 @@
             gate = await net.listen(Address(*boot.readiness))
             accepting = trio.CancelScope()
             sweeps = core.servers.sweep, clients.sweep, readiness.sweep
-            nursery.start_soon(tally, telemetry)
+            nursery.start_soon(tally, telemetry, core)
             settings = program.Settings(boot, lambda new: reseed(follower, control, new), telemetry.log)
             for task in (settings.run, core.run, core.halts.beat, wire.run, follower.run, *sweeps):
                 nursery.start_soon(task)
@@ -149,10 +149,11 @@
     }
 
 
-async def tally(telemetry: Telemetry) -> None:
+async def tally(telemetry: Telemetry, core: Core) -> None:
     while True:
         await trio.sleep(TALLY)
         telemetry.tally()
+        core.counting.punctuality.report(telemetry)
 
 
 def reseed(follower: Follower, control: int, boot: Boot) -> dict[str, object]:
--- a/finchshelf/events.py
+++ b/finchshelf/events.py
@@ -251,6 +251,15 @@
         "See who sends to the second port of `portRange`; a limiter of another text is to be renewed.",
         rare=True,
     ),
+    Event(
+        603,
+        "holders.late",
+        "Holders of tenants' counts whose answers came after their budget in the last seconds, those with the"
+        " most first: how many came `late`, how many were `missing`, and how long the slowest took. `of`: how"
+        " many holders there were.",
+        "One holder named by many limiters: look at that machine's load and link. Many holders named by one"
+        " limiter: look at the machine that wrote the line.",
+    ),
     Event(
         701,
         "core.error",
