Count what control planes send, and news questions that limiters got no answer to

Change: a control plane logs each 5 s (event 107) the answers and bytes by question and by who asked, the rows of servers told and how often all of them were; a data plane counts its news questions that were not answered or were refused. One task for both programs. No decision differs.

--- a/benchmarks/changes.py
+++ b/benchmarks/changes.py
@@ -51,11 +51,11 @@
     def installed(self, stack: ExitStack) -> None:
         write, put, count = frames.Frames.write, End.put, self
 
-        async def write_too(one: frames.Frames, message: Any) -> None:
+        async def write_too(one: frames.Frames, message: Any) -> int:
             if count.on:
                 assert isinstance(one.stream, End)
                 count.frame(one.stream, message[1], len(frames.pack(message)))
-            await write(one, message)
+            return await write(one, message)
 
         def put_too(one: End, kind: str, data: bytes) -> None:
             if count.on and kind == DATA:
--- /dev/null
+++ b/finchshelf/controlplane/answer_sizes.py
@@ -0,0 +1,28 @@
+"""Counts what a control plane's answers to our own processes take, by question and by who asked.
+
+Owns the names of these counters. It must never look into an answer or hold one up.
+"""
+
+from __future__ import annotations
+
+from collections.abc import MutableMapping
+
+from finchshelf.controlplane.ranks import QUESTIONS
+from finchshelf.transport.frames import Message
+
+
+def asker(question: Message) -> str:
+    return "limiter" if "limiter" in question else "control"
+
+
+class AnswerSizes:
+    def __init__(self, count: MutableMapping[str, int]) -> None:
+        self.count = count
+
+    def sent(self, question: Message, size: int) -> None:
+        """A question was answered with so many bytes."""
+        kind = question.get("op")
+        # Danger: a counter for each word that a peer may send would grow without a bound.
+        known = kind if isinstance(kind, str) and kind in QUESTIONS else "other"
+        self.count[f"answers.{known}.{asker(question)}"] += 1
+        self.count[f"answer_bytes.{known}.{asker(question)}"] += size
--- a/finchshelf/controlplane/news.py
+++ b/finchshelf/controlplane/news.py
@@ -7,7 +7,8 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
+from collections import defaultdict
+from collections.abc import Callable, MutableMapping
 from contextlib import suppress
 from random import Random
 from typing import Any
@@ -70,6 +71,7 @@
         self.times = Times()
         self.looking, self.look_at = False, 0.0
         self.table = Table()  # what data planes count while a roll-out watches
+        self.count: MutableMapping[str, int] = defaultdict(int)
 
     def wake(self) -> None:
         event, self.event = self.event, trio.Event()
@@ -253,8 +255,10 @@
         if cells.servers.rev > rev and ((rows := cells.servers.since(rev, limiter)) or rev < 0):
             answer["servers"] = [record.pack(now) for record in rows]
             answer["rev"] = cells.servers.rev
+            self.count[f"news.rows.{'limiter' if limiter else 'control'}"] += len(rows)
             if rev < 0:
                 answer["whole"] = now - cells.began
+                self.count[f"news.whole.{'limiter' if limiter else 'control'}"] += 1
         if not same:
             answer["disk"] = self.register.me.disk
         # Danger: in contact, but with a value not proved or known to be old, it tells none; and a limiter
--- a/finchshelf/controlplane/process.py
+++ b/finchshelf/controlplane/process.py
@@ -17,6 +17,7 @@
 from finchshelf import program
 from finchshelf.agreement.store import Store
 from finchshelf.configuration.boot import Boot
+from finchshelf.controlplane.answer_sizes import AnswerSizes
 from finchshelf.controlplane.cells import Cells
 from finchshelf.controlplane.leaving import leave
 from finchshelf.controlplane.memory import Memory
@@ -68,6 +69,7 @@
             telemetry.log,
             telemetry.monitor,
         )
+        news.count = telemetry.count
         news.register = register
         await register.begin()
         nursery.start_soon(register.keep)
@@ -85,7 +87,9 @@
                 news.handle,
                 nursery,
                 lambda why: telemetry.rare("peer.broken", error=why),
+                AnswerSizes(telemetry.count).sent,
             )
+            nursery.start_soon(program.tally, telemetry)
             nursery.start_soon(register.confirm)
             repair = Repair(register, telemetry.log)
             sweeps = Sweeps(news, news.asking, register, repair, clock, random)
--- a/finchshelf/dataplane/follower.py
+++ b/finchshelf/dataplane/follower.py
@@ -7,7 +7,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections import defaultdict
+from collections.abc import Callable, MutableMapping
 from random import Random
 from typing import Any
 
@@ -105,6 +106,7 @@
         self.taught = False  # has another's word on these times come?
         self.me, self.clock, self.put, self.random, self.log = me, clock, put, random, log
         self.nursery = nursery
+        self.count: MutableMapping[str, int] = defaultdict(int)
         self.seeds = seeds
         self.sources: dict[str, Source] = {}
         self.slot, self.document = -1, b""  # of the configuration in use: its digest
@@ -193,6 +195,7 @@
                     if not isinstance(error, PeerError):
                         self.log("peer.unfit", peer=address, step="news", error=repr(error))
                     source.shed = isinstance(error, PeerRefused)
+                    self.count["news.refused" if source.shed else "news.unanswered"] += 1
                     down = self.passed_over(source) * (0.75 + 0.5 * self.random.random())
                     source.down_until = self.clock.now() + down
                     self.follow()
--- a/finchshelf/dataplane/process.py
+++ b/finchshelf/dataplane/process.py
@@ -40,7 +40,6 @@
 LEAVE = 0.4  # s before the platform's SIGKILL by which this process has ended
 SAID, SAY_AGAIN = 2, 0.05  # times that holders are told of the end, and s between: a datagram may be lost
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1)
-TALLY = 5.0  # s between two lines of what the counters gained
 COLLECT_EVERY = 20_000  # new objects until the collector looks at the young ones: most die by count alone
 READY = b"/v1/readiness"
 
@@ -86,6 +85,7 @@
             core.seen,
             core.choice.usual if policy.on else None,
         )
+        follower.count = telemetry.count
         core.counting.in_touch = follower.in_touch
         looked_at = calls.Calls(clock, telemetry, nursery, None)
         readiness = Clients(
@@ -98,7 +98,7 @@
             gate = await net.listen(Address(*boot.readiness))
             accepting = trio.CancelScope()
             sweeps = core.servers.sweep, clients.sweep, readiness.sweep
-            nursery.start_soon(tally, telemetry, core)
+            nursery.start_soon(program.tally, telemetry, core.counting.punctuality.report)
             settings = program.Settings(boot, lambda new: reseed(follower, control, new), telemetry.log)
             for task in (settings.run, core.run, core.halts.beat, wire.run, follower.run, *sweeps):
                 nursery.start_soon(task)
@@ -149,13 +149,6 @@
     }
 
 
-async def tally(telemetry: Telemetry, core: Core) -> None:
-    while True:
-        await trio.sleep(TALLY)
-        telemetry.tally()
-        core.counting.punctuality.report(telemetry)
-
-
 def reseed(follower: Follower, control: int, boot: Boot) -> dict[str, object]:
     """Seeds may have changed; whoever is followed already stays followed."""
     follower.seeds = [f"{peer.host}:{control}" for peer in boot.initial_peers]
--- a/finchshelf/events.py
+++ b/finchshelf/events.py
@@ -65,7 +65,7 @@
         "`handed` false: see which members are silent before the next machine goes.",
     ),
     Event(106, "counters", "All counters of a data plane; `why` is `asked` (SIGUSR1) or `exit`.", NOTHING),
-    Event(107, "tally", "What each counter gained since the last such line.", NOTHING),
+    Event(107, "tally", "What each counter gained since the last such line; each 5 s.", NOTHING),
     Event(
         108,
         "fault",
--- a/finchshelf/program.py
+++ b/finchshelf/program.py
@@ -20,6 +20,7 @@
 
 LONGEST = 500  # characters of an error's line
 LOOK = 2.0  # s between two looks at the settings file
+TALLY = 5.0  # s between two lines of what the counters gained
 Stamp = tuple[int, int, int, int]
 Serve = Callable[[Boot, Telemetry, int], Awaitable[None]]
 
@@ -132,3 +133,12 @@
     while frame is not None and frame.tb_next is not None:
         frame = frame.tb_next
     return f"{frame.tb_frame.f_code.co_filename}:{frame.tb_lineno}" if frame is not None else ""
+
+
+async def tally(telemetry: Telemetry, *reports: Callable[[Telemetry], None]) -> None:
+    """Log at intervals what the counters gained, and what else is reported then."""
+    while True:
+        await trio.sleep(TALLY)
+        telemetry.tally()
+        for report in reports:
+            report(telemetry)
--- a/finchshelf/simulation/tally.py
+++ b/finchshelf/simulation/tally.py
@@ -132,12 +132,12 @@
             tally.own += time.thread_time_ns() - at
             return sendto(self, data, to)
 
-        async def write_too(self: frames.Frames, message: object) -> None:
+        async def write_too(self: frames.Frames, message: object) -> int:
             at = time.thread_time_ns()
             assert isinstance(self.stream, End)
             tally.frame(self.stream, message)
             tally.own += time.thread_time_ns() - at
-            await write(self, message)
+            return await write(self, message)
 
         async def connect_too(address: Address) -> net.Stream:
             end: Any = await connect(address)
--- a/finchshelf/transport/frames.py
+++ b/finchshelf/transport/frames.py
@@ -31,6 +31,7 @@
 MOST_MOVING = 30.0  # s beyond its time that an answer may be on its way: one of 8 MB at 2 Mbit/s
 Message = dict[str, Any]
 Handler = Callable[[Message], Awaitable[Message]]
+Sent = Callable[[Message, int], None]  # a question was answered with so many bytes
 
 
 class PeerError(Exception):
@@ -94,7 +95,8 @@
                 raise EOFError
             self.held += data
 
-    async def write(self, message: object) -> None:
+    async def write(self, message: object) -> int:
+        """Send a message; its size in bytes."""
         data = pack(message)
         async with self.writing:
             # Danger: a question given up half written would spoil every frame after it.
@@ -104,6 +106,7 @@
                 if scope.cancelled_caught:
                     self.stream.hang_up()
                     raise BrokenPipeError("a peer that does not read")
+        return len(data)
 
 
 @dataclass(slots=True)
@@ -208,8 +211,16 @@
                 one.event.set()
 
 
+def uncounted(question: Message, size: int) -> None:
+    """For whoever does not count what is sent."""
+
+
 async def serve(
-    listener: trio.socket.SocketType, handler: Handler, nursery: trio.Nursery, broken: Callable[[str], None]
+    listener: trio.socket.SocketType,
+    handler: Handler,
+    nursery: trio.Nursery,
+    broken: Callable[[str], None],
+    sent: Sent = uncounted,
 ) -> None:
     """Answer the questions of whoever connects; each in a task of its own."""
     while True:
@@ -219,10 +230,12 @@
             broken(repr(error))
             await trio.sleep(0.02)
             continue
-        nursery.start_soon(answer_all, Frames(stream), handler, broken)
+        nursery.start_soon(answer_all, Frames(stream), handler, broken, sent)
 
 
-async def answer_all(frames: Frames, handler: Handler, broken: Callable[[str], None]) -> None:
+async def answer_all(
+    frames: Frames, handler: Handler, broken: Callable[[str], None], sent: Sent = uncounted
+) -> None:
     room, peer = trio.CapacityLimiter(MOST_OPEN), frames.peer()
 
     async def one(number: object, message: Message) -> None:
@@ -233,7 +246,7 @@
                 broken(f"answer a question of {peer}: {error!r}"[:300])
                 answer = {"error": repr(error)[:300]}
             with suppress(OSError, trio.ClosedResourceError):
-                await frames.write([number, answer])
+                sent(message, await frames.write([number, answer]))
 
     try:
         async with trio.open_nursery() as nursery:
