News leaves a control plane as its link carries it: no lists told again for ever

Cause: congestion collapse by retries. A limiter waits 2 s for its answer with the list of all servers. Over a link of 2 Mbit/s a control plane can't tell all who ask within that time; each gives up, asks for all of it anew, and what was given up still fills the link. Lasting: 28 to 76 whole lists in 5 s from each such control plane 25 s after the start. The data plane on that machine is then out of touch, holds no counts, and the tenants that hash to it are left with shares of 1/200.

Control planes tell each other lists in parts, the first changes first. Works because an answer that begins arrives while it is waited for, so each list is told once.

--- a/finchshelf/controlplane/answer_sizes.py
+++ b/finchshelf/controlplane/answer_sizes.py
@@ -1,4 +1,4 @@
-"""Counts what a control plane's answers to our own processes take, by question and by who asked.
+"""Notes what a control plane's answers to our own processes take, by question and by who asked.
 
 Owns the names of these counters. It must never look into an answer or hold one up.
 """
@@ -7,6 +7,7 @@
 
 from collections.abc import MutableMapping
 
+from finchshelf.controlplane.pacing import NewsLine
 from finchshelf.controlplane.ranks import QUESTIONS
 from finchshelf.transport.frames import Message
 
@@ -16,8 +17,8 @@
 
 
 class AnswerSizes:
-    def __init__(self, count: MutableMapping[str, int]) -> None:
-        self.count = count
+    def __init__(self, count: MutableMapping[str, int], line: NewsLine) -> None:
+        self.count, self.line = count, line
 
     def sent(self, question: Message, size: int) -> None:
         """A question was answered with so many bytes."""
@@ -26,3 +27,5 @@
         known = kind if isinstance(kind, str) and kind in QUESTIONS else "other"
         self.count[f"answers.{known}.{asker(question)}"] += 1
         self.count[f"answer_bytes.{known}.{asker(question)}"] += size
+        if not (known == "news" and "limiter" in question):  # that is reckoned as its turn comes
+            self.line.other(size)
--- a/finchshelf/controlplane/news.py
+++ b/finchshelf/controlplane/news.py
@@ -23,6 +23,7 @@
 from finchshelf.controlplane.forms import Forms
 from finchshelf.controlplane.heard import number, place
 from finchshelf.controlplane.members import Members
+from finchshelf.controlplane.pacing import NewsLine, Pace
 from finchshelf.controlplane.peers import Known
 from finchshelf.controlplane.ranks import of_question
 from finchshelf.controlplane.register import Register
@@ -38,13 +39,16 @@
 )
 from finchshelf.rollout.evidence import Table
 from finchshelf.transport.exchange import Clock
-from finchshelf.transport.frames import Message, PeerError
+from finchshelf.transport.frames import Message, PeerError, pack
 
 GATHER = 0.01  # s that news may wait for more of it
 MOST_WAIT = 5.0  # s that a question may wait
 LOOKS, LOOK_PART = 0.03, 10.0  # s between two judgements of servers, and times what one took
 MOST_OLDER = 64  # control planes of an older text that are told of once
 SILENT = 0.8  # s: a control plane that asks after as long has come up, perhaps, and can answer by now
+ROW_BYTES = 80  # of a server or limiter that is told
+MOST_ROWS = 48  # of servers told to a control plane at a time; it asks for more at once
+FEW_ROWS = 16  # of which the size is reckoned by their number
 RELAY = 0.3  # s for another cell to take what a limiter could not tell it itself
 
 
@@ -72,6 +76,7 @@
         self.looking, self.look_at = False, 0.0
         self.table = Table()  # what data planes count while a roll-out watches
         self.count: MutableMapping[str, int] = defaultdict(int)
+        self.line = NewsLine(Pace(math.inf))
 
     def wake(self) -> None:
         event, self.event = self.event, trio.Event()
@@ -130,7 +135,7 @@
         number(have.get("rev", -1)), number(have.get("slot", -1))
         self.note(message, now)  # after all else was read: who asks rubbish is not noted
         until = (came if "control" in message else trio.current_time()) + min(wait, MOST_WAIT)
-        waited = ""
+        waited, had_turn = "", False
         while True:
             event, decided = self.event, self.register.decided_event
             since = trio.current_time() - self.register.decided_at
@@ -139,8 +144,16 @@
             ):
                 waited = str(message["control"][0])
             answer = self.fresh(have, "limiter" in message, waited)
+            if answer is not None and "limiter" in message and not had_turn:
+                had_turn = True
+                # Danger: all who start ask for all servers at once. Over a thin link each would give up
+                # before its answer has come and ask again, for ever.
+                if (size := answer_size(answer)) and self.line.waits(size):
+                    await self.line.turn(size)
+                    continue  # there may be newer news by now
             if answer is not None or trio.current_time() >= until:
                 if answer is not None:
+                    self.count_rows(answer, "limiter" if "limiter" in message else "control")
                     # Whoever asked knows by it how old the answer is; with nothing new it took its full time.
                     answer["held"] = int(1000 * (trio.current_time() - came))
                 answer = answer or {"life": self.cells.life, "none": True}
@@ -153,6 +166,10 @@
                 # News wakes all who wait for it; more of it gathers while they stand in line.
                 await self.turns.begin(of_question("news", "control" in message))
 
+    def count_rows(self, answer: Message, asker: str) -> None:
+        self.count[f"news.rows.{asker}"] += len(answer.get("servers", ()))
+        self.count[f"news.whole.{asker}"] += "whole" in answer
+
     async def experience(self, message: Message) -> Message:
         """What a limiter saw, the trials it asks for and how those went. What is another cell's goes on to it
         once: the limiter may not reach that cell."""
@@ -253,12 +270,16 @@
         rev = int(have.get("rev", -1)) if same else -1
         answer: Message = {}
         if cells.servers.rev > rev and ((rows := cells.servers.since(rev, limiter)) or rev < 0):
+            told = cells.servers.rev
+            if not limiter and len(rows) > MOST_ROWS:
+                # Danger: all of them in one answer, to each of the others at once, come too late over a thin
+                # link. The first changes first, so that the number says what is known.
+                rows = rows[-MOST_ROWS:]
+                told = cells.servers.revs[rows[0].id]
             answer["servers"] = [record.pack(now) for record in rows]
-            answer["rev"] = cells.servers.rev
-            self.count[f"news.rows.{'limiter' if limiter else 'control'}"] += len(rows)
+            answer["rev"] = told
             if rev < 0:
                 answer["whole"] = now - cells.began
-                self.count[f"news.whole.{'limiter' if limiter else 'control'}"] += 1
         if not same:
             answer["disk"] = self.register.me.disk
         # Danger: in contact, but with a value not proved or known to be old, it tells none; and a limiter
@@ -362,6 +383,12 @@
         }
 
 
+def answer_size(answer: Message) -> int:
+    """About how many bytes the lists in an answer take; 0 where there are none."""
+    rows = sum(len(answer.get(part, ())) for part in ("servers", "limiters"))
+    return rows * ROW_BYTES if rows <= FEW_ROWS else len(pack(answer))
+
+
 async def either(first: trio.Event, second: trio.Event) -> None:
     async def one(event: trio.Event) -> None:
         await event.wait()
--- a/finchshelf/controlplane/process.py
+++ b/finchshelf/controlplane/process.py
@@ -22,6 +22,7 @@
 from finchshelf.controlplane.leaving import leave
 from finchshelf.controlplane.memory import Memory
 from finchshelf.controlplane.news import News
+from finchshelf.controlplane.pacing import NewsLine, link_pace
 from finchshelf.controlplane.register import Register
 from finchshelf.controlplane.repair import Repair
 from finchshelf.controlplane.resources import Change, Departure, Observe, Pulse, Resource, Resources
@@ -70,6 +71,7 @@
             telemetry.monitor,
         )
         news.count = telemetry.count
+        news.line = NewsLine(link_pace(boot.bandwidth_mbps))
         news.register = register
         await register.begin()
         nursery.start_soon(register.keep)
@@ -87,7 +89,7 @@
                 news.handle,
                 nursery,
                 lambda why: telemetry.rare("peer.broken", error=why),
-                AnswerSizes(telemetry.count).sent,
+                AnswerSizes(telemetry.count, news.line).sent,
             )
             nursery.start_soon(program.tally, telemetry)
             nursery.start_soon(register.confirm)
