A document on its way to a control plane is offered by all that have it

Cause: a control plane hears of a large value by name and fetches its document from whoever named it. Meanwhile its questions called that value known, and what others named was dropped; if who named it stands still, nobody else is asked.

Why it works: each of the others names it within a question's wait, and the fetch turns to it with the pieces that have come.

--- a/finchshelf/controlplane/asking.py
+++ b/finchshelf/controlplane/asking.py
@@ -80,7 +80,7 @@
             "own": control.own,
             "named": control.named,
             "verdicts": control.verdicts,
-            "slot": register.known,
+            "slot": register.known_to(control.address),
             "zip": True,
             "pieces": True,
         }
--- a/finchshelf/controlplane/members.py
+++ b/finchshelf/controlplane/members.py
@@ -97,5 +97,9 @@
             self.shelf.put(document)
         return document
 
+    def offer(self, name: bytes, address: str) -> None:
+        """That peer has the document as well; nothing where it is not on its way."""
+        self.pieces.offer(name, address)
+
     async def piece(self, address: str, question: Message, limit: float) -> Message:
         return await self.link(address).ask("piece", {**question, "control": self.me}, limit)
--- a/finchshelf/controlplane/peers.py
+++ b/finchshelf/controlplane/peers.py
@@ -25,6 +25,8 @@
 
     async def document(self, name: bytes, address: str) -> bytes | None: ...
 
+    def offer(self, name: bytes, address: str) -> None: ...
+
 
 class Known(Protocol):
     """A register, for whoever asks other control planes what they know that it does not."""
@@ -35,8 +37,7 @@
     @property
     def decided(self) -> Value | None: ...
 
-    @property
-    def known(self) -> int: ...
+    def known_to(self, address: str) -> int: ...
 
     decided_event: trio.Event
 
--- a/finchshelf/controlplane/register.py
+++ b/finchshelf/controlplane/register.py
@@ -23,6 +23,7 @@
 from finchshelf.agreement.standing import DiskHealth, Standing, Witness
 from finchshelf.agreement.store import Store, StoreError
 from finchshelf.controlplane.chain import ChainChecks
+from finchshelf.controlplane.incoming import Incoming
 from finchshelf.controlplane.peers import Peers
 from finchshelf.controlplane.rounds import READ_S, Rounds, slots_of
 from finchshelf.controlplane.witnessing import Witnessing
@@ -75,7 +76,7 @@
         self.acceptor = self.restored(seeds, first_start)
         self.members = self.decided.members if self.decided else ()
         self.renewed = self.decided is not None and self.decided.taken.renewed()
-        self.coming = -1  # the newest slot whose document is on its way
+        self.incoming = Incoming()
         self.checks = ChainChecks(self.monitor, address)
         self.leavers, self.rounds = Leavers(), Rounds(self)
         self.standing, self.held = Standing(), self.known  # the slot that the disk held
@@ -131,8 +132,13 @@
 
     @property
     def known(self) -> int:
-        """The newest slot that it need not be told of."""
-        return max(self.coming, self.decided.slot if self.decided is not None else -1)
+        """The newest slot that is here or on its way."""
+        return max(self.incoming.slot, self.decided.slot if self.decided is not None else -1)
+
+    def known_to(self, address: str) -> int:
+        """The newest slot that a peer need not tell of."""
+        coming = self.incoming.known_to(address, trio.current_time())
+        return max(coming, self.decided.slot if self.decided is not None else -1)
 
     def tell_newest(self, slot: int) -> None:
         """Another machine knows that slot to be decided."""
@@ -172,9 +178,12 @@
 
     async def fetch(self, value: Value, name: bytes, address: str) -> None:
         """A decided value that someone told, but for its document: it comes piece by piece."""
+        if value.slot == self.incoming.slot:
+            self.incoming.name(address)
+            self.peers.offer(name, address)
         if value.slot <= self.known:
             return
-        self.coming = value.slot
+        self.incoming.begin(value.slot, address, trio.current_time())
         try:
             document = await self.peers.document(name, address)
             if document is not None:
@@ -182,8 +191,7 @@
             else:
                 await trio.sleep(AGAIN)
         finally:
-            if self.coming == value.slot:
-                self.coming = -1
+            self.incoming.end(value.slot)
 
     def told(self) -> None:
         decided = self.decided
--- a/tests/stories/test_silent_teller.py
+++ b/tests/stories/test_silent_teller.py
@@ -12,14 +12,16 @@
 import pytest
 import trio
 
+from finchshelf.controlplane.register import Register
 from finchshelf.dataplane.follower import Follower
-from finchshelf.simulation.fleet import World, fine
-from finchshelf.simulation.network import now
+from finchshelf.simulation.fleet import Process, World, fine, play
+from finchshelf.simulation.network import Machine, now
 
 ROUTES = 350  # a document of so many is named with the news, and fetched piece by piece
 CHANGES = 3
 SILENT_S = 5.0
 IN_FORCE_S = 2.5  # after an acknowledgement
+DISKLESS = "10.0.0.2"  # the host of a control plane without a disk
 CALM_S = 9.5  # from one change to the next: by then who was silent counts as well again
 
 
@@ -90,3 +92,54 @@
         late = {who: moment - at for who, moment in taken.items() if moment - at > IN_FORCE_S}
         assert silent and len(taken) == len(world.edges)
         assert all(silent in who for who in late), (number, silent, late)
+
+
+class WithDiskless(World):
+    """One more machine runs a control plane, which has no disk and so is no member."""
+
+    def add(self, host: str, zone: str, control: bool) -> Machine:
+        machine = super().add(host, zone, control)
+        if host == DISKLESS:
+            self.processes.append(Process(self, machine, "control", None))
+        return machine
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_given_who_told_a_control_plane_of_a_change_stands_still_then_others_bring_it_the_change(
+    seed: int,
+) -> None:
+    """Guards against CONFIG: a control plane waited for a silent one, and its limiters with it."""
+    struck = list[str]()  # who fell silent at each change; nobody where it came without a fetch
+    late = dict[int, float]()  # s from an acknowledgement until the one without a disk had it, by version
+
+    async def story(world: World) -> None:
+        silencer: list[Silencer] = []
+        watched: list[Register] = []
+        fetch = Register.fetch
+
+        async def fetching(self: Register, value: Any, name: bytes, address: str) -> None:
+            host = address.rpartition(":")[0]
+            if self.address.startswith(f"{DISKLESS}:"):
+                watched[:] = [self]
+                if silencer and not silencer[-1].host:
+                    silencer[-1].host = host
+                    silencer[-1].asked.set()
+            await fetch(self, value, name, address)
+
+        with mock.patch.object(Register, "fetch", fetching):
+            assert await world.replace(document(world, 2)) == 200
+            await trio.sleep(CALM_S / 2)
+            for number in range(3, 3 + CHANGES):
+                silencer.append(Silencer())
+                world.nursery.start_soon(silencer[-1].strike, world)
+                assert await world.replace(document(world, number)) == 200
+                acknowledged = now()
+                while watched[0].decided is None or watched[0].decided.version < number:
+                    await trio.sleep(0.05)
+                late[number] = now() - acknowledged
+                struck.append(silencer[-1].host)
+                await trio.sleep(CALM_S)
+
+    play(story, seed, make=WithDiskless)
+    assert any(struck)
+    assert max(late.values()) <= IN_FORCE_S, late
--- a/tests/stories/test_state.py
+++ b/tests/stories/test_state.py
@@ -45,6 +45,9 @@
     async def document(self, name: bytes, address: str) -> bytes | None:
         raise AssertionError("messages between them are whole")
 
+    def offer(self, name: bytes, address: str) -> None:
+        pass
+
     def takes(self, document: bytes) -> float:
         return 0.0
 
