--- a/finchshelf/simulation/calling.py
+++ b/finchshelf/simulation/calling.py
@@ -19,7 +19,8 @@
 from finchshelf.membership.records import DECAYING, GONE, STABLE
 from finchshelf.simulation.callers import ELSEWHERE, PAD, Call, Life, padded
 from finchshelf.simulation.crossing import Grain
-from finchshelf.simulation.fleet import HOST, PORTS, World, play
+from finchshelf.simulation.documents import HOST
+from finchshelf.simulation.fleet import PORTS, World, play
 from finchshelf.simulation.network import End, now
 from finchshelf.simulation.wire import Message, Unfit, Wire
 from finchshelf.transport import net
--- a/finchshelf/simulation/fleet.py
+++ b/finchshelf/simulation/fleet.py
@@ -1,48 +1,39 @@
 """A whole fleet in one process: the real programs, whoever stands around them, and the harm done to them.
 
-Owns which processes run where, what is put in the place of network, disk, clock and signals, and each fault.
-It must never reach into a program: it hands one its settings and its signals, and else ends it.
+Owns which processes run where, and each fault; what the programs run on is `substitutes`'. It must never
+reach into a program: it hands one its settings and its signals, and else ends it.
 """
 
 from __future__ import annotations
 
-import gc
 import signal
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
-from contextlib import ExitStack, asynccontextmanager, contextmanager, suppress
+from contextlib import asynccontextmanager, contextmanager, suppress
 from dataclasses import replace
 from functools import partial
 from random import Random
-from types import SimpleNamespace
 from typing import Any
-from unittest import mock
 
 import trio
 from trio._core import _run as trio_run
 
-from finchshelf import program as settings
 from finchshelf.configuration import boot as boot_file
 from finchshelf.configuration.boot import Boot
 from finchshelf.controlplane import process as control_plane
-from finchshelf.controlplane import register
 from finchshelf.dataplane import process as data_plane
-from finchshelf.dataplane import questions
 from finchshelf.experience.policy import DEFAULT
-from finchshelf.simulation import network as wires
-from finchshelf.simulation.disk import Disk, run_sync
+from finchshelf.simulation import documents
+from finchshelf.simulation.disk import Disk
+from finchshelf.simulation.documents import HOST, Keys, Routes, Tenants
 from finchshelf.simulation.judge import CORE, Asked, Judge, Trouble
 from finchshelf.simulation.loop import Agenda, instead
 from finchshelf.simulation.network import Life, Machine, Network, current, now
 from finchshelf.simulation.people import Client, Cut, Operator, Server, call
-from finchshelf.transport import halts, net
+from finchshelf.simulation.substitutes import Notes, replaced, uncollected
 from finchshelf.transport.address import Address
-from finchshelf.transport.exchange import Clock
-from finchshelf.transport.telemetry import Telemetry
 
-EPOCH = 1_800_000_000.0
 FRONT, READINESS, CONTROL, PORTS = 8405, 8406, 8407, (7660, 7675)
 RESTART = 0.5  # s until a process that ended is started again
-UNFORESEEN = ("core.error", "clients.error", "servers.error", "calls.error", "peer.unfit")
 MARGINS: dict[str, float | bool] = {
     "contactMs": 3000,
     "settlingMs": 2500,
@@ -53,105 +44,9 @@
     "retrySlack": 64,
     "quotaWindowS": 5,
 }
-HOST = "shop.example"
 Story = Callable[["World"], Awaitable[None]]
 
 
-class WorldClock(Clock):
-    """Each machine's time of day, by the world's one clock."""
-
-    def __init__(self) -> None:
-        self.origin = EPOCH + current.get().machine.offset
-
-    def now(self) -> float:
-        return self.origin + trio.current_time()
-
-
-class Notes(Telemetry):
-    """What a program logs, kept for whoever looks into a story that failed."""
-
-    def __init__(self, life: Life, judge: Judge, lines: list[tuple[float, str, str, Any]]) -> None:
-        super().__init__(life.name)
-        self.life, self.judge, self.lines = life, judge, lines
-
-    def log(self, event: str, **fields: Any) -> None:
-        self.lines.append((trio.current_time(), self.name, event, fields))
-
-    def rare(self, event: str, **fields: Any) -> None:
-        self.count[event] += 1
-        if event in UNFORESEEN and self.life.alive:
-            self.judge.fault("FAULT", f"{self.name}: {event}: {fields}")
-        if self.count[event] < 20:
-            self.log(event, **fields)
-
-
-@contextmanager
-def signals(*_: int) -> Iterator[trio.MemoryReceiveChannel[int]]:
-    yield current.get().signals
-
-
-def time_of_day() -> float:
-    return EPOCH + current.get().machine.offset + trio.current_time()
-
-
-def token_hex(size: int) -> str:
-    return current.get().random.randbytes(size).hex()
-
-
-real_wait = trio.lowlevel.wait_readable
-
-
-async def wait_readable(sock: Any) -> None:
-    if isinstance(sock, wires.Datagrams):
-        return await sock.wait()
-    await real_wait(sock)
-
-
-async def pause(seconds: float) -> None:
-    """What tells a process of its halts stands still with its machine."""
-    await trio.sleep(seconds)
-    while current.get().machine.frozen:
-        await trio.sleep(0.01)
-
-
-@contextmanager
-def replaced() -> Iterator[None]:
-    """Network, disk, clock, threads and signals of the programs are the world's."""
-    with ExitStack() as stack:
-        for name in ("connect", "listen", "accept", "queued"):
-            stack.enter_context(mock.patch.object(net, name, getattr(wires, name)))
-        stack.enter_context(mock.patch.object(questions, "opened", wires.Datagrams))
-        stack.enter_context(mock.patch.object(trio.lowlevel, "wait_readable", wait_readable))
-        stack.enter_context(mock.patch.object(halts, "pause", pause))
-        stack.enter_context(mock.patch.object(trio, "open_signal_receiver", signals))
-        stack.enter_context(mock.patch.object(trio.to_thread, "run_sync", run_sync))
-        stack.enter_context(
-            mock.patch.object(control_plane, "Store", lambda folder, _: current.get().store.at(folder))
-        )
-        stack.enter_context(mock.patch.object(register, "secrets", SimpleNamespace(token_hex=token_hex)))
-        stack.enter_context(mock.patch.object(settings, "read_boot", lambda _: current.get().boot))
-        for program in (data_plane, control_plane):
-            nothing = SimpleNamespace(collect=int, freeze=int, set_threshold=lambda *_: None)
-            stack.enter_context(mock.patch.object(program, "gc", nothing))
-            stack.enter_context(mock.patch.object(program, "time", SimpleNamespace(time=time_of_day)))
-            stack.enter_context(mock.patch.object(program, "Clock", WorldClock))
-        # One seed, one run: trio shuffles who runs first by chance of its own.
-        stack.enter_context(mock.patch.object(trio_run, "_ALLOW_DETERMINISTIC_SCHEDULING", True))
-        yield
-
-
-@contextmanager
-def uncollected() -> Iterator[None]:
-    """A day makes no more than a process can hold; the search for cycles would cost a tenth of it."""
-    was = gc.isenabled()
-    gc.disable()
-    try:
-        yield
-    finally:
-        if was:
-            gc.enable()
-
-
 class Process:
     """One role on one machine: started, ended and started again as a platform does."""
 
@@ -335,73 +230,12 @@
 
     def elements(
         self,
-        routes: dict[str, tuple[str, str, str]] | None = None,
-        tenants: dict[str, tuple[float, float]] | None = None,
-        keys: dict[str, list[str]] | None = None,
+        routes: Routes | None = None,
+        tenants: Tenants | None = None,
+        keys: Keys | None = None,
     ) -> list[dict[str, Any]]:
-        """`routes`: prefix, variant and service by name."""
-        routes = routes or {
-            "read": ("/read/", "nullipotent", "alpha"),
-            "write": ("/write/", "mutating", "alpha"),
-            "other": ("/other/", "nullipotent", "beta"),
-        }
-        tenants = self.tenants if tenants is None else tenants
-        return [
-            *(
-                {
-                    "elementKind": "trajectories",
-                    "header": {"label": name},
-                    "reference": {
-                        "plant": HOST,
-                        "pathPrefix": prefix,
-                        "variant": variant,
-                        "cutoffMs": 1500,
-                        "targetMs": 400,
-                        "precedence": 1,
-                        "subsystem": service,
-                        "trials": 2,
-                        "unguarded": False,
-                    },
-                }
-                for name, (prefix, variant, service) in routes.items()
-            ),
-            *(
-                {
-                    "elementKind": "subsystems",
-                    "header": {"label": name},
-                    "reference": {
-                        "probe": "/probe",
-                        "connectionCeiling": 140,
-                        "protocol": "h1",
-                        "encryption": False,
-                    },
-                }
-                for name in ("alpha", "beta")
-            ),
-            *(
-                {
-                    "elementKind": "loads",
-                    "header": {"label": name},
-                    "reference": {
-                        "credentials": (keys or {}).get(name, [f"key-{name}"]),
-                        "precedence": 1,
-                        "rateS": rate,
-                        "surge": surge,
-                    },
-                }
-                for name, (rate, surge) in tenants.items()
-            ),
-            {
-                "elementKind": "saturations",
-                "header": {},
-                "reference": {
-                    "headBytes": 16384,
-                    "payloadBytes": 1 << 20,
-                    "headMs": 3000,
-                    "quiescentMs": 15000,
-                },
-            },
-        ]
+        """Of a configuration for this day's tenants."""
+        return documents.elements(routes, self.tenants if tenants is None else tenants, keys)
 
     def configuration(self, number: int, prior: int, **parts: Any) -> dict[str, Any]:
         return {
--- a/tests/stories/test_leaving.py
+++ b/tests/stories/test_leaving.py
@@ -8,7 +8,8 @@
 import trio
 
 from finchshelf.dataplane.leaving import ANSWERED_S, TAKEN_S, Leaving
-from finchshelf.simulation.fleet import FRONT, HOST, World, fine
+from finchshelf.simulation.documents import HOST
+from finchshelf.simulation.fleet import FRONT, World, fine
 from finchshelf.simulation.people import Client
 from finchshelf.transport.address import Address
 from finchshelf.transport.answering import MOST_BEHIND
