A holder that is listed and answers nothing is left off the list by those who ask it

Cause: a limiter is listed as long as its own questions reach a control plane. Whether it answers others nobody looked at, and a tenant's count is asked of one holder; while that one is silent (out of touch with the core, datagrams lost, overloaded) all others fall back to shares, of which 1/200 holds no request. Class: a health signal that says nothing of the ability it stands for, on a single point of failure.

Change: a late answer is followed by probes (questions for next to nothing, which any text answers); after three without an answer their limiter is suspected, and control planes leave a life off the list that three limiters suspect. A holder left off grants nothing and answers probes, by which it comes back. Works because the ones who lack the answers decide, and the move to the next holder is the one that any change of the list makes, with its bound on windows. Bounded: reporters with over three suspects say nothing, over a tenth of the fleet is never left off, three reporters a suspect are told.

--- a/finchshelf/controlplane/asking.py
+++ b/finchshelf/controlplane/asking.py
@@ -80,6 +80,7 @@
             "own": control.own,
             "named": control.named,
             "verdicts": control.verdicts,
+            "suspicions": control.suspicions_rev,
             "slot": register.known_to(control.address),
             "zip": True,
             "pieces": True,
@@ -112,7 +113,7 @@
         if heard.life != control.life:
             control.since = now
             control.life, control.rev, control.own, control.named = heard.life, -1, -1, -1
-            control.verdicts = -1
+            control.verdicts, control.suspicions, control.suspicions_rev = -1, (), 0
             if heard.none:
                 return
         news = False
@@ -125,6 +126,9 @@
             control.verdicts, verdicts = heard.verdicts
             for verdict in verdicts:
                 news |= cells.board.put(verdict)
+        if heard.suspicions is not None:
+            rev, told = heard.suspicions
+            news |= cells.suspicions_of(control, told, rev, now)
         if heard.value is not None:
             register.tell_newest(heard.value.slot)
             if heard.document:
--- a/finchshelf/controlplane/cells.py
+++ b/finchshelf/controlplane/cells.py
@@ -16,6 +16,7 @@
 from finchshelf.experience.board import Board
 from finchshelf.membership.listing import Listing
 from finchshelf.membership.records import GONE, STABLE, Limiter, Server, Servers, read_server
+from finchshelf.membership.suspicion import Life, Suspicions, Told, confirmed
 
 # beats missed, and s more, after which a server is lost to whoever heard it last
 LOST_BEATS, LOST_MORE = 3.0, 0.6
@@ -55,6 +56,8 @@
     named: int = -1
     verdicts: int = -1
     limiters: tuple[Limiter, ...] = ()
+    suspicions: Told = ()  # of the limiters that ask there
+    suspicions_rev: int = 0
 
     def run_on(self, disk: str) -> None:
         """It runs on that disk.
@@ -103,6 +106,8 @@
         self.asked: dict[str, tuple[Limiter, float]] = {}
         self.own = Listing()  # of those
         self.listing = Listing()  # of all
+        self.suspicions = Suspicions()  # of the limiters that ask here
+        self.left_off: frozenset[Life] = frozenset()  # limiters that ask, and answer others nothing
         self.merged: tuple[Limiter, ...] = ()
         self.merged_of: tuple[Any, ...] = ()  # of which lists
         self.controls: dict[str, Control] = {}
@@ -213,6 +218,16 @@
             return self.merge(now)
         return False
 
+    def suspect(self, reporter: Limiter, lives: tuple[Life, ...], now: float) -> bool:
+        """A limiter that asks here said whom it suspects; True if others must hear of it."""
+        told = self.suspicions.report(reporter.node, lives, now)
+        return self.merge(now) or told
+
+    def suspicions_of(self, control: Control, told: Told, rev: int, now: float) -> bool:
+        """What limiters that ask another control plane suspect; True if the list changed."""
+        control.suspicions, control.suspicions_rev = told, rev
+        return self.merge(now)
+
     def closed(self, limiter: Limiter, now: float) -> None:
         """Its connection ended: the process did, or will come again at once."""
         known = self.asked.get(limiter.node)
@@ -225,12 +240,18 @@
             del self.asked[node]
         if gone:
             self.own.put({node: one for node, (one, _) in self.asked.items()})
-        return self.merge(now)
+        told = self.suspicions.renew(now)
+        return self.merge(now) or told
 
     def merge(self, now: float) -> bool:
-        """The limiters that ask any control plane that is heard; True if the list changed."""
+        """The limiters that ask any control plane that is heard, without those that answer others nothing;
+        True if the list changed."""
         heard = [one for one in self.controls.values() if now - one.heard <= CONTROL_SILENT]
-        lists = (self.own.rev, *((one.address, one.zone, one.limiters) for one in heard))
+        lists = (
+            self.own.rev,
+            self.suspicions.rev,
+            *((one.address, one.zone, one.limiters, one.suspicions) for one in heard),
+        )
         if lists == self.merged_of:
             return False
         self.merged_of = lists
@@ -240,6 +261,9 @@
                 known = found.get(limiter.node)
                 if known is None or known.life < limiter.life:
                     found[limiter.node] = limiter
+        suspicions = [self.suspicions.told, *(one.suspicions for one in heard)]
+        self.left_off = confirmed(suspicions, [(node, one.life) for node, one in found.items()])
+        found = {node: one for node, one in found.items() if (node, one.life) not in self.left_off}
         named = tuple(sorted([(self.address, self.zone)] + [(one.address, one.zone) for one in heard]))
         news = self.listing.put(found)
         if news:
--- a/finchshelf/controlplane/heard.py
+++ b/finchshelf/controlplane/heard.py
@@ -22,6 +22,7 @@
     read_disk,
     read_server,
 )
+from finchshelf.membership.suspicion import Told, read_told
 from finchshelf.transport.frames import Message
 
 
@@ -60,11 +61,14 @@
     verdicts: tuple[int, list[Verdict]] | None = None
     held: float = 0.0
     disk: str | None = None  # that it runs on, told once in each life; None: not told
+    suspicions: tuple[int, Told] | None = None
 
 
 def read_answer(answer: Message, now: float, known: tuple[Limiter, ...] = ()) -> Heard:
     """`known`: the limiters that it told of before."""
-    servers = limiters = verdicts = None
+    servers = limiters = verdicts = suspicions = None
+    if "suspicions" in answer:
+        suspicions = number(answer["suspicionsRev"]), read_told(answer["suspicions"])
     if "verdicts" in answer:
         verdicts = number(answer["verdictsRev"]), [read_verdict(row) for row in answer["verdicts"]]
     if "servers" in answer:
@@ -83,4 +87,5 @@
         verdicts,
         number(answer.get("held", 0)) / 1000,
         read_disk(answer.get("disk")),
+        suspicions,
     )
--- a/finchshelf/controlplane/news.py
+++ b/finchshelf/controlplane/news.py
@@ -37,6 +37,7 @@
     Unfit,
     read_limiter,
 )
+from finchshelf.membership.suspicion import pack_told, read_report
 from finchshelf.rollout.evidence import Table
 from finchshelf.transport.exchange import Clock
 from finchshelf.transport.frames import Message, PeerError, pack
@@ -220,7 +221,8 @@
         """Who asks is there."""
         if "limiter" in message:
             limiter, usual = read_limiter(message["limiter"]), read_times(message.get("usual", {}))
-            if self.cells.ask(limiter, now):
+            suspects = read_report(message.get("suspects", []))
+            if self.cells.ask(limiter, now) | self.cells.suspect(limiter, suspects, now):
                 self.wake()
             if usual:
                 self.times.take(limiter.node, usual, now)
@@ -309,6 +311,9 @@
             if cells.board.rev > seen:
                 answer["verdicts"] = cells.board.since(seen, not limiter)
                 answer["verdictsRev"] = cells.board.rev
+        if not limiter and cells.suspicions.rev != self.known_suspicions(have, same):
+            answer["suspicions"] = pack_told(cells.suspicions.told)
+            answer["suspicionsRev"] = cells.suspicions.rev
         if limiter and have.get("usual") and (usual := self.times.usual()):
             answer["usual"] = usual
         decided = self.register.decided
@@ -325,6 +330,14 @@
             return None
         return {"life": cells.life, **answer}
 
+    def known_suspicions(self, have: dict[str, Any], same: bool) -> int:
+        """The change of the suspicions that the asker has.
+
+        Danger: one of an older text does not know the word, and would be told of them for ever."""
+        if "suspicions" not in have:
+            return self.cells.suspicions.rev
+        return number(have["suspicions"]) if same else 0
+
     @property
     def known(self) -> Known:
         return self.register
--- a/finchshelf/controlplane/sweeps.py
+++ b/finchshelf/controlplane/sweeps.py
@@ -34,6 +34,7 @@
         self.clock, self.random = clock, random
         self.cells = news.cells
         self.last = clock.now()
+        self.left_off = self.cells.left_off  # as last logged
         self.due = math.inf  # since when there is something to mend at the members
         self.doubted: object = None
         self.since = math.inf  # when a value was seen accepted that is still not known as decided
@@ -53,6 +54,7 @@
         # Danger: after a halt the beats that came meanwhile are still unread, and all servers look silent;
         # behind a cut one way the others' questions come on, while servers beat elsewhere.
         news = self.cells.silent_servers(now, joined and not halted) | self.cells.silent_limiters(now)
+        self.tell_left_off()
         self.news.times.keep((one.node for one in self.cells.merged), now)
         if news | (joined and self.cells.judge(now)):
             self.news.wake()
@@ -60,6 +62,12 @@
             self.asking.nursery.start_soon(self.register.finish)
         return joined
 
+    def tell_left_off(self) -> None:
+        """Log the limiters that were left off the list, or came back to it, since the last look."""
+        if self.cells.left_off != self.left_off:
+            self.left_off = self.cells.left_off
+            self.news.log("limiters.left_off", limiters=sorted(node for node, _ in self.left_off))
+
     def doubtful(self, now: float) -> bool:
         """Has a value been accepted here for long, with no word on whether it is decided?
 
--- a/finchshelf/dataplane/counting.py
+++ b/finchshelf/dataplane/counting.py
@@ -15,9 +15,10 @@
 from finchshelf.configuration.document import Configuration
 from finchshelf.counts.caller import LATER, Caller
 from finchshelf.counts.ends import Ends
-from finchshelf.counts.holder import NEAR, Holder
+from finchshelf.counts.holder import AWAY, NEAR, Holder
 from finchshelf.dataplane.checks import GrantChecks, QuotaMargins
 from finchshelf.dataplane.dialect import Request
+from finchshelf.dataplane.probing import PROBE_UNITS, Probing
 from finchshelf.dataplane.punctuality import Punctuality
 from finchshelf.dataplane.questions import Questions
 from finchshelf.dataplane.timers import Due
@@ -71,6 +72,9 @@
         self.given: dict[str, dict[str, float]] | None = None  # at its own end: counts by their next holder
         self.grants = GrantChecks(owner.telemetry.monitor, margins or QuotaMargins())
         self.punctuality = Punctuality()
+        self.probing = Probing(self, owner.timer, owner.telemetry)
+        self.on_list = False  # was this life of this limiter ever on the list?
+        self.left_off = False  # is it off the list, having been on it?
         self.in_touch: Callable[[], bool] = lambda: True
         self.wire: Questions
 
@@ -86,6 +90,9 @@
         known (yet). `life`: None for one of an older text, which names none and tells no end."""
         if life is not None and not self.ends.hear(who, life):
             return None
+        if self.left_off:
+            # A probe is answered all the same: it is by that answer that this limiter comes back to the list.
+            return (False, 0.0) if 0 < units <= PROBE_UNITS and self.may_hold(self.clock.now()) else None
         found = self.add(tenant, units, who, state)
         if units > 0:
             self.count["count.asked"] += 1
@@ -113,7 +120,7 @@
         """The counts of a limiter that has ended, of which this one is the next holder."""
         now = self.clock.now()
         self.apply_ends(now)
-        if self.ends.over.get(who) != life or not self.may_hold(now):
+        if self.ends.over.get(who) != life or self.left_off or not self.may_hold(now):
             return  # Danger: kept back on its way, it would undo what was granted since
         for tenant, total in totals.items():
             known = self.owner.configuration.tenants.get(tenant)
@@ -125,9 +132,16 @@
     def add(self, tenant: str, units: float, who: str, state: int) -> tuple[bool, float] | None:
         known, now = self.owner.configuration.tenants.get(tenant), self.clock.now()
         self.apply_ends(now)
-        # Danger: on the other side of a cut another holder grants the whole rate; and what is granted after
-        # its counts were handed on, the next holder does not know.
-        if known is None or known.rate <= 0 or self.given is not None or not self.may_hold(now):
+        # Danger: on the other side of a cut, or where this limiter was left off the list, another holder
+        # grants the whole rate; and what is granted after its counts were handed on, the next holder does not
+        # know.
+        if (
+            known is None
+            or known.rate <= 0
+            or self.given is not None
+            or self.left_off
+            or not self.may_hold(now)
+        ):
             return None
         fits = self.holder.add(
             tenant,
@@ -146,7 +160,7 @@
         return fits, 0.0 if fits else self.holder.after(tenant, units, now)
 
     def may_hold(self, now: float) -> bool:
-        """May this limiter hold counts and go by the list of limiters?"""
+        """May this limiter hold counts, where it is on the list, and go by that list?"""
         if not self.in_touch():
             self.count["count.out_of_touch"] += 1
             return False
@@ -164,7 +178,7 @@
         # Danger: each side of a cut takes the other's limiters for gone, and would grant the whole rate. Who
         # hears nothing of more than half of the core keeps to its share of the list from before.
         holder = self.caller.ask(tenant.label, now) if self.may_hold(now) else None
-        if holder is None:
+        if holder is None or (holder == self.me and self.left_off):
             return self.local(request, now)
         if holder == self.me:
             fits, after = self.add(tenant.label, 1.0, self.me, NEAR) or (True, 0.0)
@@ -179,11 +193,13 @@
     def answered(self, item: Told, now: float) -> None:
         question = self.questions.get(item.number)
         if question is None:
+            self.probing.answer(item.number, item.source, now)
             return
         if item.source != question.to:
             self.count["count.stranger"] += 1  # Danger: whoever wasn't asked holds another count, or none
             return
         del self.questions[item.number]
+        self.probing.answered(question.holder, now)
         if question.late:
             took_s = now - question.sent
             self.punctuality.late(question.holder, took_s)
@@ -198,6 +214,8 @@
 
     def overdue(self, number: int, now: float) -> None:
         """A question's time is up: first its budget, then the time in which its answer is still of use."""
+        if self.probing.overdue(number, now):
+            return
         question = self.questions.get(number)
         if question is not None and question.late:
             del self.questions[number]
@@ -208,6 +226,9 @@
             self.owner.timer(now + LATER, Due.COUNT_ANSWER, number)
             self.count["count.late"] += 1
             self.telemetry.observe("count_question", "late", now - question.sent)
+            limiter, tenant = self.limiters.get(question.holder), question.request.tenant
+            if limiter is not None and tenant is not None:
+                self.probing.late(limiter, tenant.label, now)
             if self.caller.failed(question.holder, now):
                 self.telemetry.log("breaker", state="open", holder=question.holder)
             if question.request.id in self.owner.live:
@@ -233,11 +254,18 @@
 
     # ---- between limiters ----
 
+    def state(self, tenant: str, holder: str) -> int:
+        """What this limiter says of itself to a limiter that it asks about that tenant's count.
+
+        Danger: in touch with two holders of one count, both would grant its part of the rate."""
+        return self.caller.state(holder) if self.caller.holder(tenant) == holder else AWAY
+
     def beat(self, now: float) -> None:
         """What holders must hear of this limiter by now."""
         self.apply_ends(now)
         if self.caller.closed:
             return
+        self.probing.beat(now)
         limited = [name for name, one in self.owner.configuration.tenants.items() if one.rate > 0]
         for holder, tenant, state in self.caller.beats(now, limited):
             if holder == self.me:
@@ -249,6 +277,7 @@
         """Let in nothing from now on, and say so to all: what is set aside for this limiter is free. Its
         counts go on to their next holders."""
         now = self.clock.now()
+        self.probing.closed = True
         if self.given is None:
             self.given = self.next_holders(now)
         for name, used in self.caller.close(now).items():
@@ -261,7 +290,7 @@
     def next_holders(self, now: float) -> dict[str, dict[str, float]]:
         """What the counts held here have in their windows, by who holds them next."""
         found: dict[str, dict[str, float]] = {}
-        if not self.may_hold(now):
+        if self.left_off or not self.may_hold(now):
             return found
         others = [name for name in self.caller.limiters if name != self.me]
         for tenant, total in self.holder.hand(now).items():
@@ -276,6 +305,9 @@
         if not current and self.limiters:
             return False
         changed, self.limiters = limiters != self.limiters, limiters
+        self.on_list = self.on_list or self.me in limiters
+        self.left_off = self.on_list and self.me not in limiters
+        self.probing.listed(limiters, now)
         if changed or self.ends.rows.keys() != self.caller.known.keys():
             self.ends.listed(
                 {name: (one.host, one.life) for name, one in limiters.items()},
--- a/finchshelf/dataplane/follower.py
+++ b/finchshelf/dataplane/follower.py
@@ -32,6 +32,7 @@
     read_disk,
     read_server,
 )
+from finchshelf.membership.suspicion import Life
 from finchshelf.rollout.evidence import EACH, Seen
 from finchshelf.transport.address import address_of
 from finchshelf.transport.exchange import Clock
@@ -107,6 +108,7 @@
         self.me, self.clock, self.put, self.random, self.log = me, clock, put, random, log
         self.nursery = nursery
         self.count: MutableMapping[str, int] = defaultdict(int)
+        self.suspects: Callable[[float], list[Life]] = lambda now: []
         self.seeds = seeds
         self.sources: dict[str, Source] = {}
         self.slot, self.document = -1, b""  # of the configuration in use: its digest
@@ -235,6 +237,8 @@
                 times = changed(self.usual, source.times)
         question = {"op": "news", "have": have, "wait": WAIT, "limiter": self.me.pack()}
         now, rev = self.clock.now(), source.told
+        if suspects := self.suspects(now):
+            question["suspects"] = [list(one) for one in suspects]
         if times:
             question["usual"], source.timed = times, now
         self.seen.look(now)
--- a/finchshelf/dataplane/process.py
+++ b/finchshelf/dataplane/process.py
@@ -87,6 +87,7 @@
         )
         follower.count = telemetry.count
         core.counting.in_touch = follower.in_touch
+        follower.suspects = core.counting.probing.report
         looked_at = calls.Calls(clock, telemetry, nursery, None)
         readiness = Clients(
             looked_at, calls.Reader(READY), nursery, lambda: core.ready() and follower.settled(), 64, memory
--- a/finchshelf/events.py
+++ b/finchshelf/events.py
@@ -260,6 +260,20 @@
         "One holder named by many limiters: look at that machine's load and link. Many holders named by one"
         " limiter: look at the machine that wrote the line.",
     ),
+    Event(
+        604,
+        "holder.suspected",
+        "The holder of tenants' counts named as `holder` left a question and the probes after it unanswered;"
+        " control planes are told so until it answers again.",
+        "Nothing where one machine writes it: its own link may be at fault. Else see `limiters.left_off`.",
+    ),
+    Event(
+        605,
+        "limiters.left_off",
+        "Limiters that ask control planes and answer other limiters nothing, as enough of those say: they are"
+        " left off the list, and their tenants' counts are held by others. Empty: all are back.",
+        "Look at the links and the load of the machines named.",
+    ),
     Event(
         701,
         "core.error",
--- a/finchshelf/models/counts.py
+++ b/finchshelf/models/counts.py
@@ -14,14 +14,17 @@
 from random import Random
 
 from finchshelf.configuration.document import Tenant
-from finchshelf.counts.caller import BEAT, Caller
+from finchshelf.counts.caller import BEAT, LATER, Caller
 from finchshelf.counts.ends import Ends, Row
 from finchshelf.counts.holder import AWAY, NEAR, Holder
 from finchshelf.membership import rendezvous
+from finchshelf.membership.suspicion import Suspicions, Watcher, confirmed
 
 WINDOW, OVERSHOOT, SLACK = 5.0, 0.1, 20.0  # of the rule (QUOTA)
 UNLISTED, CLOSED = 2.6, 0.7  # s until a limiter that is cut off, or killed, is off the list
 POLL = 0.25  # s between two looks at the list
+PROBE_UNITS = 1e-6
+REPORT_S = 1.0  # s between two words of a limiter on those that it suspects
 
 
 @dataclass(frozen=True)
@@ -42,6 +45,9 @@
 class Node:
     def __init__(self, name: str, now: float, life: int) -> None:
         self.caller, self.holder, self.ends, self.life = Caller(name, now), Holder(), Ends(), life
+        self.watcher, self.reports_at = Watcher(), now
+        self.began = now
+        self.excluded = False  # is it left off a list that was made since it began?
         self.asked: dict[int, str] = {}
         self.overdue: set[int] = set()
 
@@ -61,6 +67,7 @@
         self.lives = dict.fromkeys(self.names, 1)
         self.lists: list[tuple[float, dict[str, Row]]] = [(-100.0, self.rows(self.names))]
         self.force: tuple[str, ...] | None = None
+        self.suspicions = Suspicions()
         self.lags: dict[tuple[str, float], float] = {}
         self.hot = plan.hot
         self.limited = () if plan.mutant == "unheard" else ("t",)
@@ -94,14 +101,17 @@
     def start(self, name: str) -> None:
         self.dead.pop(name, None)
         node = self.nodes[name] = Node(name, self.now, self.lives[name])
-        self.told(node, self.lists[-1][1])
+        made, rows = self.lists[-1]
+        self.told(node, rows, made)
 
     def rows(self, names: Iterable[str]) -> dict[str, Row]:
         return {name: (name, self.lives[name]) for name in names}
 
-    def told(self, node: Node, rows: dict[str, Row]) -> None:
+    def told(self, node: Node, rows: dict[str, Row], made: float) -> None:
         node.ends.listed(rows, node.caller.known.keys() | rows.keys())
         node.caller.listed([*rows], self.now, node.ends.names())
+        node.watcher.listed({name: life for name, (_, life) in rows.items()}, self.now)
+        node.excluded = made >= node.began and node.caller.me not in rows
 
     def kill(self, name: str, when: float, down: float) -> None:
         self.at(when, lambda: self.dead.update({name: self.now}))
@@ -186,7 +196,11 @@
 
     def mute(self, name: str, when: float, span: float) -> None:
         """Questions come to it, its answers are lost."""
-        pairs = {(name, b) for b in self.names}
+        self.lose([(name, b) for b in self.names], when, span)
+
+    def lose(self, pairs: Iterable[tuple[str, str]], when: float, span: float) -> None:
+        """Datagrams from the one to the other of each pair are lost."""
+        pairs = {*pairs}
         self.at(when, lambda: self.cut.update(pairs))
         self.at(when + span, lambda: self.cut.difference_update(pairs))
 
@@ -215,6 +229,8 @@
             if self.now - self.dead.get(name, inf) < CLOSED or name not in self.dead
             if self.now - self.alone.get(name, inf) < UNLISTED or name not in self.alone
         )
+        suspected = self.suspected(there)
+        there = tuple(name for name in there if name not in suspected)
         if self.rows(there) != self.lists[-1][1]:
             self.lists.append((self.now, self.rows(there)))
         for name, node in self.nodes.items():
@@ -223,10 +239,22 @@
             for since, rows in reversed(self.lists):
                 lag = self.lags.setdefault((name, since), self.rng.random() * self.plan.lag)
                 if since + lag <= self.now:
-                    self.told(node, rows)
+                    self.told(node, rows, since)
                     break
         self.at(self.now + POLL, self.polling)
 
+    def suspected(self, there: tuple[str, ...]) -> set[str]:
+        """The limiters that control planes leave off the list since others suspect them."""
+        for name, node in self.nodes.items():
+            if name in self.dead or name in self.alone:
+                continue
+            if self.now >= node.reports_at:
+                node.reports_at = self.now + REPORT_S
+                self.suspicions.report(name, tuple(node.watcher.report(self.now)), self.now)
+        self.suspicions.renew(self.now)
+        lives = [(name, self.lives[name]) for name in there]
+        return {name for name, _ in confirmed([self.suspicions.told], lives)}
+
     # ---- datagrams ----
 
     def send(self, a: str, b: str, what: Callable[[Node], None], slow: float = 0.0) -> None:
@@ -244,6 +272,8 @@
         def beat() -> None:
             node = self.nodes[name]
             if name not in self.dead and self.plan.mutant != "silent" and not node.caller.closed:
+                for suspect in [*node.watcher.suspects]:
+                    self.probe(name, node, suspect)
                 for holder, _, state in node.caller.beats(self.now, self.limited):
                     if holder == name:
                         self.add(node, name, state, 0.0)
@@ -254,7 +284,7 @@
         return beat
 
     def heard(self, to: Node, who: str, life: int, state: int) -> None:
-        if to.ends.hear(who, life):
+        if not to.excluded and to.ends.hear(who, life):
             self.add(to, who, state, 0.0)
 
     # ---- requests: the steps of the data plane's core ----
@@ -277,12 +307,13 @@
         if holder is None:
             return self.local(node)
         if holder == name:
-            return self.decide(node, self.add(node, name, NEAR, 1.0))
+            return self.local(node) if node.excluded else self.decide(node, self.add(node, name, NEAR, 1.0))
         state, sent = node.caller.state(holder), self.now
         node.asked[number] = holder
         self.at(self.now + node.caller.budget(), lambda: self.late(name, node, number))
 
         def told(fits: bool) -> None:
+            node.watcher.answered(holder, self.now)
             if node.asked.pop(number, None) is not None:
                 node.caller.answered(holder, self.now - sent, self.now)
                 self.decide(node, fits)
@@ -290,7 +321,7 @@
                 node.caller.credit(self.tenant, 1.0, self.now)
 
         def question(to: Node) -> None:
-            if not to.ends.hear(name, node.life):
+            if to.excluded or not to.ends.hear(name, node.life):
                 return
             fits = self.add(to, name, state, 1.0)
             self.send(holder, name, lambda back: told(fits) if back is node else None)
@@ -316,8 +347,34 @@
         if holder is not None and self.nodes[name] is node and name not in self.dead:
             node.overdue.add(number)
             node.caller.failed(holder, self.now)
+            self.probe(name, node, holder)
             self.local(node)
 
+    def probe(self, name: str, node: Node, holder: str) -> None:
+        """Ask a holder for next to nothing, to see whether it answers at all."""
+        if not node.watcher.to_probe(holder):
+            return
+        self.steps += 1
+        number = self.steps
+        # Danger: in touch with two holders at once, both would grant its part of the rate.
+        state = node.caller.state(holder) if node.caller.holder("t") == holder else AWAY
+        node.watcher.probed(number, holder, self.lives[holder])
+
+        def question(to: Node) -> None:
+            if to.ends.hear(name, node.life):
+                if not to.excluded:
+                    self.add(to, name, state, PROBE_UNITS)
+                self.send(holder, name, lambda back: back.watcher.answered(holder, self.now))
+
+        def overdue() -> None:
+            if number not in node.watcher.probes or self.nodes[name] is not node:
+                return
+            if not node.watcher.unanswered(number, self.now).suspected:
+                self.probe(name, node, holder)
+
+        self.send(name, holder, question)
+        self.at(self.now + LATER, overdue)
+
     def decide(self, node: Node, fits: bool) -> None:
         if node.caller.closed:
             return
--- a/tests/stories/test_counts.py
+++ b/tests/stories/test_counts.py
@@ -48,6 +48,17 @@
         fleet.kill(name, 5 + 2 * rng.random(), 0.5)
 
 
+def holder_out_of_reach_of_half(fleet: Fleet, rng: Random) -> None:
+    """Datagrams alone are lost: all are in touch with control planes, and many suspect the holder."""
+    some = rng.sample(fleet.others, len(fleet.others) // 2)
+    fleet.lose([(fleet.first, name) for name in some], 4 + rng.random(), 8)
+
+
+def holder_mute_by_turns(fleet: Fleet, rng: Random) -> None:
+    for at in (2.5, 9.0):
+        fleet.mute(fleet.first, at + rng.random(), 4 + rng.random())
+
+
 def lists_flap(fleet: Fleet, rng: Random) -> None:
     at = 4.0
     for _ in range(3):
@@ -107,6 +118,8 @@
     third_cut_off_with_the_holder,
     cut_in_two,
     answers_lost,
+    holder_out_of_reach_of_half,
+    holder_mute_by_turns,
     lists_flap,
     holder_killed_after_a_burst,
     most_end,
--- a/tests/stories/test_silent_holder.py
+++ b/tests/stories/test_silent_holder.py
@@ -5,14 +5,20 @@
 from collections.abc import Callable
 
 import pytest
+import trio
 
+from finchshelf.membership import rendezvous
 from finchshelf.models.counts import Fleet, Plan
+from finchshelf.simulation.fleet import World
+from finchshelf.simulation.fleet import play as play_day
 
 Harm = Callable[[Fleet], None]
 SILENT_AT_S = 3.0
 CONVERGENCE_S = 6.0  # `convergenceS` of the large sites
 LAG_S = 3.0  # until a list is known to all limiters
 UNTIL_S = 27.0
+HELD_S = 8.0  # for which a fleet is watched
+LIMITERS, TENANT, RATE, PRESSED_S = 36, "tenant", 8.0, 5.0  # requests a second: allowed, sent
 STARVED = 0.25  # of what others are served: below that a day fails its gate
 
 
@@ -21,8 +27,8 @@
 
 
 def all_datagrams_lost(fleet: Fleet) -> None:
-    pairs = {pair for name in fleet.others for pair in ((fleet.first, name), (name, fleet.first))}
-    fleet.at(SILENT_AT_S, lambda: fleet.cut.update(pairs))
+    pairs = [pair for name in fleet.others for pair in ((fleet.first, name), (name, fleet.first))]
+    fleet.lose(pairs, SILENT_AT_S, UNTIL_S)
 
 
 def play(harm: Harm, plan: Plan, seed: int) -> Fleet:
@@ -39,3 +45,37 @@
         assert fleet.served(SILENT_AT_S) > STARVED, rate
         assert fleet.served(SILENT_AT_S + CONVERGENCE_S + LAG_S) > 0.9, rate
         assert fleet.worst() <= 1.0, rate
+
+
+async def mute_holder(world: World) -> None:
+    names = [f"edge-{host}" for host in world.edges]
+    holder = (rendezvous.first(TENANT, names) or "").removeprefix("edge-")
+    await trio.sleep(CONVERGENCE_S)
+    world.network.lossy = {(holder, host): 1.0 for host in world.edges if host != holder}
+    answered: list[int] = []
+
+    async def ask() -> None:
+        host = world.random.choice([one for one in world.edges if one != holder])
+        asked = await world.ask(world.zones[0], "/read/", f"key-{TENANT}", front=host, tries=1)
+        answered.append(asked.status)
+
+    async def press(seconds: float) -> float:
+        """The share of the tenant's requests that is served."""
+        answered.clear()
+        async with trio.open_nursery() as nursery:
+            for _ in range(round(PRESSED_S * seconds)):
+                nursery.start_soon(ask)
+                await trio.sleep(1 / PRESSED_S)
+        return answered.count(200) / len(answered)
+
+    await press(CONVERGENCE_S)
+    assert [line[3]["limiters"] for line in world.told("limiters.left_off")][-1] == [f"edge-{holder}"]
+    assert await press(HELD_S) > 0.9
+    world.network.lossy = {}
+    await trio.sleep(2 * CONVERGENCE_S)
+    assert [line[3]["limiters"] for line in world.told("limiters.left_off")][-1] == []
+    assert await press(HELD_S) > 0.9
+
+
+def test_given_a_fleet_whose_holder_is_silent_then_another_holds_until_it_answers_again() -> None:
+    play_day(mute_holder, 1, zones=1, limiters=LIMITERS, controls=3, tenants={TENANT: (RATE, RATE)})
