News for many limiters waits up to 0.1 s for more of it

Change: what is news for limiters waits for more of it 0.4 ms for each limiter on the list, from 10 ms (as before) among 25 to 0.1 s among 250. Control planes tell each other as before. Well within the bounds for drains and configurations (seconds).

--- a/finchshelf/controlplane/news.py
+++ b/finchshelf/controlplane/news.py
@@ -42,7 +42,9 @@
 from finchshelf.transport.exchange import Clock
 from finchshelf.transport.frames import Message, PeerError, pack
 
-GATHER = 0.01  # s that news may wait for more of it
+GATHER_S = 0.01  # that news may wait for more of it
+GATHER_EACH_S = 0.0004  # the same for a limiter, by the limiters that are told the same
+MOST_GATHER_S = 0.1
 MOST_WAIT = 5.0  # s that a question may wait
 LOOKS, LOOK_PART = 0.03, 10.0  # s between two judgements of servers, and times what one took
 MOST_OLDER = 64  # control planes of an older text that are told of once
@@ -163,10 +165,16 @@
             waited = str(message["control"][0]) if "control" in message else ""
             with trio.move_on_at(until):
                 await either(event, decided)
-                await trio.sleep(GATHER)
+                await trio.sleep(GATHER_S if "control" in message else self.gather_s())
                 # News wakes all who wait for it; more of it gathers while they stand in line.
                 await self.turns.begin(of_question("news", "control" in message))
 
+    def gather_s(self) -> float:
+        """Seconds for which news for limiters may wait for more of it.
+
+        Danger: told one by one to each of many, changes of servers would take all of their processors."""
+        return min(MOST_GATHER_S, max(GATHER_S, GATHER_EACH_S * len(self.cells.merged)))
+
     def count_rows(self, answer: Message, asker: str) -> None:
         self.count[f"news.rows.{asker}"] += len(answer.get("servers", ()))
         self.count[f"news.whole.{asker}"] += "whole" in answer
