A limiter that starts is told the lists by two control planes, not by all

The ones on thin links were full until 3 s after traffic began: the holder edge-ebene-2 left the questions of over 20 limiters unanswered (datagrams are lost where a link is full), and the first requests of its tenants were refused by a share.

Change: while it starts a limiter asks all control planes, so as to miss no decided value, but wants the lists of servers and limiters of the two that it will go on with; of all again where neither of these is in touch with the core. One of an older text does not know the word and tells them as before.

--- a/finchshelf/controlplane/news.py
+++ b/finchshelf/controlplane/news.py
@@ -279,7 +279,8 @@
         same = have.get("life") == cells.life
         rev = int(have.get("rev", -1)) if same else -1
         answer: Message = {}
-        if cells.servers.rev > rev and ((rows := cells.servers.since(rev, limiter)) or rev < 0):
+        lists = have.get("lists", True) is not False  # a limiter that starts needs them of few
+        if lists and cells.servers.rev > rev and ((rows := cells.servers.since(rev, limiter)) or rev < 0):
             told = cells.servers.rev
             if not limiter and len(rows) > MOST_ROWS:
                 # Danger: all of them in one answer, to each of the others at once, come too late over a thin
@@ -307,7 +308,7 @@
             # never find those who have decided something else since.
             answer["controls"] = [list(one) for one in cells.named] if joined else self.standing.all()
             answer["named"] = cells.named_rev
-        if limiter and (not same or have.get("list") != cells.listing.rev):
+        if lists and limiter and (not same or have.get("list") != cells.listing.rev):
             # One of an older text does not know differences.
             answer |= cells.listing.told(have.get("list") if same and "zip" in have else -1)
             answer["list"] = cells.listing.rev
--- a/finchshelf/dataplane/follower.py
+++ b/finchshelf/dataplane/follower.py
@@ -163,17 +163,34 @@
     def wanted(self) -> list[str]:
         """Whom to ask: the own cell and one more; all while too few have answered, or while neither of those
         two is in touch with the core."""
-        now = self.clock.now()
-        up = [name for name, one in self.sources.items() if now >= one.down_until] or list(self.sources)
+        up = self.up()
         if not self.settled():
             return up
-        order = rendezvous.order(self.me.node, up)
-        own = [name for name in order if self.sources[name].zone == self.me.zone][:1] or order[:1]
-        found = own + [name for name in order if name not in own][:1]
+        found = self.steady(up)
         # Danger: a cut between control planes leaves both on the side where nothing new is decided, while
         # this limiter could reach the other side.
         return found if any(self.sources[name].core for name in found) else up
 
+    def up(self) -> list[str]:
+        now = self.clock.now()
+        return [name for name, one in self.sources.items() if now >= one.down_until] or list(self.sources)
+
+    def steady(self, up: list[str]) -> list[str]:
+        """The control planes that are asked where all is well: one of the own cell and one more."""
+        order = rendezvous.order(self.me.node, up)
+        own = [name for name in order if self.sources[name].zone == self.me.zone][:1] or order[:1]
+        return own + [name for name in order if name not in own][:1]
+
+    def wants_lists(self, address: str) -> bool:
+        """Is that control plane to tell its lists of servers and limiters?
+
+        Danger: while it starts a limiter asks all control planes. All lists from each of them, to all who
+        start at once, would fill thin links for seconds."""
+        steady = self.steady(self.up())
+        return address in steady or not any(
+            one.core or not one.have["life"] for one in map(self.sources.__getitem__, steady)
+        )
+
     def follow(self) -> None:
         for address in self.wanted():
             source = self.sources[address]
@@ -228,6 +245,7 @@
             "zip": True,
             "pieces": True,
             "document": self.document,
+            "lists": self.wants_lists(address),
         }
         times: dict[str, float] = {}
         if self.usual is not None:
