A list of limiters that is the same again costs a limiter nothing

Change: the follower hands on the same list object until a control plane tells another; counts go by it anew only then, or where something of a former list still runs out. Who goes off the list keeps its share from when it was last told, as before.

Measured: two tests on that; tests of counts and ends pass.

--- a/finchshelf/counts/caller.py
+++ b/finchshelf/counts/caller.py
@@ -76,6 +76,7 @@
         """The limiters there are, this one always among them; said at each answer of a control plane. `over`:
         those that have ended in order, each by the life that the list has of it."""
         limiters, unaware = tuple(sorted({*names} - {*over} | {self.me})), now - self.told > GAP
+        self.stamp()
         if limiters != self.limiters or unaware:
             self.renewed(limiters, unaware, now)
         self.told = now
@@ -84,6 +85,22 @@
         self.known.update(dict.fromkeys(limiters, now))
         self.ended(over, now)
 
+    def still_listed(self, now: float) -> bool:
+        """The same list as last time, told again; False where that changes more than the time at which it was
+        told: the list then has to be gone by anew."""
+        if now - self.told > GAP or self.over or len(self.known) != len(self.limiters):
+            return False
+        self.told = now
+        return True
+
+    def stamp(self) -> None:
+        """Note for each limiter on the list up to now when it was last told.
+
+        Danger: who goes off the list would be forgotten at once, with the share that it may still let in."""
+        for name in self.limiters:
+            if name in self.known and self.known[name] < self.told:
+                self.known[name] = self.told
+
     def renewed(self, limiters: tuple[str, ...], unaware: bool, now: float) -> None:
         """Other limiters than before, or (`unaware`) perhaps others meanwhile."""
         if limiters != self.limiters:
--- a/finchshelf/dataplane/core.py
+++ b/finchshelf/dataplane/core.py
@@ -412,9 +412,11 @@
             self.steering.apply(record.id)  # a verdict may have been here before its server
         if item.whole is not None:
             self.targets.keep(item.whole)
+        before = self.counting.limiters
         if item.limiters is not None and self.counting.listed(item.limiters, now):
             self.budget.limiters = len(self.counting.caller.limiters)
-            self.steering.limiters = sorted({self.me, *item.limiters})
+            if item.limiters is not before:
+                self.steering.limiters = sorted({self.me, *item.limiters})
         new = item.configuration
         # The follower tells of newer slots alone. A restored core's newest may have a lower version.
         if new is not None:
--- a/finchshelf/dataplane/counting.py
+++ b/finchshelf/dataplane/counting.py
@@ -304,6 +304,8 @@
         current = self.may_hold(now)
         if not current and self.limiters:
             return False
+        if limiters is self.limiters and self.caller.still_listed(now):
+            return True
         changed, self.limiters = limiters != self.limiters, limiters
         self.on_list = self.on_list or self.me in limiters
         self.left_off = self.on_list and self.me not in limiters
--- a/finchshelf/dataplane/follower.py
+++ b/finchshelf/dataplane/follower.py
@@ -120,6 +120,8 @@
         self.named = trio.Event()  # while it may not begin: a control plane names others
         self.members: tuple[Member, ...] = ()  # of the core, by the newest value that was told
         self.aside: Configuration | None = None  # told by who is cut off, and not gone by yet
+        self.lists: list[dict[str, Limiter]] = []  # that `limiters` was made of
+        self.limiters: dict[str, Limiter] = {}
         for address in seeds:
             self.meet(address, "")
 
@@ -424,15 +426,26 @@
                 del self.sources[address]
 
     def listed(self, now: float) -> dict[str, Limiter]:
-        """The limiters there are; by those cut off only while nobody else tells.
+        """The limiters there are; by those cut off only while nobody else tells. The same object as long as
+        nothing of it changes: news comes many times a second, and the work on a list grows with the fleet.
 
         Danger: a limiter that only they hear of would be asked for counts here, and another one elsewhere."""
-        found: dict[str, Limiter] = {}
         heard = [one for one in self.sources.values() if now - one.heard < LISTED]
         joined = any(one.core for one in heard)
-        for source in heard:
-            if source.core or not joined:
-                for node, one in source.limiters.items():
-                    if node not in found or found[node].life < one.life:
-                        found[node] = one
-        return found
+        lists = [one.limiters for one in heard if one.core or not joined]
+        if len(lists) != len(self.lists) or any(a is not b for a, b in zip(lists, self.lists, strict=True)):
+            self.lists = lists
+            found = newest(lists)
+            if found != self.limiters:
+                self.limiters = found
+        return self.limiters
+
+
+def newest(lists: list[dict[str, Limiter]]) -> dict[str, Limiter]:
+    """The newest life of each limiter on any of these lists."""
+    found: dict[str, Limiter] = {}
+    for limiters in lists:
+        for node, one in limiters.items():
+            if node not in found or found[node].life < one.life:
+                found[node] = one
+    return found
--- a/tests/stories/test_counts.py
+++ b/tests/stories/test_counts.py
@@ -374,3 +374,23 @@
     fleet = Fleet(plan, 1).play()
     assert fleet.served(4.0) > 0.99
     assert fleet.worst() <= 1.0
+
+
+def test_given_the_same_list_again_and_again_when_one_goes_off_it_then_its_share_is_kept_from_then_on() -> (
+    None
+):
+    caller = Caller("a", 0.0)
+    caller.listed(["a", "b"], 0.0)
+    for second in range(1, 31):
+        assert caller.still_listed(float(second))
+    caller.listed(["a"], 30.5)
+    assert caller.left() == 1 and caller.share(T, 30.5) == T.rate / 2
+    assert not caller.still_listed(31.0)  # until nothing of the former list is left, it is gone by anew
+    caller.listed(["a"], 30.0 + KEEP + 0.1)
+    assert caller.left() == 0 and caller.still_listed(30.0 + KEEP + 0.2)
+
+
+def test_given_no_word_for_long_then_the_same_list_is_one_that_may_have_changed_meanwhile() -> None:
+    caller = Caller("a", 0.0)
+    caller.listed(["a", "b"], 0.0)
+    assert caller.still_listed(GAP) and not caller.still_listed(2 * GAP + 0.1)
