The fleet in memory: server, client, operator and calls in modules of their own

Change: conversation.py, server.py, client.py and operator.py; text moved as it was, names unchanged.

--- a/benchmarks/power_back.py
+++ b/benchmarks/power_back.py
@@ -22,9 +22,9 @@
 
 import trio
 
+from finchshelf.simulation.conversation import Cut, call
 from finchshelf.simulation.fleet import READINESS, World, play
 from finchshelf.simulation.network import current, now
-from finchshelf.simulation.people import Cut, call
 from finchshelf.transport.address import Address
 
 DARK = 0.5  # s without power
--- a/finchshelf/simulation/fleet.py
+++ b/finchshelf/simulation/fleet.py
@@ -23,12 +23,15 @@
 from finchshelf.dataplane import process as data_plane
 from finchshelf.experience.policy import DEFAULT
 from finchshelf.simulation import documents
+from finchshelf.simulation.client import Client
+from finchshelf.simulation.conversation import Cut, call
 from finchshelf.simulation.disk import Disk
 from finchshelf.simulation.documents import HOST, Keys, Routes, Tenants
 from finchshelf.simulation.judge import CORE, Asked, Judge, Trouble
 from finchshelf.simulation.loop import Agenda, instead
 from finchshelf.simulation.network import Life, Machine, Network, current, now
-from finchshelf.simulation.people import Client, Cut, Operator, Server, call
+from finchshelf.simulation.operator import Operator
+from finchshelf.simulation.server import Server
 from finchshelf.simulation.substitutes import Notes, replaced, uncollected
 from finchshelf.transport.address import Address
 
--- a/finchshelf/simulation/order_days.py
+++ b/finchshelf/simulation/order_days.py
@@ -17,10 +17,10 @@
 from finchshelf.controlplane import early
 from finchshelf.models.order_mutants import lacking
 from finchshelf.simulation import storms
+from finchshelf.simulation.conversation import Cut, call
 from finchshelf.simulation.fleet import World, play
 from finchshelf.simulation.judge import Version
 from finchshelf.simulation.network import now
-from finchshelf.simulation.people import Cut, call
 
 HARMS = (storms.kill, storms.machine_cut, storms.frozen, storms.resets, storms.lossy, storms.disk)
 UNDER_WAY = 8
--- a/finchshelf/simulation/people.py
+++ b/finchshelf/simulation/server.py
@@ -1,7 +1,6 @@
-"""Whoever stands around the fleet: clients, servers, the operator, each with a machine of its own.
+"""A server of the fleet in memory: one life, with its beats, its work and its troubles.
 
-Owns how they behave, trouble of servers included, and tells the judge what they saw. None of them must ever
-know more of the fleet than its addresses.
+Owns how it behaves and tells the judge what it ran. It must never know more of the fleet than its addresses.
 """
 
 from __future__ import annotations
@@ -9,96 +8,17 @@
 import math
 from collections import deque
 from contextlib import suppress
-from dataclasses import dataclass
-from typing import Any
 
 import orjson
 import trio
 
-from finchshelf.simulation.judge import Asked, Judge, Ran, Version
+from finchshelf.simulation.conversation import Cut, Headers, call
+from finchshelf.simulation.judge import Judge, Ran
 from finchshelf.simulation.network import End, Life, Listener, Machine, Network, accept, current, listen, now
 from finchshelf.simulation.wire import Message, Unfit, Wire, head
 from finchshelf.transport import net
 from finchshelf.transport.address import Address
 
-SLOWEST = 200_000  # bytes a second: a caller waits a second, and longer for what a large body takes
-Headers = list[tuple[str, str]]
-
-
-class Cut(Exception):
-    """No whole answer came."""
-
-
-class Garbled(Cut):
-    """What came can be no answer."""
-
-
-@dataclass
-class Reply:
-    status: int
-    headers: dict[str, str]
-    body: bytes
-
-
-class Talk:
-    """A connection on which one asks and waits."""
-
-    def __init__(self, stream: net.Stream, address: Address) -> None:
-        self.stream, self.address = stream, address
-        self.wire = Wire(server=False)
-        self.open = True
-
-    async def ask(self, method: str, target: str, headers: Headers, body: bytes = b"") -> Reply:
-        """The whole answer; Cut where there is none."""
-        self.open = False
-        length = [("Content-Length", str(len(body)))] if body or method != "GET" else []
-        try:
-            await self.stream.send(head(f"{method} {target} HTTP/1.1", [*headers, *length], body))
-            while (found := self.wire.next()) is None:
-                self.wire.take(await self.stream.receive())
-        except Unfit as error:
-            raise (Cut if self.wire.ended else Garbled)(repr(error)) from None
-        except (OSError, trio.ClosedResourceError) as error:
-            raise Cut(repr(error)) from None
-        self.open = not found.last
-        return Reply(int(found.first), found.headers, found.body)
-
-    def close(self) -> None:
-        self.open = False
-        self.stream.close()
-
-
-async def talk(address: Address) -> Talk:
-    return Talk(await net.connect(address), address)
-
-
-async def call(address: Address, target: str, body: bytes, limit: float = 1.0) -> Reply:
-    """One call on a fresh connection, and two more where it is sent on; Cut where no answer comes in time."""
-    reply = await call_once(address, target, body, limit)
-    for _ in range(2):
-        if reply.status != 307:
-            break
-        host, _, rest = reply.headers["location"].removeprefix("http://").partition("/")
-        place, _, port = host.rpartition(":")
-        reply = await call_once(Address(place, int(port)), f"/{rest}", body, limit)
-    return reply
-
-
-async def call_once(address: Address, target: str, body: bytes, limit: float) -> Reply:
-    line = None
-    try:
-        with trio.fail_after(limit):
-            line = await talk(address)
-            return await line.ask("POST" if body else "GET", target, [("Host", str(address))], body)
-    except (OSError, trio.TooSlowError) as error:
-        raise Cut(repr(error)) from None
-    finally:
-        if line is not None:
-            line.close()
-
-
-# ---- servers ----
-
 
 class Server:
     """One life of a server, on a machine that may get another afterwards."""
@@ -324,150 +244,3 @@
         length = ("Content-Length", str(len(body)))
         await stream.send(head(f"HTTP/1.1 {status} ", [*headers, length, *closing], body))
         return not leaving
-
-
-# ---- clients ----
-
-
-class Client:
-    """One client in a zone: keeps connections, or opens a fresh one for each try."""
-
-    def __init__(self, life: Life, judge: Judge) -> None:
-        self.life, self.judge, self.random = life, judge, life.random
-        self.idle: dict[Address, list[Talk]] = {}
-
-    async def ask(
-        self,
-        front: Address,
-        host: str,
-        path: str,
-        key: str = "",
-        *,
-        mutating: bool = False,
-        body: bytes = b"",
-        wait: float = 2.0,
-        fresh: bool = False,
-        patience: float = 0.0,
-    ) -> Asked:
-        """One try, told to the judge; `patience`: s that it listens beyond the time that it tells."""
-        name = f"{self.random.getrandbits(64):016x}"
-        method = "POST" if mutating else "GET"
-        path = f"{path}{name[:4]}"
-        asked = Asked(name, front.host, host, path, method, body, key, mutating, now(), wait)
-        self.judge.asked[name] = asked
-        headers = [("Host", host), ("Trial-Id", name), ("Remaining-Ms", str(int(wait * 1000)))]
-        if key:
-            headers.append(("Authorization", f"Token {key}"))
-        line = None if fresh else self.kept(front)
-        try:
-            with trio.fail_after(wait + patience):
-                if line is None:
-                    with trio.fail_after(1.0):
-                        line = await talk(front)
-                asked.limiter_heard = True
-                reply = await line.ask(method, path, headers, body)
-            self.judge.answer(asked, reply.status, reply.headers, reply.body)
-        except (Cut, OSError, trio.TooSlowError) as error:
-            asked.why, asked.answered = repr(error), now()
-            asked.cut = isinstance(error, Cut)
-            if isinstance(error, Garbled):
-                self.judge.fault("MIXED", f"{name} got bytes that are no answer: {error}")
-        finally:
-            if line is not None:
-                if line.open and not fresh:
-                    self.idle.setdefault(front, []).append(line)
-                else:
-                    line.close()
-        return asked
-
-    def kept(self, front: Address) -> Talk | None:
-        stack = self.idle.get(front, [])
-        while stack:
-            line = stack.pop()
-            if line.stream.silent():
-                return line
-            inbox = bytes(getattr(line.stream, "inbox", b""))
-            if b"HTTP/1.1 2" in inbox:
-                self.judge.fault("MIXED", "a success on a connection where no request waits")
-            line.close()
-        return None
-
-
-# ---- the operator ----
-
-
-class Operator:
-    """Sends configurations in the way of the protocol: again, unchanged, and elsewhere, until it is told."""
-
-    def __init__(self, life: Life, judge: Judge, supervisors: list[Address]) -> None:
-        self.life, self.judge, self.supervisors = life, judge, supervisors
-        self.random = life.random
-        self.reading = 1.0  # s that it waits for a configuration to come
-
-    async def replace(
-        self,
-        document: dict[str, Any],
-        *,
-        at: list[Address] | None = None,
-        valid: bool = True,
-        limit: float = 10.0,
-    ) -> int:
-        version = self.note(document, document, valid)
-        return await self.send("replace", document, version, at, limit)
-
-    async def adjust(
-        self,
-        change: dict[str, Any],
-        whole: dict[str, Any],
-        *,
-        at: list[Address] | None = None,
-        limit: float = 10.0,
-    ) -> int:
-        """`whole`: what the change makes of the version that it builds on."""
-        version = self.note(change, whole, True)
-        return await self.send("adjust", change, version, at, limit)
-
-    def note(self, sent: dict[str, Any], whole: dict[str, Any], valid: bool) -> Version:
-        number = int(sent["setpointSeq"], 16)
-        for one in self.judge.versions:
-            if one.number == number and one.document == whole:
-                return one
-        self.judge.versions.append(Version(number, int(sent["priorVersion"], 16), whole, now(), valid))
-        return self.judge.versions[-1]
-
-    async def send(
-        self, kind: str, document: dict[str, Any], version: Version, at: list[Address] | None, limit: float
-    ) -> int:
-        """200, or the status that refused it; 0 where no clear answer came in time."""
-        body, pause = orjson.dumps(document), 0.1
-        with trio.move_on_after(limit):
-            while True:
-                for address in at or self.random.sample(self.supervisors, len(self.supervisors)):
-                    status = 0
-                    with suppress(Cut):
-                        status = (
-                            await call(
-                                address, f"/v1/rpc?call=setpoint.{kind}", body, 1.0 + len(body) / SLOWEST
-                            )
-                        ).status
-                    if status == 200:
-                        version.taken = min(version.taken, now())
-                        return 200
-                    if 400 <= status < 500 and status not in (408, 429):
-                        version.refused = True
-                        return status
-                    await trio.sleep(pause)
-                    pause = min(1.0, pause * 1.5)
-        return 0
-
-    async def observe(self, limit: float = 6.0, at: list[Address] | None = None) -> dict[str, Any] | None:
-        with trio.move_on_after(limit):
-            while True:
-                for address in at or self.random.sample(self.supervisors, len(self.supervisors)):
-                    with suppress(Cut):
-                        reply = await call(address, "/v1/rpc?call=setpoint.observe", b"{}", self.reading)
-                        if reply.status == 200:
-                            found: dict[str, Any] = orjson.loads(reply.body)
-                            return found
-                    await trio.sleep(0.2)
-        return None
--- a/tests/stories/test_core_moves.py
+++ b/tests/stories/test_core_moves.py
@@ -37,7 +37,7 @@
 from finchshelf.simulation.disk import Disk
 from finchshelf.simulation.fleet import CONTROL, PORTS, World, fine
 from finchshelf.simulation.network import now
-from finchshelf.simulation.people import Server
+from finchshelf.simulation.server import Server
 from finchshelf.transport.address import Address
 from finchshelf.transport.frames import PeerError
 
--- a/tests/stories/test_fleet_storms.py
+++ b/tests/stories/test_fleet_storms.py
@@ -6,7 +6,7 @@
 import trio
 
 from finchshelf.simulation.fleet import World, fine
-from finchshelf.simulation.people import Server
+from finchshelf.simulation.server import Server
 from finchshelf.simulation.storms import CALM, HOT, LENGTH, storm
 
 
--- a/tests/stories/test_leaving.py
+++ b/tests/stories/test_leaving.py
@@ -8,9 +8,9 @@
 import trio
 
 from finchshelf.dataplane.leaving import ANSWERED_S, TAKEN_S, Leaving
+from finchshelf.simulation.client import Client
 from finchshelf.simulation.documents import HOST
 from finchshelf.simulation.fleet import FRONT, World, fine
-from finchshelf.simulation.people import Client
 from finchshelf.transport.address import Address
 from finchshelf.transport.answering import MOST_BEHIND
 from tests.stand_ins import Got, always, status, trio_test, until
--- a/tests/stories/test_lists_over_thin_links.py
+++ b/tests/stories/test_lists_over_thin_links.py
@@ -11,7 +11,7 @@
 from finchshelf.configuration.boot import Boot
 from finchshelf.simulation.fleet import Process, Story, World, play
 from finchshelf.simulation.network import Machine
-from finchshelf.simulation.people import Server
+from finchshelf.simulation.server import Server
 
 LIMITERS, STRONG, THIN = 36, 3, 3
 SERVERS_EACH = 60  # of each of two services
--- a/tests/stories/test_orders.py
+++ b/tests/stories/test_orders.py
@@ -22,8 +22,8 @@
 from finchshelf.models.agreement_states import Bounds
 from finchshelf.models.order_mutants import GUARDS
 from finchshelf.simulation import order_days
+from finchshelf.simulation.conversation import call
 from finchshelf.simulation.fleet import World, fine
-from finchshelf.simulation.people import call
 
 
 def order(version: int, prior: int, name: bytes = b"") -> Order:
--- a/tests/stories/test_overload.py
+++ b/tests/stories/test_overload.py
@@ -20,7 +20,7 @@
 from finchshelf.controlplane.turns import Turns
 from finchshelf.simulation.fleet import PORTS, World, fine, play
 from finchshelf.simulation.network import current, now
-from finchshelf.simulation.people import Server
+from finchshelf.simulation.server import Server
 from finchshelf.transport.address import Address
 from finchshelf.transport.frames import Link, PeerError
 
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -12,9 +12,9 @@
 import trio
 
 from finchshelf.cli import operator
+from finchshelf.simulation.conversation import call
 from finchshelf.simulation.fleet import CONTROL, World, fine
 from finchshelf.simulation.network import now
-from finchshelf.simulation.people import call
 from finchshelf.transport import calls
 from finchshelf.transport.address import Address
 
