News for many limiters may wait for more of it for up to 0.25 s

Change: 0.8 ms of waiting for each limiter in place of 0.4, 0.25 s at most in place of 0.1. Fleets of 12 limiters or fewer wait 10 ms as before. A table as test.

--- a/finchshelf/controlplane/news.py
+++ b/finchshelf/controlplane/news.py
@@ -43,8 +43,8 @@
 from finchshelf.transport.frames import Message, PeerError, pack
 
 GATHER_S = 0.01  # that news may wait for more of it
-GATHER_EACH_S = 0.0004  # the same for a limiter, by the limiters that are told the same
-MOST_GATHER_S = 0.1
+GATHER_EACH_S = 0.0008  # the same for a limiter, by the limiters that are told the same
+MOST_GATHER_S = 0.25  # far within the bounds for drains and configurations
 MOST_WAIT = 5.0  # s that a question may wait
 LOOKS, LOOK_PART = 0.03, 10.0  # s between two judgements of servers, and times what one took
 MOST_OLDER = 64  # control planes of an older text that are told of once
@@ -165,16 +165,10 @@
             waited = str(message["control"][0]) if "control" in message else ""
             with trio.move_on_at(until):
                 await either(event, decided)
-                await trio.sleep(GATHER_S if "control" in message else self.gather_s())
+                await trio.sleep(GATHER_S if "control" in message else gather_s(len(self.cells.merged)))
                 # News wakes all who wait for it; more of it gathers while they stand in line.
                 await self.turns.begin(of_question("news", "control" in message))
 
-    def gather_s(self) -> float:
-        """Seconds for which news for limiters may wait for more of it.
-
-        Danger: told one by one to each of many, changes of servers would take all of their processors."""
-        return min(MOST_GATHER_S, max(GATHER_S, GATHER_EACH_S * len(self.cells.merged)))
-
     def count_rows(self, answer: Message, asker: str) -> None:
         self.count[f"news.rows.{asker}"] += len(answer.get("servers", ()))
         self.count[f"news.whole.{asker}"] += "whole" in answer
@@ -405,6 +399,13 @@
         }
 
 
+def gather_s(limiters: int) -> float:
+    """Seconds for which news for so many limiters may wait for more of it.
+
+    Danger: told one by one to each of many, changes of servers would take all of their processors."""
+    return min(MOST_GATHER_S, max(GATHER_S, GATHER_EACH_S * limiters))
+
+
 def answer_size(answer: Message) -> int:
     """About how many bytes the lists in an answer take; 0 where there are none."""
     rows = sum(len(answer.get(part, ())) for part in ("servers", "limiters"))
--- a/tests/stories/test_growth.py
+++ b/tests/stories/test_growth.py
@@ -17,6 +17,7 @@
 from finchshelf.agreement.parcel import Shelf
 from finchshelf.agreement.taken import NOTHING
 from finchshelf.controlplane import telling
+from finchshelf.controlplane.news import gather_s
 from finchshelf.counts.caller import Caller
 from finchshelf.membership import rendezvous
 from finchshelf.membership.listing import KEPT, Listing, read_list
@@ -230,3 +231,12 @@
             assert work <= 6 * size
             assert holders == {tenant: rendezvous.first(tenant, listed) for tenant in tenants}
             weighed.clear()
+
+
+@pytest.mark.parametrize(
+    ("limiters", "seconds"), [(0, 0.01), (12, 0.01), (100, 0.08), (200, 0.16), (560, 0.25)]
+)
+def test_given_more_limiters_then_news_waits_longer_for_more_of_it_within_a_bound(
+    limiters: int, seconds: float
+) -> None:
+    assert gather_s(limiters) == pytest.approx(seconds)
