A suspect that is gone for good is forgotten, also where the list stays the same

Cause: with the same list told again is not gone through, and that was where a suspicion learnt that its limiter is off the list. One taken away for good would have been probed for ever by each limiter that suspected it.

Change: suspicions hear of each list, where there are any. What an answer to a probe returned was used by nobody.

Measured: the new test failed before and passes; one more for what a limiter answers while it is left off.

--- a/finchshelf/dataplane/counting.py
+++ b/finchshelf/dataplane/counting.py
@@ -303,9 +303,9 @@
         current = self.may_hold(now)
         if not current and self.limiters:
             return False
+        self.probing.listed(limiters, now)
         if limiters is self.limiters and self.caller.still_listed(now):
             return True
-        self.probing.listed(limiters, now)
         changed, self.limiters = limiters != self.limiters, limiters
         self.was_listed = self.was_listed or self.me in limiters
         self.caller.on_list(self.me in limiters or not self.was_listed, now)
--- a/finchshelf/dataplane/probing.py
+++ b/finchshelf/dataplane/probing.py
@@ -59,15 +59,12 @@
         self.timer(now + LATER, Due.COUNT_ANSWER, number)
         self.telemetry.count["count.probes"] += 1
 
-    def answer(self, number: int, source: tuple[str, int], now: float) -> bool:
-        """An answer came; True if it is one to a probe."""
-        probed = self.watcher.probes.get(number)
-        if probed is None:
-            return False
-        target = self.targets.get(probed[0])
+    def answer(self, number: int, source: tuple[str, int], now: float) -> None:
+        """An answer came that is none to a question of a request."""
+        node, _ = self.watcher.probes.get(number, ("", 0))
+        target = self.targets.get(node)
         if target is not None and source == (target.limiter.host, self.owner.wire.port):
-            self.answered(probed[0], now)
-        return True
+            self.answered(node, now)
 
     def answered(self, node: str, now: float) -> None:
         """That limiter answered a question or a probe."""
