A question for news that suspects nobody costs a control plane no look at all lists

Cause: each question of a limiter compared the lists of all control planes once more, for suspicions that most never have.

Change: only where a report changes something.

Measured: tests of suspicion and silent holders pass.

--- a/finchshelf/controlplane/cells.py
+++ b/finchshelf/controlplane/cells.py
@@ -220,8 +220,10 @@
 
     def suspect(self, reporter: Limiter, lives: tuple[Life, ...], now: float) -> bool:
         """A limiter that asks here said whom it suspects; True if others must hear of it."""
-        told = self.suspicions.report(reporter.node, lives, now)
-        return self.merge(now) or told
+        if not self.suspicions.report(reporter.node, lives, now):
+            return False
+        self.merge(now)
+        return True
 
     def suspicions_of(self, control: Control, told: Told, rev: int, now: float) -> bool:
         """What limiters that ask another control plane suspect; True if the list changed."""
