Which control planes are asked, and how long news is gathered, stand with the decisions

Change: dataplane/sources.py (records, choice, merged list; time handed in); gather_s in controlplane/pacing.py; the size of an answer in controlplane/answer_sizes.py.

--- a/finchshelf/controlplane/answer_sizes.py
+++ b/finchshelf/controlplane/answer_sizes.py
@@ -9,7 +9,10 @@
 
 from finchshelf.controlplane.pacing import NewsLine
 from finchshelf.controlplane.ranks import QUESTIONS
-from finchshelf.transport.frames import Message
+from finchshelf.transport.frames import Message, pack
+
+ROW_BYTES = 80  # of a server or limiter that is told
+FEW_ROWS = 16  # of which the size is reckoned by their number
 
 
 def asker(question: Message) -> str:
@@ -29,3 +32,9 @@
         self.count[f"answer_bytes.{known}.{asker(question)}"] += size
         if not (known == "news" and "limiter" in question):  # that is reckoned as its turn comes
             self.line.other(size)
+
+
+def answer_size(answer: Message) -> int:
+    """About how many bytes the lists in an answer take; 0 where there are none."""
+    rows = sum(len(answer.get(part, ())) for part in ("servers", "limiters"))
+    return rows * ROW_BYTES if rows <= FEW_ROWS else len(pack(answer))
--- a/finchshelf/controlplane/news.py
+++ b/finchshelf/controlplane/news.py
@@ -18,12 +18,13 @@
 from finchshelf.agreement.core import Member, Value
 from finchshelf.agreement.store import StoreError
 from finchshelf.controlplane import telling
+from finchshelf.controlplane.answer_sizes import answer_size
 from finchshelf.controlplane.asking import HOLD, Asking
 from finchshelf.controlplane.cells import Cells, Control
 from finchshelf.controlplane.forms import Forms
 from finchshelf.controlplane.heard import number, place
 from finchshelf.controlplane.members import Members
-from finchshelf.controlplane.pacing import NewsLine, Pace
+from finchshelf.controlplane.pacing import GATHER_S, NewsLine, Pace, gather_s
 from finchshelf.controlplane.peers import Known
 from finchshelf.controlplane.ranks import of_question
 from finchshelf.controlplane.register import Register
@@ -40,18 +41,13 @@
 from finchshelf.membership.suspicion import pack_told, read_report
 from finchshelf.rollout.evidence import Table
 from finchshelf.transport.exchange import Clock
-from finchshelf.transport.frames import Message, PeerError, pack
+from finchshelf.transport.frames import Message, PeerError
 
-GATHER_S = 0.01  # that news may wait for more of it
-GATHER_EACH_S = 0.0008  # the same for a limiter, by the limiters that are told the same
-MOST_GATHER_S = 0.25  # far within the bounds for drains and configurations
 MOST_WAIT = 5.0  # s that a question may wait
 LOOKS, LOOK_PART = 0.03, 10.0  # s between two judgements of servers, and times what one took
 MOST_OLDER = 64  # control planes of an older text that are told of once
 SILENT = 0.8  # s: a control plane that asks after as long has come up, perhaps, and can answer by now
-ROW_BYTES = 80  # of a server or limiter that is told
 MOST_ROWS = 48  # of servers told to a control plane at a time; it asks for more at once
-FEW_ROWS = 16  # of which the size is reckoned by their number
 RELAY = 0.3  # s for another cell to take what a limiter could not tell it itself
 
 
@@ -399,19 +395,6 @@
         }
 
 
-def gather_s(limiters: int) -> float:
-    """Seconds for which news for so many limiters may wait for more of it.
-
-    Danger: told one by one to each of many, changes of servers would take all of their processors."""
-    return min(MOST_GATHER_S, max(GATHER_S, GATHER_EACH_S * limiters))
-
-
-def answer_size(answer: Message) -> int:
-    """About how many bytes the lists in an answer take; 0 where there are none."""
-    rows = sum(len(answer.get(part, ())) for part in ("servers", "limiters"))
-    return rows * ROW_BYTES if rows <= FEW_ROWS else len(pack(answer))
-
-
 async def either(first: trio.Event, second: trio.Event) -> None:
     async def one(event: trio.Event) -> None:
         await event.wait()
--- a/finchshelf/controlplane/pacing.py
+++ b/finchshelf/controlplane/pacing.py
@@ -19,6 +19,16 @@
 ROOM_S = 0.1  # of answers that may still be on their way when another begins
 PATIENCE_S = 0.4  # for which an answer may wait for its turn
 BITS = 8
+GATHER_S = 0.01  # that news may wait for more of it
+GATHER_EACH_S = 0.0008  # the same for a limiter, by the limiters that are told the same
+MOST_GATHER_S = 0.25  # far within the bounds for drains and configurations
+
+
+def gather_s(limiters: int) -> float:
+    """Seconds for which news for so many limiters may wait for more of it.
+
+    Danger: told one by one to each of many, changes of servers would take all of their processors."""
+    return min(MOST_GATHER_S, max(GATHER_S, GATHER_EACH_S * limiters))
 
 
 class Pace:
--- a/finchshelf/dataplane/follower.py
+++ b/finchshelf/dataplane/follower.py
@@ -18,17 +18,18 @@
 from finchshelf.agreement import parcel
 from finchshelf.agreement.core import Member, Value
 from finchshelf.configuration.document import Configuration, read_configuration
+from finchshelf.dataplane import sources
 from finchshelf.dataplane.news import News
+from finchshelf.dataplane.sources import MergedList, Source, read_control
 from finchshelf.experience.times import EACH as EACH_TIMES
 from finchshelf.experience.times import changed, read_times
-from finchshelf.membership import contact, rendezvous
+from finchshelf.membership import contact
 from finchshelf.membership.listing import read_list
 from finchshelf.membership.records import (
     GONE,
     MOST_WHOLE,
     Limiter,
     Unfit,
-    is_address,
     read_disk,
     read_server,
 )
@@ -46,7 +47,6 @@
 EARLY, EARLY_MOST = 0.09, 0.4
 EARLY_TRIES = 8  # failures after which that doubles
 LOOK = 0.25  # s between two looks at who is to be asked
-LISTED = 2.5  # s after which the list of a silent control plane does not count: limiters must not differ
 PATIENCE = 10.0  # s that a newer configuration is waited for at the start, by whoever was told of it
 AGAIN = 0.5  # s until a document that could not be had is told of again
 OTHERS_S = 0.4  # s that a document may take until others are asked whether they have it too
@@ -59,34 +59,6 @@
     return value
 
 
-def read_control(row: Any) -> tuple[str, str]:
-    address, zone = row
-    if not isinstance(address, str) or not isinstance(zone, str) or not is_address(address):
-        raise Unfit("read news", "controls", f"expected HOST:PORT and zone: {row!r}"[:200])
-    return address, zone
-
-
-class Source:
-    """One control plane and what it told."""
-
-    def __init__(self, link: Link, zone: str) -> None:
-        self.link, self.zone = link, zone
-        self.have: dict[str, int] = {"life": 0, "rev": -1, "named": -1, "list": -1}
-        self.limiters: dict[str, Limiter] = {}
-        self.down_until = self.heard = self.evident = -1e9
-        self.said = -1e9  # a moment at which it had not yet given its last answer
-        self.failed = 0  # questions in a row without an answer
-        self.shed = False  # was the last one answered by "busy"?
-        self.core = False  # was it in touch with more than half of the core, as it last said?
-        self.contact = -1e9  # when it last was, as it said
-        self.disk: str | None = None  # that it runs on; None: it is of an older text and does not say
-        self.told = 0  # what it knows of the counters that a roll-out watches
-        self.times: dict[str, float] = {}  # and of the usual times of routes
-        self.timed = -1e9
-        self.named = -1  # the newest slot that it named without its document
-        self.running = False
-
-
 class Follower:
     def __init__(
         self,
@@ -120,8 +92,7 @@
         self.named = trio.Event()  # while it may not begin: a control plane names others
         self.members: tuple[Member, ...] = ()  # of the core, by the newest value that was told
         self.aside: Configuration | None = None  # told by who is cut off, and not gone by yet
-        self.lists: list[dict[str, Limiter]] = []  # that `limiters` was made of
-        self.limiters: dict[str, Limiter] = {}
+        self.limiters = MergedList()
         for address in seeds:
             self.meet(address, "")
 
@@ -163,35 +134,8 @@
         return any(one.core and contact.believed(one.said, now) for one in self.sources.values())
 
     def wanted(self) -> list[str]:
-        """Whom to ask: the own cell and one more; all while too few have answered, or while neither of those
-        two is in touch with the core."""
-        up = self.up()
-        if not self.settled():
-            return up
-        found = self.steady(up)
-        # Danger: a cut between control planes leaves both on the side where nothing new is decided, while
-        # this limiter could reach the other side.
-        return found if any(self.sources[name].core for name in found) else up
-
-    def up(self) -> list[str]:
-        now = self.clock.now()
-        return [name for name, one in self.sources.items() if now >= one.down_until] or list(self.sources)
-
-    def steady(self, up: list[str]) -> list[str]:
-        """The control planes that are asked where all is well: one of the own cell and one more."""
-        order = rendezvous.order(self.me.node, up)
-        own = [name for name in order if self.sources[name].zone == self.me.zone][:1] or order[:1]
-        return own + [name for name in order if name not in own][:1]
-
-    def wants_lists(self, address: str) -> bool:
-        """Is that control plane to tell its lists of servers and limiters?
-
-        Danger: while it starts a limiter asks all control planes. All lists from each of them, to all who
-        start at once, would fill thin links for seconds."""
-        steady = self.steady(self.up())
-        return address in steady or not any(
-            one.core or not one.have["life"] for one in map(self.sources.__getitem__, steady)
-        )
+        """Whom to ask now."""
+        return sources.wanted(self.me, self.sources, self.settled(), self.clock.now())
 
     def follow(self) -> None:
         for address in self.wanted():
@@ -247,7 +191,7 @@
             "zip": True,
             "pieces": True,
             "document": self.document,
-            "lists": self.wants_lists(address),
+            "lists": sources.wants_lists(self.me, self.sources, address, self.clock.now()),
         }
         times: dict[str, float] = {}
         if self.usual is not None:
@@ -346,7 +290,7 @@
         # Danger: one that is cut off has not heard of servers that started since: they'd be dropped here.
         if listed and "rev" in answer and source.core:
             news.whole = frozenset(one.id for one in news.servers if one.mode != GONE)
-        news.limiters = self.listed(now)
+        news.limiters = self.limiters.of(self.sources.values(), now)
         if named is not None:
             self.name(named, source.core)
             if not self.begun:
@@ -424,28 +368,3 @@
         for address in [a for a, s in self.sources.items() if a not in named and not s.running]:
             if joined and address not in self.seeds:
                 del self.sources[address]
-
-    def listed(self, now: float) -> dict[str, Limiter]:
-        """The limiters there are; by those cut off only while nobody else tells. The same object as long as
-        nothing of it changes: news comes many times a second, and the work on a list grows with the fleet.
-
-        Danger: a limiter that only they hear of would be asked for counts here, and another one elsewhere."""
-        heard = [one for one in self.sources.values() if now - one.heard < LISTED]
-        joined = any(one.core for one in heard)
-        lists = [one.limiters for one in heard if one.core or not joined]
-        if len(lists) != len(self.lists) or any(a is not b for a, b in zip(lists, self.lists, strict=True)):
-            self.lists = lists
-            found = newest(lists)
-            if found != self.limiters:
-                self.limiters = found
-        return self.limiters
-
-
-def newest(lists: list[dict[str, Limiter]]) -> dict[str, Limiter]:
-    """The newest life of each limiter on any of these lists."""
-    found: dict[str, Limiter] = {}
-    for limiters in lists:
-        for node, one in limiters.items():
-            if node not in found or found[node].life < one.life:
-                found[node] = one
-    return found
--- a/finchshelf/dataplane/teller.py
+++ b/finchshelf/dataplane/teller.py
@@ -11,7 +11,8 @@
 
 import trio
 
-from finchshelf.dataplane.follower import LISTED, Follower
+from finchshelf.dataplane.follower import Follower
+from finchshelf.dataplane.sources import LISTED_S
 from finchshelf.dataplane.steering import Steering
 from finchshelf.transport.exchange import Clock
 from finchshelf.transport.frames import PeerError
@@ -50,7 +51,7 @@
             await trio.sleep(prompt)
             now = self.clock.now()
             sources = self.follower.sources
-            if steering.verdicts and all(now - one.heard > LISTED for one in sources.values()):
+            if steering.verdicts and all(now - one.heard > LISTED_S for one in sources.values()):
                 steering.alone()
                 for one in sources.values():
                     one.have["verdicts"] = -1
--- a/tests/stories/test_bad_input.py
+++ b/tests/stories/test_bad_input.py
@@ -43,9 +43,10 @@
 from finchshelf.controlplane.resources import Departure, Observe, Pulse, Resources
 from finchshelf.controlplane.turns import Turns
 from finchshelf.dataplane.core import Core
-from finchshelf.dataplane.follower import Follower, Source
+from finchshelf.dataplane.follower import Follower
 from finchshelf.dataplane.news import News as Told
 from finchshelf.dataplane.questions import Questions
+from finchshelf.dataplane.sources import Source
 from finchshelf.membership.records import Limiter
 from finchshelf.rollout.evidence import Seen
 from finchshelf.transport import frames, net
--- a/tests/stories/test_growth.py
+++ b/tests/stories/test_growth.py
@@ -17,7 +17,7 @@
 from finchshelf.agreement.parcel import Shelf
 from finchshelf.agreement.taken import NOTHING
 from finchshelf.controlplane import telling
-from finchshelf.controlplane.news import gather_s
+from finchshelf.controlplane.pacing import gather_s
 from finchshelf.counts.caller import Caller
 from finchshelf.membership import rendezvous
 from finchshelf.membership.listing import KEPT, Listing, read_list
--- a/tests/stories/test_power_back.py
+++ b/tests/stories/test_power_back.py
@@ -16,7 +16,8 @@
 from benchmarks.power_back import day
 from finchshelf.agreement.store import Store
 from finchshelf.controlplane.register import Register
-from finchshelf.dataplane.follower import DOWN, EARLY, EARLY_MOST, Follower, Source
+from finchshelf.dataplane.follower import DOWN, EARLY, EARLY_MOST, Follower
+from finchshelf.dataplane.sources import Source
 
 SEEDS = ("10.0.0.1:7660", "10.0.0.2:7660", "10.0.0.3:7660")
 PROVED, READY = 0.03, 0.07  # s: two questions over the links between zones, and a pause at most
