Roll-out driver and two models: a concern each in modules of their own

Change: rollout/unchanged.py (what grew where nothing was changed), lacks and shown in watched.py; models/agreement_records.py and models/contact_mutants.py.

Measured: 220 tests of roll-outs, contact, agreement, orders and the command line pass.

--- a/benchmarks/agreement_states.py
+++ b/benchmarks/agreement_states.py
@@ -13,8 +13,8 @@
 import sys
 import time
 
+from finchshelf.models.agreement_records import Bounds
 from finchshelf.models.agreement_rules import MEMBER, MUTANTS, explore
-from finchshelf.models.agreement_states import Bounds
 
 ROWS = [
     Bounds(starts=3),
--- a/benchmarks/contact_search.py
+++ b/benchmarks/contact_search.py
@@ -13,7 +13,8 @@
 from unittest import mock
 
 from finchshelf.membership import contact
-from finchshelf.models.contact import BOUND, LAX, LONG, MUTANTS, WIPED, Model, Stale, rules
+from finchshelf.models.contact import BOUND, Model, Stale
+from finchshelf.models.contact_mutants import LAX, LONG, MUTANTS, WIPED, rules
 
 
 def search(seeds: range, count: int, seconds: float, long: bool, wipes: bool) -> None:
--- a/benchmarks/order_states.py
+++ b/benchmarks/order_states.py
@@ -35,8 +35,8 @@
 from finchshelf.controlplane import early
 from finchshelf.models import order_chain, order_lives, order_mutants, order_states
 from finchshelf.models.agreement_fleet import Split
+from finchshelf.models.agreement_records import Bounds
 from finchshelf.models.agreement_rules import Found
-from finchshelf.models.agreement_states import Bounds
 from finchshelf.simulation import order_days
 
 RACES = tuple(Order(2 + at % 2, 0, b"race %d" % at) for at in range(8))  # on one version, by two numbers
--- a/finchshelf/models/agreement_rules.py
+++ b/finchshelf/models/agreement_rules.py
@@ -11,7 +11,7 @@
 from itertools import combinations
 
 from finchshelf.agreement import core
-from finchshelf.models.agreement_states import (
+from finchshelf.models.agreement_records import (
     ADDRESSES,
     AT,
     DONE,
@@ -19,10 +19,10 @@
     Acc,
     Bounds,
     Broken,
-    Model,
     State,
     put,
 )
+from finchshelf.models.agreement_states import Model
 
 SUPERSEDED = "a change was made or refused on a value that was superseded before it was asked"
 TWO, LOST, STUCK = (
--- a/finchshelf/models/order_chain.py
+++ b/finchshelf/models/order_chain.py
@@ -21,8 +21,8 @@
 from finchshelf.agreement.core import Refusal, Value, genesis
 from finchshelf.agreement.orders import Order, Ruling
 from finchshelf.agreement.taken import DIGEST, ENTRY
+from finchshelf.models.agreement_records import Broken
 from finchshelf.models.agreement_rules import BACK, BOTH, Found
-from finchshelf.models.agreement_states import Broken
 from finchshelf.models.order_mutants import lacking
 
 TWO_ON_ONE = "both of two changes on one version were acknowledged"
--- a/finchshelf/models/order_states.py
+++ b/finchshelf/models/order_states.py
@@ -12,8 +12,8 @@
 
 from finchshelf.agreement import orders
 from finchshelf.agreement.orders import Order, Ruling
+from finchshelf.models.agreement_records import DONE, NONE, REFUSED, Attempt, Bounds, State
 from finchshelf.models.agreement_rules import BACK, BOTH, Checked, Found, explore
-from finchshelf.models.agreement_states import DONE, NONE, REFUSED, Attempt, Bounds, State
 from finchshelf.models.order_mutants import lacking
 
 TWO_ON_ONE = "both of two changes on one version were acknowledged"
--- a/finchshelf/rollout/driver.py
+++ b/finchshelf/rollout/driver.py
@@ -34,8 +34,9 @@
     Told,
 )
 from finchshelf.rollout.plan import Plan, Site
-from finchshelf.rollout.statistics import BACK_S, Growth, Verdict, lift
-from finchshelf.rollout.watched import GRACE, SPANS, Watched
+from finchshelf.rollout.statistics import BACK_S, Growth, Verdict
+from finchshelf.rollout.unchanged import UnchangedSites
+from finchshelf.rollout.watched import GRACE, Watched, lacks
 
 ENDED = ("done", "halted", "aborted")
 SILENT = 30.0  # s without any word of a changed site: what happens there is not known, so it goes back
@@ -70,7 +71,7 @@
         self.began = self.polled = now
         self.paused = False
         self.back = max(1, math.ceil(BACK_S / plan.poll))
-        self.near: dict[str, list[float]] = {}  # of this interval, for each kind
+        self.unchanged = UnchangedSites(self.plan, self.state["sites"], self.mind)
         self.held: list[tuple[int, Adjust]] = []  # each waits for its revision to be written down
         self.out: list[Order] = []
         self.dirty = False
@@ -97,25 +98,8 @@
         return self.out
 
     def view(self) -> dict[str, Any]:
-        """What an operator is shown of each site: the last seconds' rate and harms, requests watched."""
-        found: dict[str, Any] = {}
-        for site in self.plan.sites:
-            mind = self.mind[site.name]
-            rows = [row for delta in mind.deltas for row in delta.values()]
-            if rows:
-                total = [sum(each) for each in zip(*rows, strict=True)]
-                harms = {
-                    name: round(total[at] / max(1, total[0]), 4)
-                    for name, at in AT.items()
-                    if at and total[at]
-                }
-                seconds = max(1e-3, self.plan.poll * sum(map(bool, mind.deltas)))
-                found[site.name] = {
-                    "rate": round(total[0] / seconds, 1),
-                    "harms": harms,
-                    "taken": sum(mind.taken.values()),
-                }
-        return found
+        """What an operator is shown of each site that was heard."""
+        return {name: mind.shown(self.plan.poll) for name, mind in self.mind.items() if mind.has_rows()}
 
     # ---- words ----
 
@@ -206,7 +190,7 @@
     def judge(self) -> None:
         """One interval of every site that was heard; harm halts, and so does a change of another's."""
         passed = max(1e-3, self.now - self.polled)
-        self.near = {}
+        self.unchanged.begin(self.now)
         self.polled = self.now
         for site in self.plan.sites:
             mind, row = self.mind[site.name], self.row(site.name)
@@ -239,33 +223,6 @@
                 if self.phase == "returning":
                     return
 
-    def beside(self) -> list[Site]:
-        """Sites to compare with: not changed; where none is left, those that have passed."""
-        waiting = [one for one in self.plan.sites if self.row(one.name)["state"] == "waiting"]
-        return waiting or [one for one in self.plan.sites if self.row(one.name)["state"] == "passed"]
-
-    def grown(self, kind: plans.Kind) -> list[float]:
-        """What each harm grew by at the same time where nothing was changed; once an interval."""
-        if not self.compare:
-            return [0.0] * len(FIELDS)
-        if kind.route not in self.near:
-            most = [0.0] * len(FIELDS)
-            for span in SPANS:
-                rows: list[tuple[Totals, Totals]] = []
-                for one in self.beside():
-                    route, mind = one.own(kind.route), self.mind[one.name]
-                    past = self.row(one.name).get("past", {})
-                    if route in past and past[route][0] and self.now - mind.disturbed > GRACE:
-                        deltas = [each[route] for each in list(mind.deltas)[-span:] if route in each]
-                        if deltas:
-                            rows.append(([sum(each) for each in zip(*deltas, strict=True)], past[route]))
-                most = [
-                    max(former, lift((now[at], now[0], past[at], past[0]) for now, past in rows))
-                    for at, former in enumerate(most)
-                ]
-            self.near[kind.route] = most
-        return self.near[kind.route]
-
     def examine(self, site: Site, passed: float) -> None:
         """The tests of one interval at a site that has changed."""
         mind, row = self.mind[site.name], self.row(site.name)
@@ -283,13 +240,12 @@
                 return self.halt(site.name, f"{route}: {repeated} run more than once", harm="repeated")
             if excused:
                 continue
+            grown = self.unchanged.grown(kind) if self.compare else [0.0] * len(FIELDS)
             for harm in self.tested(kind, row["past"][route]):
                 test = mind.tests[route, harm]
                 if taken or delta[route][AT[harm]]:
                     # Danger: an answer may fall into the interval after its request's, over its own number.
-                    test.add(
-                        delta[route][AT[harm]], max(taken, delta[route][AT[harm]]), self.grown(kind)[AT[harm]]
-                    )
+                    test.add(delta[route][AT[harm]], max(taken, delta[route][AT[harm]]), grown[AT[harm]])
                 if test.undecided():
                     return self.halt(
                         site.name,
@@ -444,7 +400,7 @@
     def decide(self) -> None:
         """On to the next wave, or on with the watch."""
         for site in self.wave:
-            why = self.lacks(site)
+            why = lacks(self.plan, site, self.mind[site.name], self.now)
             if why:
                 return self.says(f"{site.name}: {why}")
         if self.paused:
@@ -458,22 +414,6 @@
         self.state.update(wave=self.state["wave"] + 1, phase="before")
         self.before()
 
-    def lacks(self, site: Site) -> str:
-        """What a site still owes before its change counts as good; empty if nothing."""
-        mind, since = self.mind[site.name], self.now - self.mind[site.name].since
-        if since < self.plan.window:
-            return f"watched for {self.plan.window:g} s"
-        few = [route for route in self.plan.routes(site) if mind.taken.get(route, 0) < self.plan.least]
-        if few:
-            return f"waits: too few requests of {few[0]}: fewer than {self.plan.least}"
-        least = site.least_rate or self.plan.least_rate
-        if mind.peak < least:
-            return f"waits: never as busy as {least:g} requests a second"
-        open_tests = [key for key, test in mind.tests.items() if test.verdict() is not Verdict.PASS]
-        if open_tests:
-            return f"waits: {open_tests[0][0]}: not yet proven that {open_tests[0][1]} has not grown"
-        return ""
-
     # ---- back ----
 
     def halt(self, name: str, why: str, end: str = "halted", harm: str = "") -> None:
--- a/finchshelf/rollout/watched.py
+++ b/finchshelf/rollout/watched.py
@@ -10,8 +10,9 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from finchshelf.rollout.evidence import FIELDS, Sums, Totals
-from finchshelf.rollout.statistics import Growth
+from finchshelf.rollout.evidence import AT, FIELDS, Sums, Totals
+from finchshelf.rollout.plan import Plan, Site
+from finchshelf.rollout.statistics import Growth, Verdict
 
 GRACE = 8.0  # s after a loss of machines in which harm is taken for the loss's
 SPANS = (1, 3, 10)  # intervals beside over which what grew is looked at; the highest counts
@@ -81,3 +82,31 @@
         self.since, self.at, self.tests, self.taken = now, now, {}, {}
         self.peak = self.excused = 0.0
         self.deltas.clear()
+
+    def shown(self, poll: float) -> dict[str, Any]:
+        """The last seconds' rate and harms, and the requests watched; `poll`: s of an interval."""
+        rows = [row for delta in self.deltas for row in delta.values()]
+        total = [sum(each) for each in zip(*rows, strict=True)]
+        harms = {name: round(total[at] / max(1, total[0]), 4) for name, at in AT.items() if at and total[at]}
+        seconds = max(1e-3, poll * sum(map(bool, self.deltas)))
+        return {"rate": round(total[0] / seconds, 1), "harms": harms, "taken": sum(self.taken.values())}
+
+    def has_rows(self) -> bool:
+        """Is there anything of the last intervals?"""
+        return any(self.deltas)
+
+
+def lacks(plan: Plan, site: Site, mind: Watched, now: float) -> str:
+    """What a site still owes before its change counts as good; empty if nothing."""
+    if now - mind.since < plan.window:
+        return f"watched for {plan.window:g} s"
+    few = [route for route in plan.routes(site) if mind.taken.get(route, 0) < plan.least]
+    if few:
+        return f"waits: too few requests of {few[0]}: fewer than {plan.least}"
+    least = site.least_rate or plan.least_rate
+    if mind.peak < least:
+        return f"waits: never as busy as {least:g} requests a second"
+    open_tests = [key for key, test in mind.tests.items() if test.verdict() is not Verdict.PASS]
+    if open_tests:
+        return f"waits: {open_tests[0][0]}: not yet proven that {open_tests[0][1]} has not grown"
+    return ""
--- a/tests/stories/test_agreement.py
+++ b/tests/stories/test_agreement.py
@@ -13,8 +13,8 @@
 from finchshelf.agreement.membership import next_members
 from finchshelf.models.agreement_fleet import ADDRESSES, Fleet, Split, add, members
 from finchshelf.models.agreement_mutants import GUARDS
+from finchshelf.models.agreement_records import Bounds
 from finchshelf.models.agreement_rules import MEMBER, MUTANTS, Found, explore
-from finchshelf.models.agreement_states import Bounds
 
 A, B, C = core.genesis(ADDRESSES).members
 NEW_B, SPARE = core.Member("b:1", "x"), core.Member("d:1", "y")
--- a/tests/stories/test_contact.py
+++ b/tests/stories/test_contact.py
@@ -11,7 +11,8 @@
 import pytest
 
 from finchshelf.membership import contact
-from finchshelf.models.contact import BOUND, LAX, LONG, MUTANTS, WIPED, Model, Stale, rules
+from finchshelf.models.contact import BOUND, Model, Stale
+from finchshelf.models.contact_mutants import LAX, LONG, MUTANTS, WIPED, rules
 
 SECONDS, LONG_SECONDS = 30.0, 120.0
 
--- a/tests/stories/test_orders.py
+++ b/tests/stories/test_orders.py
@@ -18,8 +18,8 @@
 from finchshelf.controlplane import early, telling
 from finchshelf.models import order_chain, order_lives, order_states
 from finchshelf.models.agreement_fleet import ADDRESSES
+from finchshelf.models.agreement_records import Bounds
 from finchshelf.models.agreement_rules import Found
-from finchshelf.models.agreement_states import Bounds
 from finchshelf.models.order_mutants import GUARDS
 from finchshelf.simulation import order_days
 from finchshelf.simulation.conversation import call
